Instances know each other, and two read the store for all

Change: beats among instances, a reader role by rendezvous hashing, news relayed with the age of its confirmation.

--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,181 @@
+// Package fleet keeps which instances live, from what they tell each other, and
+// which of them read the platform's store for the others. Nobody writes
+// heartbeats to the store: each of its calls has a price, and it has outages.
+// The package does no I/O.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/membership"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+)
+
+const (
+	// BeatEvery is how often an instance tells each other one that it lives.
+	// A dozen instances exchange 30 small messages a second each that way.
+	BeatEvery = 400 * time.Millisecond
+	// silentAfter is how long an instance may be silent and still count as
+	// live: three beats, one of which may be lost.
+	silentAfter = 1300 * time.Millisecond
+	// ForgetAfter is how long a silent instance is remembered. One that is
+	// frozen or cut off comes back under the same name; one that was replaced
+	// does not.
+	ForgetAfter = 30 * time.Second
+	// readers is how many instances read the store: one, and one more whose
+	// answers are at hand when the first falls silent.
+	readers = 2
+	// readersKey orders the instances by rendezvous hashing for that role.
+	readersKey = "store-readers"
+)
+
+// Member is what an instance last told of itself.
+type Member struct {
+	msg.Beat
+	// Heard is when; zero if it is known from the store only.
+	Heard time.Time
+	// Known is when it was first known.
+	Known time.Time
+}
+
+// Fleet is one instance's view of all instances. It is not safe for concurrent
+// use.
+type Fleet struct {
+	self    msg.Beat
+	members map[string]*Member
+	view    *membership.View
+	live    []string
+}
+
+// New returns a view that knows only the instance itself.
+func New(self msg.Beat) *Fleet {
+	f := &Fleet{self: self, members: map[string]*Member{}, view: membership.NewView(listed(self))}
+	return f
+}
+
+func listed(b msg.Beat) membership.Member {
+	return membership.Member{
+		Name: b.Name, Role: membership.RoleEntry, DataCentre: b.DataCentre,
+		State: membership.Live, Address: b.CallerAddress, PeerAddress: b.PeerAddress,
+	}
+}
+
+// Self returns the instance's own beat.
+func (f *Fleet) Self() msg.Beat { return f.self }
+
+// SetSelf updates what the instance tells of itself.
+func (f *Fleet) SetSelf(ready, leaving bool) { f.self.Ready, f.self.Leaving = ready, leaving }
+
+// Heard takes a beat of another instance. It reports whether the instance was
+// not known to live before.
+func (f *Fleet) Heard(now time.Time, b msg.Beat) bool {
+	if b.Name == f.self.Name {
+		return false
+	}
+	m := f.members[b.Name]
+	fresh := m == nil || m.Boot != b.Boot || now.Sub(m.Heard) > silentAfter
+	if m == nil {
+		m = &Member{Known: now}
+		f.members[b.Name] = m
+	}
+	m.Beat, m.Heard = b, now
+	if fresh {
+		f.refresh(now)
+	}
+	return fresh
+}
+
+// Learn takes in an instance that is known from the store only.
+func (f *Fleet) Learn(now time.Time, b msg.Beat) {
+	if b.Name == f.self.Name || f.members[b.Name] != nil {
+		return
+	}
+	f.members[b.Name] = &Member{Beat: b, Known: now}
+}
+
+// Tick notes who has fallen silent and returns their names.
+func (f *Fleet) Tick(now time.Time) []string {
+	before := f.live
+	f.refresh(now)
+	var lost []string
+	for _, name := range before {
+		if !slices.Contains(f.live, name) {
+			lost = append(lost, name)
+		}
+	}
+	for name, m := range f.members {
+		if now.Sub(m.Heard) > ForgetAfter && now.Sub(m.Known) > ForgetAfter {
+			delete(f.members, name)
+		}
+	}
+	return lost
+}
+
+func (f *Fleet) refresh(now time.Time) {
+	f.live = f.live[:0:0]
+	var list []membership.Member
+	for name, m := range f.members {
+		if f.alive(now, m) {
+			f.live = append(f.live, name)
+			list = append(list, listed(m.Beat))
+		}
+	}
+	slices.Sort(f.live)
+	f.view.Update(now, list)
+}
+
+func (f *Fleet) alive(now time.Time, m *Member) bool {
+	return !m.Heard.IsZero() && now.Sub(m.Heard) <= silentAfter
+}
+
+// Live lists the other instances that live, by name.
+func (f *Fleet) Live() []string { return f.live }
+
+// Others lists every other instance that is known, live or silent.
+func (f *Fleet) Others() []*Member {
+	out := make([]*Member, 0, len(f.members))
+	for _, m := range f.members {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Find returns another instance by name, or nil.
+func (f *Fleet) Find(name string) *Member { return f.members[name] }
+
+// Size is how many instances are known, this one included.
+func (f *Fleet) Size() int { return len(f.members) + 1 }
+
+// Readers lists the instances that read the store for the others.
+func (f *Fleet) Readers(now time.Time) []string {
+	return f.view.Homes(now, readersKey, readers, func(string) int { return 0 })
+}
+
+// Home returns the instance that decides for a key.
+func (f *Fleet) Home(now time.Time, key string) string {
+	if homes := f.view.Homes(now, key, 1, func(string) int { return 0 }); len(homes) > 0 {
+		return homes[0]
+	}
+	return f.self.Name
+}
+
+// Suspect passes an instance over as a home for some seconds.
+func (f *Fleet) Suspect(now time.Time, name string) { f.view.Suspect(now, name) }
+
+// Addresses lists where callers may connect: the instances that live and are
+// ready, this one included if it is.
+func (f *Fleet) Addresses() []string {
+	var out []string
+	if f.self.Ready && !f.self.Leaving {
+		out = append(out, f.self.CallerAddress)
+	}
+	for _, name := range f.live {
+		if m := f.members[name]; m.Ready && !m.Leaving {
+			out = append(out, m.CallerAddress)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/msg/fleet.go
@@ -0,0 +1,111 @@
+package msg
+
+import (
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/route"
+)
+
+// Kinds of the messages among instances that live on a hosting platform. They
+// are numbered apart from the others.
+const (
+	KindBeat Kind = iota + 64
+	KindSyncAsk
+	KindSyncAnswer
+	KindMoveOrder
+	KindMoved
+)
+
+// Beat tells an instance that the sender lives, and where it is reached.
+type Beat struct {
+	Name          string
+	DataCentre    string
+	CallerAddress string
+	PeerAddress   string
+	// Boot tells runs of the same name apart.
+	Boot string
+	// Ready is set while callers may be sent to the sender.
+	Ready bool
+	// Leaving is set once the sender drains.
+	Leaving bool
+	// Answer asks the receiver for a beat of its own: the sender has just
+	// started and must learn who lives.
+	Answer bool
+}
+
+// SyncAsk asks an instance that reads the platform's store for what is newer
+// than the asker's versions. It is answered as soon as there is news, or after
+// a short time, as an answer also confirms that there is none.
+type SyncAsk struct {
+	Number int64
+	Config int64
+	List   int64
+}
+
+// SyncAnswer answers a SyncAsk.
+type SyncAnswer struct {
+	// Number is the ask's.
+	Number int64
+	// ConfigAge is how long ago the sender asked the question whose answer
+	// last confirmed its configuration. Negative if it has none.
+	ConfigAge time.Duration
+	// Config is nil if the asker's version is the newest known.
+	Config *route.Config
+	// ListVersion is the version of the whole list in List; 0 if it has
+	// nothing that the asker lacks.
+	ListVersion int64
+	List        []roster.Change
+}
+
+// MoveOrder tells an entry to move a running generation to another upstream.
+type MoveOrder struct {
+	Pool    string
+	Attempt string
+	// Number tells orders for one attempt apart.
+	Number int64
+	// From and To name the upstreams, ToAddress is where To is reached.
+	From      string
+	To        string
+	ToAddress string
+}
+
+// Moved tells how a MoveOrder ended.
+type Moved struct {
+	Pool    string
+	Attempt string
+	Number  int64
+	// Outcome is one of the outcomes of moves below.
+	Outcome MoveOutcome
+}
+
+// MoveOutcome says how a move ended.
+type MoveOutcome string
+
+// Outcomes of moves.
+const (
+	// MoveDone: the run goes on at the destination.
+	MoveDone MoveOutcome = "done"
+	// MoveNoRun: the run had ended, or had not begun.
+	MoveNoRun MoveOutcome = "no_run"
+	// MoveNoRoom: the destination did not take the copy; the run goes on at
+	// the source.
+	MoveNoRoom MoveOutcome = "no_room"
+	// MoveFailed: the copy failed in another way.
+	MoveFailed MoveOutcome = "failed"
+)
+
+// Kind implements Message.
+func (Beat) Kind() Kind { return KindBeat }
+
+// Kind implements Message.
+func (SyncAsk) Kind() Kind { return KindSyncAsk }
+
+// Kind implements Message.
+func (SyncAnswer) Kind() Kind { return KindSyncAnswer }
+
+// Kind implements Message.
+func (MoveOrder) Kind() Kind { return KindMoveOrder }
+
+// Kind implements Message.
+func (Moved) Kind() Kind { return KindMoved }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -73,6 +73,9 @@
 	byService map[string][]*Upstream
 	// newest is the newest version of the list that was seen.
 	newest int64
+	// changed is the version of the newest change that was more than a
+	// heartbeat.
+	changed int64
 	// down is set while the store does not answer, since returned.
 	down     bool
 	returned time.Time
@@ -83,6 +86,19 @@
 	return &Roster{byID: map[string]*Upstream{}, versions: map[string]int64{}, byService: map[string][]*Upstream{}}
 }
 
+// Changed returns the version of the newest change that was more than a
+// heartbeat.
+func (r *Roster) Changed() int64 { return r.changed }
+
+// Snapshot returns the whole list as changes, for another instance.
+func (r *Roster) Snapshot() []Change {
+	out := make([]Change, 0, len(r.byID))
+	for _, u := range r.All() {
+		out = append(out, Change{ID: u.ID, Version: u.Version, Valid: true, Entry: u.Entry})
+	}
+	return out
+}
+
 // Newest returns the newest version of the list that was seen.
 func (r *Roster) Newest() int64 { return r.newest }
 
@@ -106,6 +122,9 @@
 			continue
 		}
 		r.versions[c.ID] = c.Version
+		if r.means(c) {
+			r.changed = max(r.changed, c.Version)
+		}
 		if u := r.apply(now, c); u != nil {
 			left = append(left, u)
 		}
@@ -160,6 +179,15 @@
 	return nil
 }
 
+// means reports whether a change is more than a heartbeat.
+func (r *Roster) means(c Change) bool {
+	u := r.byID[c.ID]
+	if c.Removed || !c.Valid {
+		return u != nil
+	}
+	return u == nil || !sameRun(u.Entry, c.Entry) || u.Entry.Leaving != c.Entry.Leaving || !u.Lapses.IsZero()
+}
+
 // sameRun reports whether two entries under one id are of the same run.
 func sameRun(a, b Entry) bool {
 	return a.Born == b.Born && a.Address == b.Address && a.Service == b.Service
@@ -182,6 +210,7 @@
 }
 
 func (r *Roster) drop(now time.Time, u *Upstream) *Upstream {
+	r.changed = max(r.changed, r.newest)
 	delete(r.byID, u.ID)
 	if u.LeavingSince.IsZero() {
 		u.LeavingSince = now
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -129,6 +129,12 @@
 	msg.KindConfigObjectAsk:  decodeAs[msg.ConfigObjectAsk],
 	msg.KindConfigObjectPart: decodeAs[msg.ConfigObjectPart],
 	msg.KindLeaving:          decodeAs[msg.Leaving],
+
+	msg.KindBeat:       decodeAs[msg.Beat],
+	msg.KindSyncAsk:    decodeAs[msg.SyncAsk],
+	msg.KindSyncAnswer: decodeAs[msg.SyncAnswer],
+	msg.KindMoveOrder:  decodeAs[msg.MoveOrder],
+	msg.KindMoved:      decodeAs[msg.Moved],
 }
 
 func decodeAs[T msg.Message](b []byte) (msg.Message, error) {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -11,11 +11,11 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
 const (
-	dialTimeout  = 500 * time.Millisecond
 	writeTimeout = time.Second
 	// idleAfter is how long a connection may carry nothing before its sender
 	// closes it: at the target size an instance talks to 389 others, and 130
@@ -53,7 +53,7 @@
 
 // Listen opens the peer address of an instance.
 func Listen(address, self string, handle Handler, log hclog.Logger) (*Transport, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := conn.ListenConfig().Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers on %s: %w", address, err)
 	}
@@ -235,23 +235,22 @@
 // several wait. It returns how many frames an error lost, and nil once the
 // connection has been idle.
 func (t *Transport) write(ctx context.Context, l *link) (lost int, err error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", l.address)
+	c, err := conn.Dialer().DialContext(ctx, "tcp", l.address)
 	if err != nil {
 		return 0, fmt.Errorf("dial %s: %w", l.address, err)
 	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.Close() })
 	defer stop()
 	idle := time.NewTimer(idleAfter)
 	defer idle.Stop()
 	for {
-		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return 0, fmt.Errorf("write to %s: %w", l.address, err)
 		}
 		frames := l.queue.take()
 		n := len(frames)
-		_, err := frames.WriteTo(conn)
+		_, err := frames.WriteTo(c)
 		l.queue.done(n)
 		if err != nil {
 			return n, fmt.Errorf("write to %s: %w", l.address, err)
--- /dev/null
+++ b/internal/resident/fleet.go
@@ -0,0 +1,156 @@
+package resident
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"mulberrylug.example/mulberrylug/internal/boottime"
+	"mulberrylug.example/mulberrylug/internal/core/fleet"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/metrics"
+	"mulberrylug.example/mulberrylug/internal/peer"
+)
+
+// joinPause is the pause between two tries to join the table of instances.
+const joinPause = 500 * time.Millisecond
+
+// fellows keeps in touch with the other instances.
+type fellows struct {
+	store   Store
+	peers   *peer.Transport
+	metrics *metrics.Metrics
+	log     hclog.Logger
+	// state tells whether this instance is ready, and whether it leaves.
+	state func() (ready, leaving bool)
+
+	// mu guards the view.
+	mu    sync.Mutex
+	fleet *fleet.Fleet
+}
+
+// with runs f on the view.
+func (f *fellows) with(do func(now time.Time, v *fleet.Fleet)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do(boottime.Now(), f.fleet)
+}
+
+// join makes this instance known in the store and learns who else is. It writes
+// first and reads then, so that of two instances that start at once at least
+// one sees the other.
+func (f *fellows) join(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := f.store.Join(ctx, f.self())
+		if err == nil {
+			var known []msg.Beat
+			if known, err = f.store.Members(ctx); err == nil {
+				f.learn(known)
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		}
+		f.metrics.Count("store_failures_total", "join")
+		f.log.Warn("join_failed", "step", "join", "error", err)
+		pause(ctx, joinPause)
+	}
+	return ctx.Err()
+}
+
+func (f *fellows) self() (self msg.Beat) {
+	f.with(func(_ time.Time, v *fleet.Fleet) { self = v.Self() })
+	return self
+}
+
+func (f *fellows) learn(known []msg.Beat) {
+	f.with(func(now time.Time, v *fleet.Fleet) {
+		for _, b := range known {
+			v.Learn(now, b)
+		}
+	})
+	f.log.Info("instances_learned", "source", "store", "count", len(known))
+	f.beat(true)
+}
+
+// beats tells the others that this instance lives until the context ends.
+func (f *fellows) beats(ctx context.Context) error {
+	t := time.NewTicker(fleet.BeatEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			f.beat(false)
+			f.lose()
+		}
+	}
+}
+
+// beat tells every other instance that this one lives.
+func (f *fellows) beat(answer bool) {
+	ready, leaving := f.state()
+	var self msg.Beat
+	var others []msg.Beat
+	f.with(func(_ time.Time, v *fleet.Fleet) {
+		v.SetSelf(ready, leaving)
+		self = v.Self()
+		for _, m := range v.Others() {
+			others = append(others, m.Beat)
+		}
+	})
+	self.Answer = answer
+	for _, o := range others {
+		f.send(o, self)
+	}
+}
+
+// send queues a message; one that does not fit is lost, as all may be.
+func (f *fellows) send(to msg.Beat, m msg.Message) {
+	if err := f.peers.Send(to.Name, to.PeerAddress, m); err != nil {
+		f.metrics.Count("peer_lost_messages_total", to.Name)
+		f.log.Debug("peer_message_lost", "peer", to.Name, "error", err)
+	}
+}
+
+// sendTo sends a message to an instance by name; an unknown one hears nothing.
+func (f *fellows) sendTo(name string, m msg.Message) {
+	var to *msg.Beat
+	f.with(func(_ time.Time, v *fleet.Fleet) {
+		if other := v.Find(name); other != nil {
+			b := other.Beat
+			to = &b
+		}
+	})
+	if to != nil {
+		f.send(*to, m)
+	}
+}
+
+// heard takes another instance's beat.
+func (f *fellows) heard(b msg.Beat) {
+	fresh := false
+	f.with(func(now time.Time, v *fleet.Fleet) { fresh = v.Heard(now, b) })
+	if fresh {
+		f.log.Info("dependency_regained", "dependency", "instance", "peer", b.Name, "boot", b.Boot, "ready", b.Ready)
+	}
+	if b.Answer {
+		f.send(b, f.self())
+	}
+}
+
+func (f *fellows) lose() {
+	var lost []string
+	f.with(func(now time.Time, v *fleet.Fleet) { lost = v.Tick(now) })
+	for _, name := range lost {
+		f.log.Info("dependency_lost", "dependency", "instance", "peer", name, "why", "silent")
+	}
+}
+
+// readers returns who reads the store for the others, and who lives.
+func (f *fellows) readers() (readers, live []string) {
+	f.with(func(now time.Time, v *fleet.Fleet) { readers, live = v.Readers(now), v.Live() })
+	return readers, live
+}
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -11,6 +12,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/watch"
 	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
@@ -29,6 +31,9 @@
 	listPause = 200 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 150 * time.Millisecond
+	// sourcePause is how often it is looked whether another source is to be
+	// asked.
+	sourcePause = 100 * time.Millisecond
 )
 
 // follower keeps the gate's configuration and list of upstreams up to date.
@@ -40,6 +45,17 @@
 	// left is called with upstreams that begin to leave.
 	left func([]*roster.Upstream, string)
 	up   bool
+	// adopted is called with each configuration that is put in force.
+	adopted func(*route.Config)
+	fellows *fellows
+	relay   *relay
+
+	// mu guards watch.
+	mu    sync.Mutex
+	watch *watch.Watch
+	// last is the source that was asked last.
+	last string
+
 	// configAt and listAt are the store's versions that were last seen.
 	configAt int64
 	listAt   int64
@@ -48,9 +64,14 @@
 // followConfig follows the configuration until the context ends.
 func (f *follower) followConfig(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if f.source() != watch.Store {
+			pause(ctx, sourcePause)
+			continue
+		}
 		asked := boottime.Now()
 		read, err := f.readConfig(ctx)
 		if err != nil {
+			f.sourceFailed(watch.Store, err.Error())
 			f.failed(ctx, "configuration", err)
 			if errors.Is(err, ErrHistoryGone) {
 				f.configAt = 0
@@ -76,6 +97,7 @@
 		return
 	}
 	f.configAt = read.Version
+	f.sourceAnswered(watch.Store, 0)
 	f.adopt(asked, read.Config, "store")
 }
 
@@ -94,6 +116,7 @@
 		version = g.Table().Version
 	})
 	if adopted {
+		f.adopted(c)
 		f.metrics.Count("configurations_total", "adopted")
 		f.log.Info("configuration_adopted", "version", version, "source", source, "routes", len(c.Routes),
 			"services", len(c.Services), "organisations", len(c.Organisations))
@@ -103,6 +126,10 @@
 // followList follows the list of upstreams until the context ends.
 func (f *follower) followList(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if f.source() != watch.Store {
+			pause(ctx, sourcePause)
+			continue
+		}
 		began := time.Now()
 		if err := f.readList(ctx); err != nil {
 			f.failed(ctx, "list", err)
@@ -150,6 +177,7 @@
 	}
 	f.listAt = max(f.listAt, read.Version)
 	f.report(left, "list")
+	f.relay.tick()
 }
 
 func (f *follower) report(left []*roster.Upstream, source string) {
@@ -193,3 +221,37 @@
 	case <-t.C:
 	}
 }
+
+// source returns whom to ask for news: the store, or an instance by name.
+func (f *follower) source() string {
+	readers, live := f.fellows.readers()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	source := f.watch.Source(boottime.Now(), readers, live)
+	if source != f.last {
+		f.log.Info("source_changed", "from", sourceName(f.last), "to", sourceName(source))
+		f.last = source
+	}
+	return source
+}
+
+func sourceName(source string) string {
+	if source == watch.Store {
+		return "store"
+	}
+	return source
+}
+
+func (f *follower) sourceFailed(source, why string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.metrics.Count("source_failures_total", sourceName(source))
+	f.log.Info("source_failed", "source", sourceName(source), "why", why)
+	f.watch.Failed(boottime.Now(), source)
+}
+
+func (f *follower) sourceAnswered(source string, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watch.Answered(boottime.Now(), source, age)
+}
--- a/internal/resident/ports.go
+++ b/internal/resident/ports.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 )
@@ -37,6 +38,11 @@
 	ConfigSince(ctx context.Context, after int64, wait time.Duration) (ConfigRead, error)
 	List(ctx context.Context) (ListRead, error)
 	ListSince(ctx context.Context, after int64, wait time.Duration) (ListRead, error)
+	// Join makes an instance known to the others, Members lists all that did,
+	// Leave takes one out.
+	Join(ctx context.Context, self msg.Beat) error
+	Members(ctx context.Context) ([]msg.Beat, error)
+	Leave(ctx context.Context, name string) error
 }
 
 // Answer is the head of an upstream's answer, decoded.
--- /dev/null
+++ b/internal/resident/relay.go
@@ -0,0 +1,155 @@
+package resident
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/boottime"
+	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/watch"
+)
+
+// relay answers the questions of instances that do not read the store.
+type relay struct {
+	server *server
+	send   func(to string, m msg.Message)
+
+	mu      sync.Mutex
+	waiting map[string]waitingAsk
+	// config is the configuration in force, to be handed on.
+	config *route.Config
+}
+
+type waitingAsk struct {
+	ask   msg.SyncAsk
+	until time.Time
+}
+
+// ask takes a question: it is answered at once if there is news.
+func (r *relay) ask(from string, m msg.SyncAsk) {
+	if answer, news := r.answer(m); news {
+		r.send(from, answer)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting[from] = waitingAsk{ask: m, until: time.Now().Add(watch.PeerHold)}
+}
+
+// tick answers the questions that there is news for, or that waited long enough.
+func (r *relay) tick() {
+	r.mu.Lock()
+	waiting := make(map[string]waitingAsk, len(r.waiting))
+	for name, w := range r.waiting {
+		waiting[name] = w
+	}
+	r.mu.Unlock()
+	for name, w := range waiting {
+		answer, news := r.answer(w.ask)
+		if !news && time.Now().Before(w.until) {
+			continue
+		}
+		r.mu.Lock()
+		if r.waiting[name] == w {
+			delete(r.waiting, name)
+		}
+		r.mu.Unlock()
+		r.send(name, answer)
+	}
+}
+
+// answer tells what is newer than the asker's versions, and whether anything is.
+func (r *relay) answer(m msg.SyncAsk) (a msg.SyncAnswer, news bool) {
+	a = msg.SyncAnswer{Number: m.Number, ConfigAge: -1}
+	r.server.decide(func(now time.Time, g *forward.Gate) {
+		if g.Table() == nil {
+			return
+		}
+		a.ConfigAge = max(now.Sub(g.Confirmed()), 0)
+		if g.Table().Version > m.Config && r.config != nil {
+			a.Config, news = r.config, true
+		}
+		if g.Roster().Changed() > m.List {
+			a.ListVersion, a.List, news = g.Roster().Newest(), g.Roster().Snapshot(), true
+		}
+	})
+	return a, news
+}
+
+// asker asks other instances for news while this one does not read the store.
+type asker struct {
+	follower *follower
+	answers  chan syncAnswer
+	number   int64
+}
+
+type syncAnswer struct {
+	from string
+	msg.SyncAnswer
+}
+
+// run asks until the context ends.
+func (a *asker) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		source := a.follower.source()
+		if source == watch.Store {
+			pause(ctx, sourcePause)
+			continue
+		}
+		a.ask(ctx, source)
+	}
+	return ctx.Err()
+}
+
+// ask asks one instance and takes its answer in. The answer counts from the
+// moment of the question: what happened since, it may not know.
+func (a *asker) ask(ctx context.Context, source string) {
+	a.number++
+	q := msg.SyncAsk{Number: a.number}
+	a.follower.server.decide(func(_ time.Time, g *forward.Gate) {
+		q.List = g.Roster().Newest()
+		if g.Table() != nil {
+			q.Config = g.Table().Version
+		}
+	})
+	asked := boottime.Now()
+	a.follower.fellows.sendTo(source, q)
+	timeout := time.NewTimer(watch.PeerPatience)
+	defer timeout.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timeout.C:
+			a.follower.sourceFailed(source, "no answer")
+			return
+		case got := <-a.answers:
+			if got.from != source || got.Number != q.Number {
+				continue // late
+			}
+			a.take(source, asked, got.SyncAnswer)
+			return
+		}
+	}
+}
+
+func (a *asker) take(source string, asked time.Time, m msg.SyncAnswer) {
+	f := a.follower
+	f.sourceAnswered(source, m.ConfigAge)
+	if m.ConfigAge < 0 {
+		return
+	}
+	f.adopt(asked.Add(-m.ConfigAge), m.Config, source)
+	if m.ListVersion == 0 {
+		return
+	}
+	var left []*roster.Upstream
+	f.server.decide(func(now time.Time, g *forward.Gate) {
+		left, _ = g.Roster().Replace(now, m.List, m.ListVersion)
+	})
+	f.report(left, source)
+}
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -15,9 +15,14 @@
 	"github.com/thejerf/suture/v4"
 
 	"mulberrylug.example/mulberrylug/internal/conn"
+	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/watch"
 	"mulberrylug.example/mulberrylug/internal/metrics"
+	"mulberrylug.example/mulberrylug/internal/peer"
 )
 
 const (
@@ -60,6 +65,9 @@
 	metrics  *metrics.Metrics
 	server   *server
 	follower *follower
+	fellows  *fellows
+	relay    *relay
+	asker    *asker
 	drained  chan struct{}
 	leaveNow chan struct{}
 }
@@ -85,10 +93,54 @@
 		settings: s, wire: wire, log: log, metrics: m, server: srv,
 		drained: make(chan struct{}), leaveNow: make(chan struct{}),
 	}
-	r.follower = &follower{store: store, server: srv, metrics: m, log: log, left: func([]*roster.Upstream, string) {}}
+	r.fellows = &fellows{store: store, metrics: m, log: log, state: r.state, fleet: fleet.New(r.beat())}
+	r.relay = &relay{server: srv, send: r.fellows.sendTo, waiting: map[string]waitingAsk{}}
+	r.follower = &follower{
+		store: store, server: srv, metrics: m, log: log, left: func([]*roster.Upstream, string) {},
+		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(s.Name),
+	}
+	r.asker = &asker{follower: r.follower, answers: make(chan syncAnswer, 16)}
 	return r
 }
 
+// beat is what this instance tells the others of itself.
+func (r *Resident) beat() msg.Beat {
+	return msg.Beat{
+		Name: r.settings.Name, DataCentre: r.settings.DataCentre, CallerAddress: r.settings.CallerAddress,
+		PeerAddress: net.JoinHostPort(r.settings.IP, strconv.Itoa(r.settings.PeerPort)),
+		Boot:        fmt.Sprintf("%08x", rand.Uint32()),
+	}
+}
+
+// state tells whether callers may be sent here, and whether this instance leaves.
+func (r *Resident) state() (ready, leaving bool) {
+	ready = r.ready()
+	return ready, r.server.isLeaving()
+}
+
+// adopted hands a new configuration on to the instances that ask for it.
+func (r *Resident) adopted(c *route.Config) {
+	r.server.decide(func(time.Time, *forward.Gate) { r.relay.config = c })
+	r.relay.tick()
+}
+
+// onPeer takes a message of another instance.
+func (r *Resident) onPeer(from string, m msg.Message) {
+	switch m := m.(type) {
+	case msg.Beat:
+		r.fellows.heard(m)
+	case msg.SyncAsk:
+		r.relay.ask(from, m)
+	case msg.SyncAnswer:
+		select {
+		case r.asker.answers <- syncAnswer{from: from, SyncAnswer: m}:
+		default: // nobody waits for it any more
+		}
+	default:
+		r.log.Warn("peer_message_unknown", "peer", from, "kind", m.Kind())
+	}
+}
+
 // Metrics returns the counters of the instance.
 func (r *Resident) Metrics() *metrics.Metrics { return r.metrics }
 
@@ -111,6 +163,16 @@
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, IdleTimeout: idleTimeout,
 		}})
 	}
+	peers, err := peer.Listen(r.beat().PeerAddress, r.settings.Name, r.onPeer, r.log.Named("peer"))
+	if err != nil {
+		return err
+	}
+	peers.Dropped = func(to string, frames int) { r.metrics.Add("peer_lost_messages_total", to, int64(frames)) }
+	r.fellows.peers = peers
+	tree.Add(peers)
+	tree.Add(service{"join", r.fellows.join})
+	tree.Add(service{"beats", r.fellows.beats})
+	tree.Add(service{"asker", r.asker.run})
 	tree.Add(service{"configuration", r.follower.followConfig})
 	tree.Add(service{"list", r.follower.followList})
 	tree.Add(service{"ticks", r.tick})
@@ -185,10 +247,13 @@
 }
 
 func (r *Resident) addresses(Directory) []string {
-	if !r.ready() {
-		return nil
-	}
-	return []string{r.settings.CallerAddress}
+	var out []string
+	ready, leaving := r.state()
+	r.fellows.with(func(_ time.Time, v *fleet.Fleet) {
+		v.SetSelf(ready, leaving)
+		out = v.Addresses()
+	})
+	return out
 }
 
 // Drain leaves: callers are sent elsewhere, and the process ends once nothing
@@ -199,6 +264,7 @@
 		g.Drain()
 	})
 	r.log.Info("draining", "name", r.settings.Name, "open_requests", r.server.open(), "grace", r.settings.Grace)
+	r.fellows.beat(false)
 	go r.waitDrained()
 }
 
@@ -215,6 +281,13 @@
 	}
 }
 
+// countInstances tells the gate how many instances share the retry budget.
+func (r *Resident) countInstances() {
+	n := 1
+	r.fellows.with(func(_ time.Time, v *fleet.Fleet) { n = v.Size() })
+	r.server.decide(func(_ time.Time, g *forward.Gate) { g.SetInstances(n) })
+}
+
 func (r *Resident) tick(ctx context.Context) error {
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
@@ -228,6 +301,8 @@
 			r.server.pool.Sweep()
 		case <-tick.C:
 			r.follower.tick()
+			r.relay.tick()
+			r.countInstances()
 		}
 	}
 }
