Pool homes place generations and move them off upstreams that leave

Change: a pool's home places generations by the product's own placement, and orders one move at a time for each leaving upstream: a copy while the run goes on, then the short rest while it stands.

--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -33,6 +33,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// NoHomes makes each entry choose by itself, for comparison.
+	NoHomes bool
 	// Seed feeds the choice among equals.
 	Seed uint64
 }
--- /dev/null
+++ b/internal/core/forward/home.go
@@ -0,0 +1,110 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+)
+
+const (
+	// HomePatience is how long an entry waits for the first word of a pool's
+	// home before it chooses by itself. Data centres lie a few milliseconds
+	// apart; a home that says nothing for this long is frozen, cut off or
+	// gone. The wait is a thirtieth of what a first token may take.
+	HomePatience = 60 * time.Millisecond
+	// AskAgain is how often an entry whose request is queued asks again: it
+	// shows that the home lives.
+	AskAgain = 400 * time.Millisecond
+	// waitShare is the part of the target latency that a request may queue:
+	// one that would wait longer is refused at once, with a time to come back.
+	waitShare = 2.0
+)
+
+// Ask returns what the home of the call's pool is asked.
+func (c *Call) Ask(now time.Time) msg.GrantAsk {
+	ask := placement.Ask{
+		Attempt: c.Grant(), Org: c.Organisation, Fingerprint: c.Print, Prompt: max(c.PromptTokens, 1),
+		MaxOutput: max(c.MaxOutput, 1), Expected: c.Hint, MaxWait: c.maxWait(now),
+	}
+	for _, u := range c.tried {
+		ask.Exclude = append(ask.Exclude, u.ID)
+	}
+	return msg.GrantAsk{Pool: c.Service, Ask: ask}
+}
+
+// Grant names the attempt that is next or in progress, towards the home.
+func (c *Call) Grant() string {
+	if c.grants == 0 {
+		return c.ID
+	}
+	return c.ID + "/" + strconv.Itoa(c.grants)
+}
+
+func (c *Call) maxWait(now time.Time) time.Duration {
+	return min(time.Duration(waitShare*float64(c.Route.Target)), c.Deadline.Sub(now))
+}
+
+// wantsHome reports whether a pool's home decides where the call goes.
+func (g *Gate) wantsHome(c *Call) bool {
+	s := g.table.Service(c.Service)
+	return c.Route.Generation && s != nil && s.Engine != nil && !g.options.NoHomes
+}
+
+// Granted takes a home's grant. A grant for an upstream that is not known here
+// or that has begun to leave is passed over: the entry chooses by itself.
+func (g *Gate) Granted(now time.Time, c *Call, upstream string) Step {
+	u := g.roster.Find(upstream)
+	if u == nil || !u.TakesWork() {
+		return g.send(now, c)
+	}
+	return g.sendTo(now, c, u)
+}
+
+// HomeRefused takes a home's refusal: the pool is full, and will be for as long
+// as the answer says.
+func (g *Gate) HomeRefused(c *Call, reason string, after time.Duration) Step {
+	if reason == placement.ReasonNoUpstream {
+		return g.giveUp(c, NoUpstream, after)
+	}
+	s := g.giveUp(c, PoolFull, after)
+	if !c.mayHaveRun {
+		s.Refuse.Status = http.StatusServiceUnavailable
+	}
+	return s
+}
+
+// HomeSilent makes the entry choose by itself.
+func (g *Gate) HomeSilent(now time.Time, c *Call) Step { return g.send(now, c) }
+
+// Redirect tells that the call's run goes on at another upstream: a copy of it
+// is kept there under a reference. The next attempt picks it up. fallback is
+// where else it can be picked up if that fails: at the source, which keeps what
+// it had.
+func (g *Gate) Redirect(c *Call, u *roster.Upstream, copyAt string, fallback *Attempt) {
+	c.redirect, c.resumed = []*Attempt{{Upstream: u, CopyAt: copyAt}}, false
+	if fallback != nil {
+		c.redirect = append(c.redirect, fallback)
+	}
+}
+
+// resume sends the call to where a copy of its run is kept. It is the same run,
+// so neither attempts nor the body's length bound it.
+func (g *Gate) resume(now time.Time, c *Call) Step {
+	a := c.redirect[0]
+	c.redirect, c.resumed = c.redirect[1:], true
+	left := c.Deadline.Sub(now)
+	if left < leastLeft {
+		return g.fail(c, OutOfTime, 0, c.Events > 0)
+	}
+	a.Number, a.Sent, a.Within, a.tokens = c.sends, now, left, c.tokens()
+	c.current = a
+	l := g.load(a.Upstream)
+	l.calls++
+	l.tokens += a.tokens
+	g.budget(c.Service).repeat(now)
+	return Step{Send: a}
+}
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -107,6 +107,9 @@
 	// GiveUp is when the attempt is cancelled so that another upstream can be
 	// tried; zero if only the call's deadline ends it.
 	GiveUp time.Time
+	// CopyAt names a copy of the run's memory that the upstream goes on
+	// from; "" for an attempt from the beginning.
+	CopyAt string
 	tokens int
 }
 
@@ -126,10 +129,19 @@
 	ConfigVersion int64
 	// Events counts the events that the caller has received.
 	Events int
+	// LastEvent is the id of the last of them.
+	LastEvent string
 
 	current *Attempt
-	sends   int
-	dials   int
+	// redirect lists where the run can be picked up, best first.
+	redirect []*Attempt
+	// resumed is set while an attempt that goes on from a copy has shown no
+	// event yet: redirect then holds the other places to try.
+	resumed bool
+	// grants counts the asks for a new attempt after the first.
+	grants int
+	sends  int
+	dials  int
 	// mayHaveRun is set once an attempt ended without proof that it never ran.
 	mayHaveRun bool
 	tried      []*roster.Upstream
@@ -148,6 +160,8 @@
 type Step struct {
 	Send   *Attempt
 	Refuse *Refusal
+	// AskHome asks the pool's home which upstream the call goes to.
+	AskHome bool
 	// Relay passes the upstream's own failure on to the caller.
 	Relay bool
 	// Abort breaks the answer off: its head was passed on already.
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
 const (
@@ -19,18 +21,44 @@
 )
 
 // Start returns the first step of a call.
-func (g *Gate) Start(now time.Time, c *Call) Step { return g.send(now, c) }
+func (g *Gate) Start(now time.Time, c *Call) Step { return g.next(now, c) }
 
-// send makes the next attempt, or refuses.
-func (g *Gate) send(now time.Time, c *Call) Step {
-	left := c.Deadline.Sub(now)
-	if left < leastLeft {
-		return g.giveUp(c, OutOfTime, 0)
+// next asks the pool's home where the call goes, or makes the next attempt.
+func (g *Gate) next(now time.Time, c *Call) Step {
+	if g.wantsHome(c) {
+		return Step{AskHome: true}
 	}
+	return g.send(now, c)
+}
+
+// send makes the next attempt at the upstream that looks best from here, or
+// refuses.
+func (g *Gate) send(now time.Time, c *Call) Step {
 	u := g.choose(now, c)
 	if u == nil {
 		return g.giveUp(c, NoUpstream, busySoon)
 	}
+	return g.sendTo(now, c, u)
+}
+
+// Progress tells that an event of the call's stream was passed on. An attempt
+// that went on from a copy has used it up by then: what is left of an earlier
+// move must not be tried once more when this attempt ends.
+func (c *Call) Progress(id string) {
+	c.Events++
+	if id != "" {
+		c.LastEvent = id
+	}
+	if c.resumed {
+		c.redirect, c.resumed = nil, false
+	}
+}
+
+func (g *Gate) sendTo(now time.Time, c *Call, u *roster.Upstream) Step {
+	left := c.Deadline.Sub(now)
+	if left < leastLeft {
+		return g.giveUp(c, OutOfTime, 0)
+	}
 	c.sends++
 	c.current = &Attempt{Upstream: u, Number: c.sends, Sent: now, Within: left, tokens: c.tokens()}
 	c.tried = append(c.tried, u)
@@ -52,6 +80,10 @@
 	a := c.current
 	c.current = nil
 	g.settle(now, c, a, o)
+	if len(c.redirect) > 0 && o != Done && o != Cancelled {
+		c.mayHaveRun = true
+		return g.resume(now, c)
+	}
 	switch o {
 	case Done, Cancelled:
 		return Step{End: true}
@@ -92,6 +124,10 @@
 // again sends the call to another upstream if route, budget and body allow.
 func (g *Gate) again(now time.Time, c *Call, o Outcome, begun bool) Step {
 	switch {
+	case c.mayHaveRun && !c.Route.Repeatable():
+		// A request that may have run must not run again, also when what
+		// failed last was only the way to the copy of its run.
+		return g.failAs(c, o, Unrepeatable, begun)
 	case !c.Replayable && o != NotSent:
 		return g.failAs(c, o, NotReplayable, begun)
 	case c.sends >= c.Route.MaxAttempts:
@@ -99,8 +135,9 @@
 	case o != NotSent && !g.mayRepeat(now, c.Service):
 		return g.failAs(c, o, NoBudget, begun)
 	}
-	s := g.send(now, c)
-	if s.Send == nil {
+	c.grants++
+	s := g.next(now, c)
+	if s.Send == nil && !s.AskHome {
 		return g.failAs(c, o, s.Why, begun)
 	}
 	return s
--- /dev/null
+++ b/internal/core/placement/move.go
@@ -0,0 +1,95 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Placed is a generation that runs on an upstream, as the home believes.
+type Placed struct {
+	Ask Ask
+	// Tokens are out by now, Left are expected to follow.
+	Tokens int
+	Left   float64
+	// TokenTime is how long the upstream takes for a token.
+	TokenTime time.Duration
+}
+
+// On lists the generations on an upstream by attempt.
+func (h *Home) On(now time.Time, name string) []Placed {
+	u := h.byName[name]
+	if u == nil {
+		return nil
+	}
+	out := make([]Placed, 0, len(u.grants))
+	for _, g := range u.grants {
+		tokens := g.tokensAt(now)
+		out = append(out, Placed{
+			Ask: g.ask, Tokens: tokens, Left: h.left(g, tokens), TokenTime: seconds(u.timePerToken()),
+		})
+	}
+	slices.SortFunc(out, func(a, b Placed) int { return cmpString(a.Ask.Attempt, b.Ask.Attempt) })
+	return out
+}
+
+func cmpString(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// left returns how many tokens are expected to follow. A caller's own estimate
+// counts until it is passed; what was learnt of lengths counts from then on.
+func (h *Home) left(g *grant, tokens int) float64 {
+	if g.ask.Expected > tokens {
+		return float64(g.ask.Expected - tokens)
+	}
+	return h.lengths.curve(h.settings.Service, g.ask.Org).remaining(tokens, max(g.ask.MaxOutput, tokens+1))
+}
+
+// Destination returns the upstream that an attempt's generation should move to,
+// or "" if none has room. Upstreams for which skip is true are left out; of
+// those that remain, the ones for which near is true come first.
+func (h *Home) Destination(now time.Time, attempt string, near, skip func(name string) bool) string {
+	g := h.granted[attempt]
+	if g == nil {
+		return ""
+	}
+	c := h.lengths.curve(h.settings.Service, g.ask.Org)
+	need := footprintOf(c, g.ask.Prompt, g.tokensAt(now), g.ask.MaxOutput)
+	best, bestScore := "", 0.0
+	for i, u := range h.upstreams {
+		s := &h.summaries[i]
+		if u == g.upstream || !u.takesWork(now) || s.slots <= 0 || skip(u.name) || !h.hasRoom(u, &need) {
+			continue
+		}
+		score := h.score(now.UnixNano(), s)
+		if near(u.name) {
+			score += nearBonus
+		}
+		if best == "" || score > bestScore {
+			best, bestScore = u.name, score
+		}
+	}
+	return best
+}
+
+// nearBonus prefers a destination in the same data centre: a copy takes half the
+// time there, and a score lies between -1 and 1.
+const nearBonus = 10
+
+// Move enters in the ledger that an attempt runs on another upstream now.
+func (h *Home) Move(attempt, to string) bool {
+	g, u := h.granted[attempt], h.byName[to]
+	if g == nil || u == nil {
+		return false
+	}
+	h.release(g)
+	g.upstream = u
+	h.hold(g)
+	return true
+}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -38,6 +38,9 @@
 	MaxOutput int
 	// Prefix holds chained hashes of the prompt's blocks, for prefix affinity.
 	Prefix []uint64
+	// Expected is the caller's own estimate of the output in tokens, 0 if it
+	// gives none.
+	Expected int
 	// Exclude lists upstreams that this request must not run on again.
 	Exclude []string
 	// Suspect marks a request with one strike: it runs beside no other suspect.
--- /dev/null
+++ b/internal/core/pool/evacuate.go
@@ -0,0 +1,209 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+)
+
+const (
+	// goneAfter is how long after the first sign of leaving an upstream's
+	// work is still moved.
+	goneAfter = 6 * time.Second
+	// noticeLeast is the life that is assumed for a leaving upstream that
+	// does not say when it goes.
+	noticeLeast = 1500 * time.Millisecond
+	// orderSlack is added to the time that a move is expected to take before
+	// its order is given up.
+	orderSlack = 400 * time.Millisecond
+	// triesMax is how often the move of one generation is tried that failed.
+	triesMax = 2
+	// beginsSoon is when a move is tried again that found no run yet: a
+	// prompt of 3,000 tokens is read in 0.2 s, and can't be moved before.
+	beginsSoon = 100 * time.Millisecond
+	// endsSoon is the rest of a generation that is not worth a move.
+	endsSoon = 150 * time.Millisecond
+	// outputValue is how many prompt tokens an output token is worth where
+	// not all generations can be saved: making it takes ten times as long.
+	outputValue = 10
+)
+
+// evacuation moves the generations off one leaving upstream, one at a time:
+// copies share the upstream's link, and the last piece of a generation, for
+// which its stream stands still, must not wait behind another's copy.
+type evacuation struct {
+	upstream *roster.Upstream
+	// ends is when the upstream is expected to be gone.
+	ends  time.Time
+	order *order
+	tries map[string]int
+	// later holds the generations that can't be moved yet, with the moment
+	// of the next try.
+	later map[string]time.Time
+}
+
+// order is a move that an entry was told to make.
+type order struct {
+	attempt string
+	number  int64
+	to      string
+	due     time.Time
+	given   time.Time
+}
+
+func newEvacuation(u *roster.Upstream, now time.Time) *evacuation {
+	since := u.LeavingSince
+	if since.IsZero() {
+		since = now
+	}
+	return &evacuation{upstream: u, ends: since.Add(noticeLeast), tries: map[string]int{}, later: map[string]time.Time{}}
+}
+
+// evacuate gives each leaving upstream's next order.
+func (h *Home) evacuate(now time.Time) {
+	if !h.engine.Moves {
+		return
+	}
+	for _, id := range h.leaving() {
+		e := h.evacuations[id]
+		if e.order != nil && now.After(e.order.due) {
+			h.note("move_given_up", "request", e.order.attempt, "from", id, "to", e.order.to, "after", now.Sub(e.order.given))
+			e.order = nil
+		}
+		if e.order == nil {
+			h.next(now, e)
+		}
+	}
+}
+
+func (h *Home) leaving() []string {
+	ids := make([]string, 0, len(h.evacuations))
+	for id := range h.evacuations {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// next orders the move of the generation that has most to lose.
+func (h *Home) next(now time.Time, e *evacuation) {
+	for _, p := range h.candidates(now, e) {
+		to := h.placement.Destination(now, p.Ask.Attempt,
+			func(name string) bool { return h.near(e.upstream.ID, name) },
+			func(name string) bool { return h.receiving(name) })
+		if to == "" {
+			continue
+		}
+		h.give(now, e, p, to)
+		return
+	}
+}
+
+// candidates lists the generations that may be moved: first those that will not
+// end in time, those that are worth most first among them.
+func (h *Home) candidates(now time.Time, e *evacuation) []placement.Placed {
+	var out []placement.Placed
+	for _, p := range h.placement.On(now, e.upstream.ID) {
+		if e.tries[p.Ask.Attempt] >= triesMax || h.entries[p.Ask.Attempt] == "" || now.Before(e.later[p.Ask.Attempt]) {
+			continue
+		}
+		if p.Tokens > 0 && rest(p) < endsSoon && now.Add(endsSoon).Before(e.ends) {
+			continue
+		}
+		out = append(out, p)
+	}
+	endsInTime := func(p placement.Placed) int {
+		if now.Add(rest(p)).Before(e.ends) {
+			return 1
+		}
+		return 0
+	}
+	slices.SortStableFunc(out, func(a, b placement.Placed) int {
+		return cmp.Or(cmp.Compare(endsInTime(a), endsInTime(b)), cmp.Compare(value(b), value(a)))
+	})
+	return out
+}
+
+// rest is how long a generation is expected to take from now.
+func rest(p placement.Placed) time.Duration {
+	return time.Duration(p.Left * float64(p.TokenTime))
+}
+
+// value is what is lost with a generation, in prompt tokens.
+func value(p placement.Placed) float64 {
+	return float64(p.Ask.Prompt) + outputValue*(float64(p.Tokens)+p.Left)
+}
+
+func (h *Home) near(a, b string) bool {
+	ua, ub := h.upstreams[a], h.upstreams[b]
+	return ua != nil && ub != nil && ua.DataCentre == ub.DataCentre
+}
+
+// receiving reports whether an upstream's link takes a copy already.
+func (h *Home) receiving(name string) bool {
+	for _, e := range h.evacuations {
+		if e.order != nil && e.order.to == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Home) give(now time.Time, e *evacuation, p placement.Placed, to string) {
+	h.number++
+	e.tries[p.Ask.Attempt]++
+	e.order = &order{
+		attempt: p.Ask.Attempt, number: h.number, to: to, given: now,
+		due: now.Add(2*h.copyTime(p, e.upstream.ID, to) + orderSlack),
+	}
+	h.send(h.entries[p.Ask.Attempt], msg.MoveOrder{
+		Pool: h.service, Attempt: p.Ask.Attempt, Number: h.number,
+		From: e.upstream.ID, To: to, ToAddress: h.upstreams[to].Address,
+	})
+	h.note("move_ordered", "request", p.Ask.Attempt, "entry", h.entries[p.Ask.Attempt], "from", e.upstream.ID, "to", to,
+		"tokens", p.Ask.Prompt+p.Tokens, "left", int(p.Left), "try", e.tries[p.Ask.Attempt], "since_notice", now.Sub(e.upstream.LeavingSince))
+}
+
+// copyTime estimates how long the copy of a generation takes: a link between
+// data centres takes twice as long.
+func (h *Home) copyTime(p placement.Placed, from, to string) time.Duration {
+	bits := float64(p.Ask.Prompt+p.Tokens) * h.engine.TokenBytes * 8
+	t := time.Duration(bits / (max(h.engine.LinkMbps, 1) * 1e6) * float64(time.Second))
+	if !h.near(from, to) {
+		t *= 2
+	}
+	return t
+}
+
+// Moved takes the outcome of an order, and gives the next one.
+func (h *Home) Moved(now time.Time, m msg.Moved) {
+	for id, e := range h.evacuations {
+		if e.order == nil || e.order.number != m.Number {
+			continue
+		}
+		h.note("move_ended", "request", m.Attempt, "from", id, "to", e.order.to, "outcome", m.Outcome, "after", now.Sub(e.order.given))
+		switch m.Outcome {
+		case msg.MoveDone:
+			h.placement.Move(m.Attempt, e.order.to)
+		case msg.MoveNoRun:
+			e.tries[m.Attempt]--
+			e.later[m.Attempt] = now.Add(beginsSoon)
+		}
+		e.order = nil
+	}
+	h.evacuate(now)
+}
+
+// ended drops the order for an attempt that has ended by itself.
+func (h *Home) ended(now time.Time, attempt string) {
+	for _, e := range h.evacuations {
+		if e.order != nil && e.order.attempt == attempt {
+			e.order = nil
+		}
+	}
+	h.evacuate(now)
+}
--- /dev/null
+++ b/internal/core/pool/pool.go
@@ -0,0 +1,181 @@
+// Package pool is the home of an engine pool on a hosting platform: one instance
+// that places the pool's generations and moves them off upstreams that leave. It
+// holds soft state only: another instance that takes over learns what runs from
+// the entries. It does no I/O.
+//
+// pool.go places and keeps the ledger, evacuate.go orders the moves.
+package pool
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/config"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/route"
+)
+
+const (
+	// grantTTL is how long a grant may be used. An entry that was frozen
+	// meanwhile must not send work where it no longer belongs.
+	grantTTL = time.Second
+	// orphanAfter is how long a grant is kept that no entry announces.
+	orphanAfter = 3 * time.Second
+	// AnnounceEvery is how often an entry tells the home what it runs.
+	AnnounceEvery = 500 * time.Millisecond
+)
+
+// Out is a message to an instance.
+type Out struct {
+	To  string
+	Msg msg.Message
+}
+
+// Home decides for one pool. It is not safe for concurrent use.
+type Home struct {
+	service   string
+	engine    route.Engine
+	placement *placement.Home
+	upstreams map[string]*roster.Upstream
+	// entries maps attempts to the instances that asked for them.
+	entries     map[string]string
+	evacuations map[string]*evacuation
+	number      int64
+	out         []Out
+	notes       []Note
+}
+
+// Note is a decision to be logged.
+type Note struct {
+	Event string
+	Pairs []any
+}
+
+// NewHome returns the home of a service's pool.
+func NewHome(service string, engine route.Engine) *Home {
+	return &Home{
+		service: service, engine: engine, upstreams: map[string]*roster.Upstream{},
+		entries: map[string]string{}, evacuations: map[string]*evacuation{},
+		placement: placement.NewHome(placement.Settings{
+			Weights: config.Weights{Stall: 1, Preemptions: 1, Tail: 1}, Engine: true, Service: service,
+		}),
+	}
+}
+
+// Take returns the messages that are to be sent, and forgets them.
+func (h *Home) Take() []Out {
+	out := h.out
+	h.out = nil
+	return out
+}
+
+// Notes returns the decisions that are to be logged, and forgets them.
+func (h *Home) Notes() []Note {
+	notes := h.notes
+	h.notes = nil
+	return notes
+}
+
+func (h *Home) send(to string, m msg.Message) { h.out = append(h.out, Out{To: to, Msg: m}) }
+
+func (h *Home) note(event string, pairs ...any) {
+	h.notes = append(h.notes, Note{Event: event, Pairs: append(pairs, "pool", h.service)})
+}
+
+// Sync takes the upstreams of the pool as they are listed now.
+func (h *Home) Sync(now time.Time, listed []*roster.Upstream) {
+	seen := map[string]bool{}
+	for _, u := range listed {
+		seen[u.ID] = true
+		h.upstreams[u.ID] = u
+		h.report(now, u)
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.upstreams)) {
+		if !seen[id] {
+			h.gone(now, id)
+		}
+	}
+	h.evacuate(now)
+}
+
+// report gives the placement what is known of an upstream.
+func (h *Home) report(now time.Time, u *roster.Upstream) {
+	slots := u.Slots
+	if slots == 0 {
+		slots = h.engine.Slots
+	}
+	h.decide(now, h.placement.Report(now, now, placement.Report{
+		Upstream: u.ID, Leaving: !u.TakesWork(), Capacity: h.engine.MemoryToken, MaxBatch: slots,
+	}))
+	if !u.TakesWork() && h.evacuations[u.ID] == nil {
+		h.evacuations[u.ID] = newEvacuation(u, now)
+		h.note("evacuation_began", "upstream", u.ID, "running", len(h.placement.On(now, u.ID)))
+	}
+}
+
+// gone forgets an upstream that is no longer listed once nothing runs there. A
+// worker whose entry has vanished may serve on for a while, so its work is moved
+// like that of one that announces its leaving.
+func (h *Home) gone(now time.Time, id string) {
+	u := h.upstreams[id]
+	u.Gone = true
+	if u.LeavingSince.IsZero() {
+		u.LeavingSince = now
+	}
+	if len(h.placement.On(now, id)) > 0 && now.Sub(u.LeavingSince) < goneAfter {
+		h.report(now, u)
+		return
+	}
+	for _, ask := range h.placement.Remove(id) {
+		delete(h.entries, ask.Attempt)
+	}
+	delete(h.upstreams, id)
+	delete(h.evacuations, id)
+}
+
+// Ask places a generation.
+func (h *Home) Ask(now time.Time, from string, m msg.GrantAsk) {
+	h.entries[m.Ask.Attempt] = from
+	h.decide(now, h.placement.Ask(now, m.Ask))
+}
+
+func (h *Home) decide(_ time.Time, ds []placement.Decision) {
+	for _, d := range ds {
+		m := msg.GrantAnswer{Pool: h.service, Decision: d, TTL: grantTTL}
+		if u := h.upstreams[d.Upstream]; u != nil {
+			m.Address = u.Address
+		}
+		h.send(h.entries[d.Attempt], m)
+		if d.Kind == placement.Refused {
+			delete(h.entries, d.Attempt)
+		}
+	}
+}
+
+// End releases what an attempt held.
+func (h *Home) End(now time.Time, m msg.GrantEnd) {
+	delete(h.entries, m.Attempt)
+	h.decide(now, h.placement.End(now, m.Attempt, m.Tokens, !m.Failed && !m.Cut))
+	h.ended(now, m.Attempt)
+}
+
+// Announce takes an entry's word of what it runs.
+func (h *Home) Announce(now time.Time, from string, m msg.Announce) {
+	for _, a := range m.Running {
+		h.entries[a.Ask.Attempt] = from
+		h.placement.Running(now, a.Ask, a.Upstream, a.Tokens)
+	}
+}
+
+// Tick grants what waited and drops what nobody follows any more.
+func (h *Home) Tick(now time.Time) {
+	h.decide(now, h.placement.Tick(now))
+	for _, o := range h.placement.Orphans(now, orphanAfter) {
+		delete(h.entries, o.Attempt)
+		h.note("grant_dropped", "request", o.Attempt, "upstream", o.Upstream, "why", "entry_silent")
+	}
+	h.evacuate(now)
+}
--- a/internal/resident/events.go
+++ b/internal/resident/events.go
@@ -82,8 +82,8 @@
 		if err := flush.Flush(); err != nil {
 			return forward.Cut, fmt.Errorf("pass event on: %w", err)
 		}
-		x.call.Events++
-		x.lastEvent = eventID(event)
+		id := eventID(event)
+		x.server.decide(func(time.Time, *forward.Gate) { x.call.Progress(id) })
 	}
 }
 
--- a/internal/resident/exchange.go
+++ b/internal/resident/exchange.go
@@ -12,6 +12,7 @@
 	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
 // answerSmall is the largest answer that is read whole before any of it is
@@ -40,8 +41,15 @@
 	// decided.
 	failure *held
 	lastErr error
-	// lastEvent is the id of the last event that was passed on.
-	lastEvent string
+	// grants receives the answers of pools' homes, home is the one that
+	// granted the attempt in progress.
+	grants chan msg.GrantAnswer
+	home   string
+	// eventTokens is the number of tokens that one event holds.
+	eventTokens int
+	// mover makes a move of the run; nil if none is in progress. The server's
+	// lock guards it.
+	mover *mover
 }
 
 // held is an answer that was read whole.
@@ -56,15 +64,26 @@
 func (x *exchange) run() {
 	s := x.server
 	step := x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.Start(now, x.call) })
-	for step.Send != nil {
+	for step.Send != nil || step.AskHome {
+		if step.AskHome {
+			step = x.askHome()
+			continue
+		}
 		a := step.Send
+		grant := x.call.Grant()
 		outcome := x.attempt(a)
+		if outcome != forward.Done {
+			x.awaitMove()
+		}
 		if outcome == forward.Cancelled && x.r.Context().Err() == nil {
 			step = x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.Expired(now, x.call, x.begun) })
 		} else {
 			step = x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.Ended(now, x.call, outcome, x.begun) })
 		}
 		x.logAttempt(a, outcome, step)
+		if step.Send == nil || step.Send.CopyAt == "" {
+			x.endGrant(grant, outcome)
+		}
 	}
 	switch {
 	case step.Refuse != nil:
--- /dev/null
+++ b/internal/resident/home.go
@@ -0,0 +1,159 @@
+package resident
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"mulberrylug.example/mulberrylug/internal/boottime"
+	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/pool"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/metrics"
+)
+
+// homes runs the homes of pools that this instance is asked as. An instance that
+// is asked serves, whether or not it believes to be home: two homes at once
+// overcommit a little and break no promise.
+type homes struct {
+	server  *server
+	metrics *metrics.Metrics
+	log     hclog.Logger
+	self    string
+	send    func(to string, m msg.Message)
+	// local takes messages for this instance itself.
+	local func(from string, m msg.Message)
+
+	mu    sync.Mutex
+	pools map[string]*pool.Home
+	used  map[string]time.Time
+}
+
+const (
+	// homeIdle is how long a home is kept that nobody asks.
+	homeIdle = 10 * time.Second
+	// syncEvery is how often a home compares its ledger with the list, and
+	// gives the orders that have come due.
+	syncEvery = 100 * time.Millisecond
+)
+
+// on runs f on the home of a pool, beginning it if need be.
+func (h *homes) on(name string, f func(now time.Time, p *pool.Home)) {
+	now := boottime.Now()
+	service, listed := h.listed(name)
+	if service == nil || service.Engine == nil {
+		return // not known here yet: the entry chooses by itself
+	}
+	h.mu.Lock()
+	p := h.pools[name]
+	if p == nil {
+		p = pool.NewHome(name, *service.Engine)
+		h.pools[name] = p
+		p.Sync(now, listed)
+		h.log.Info("home_began", "pool", name, "upstreams", len(listed))
+	}
+	h.used[name] = now
+	f(now, p)
+	out, notes := p.Take(), p.Notes()
+	h.mu.Unlock()
+	h.deliver(out, notes)
+}
+
+// listed returns a pool's service and its upstreams in the list. Upstreams are
+// copied: the list may change while the home looks at them.
+func (h *homes) listed(name string) (service *route.Service, list []*roster.Upstream) {
+	h.server.decide(func(_ time.Time, g *forward.Gate) {
+		if g.Table() == nil {
+			return
+		}
+		service = g.Table().Service(name)
+		for _, u := range g.Roster().Of(name) {
+			c := *u
+			list = append(list, &c)
+		}
+	})
+	return service, list
+}
+
+func (h *homes) deliver(out []pool.Out, notes []pool.Note) {
+	for _, n := range notes {
+		h.metrics.Count("home_decisions_total", n.Event)
+		h.log.Info(n.Event, n.Pairs...)
+	}
+	for _, o := range out {
+		if o.To == h.self {
+			h.local(h.self, o.Msg)
+		} else {
+			h.send(o.To, o.Msg)
+		}
+	}
+}
+
+// sync gives every home the list as it is now.
+func (h *homes) sync() {
+	for _, name := range h.names() {
+		_, listed := h.listed(name)
+		h.mu.Lock()
+		p := h.pools[name]
+		if p == nil {
+			h.mu.Unlock()
+			continue
+		}
+		now := boottime.Now()
+		p.Sync(now, listed)
+		p.Tick(now)
+		out, notes := p.Take(), p.Notes()
+		if now.Sub(h.used[name]) > homeIdle {
+			delete(h.pools, name)
+		}
+		h.mu.Unlock()
+		h.deliver(out, notes)
+	}
+}
+
+func (h *homes) names() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	names := make([]string, 0, len(h.pools))
+	for name := range h.pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// run keeps the homes' ledgers in step with the list until the context ends.
+func (h *homes) run(ctx context.Context) error {
+	t := time.NewTicker(syncEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			h.sync()
+		}
+	}
+}
+
+// take handles a message for a home. It reports false for any other.
+func (h *homes) take(from string, m msg.Message) bool {
+	switch m := m.(type) {
+	case msg.GrantAsk:
+		h.on(m.Pool, func(now time.Time, p *pool.Home) { p.Ask(now, from, m) })
+	case msg.GrantEnd:
+		h.on(m.Pool, func(now time.Time, p *pool.Home) { p.End(now, m) })
+	case msg.Announce:
+		h.on(m.Pool, func(now time.Time, p *pool.Home) { p.Announce(now, from, m) })
+	case msg.Moved:
+		h.on(m.Pool, func(now time.Time, p *pool.Home) { p.Moved(now, m) })
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/resident/move.go
@@ -0,0 +1,176 @@
+package resident
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/conn"
+	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+)
+
+const (
+	// callTimeout bounds calls to upstreams that are no caller's requests. A
+	// copy takes up to half a second over a link between data centres.
+	callTimeout = 1500 * time.Millisecond
+	// lastTimeout bounds the wait for the end of a move once the stream at
+	// the source has stopped: past it the caller has seen a long pause
+	// already, and what the first copy holds is the best there is.
+	lastTimeout = 700 * time.Millisecond
+	// callAnswerMax bounds the answers of such calls in bytes.
+	callAnswerMax = 64 << 10
+)
+
+// mover makes one move of a running generation. Its fields are guarded by the
+// server's lock but for done, which is closed at the end.
+type mover struct {
+	order msg.MoveOrder
+	// stopping is set once the source was told to stop the run.
+	stopping bool
+	done     chan struct{}
+}
+
+// orderMove starts a move that the pool's home has ordered.
+func (s *server) orderMove(from string, m msg.MoveOrder) {
+	x := s.find(requestOf(m.Attempt))
+	reply := func(o msg.MoveOutcome) {
+		s.homes.send(from, msg.Moved{Pool: m.Pool, Attempt: m.Attempt, Number: m.Number, Outcome: o})
+	}
+	if x == nil {
+		reply(msg.MoveNoRun)
+		return
+	}
+	mv := &mover{order: m, done: make(chan struct{})}
+	var source *forward.Attempt
+	s.decide(func(time.Time, *forward.Gate) {
+		if a := x.call.Current(); x.mover == nil && a != nil && a.Upstream.ID == m.From && x.body.whole() {
+			source = a
+			x.mover = mv
+		}
+	})
+	if source == nil {
+		reply(msg.MoveNoRun)
+		return
+	}
+	go func() {
+		outcome, err := x.move(mv, source)
+		s.decide(func(time.Time, *forward.Gate) { x.mover = nil })
+		close(mv.done)
+		s.metrics.Count("moves_total", string(outcome))
+		s.log.Info("move", "request", x.call.ID, "from", m.From, "to", m.To, "number", m.Number,
+			"outcome", outcome, "events", x.call.Events, "error", err)
+		reply(outcome)
+	}()
+}
+
+// move copies the run's memory while it goes on, then stops it and copies what
+// is new: the caller waits for the second, short copy only.
+func (x *exchange) move(mv *mover, source *forward.Attempt) (msg.MoveOutcome, error) {
+	s := x.server
+	first, err := s.copyRun(x.ctx, source.Upstream.Address, x.call.ID, mv.order.ToAddress, false)
+	if err != nil || first.Outcome != msg.MoveDone {
+		return first.Outcome, err
+	}
+	s.decide(func(time.Time, *forward.Gate) { mv.stopping = true })
+	ctx, cancel := context.WithTimeout(x.ctx, lastTimeout)
+	defer cancel()
+	last, err := s.copyRun(ctx, source.Upstream.Address, x.call.ID, mv.order.ToAddress, true)
+	if last.Outcome == msg.MoveNoRun {
+		return msg.MoveNoRun, err
+	}
+	handle := last.Handle
+	if handle == "" {
+		handle = first.Handle
+	}
+	x.redirect(mv, source, handle, last.Outcome)
+	return last.Outcome, err
+}
+
+// redirect makes the call go on from the copy once its stream has stopped.
+func (x *exchange) redirect(mv *mover, source *forward.Attempt, handle string, o msg.MoveOutcome) {
+	s := x.server
+	s.decide(func(_ time.Time, g *forward.Gate) {
+		to := g.Roster().Find(mv.order.To)
+		if to == nil {
+			to = &roster.Upstream{Entry: roster.Entry{ID: mv.order.To, Address: mv.order.ToAddress, Service: x.call.Service}}
+		}
+		at := s.wire.CopyAt(source.Upstream.Address, handle)
+		back := &forward.Attempt{Upstream: source.Upstream, CopyAt: at}
+		if o == msg.MoveNoRoom {
+			g.Redirect(x.call, source.Upstream, at, nil)
+			return
+		}
+		g.Redirect(x.call, to, at, back)
+	})
+}
+
+// copyRun makes one copy call.
+func (s *server) copyRun(ctx context.Context, source, id, to string, last bool) (Copy, error) {
+	call, err := s.wire.Move(id, to, last)
+	if err != nil {
+		return Copy{Outcome: msg.MoveFailed}, err
+	}
+	status, body, err := s.call(ctx, source, call)
+	if err != nil {
+		return Copy{Outcome: msg.MoveFailed}, fmt.Errorf("copy run to %s: %w", to, err)
+	}
+	return s.wire.Moved(status, body), nil
+}
+
+// call makes a call to an upstream that is no caller's request.
+func (s *server) call(ctx context.Context, address string, call Call) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c, err := s.pool.Get(ctx, address)
+	if err != nil {
+		return 0, nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	req := &conn.Request{Method: call.Method, Target: call.Target, Host: address, Header: http.Header{}}
+	if call.Body != nil {
+		req.Header.Set("Content-Type", "application/json")
+		req.Body, req.Length = bytes.NewReader(call.Body), int64(len(call.Body))
+	}
+	if err := c.Write(req); err != nil {
+		c.Close()
+		return 0, nil, err
+	}
+	resp, err := c.ReadAnswer(call.Method)
+	if err != nil {
+		c.Close()
+		return 0, nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, callAnswerMax))
+	if err != nil || !c.Clean(resp) {
+		c.Close()
+		return resp.StatusCode, body, err
+	}
+	s.pool.Put(c, conn.KeepAlive(resp.Header))
+	return resp.StatusCode, body, nil
+}
+
+// awaitMove waits for a move that has stopped the stream, so that the call can
+// go on from the copy. It reports whether the stream was stopped by a move.
+func (x *exchange) awaitMove() bool {
+	var mv *mover
+	stopping := false
+	x.server.decide(func(time.Time, *forward.Gate) {
+		if mv = x.mover; mv != nil {
+			stopping = mv.stopping
+		}
+	})
+	if mv == nil {
+		return false
+	}
+	select {
+	case <-mv.done:
+	case <-x.ctx.Done():
+	}
+	return stopping
+}
--- a/internal/resident/ports.go
+++ b/internal/resident/ports.go
@@ -65,6 +65,30 @@
 	DataCentre string
 }
 
+// Call is a call to an upstream that is no caller's request.
+type Call struct {
+	Method string
+	Target string
+	Body   []byte
+}
+
+// Copy is an upstream's answer to a move.
+type Copy struct {
+	// Handle names the copy.
+	Handle string
+	// Events counts the events that the run had made.
+	Events  int
+	Outcome msg.MoveOutcome
+}
+
+// Report is what an upstream says of its own end.
+type Report struct {
+	Leaving bool
+	// LeavesIn is when it ends, if Known.
+	LeavesIn time.Duration
+	Known    bool
+}
+
 // Wire translates between the platform's HTTP and the core's types.
 type Wire interface {
 	// IsReady and IsDirectory tell which question a request of the platform
@@ -82,6 +106,16 @@
 	// Passed copies the headers of an upstream's answer that concern the
 	// caller. The signature is left out if the status is not the upstream's.
 	Passed(to, from http.Header, signed bool)
+	// Move copies a run's memory to another upstream; with last the run stops
+	// first. Moved decodes the answer, DropCopy frees a copy and CopyAt names
+	// one to the upstream that goes on from it.
+	Move(id, to string, last bool) (Call, error)
+	Moved(status int, body []byte) Copy
+	DropCopy(handle string) Call
+	CopyAt(address, handle string) string
+	// Report asks an upstream for its state, and Reported decodes the answer.
+	Report() Call
+	Reported(body []byte) (Report, error)
 	// Refuse writes an answer of the system's own.
 	Refuse(w http.ResponseWriter, requestID string, r forward.Refusal) error
 }
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -18,6 +18,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/pool"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/watch"
@@ -68,6 +69,7 @@
 	fellows  *fellows
 	relay    *relay
 	asker    *asker
+	homes    *homes
 	drained  chan struct{}
 	leaveNow chan struct{}
 }
@@ -83,10 +85,10 @@
 		DataCentre: s.DataCentre, KeysGoodFor: keys, RetryRatio: s.RetryRatio,
 		RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, Seed: rand.Uint64(),
 	})
-	pool := conn.NewPool()
-	pool.Dialled = func() { m.Count("upstream_connections_total", "dialled") }
+	conns := conn.NewPool()
+	conns.Dialled = func() { m.Count("upstream_connections_total", "dialled") }
 	srv := &server{
-		wire: wire, pool: pool, holder: newHolder(s.MemoryBytes), metrics: m, log: log,
+		wire: wire, pool: conns, holder: newHolder(s.MemoryBytes), metrics: m, log: log,
 		gate: gate, running: map[string]*exchange{},
 	}
 	r := &Resident{
@@ -96,9 +98,14 @@
 	r.fellows = &fellows{store: store, metrics: m, log: log, state: r.state, fleet: fleet.New(r.beat())}
 	r.relay = &relay{server: srv, send: r.fellows.sendTo, waiting: map[string]waitingAsk{}}
 	r.follower = &follower{
-		store: store, server: srv, metrics: m, log: log, left: func([]*roster.Upstream, string) {},
+		store: store, server: srv, metrics: m, log: log, left: func([]*roster.Upstream, string) { r.homes.sync() },
 		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(s.Name),
 	}
+	r.homes = &homes{
+		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer,
+		pools: map[string]*pool.Home{}, used: map[string]time.Time{},
+	}
+	srv.homes = homeLink{name: r.homeOf, send: r.sendAny, silent: r.homeSilent}
 	r.asker = &asker{follower: r.follower, answers: make(chan syncAnswer, 16)}
 	return r
 }
@@ -124,9 +131,49 @@
 	r.relay.tick()
 }
 
+// homeOf returns the present home of a pool.
+func (r *Resident) homeOf(name string) (home string) {
+	r.fellows.with(func(now time.Time, v *fleet.Fleet) { home = v.Home(now, "pool/"+name) })
+	return home
+}
+
+func (r *Resident) homeSilent(name string) {
+	r.fellows.with(func(now time.Time, v *fleet.Fleet) { v.Suspect(now, name) })
+}
+
+// sendAny delivers a message to an instance, this one included.
+func (r *Resident) sendAny(to string, m msg.Message) {
+	if to == r.settings.Name {
+		r.onPeer(to, m)
+		return
+	}
+	r.fellows.sendTo(to, m)
+}
+
+// announce tells the homes what runs here until the context ends.
+func (r *Resident) announce(ctx context.Context) error {
+	t := time.NewTicker(announceEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+			r.server.announce()
+		}
+	}
+}
+
 // onPeer takes a message of another instance.
 func (r *Resident) onPeer(from string, m msg.Message) {
+	if r.homes.take(from, m) {
+		return
+	}
 	switch m := m.(type) {
+	case msg.GrantAnswer:
+		r.server.granted(m)
+	case msg.MoveOrder:
+		r.server.orderMove(from, m)
 	case msg.Beat:
 		r.fellows.heard(m)
 	case msg.SyncAsk:
@@ -176,6 +223,8 @@
 	tree.Add(service{"configuration", r.follower.followConfig})
 	tree.Add(service{"list", r.follower.followList})
 	tree.Add(service{"ticks", r.tick})
+	tree.Add(service{"homes", r.homes.run})
+	tree.Add(service{"announcements", r.announce})
 	r.log.Info("started", "name", r.settings.Name, "data_centre", r.settings.DataCentre,
 		"caller_address", r.settings.CallerAddress, "store", r.settings.StoreAddress,
 		"memory_bytes", r.settings.MemoryBytes, "max_descriptors", r.settings.MaxDescriptors)
--- a/internal/resident/server.go
+++ b/internal/resident/server.go
@@ -13,6 +13,7 @@
 	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
@@ -23,6 +24,7 @@
 	holder  *holder
 	metrics *metrics.Metrics
 	log     hclog.Logger
+	homes   homeLink
 
 	// mu serialises the gate.
 	mu   sync.Mutex
@@ -30,7 +32,7 @@
 	// leaving is set once the instance drains; answers then close their
 	// connections, so that callers go elsewhere.
 	leaving bool
-	// left is called with each upstream that an answer shows to be leaving.
+	// running holds the requests in progress by id.
 	running map[string]*exchange
 }
 
@@ -80,7 +82,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.Deadline.Sub(call.Arrived))
 	defer cancel()
-	x := &exchange{server: s, w: w, r: r, body: b, call: call, ctx: ctx, started: time.Now()}
+	x := &exchange{server: s, w: w, r: r, body: b, call: call, ctx: ctx, started: time.Now(), grants: make(chan msg.GrantAnswer, 4)}
+	s.decide(func(_ time.Time, g *forward.Gate) {
+		if service := g.Table().Service(call.Service); service != nil && service.Engine != nil {
+			x.eventTokens = service.Engine.EventTokens
+		}
+	})
 	s.track(x)
 	defer s.untrack(x)
 	x.run()
