--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -152,6 +152,16 @@
 	return r.Update(now, all, version), true
 }
 
+// Adopt applies a whole copy of another instance's list. What that lacks is gone:
+// the other has held lapsed entries for as long as they are worth it.
+func (r *Roster) Adopt(now time.Time, all []Change, version int64) (left []*Upstream, ok bool) {
+	r.down, r.returned = false, time.Time{}
+	for _, u := range r.byID {
+		u.Lapses = time.Time{}
+	}
+	return r.Replace(now, all, version)
+}
+
 // apply takes one change in and returns the upstream that left by it, if any.
 func (r *Roster) apply(now time.Time, c Change) *Upstream {
 	old := r.byID[c.ID]
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -121,3 +121,17 @@
 		t.Error("a snapshot must carry the list to another instance")
 	}
 }
+
+// An instance could not reach the store, and learns the list from another one
+// since. An upstream goes. The other instance has waited as long as lapsed
+// entries are worth; waited for once more here, or for ever as the store never
+// returns to this instance, the dead upstream would get work and copies.
+func TestAnotherInstancesListIsTakenAsItIs(t *testing.T) {
+	r := New()
+	r.Update(start, []Change{listed("a", 1), listed("b", 2)}, 2)
+	r.StoreDown()
+	left, ok := r.Adopt(at(time.Second), []Change{listed("b", 3)}, 4)
+	if !ok || len(left) != 1 || left[0].ID != "a" || r.Find("a") != nil {
+		t.Errorf("left = %v, want a", names(left))
+	}
+}
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -149,7 +149,7 @@
 	}
 	var left []*roster.Upstream
 	f.server.decide(func(now time.Time, g *forward.Gate) {
-		left, _ = g.Roster().Replace(now, m.List, m.ListVersion)
+		left, _ = g.Roster().Adopt(now, m.List, m.ListVersion)
 	})
 	f.report(left, source)
 }
