--- /dev/null
+++ b/internal/standin/hosting/worker.go
@@ -0,0 +1,404 @@
+package hosting
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin"
+)
+
+// Fault says how a worker treats the requests that it gets.
+type Fault string
+
+// Faults of workers.
+const (
+	None Fault = ""
+	// Full answers that it has not run the request.
+	Full Fault = "full"
+	// Fails answers with a failure of its own after it has run.
+	Fails Fault = "fails"
+	// LostAnswer runs the request and closes the connection.
+	LostAnswer Fault = "lost_answer"
+	// Mute runs the request and says nothing.
+	Mute Fault = "mute"
+	// Cuts breaks off in the middle of the answer.
+	Cuts Fault = "cuts"
+	// Unsigned answers a success without the signature.
+	Unsigned Fault = "unsigned"
+	// Extra answers twice: the second answer arrives where the next
+	// request's is due.
+	Extra Fault = "extra"
+	// Unframed answers without a length.
+	Unframed Fault = "unframed"
+	// Early answers before it has read the body.
+	Early Fault = "early"
+	// FalsePromise runs the request and answers 503 without saying that it
+	// has not run it.
+	FalsePromise Fault = "false_promise"
+)
+
+// Arrival is a request as it reached a worker.
+type Arrival struct {
+	Worker  string
+	ID      string
+	Method  string
+	Target  string
+	Host    string
+	Header  http.Header
+	Body    string
+	Ran     bool
+	Resumed bool
+	// Events counts the events that were made for it.
+	Events int
+	// CallerLeft is set if the connection ended before the answer was whole.
+	CallerLeft bool
+}
+
+// Worker is an upstream: a plain service, or an engine that streams events.
+type Worker struct {
+	ID      string
+	Service string
+	Born    int64
+	// Work is the time for a plain request, EventEvery that between events,
+	// EventCount the number of events of an answer, CopyTime that of a copy.
+	Work       time.Duration
+	EventEvery time.Duration
+	EventCount int
+	CopyTime   time.Duration
+
+	server *standin.Server
+	table  *Table
+	zone   string
+
+	mu       sync.Mutex
+	fault    Fault
+	state    string
+	arrivals []*Arrival
+	runs     map[string]*run
+	copies   map[string]*run
+	others   func(address string) *Worker
+	sequence int
+	stop     chan struct{}
+}
+
+// run is a generation in progress.
+type run struct {
+	id      string
+	events  int
+	stopped chan struct{}
+	once    sync.Once
+}
+
+func (r *run) stop() { r.once.Do(func() { close(r.stopped) }) }
+
+// Address returns where the worker takes requests.
+func (w *Worker) Address() string { return w.server.Address() }
+
+// SetFault changes how the worker treats requests.
+func (w *Worker) SetFault(f Fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+// Arrivals returns what has reached the worker.
+func (w *Worker) Arrivals() []Arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make([]Arrival, 0, len(w.arrivals))
+	for _, a := range w.arrivals {
+		out = append(out, *a)
+	}
+	return out
+}
+
+// entry is what the worker writes of itself into the list.
+func (w *Worker) entry() map[string]any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sequence++
+	return map[string]any{
+		"service": w.Service, "address": w.Address(), "zone": w.zone, "version": "v1", "slots": 24,
+		"state": w.state, "cold_remaining_ms": 0, "sequence": w.sequence, "born": w.Born,
+	}
+}
+
+// beat writes the worker's entry until it ends.
+func (w *Worker) beat(every time.Duration) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		w.table.Put("servers", w.ID, w.entry())
+		select {
+		case <-w.stop:
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// Leave announces that the worker will go.
+func (w *Worker) Leave() {
+	w.mu.Lock()
+	w.state = "draining"
+	w.mu.Unlock()
+	w.table.Put("servers", w.ID, w.entry())
+}
+
+// Crash ends the worker at once; its entry stays until Vanish.
+func (w *Worker) Crash() {
+	close(w.stop)
+	w.mu.Lock()
+	for _, r := range w.runs {
+		r.stop()
+	}
+	w.mu.Unlock()
+	w.server.Close()
+}
+
+// Vanish takes the worker's entry out of the list.
+func (w *Worker) Vanish() { w.table.Remove("servers", w.ID) }
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/v1/kv-move":
+		w.move(rw, r)
+		return
+	case r.URL.Path == "/v1/report":
+		w.report(rw)
+		return
+	}
+	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != w.ID {
+		rw.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.mu.Lock()
+	fault := w.fault
+	w.mu.Unlock()
+	if fault == Early {
+		w.answerEarly(rw, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	a := &Arrival{
+		Worker: w.ID, ID: r.Header.Get("Attempt-Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host,
+		Header: r.Header.Clone(), Body: string(body), Resumed: r.Header.Get("Kv-From") != "",
+	}
+	w.mu.Lock()
+	w.arrivals = append(w.arrivals, a)
+	w.mu.Unlock()
+	rw.Header().Set("Attempt-Id", a.ID)
+	if fault == Full {
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.mark(a, func() { a.Ran = true })
+	if w.EventCount > 0 {
+		w.stream(rw, r, a, fault)
+		return
+	}
+	w.plain(rw, r, a, fault)
+}
+
+func (w *Worker) mark(_ *Arrival, f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// plain answers with the request's id and the worker's.
+func (w *Worker) plain(rw http.ResponseWriter, r *http.Request, a *Arrival, fault Fault) {
+	select {
+	case <-time.After(w.Work):
+	case <-r.Context().Done():
+		w.mark(a, func() { a.CallerLeft = true })
+		return
+	}
+	body := Body(a.ID, w.ID)
+	rw.Header().Set("Server-Load", "1,0,24")
+	switch fault {
+	case LostAnswer:
+		panic(http.ErrAbortHandler)
+	case Mute:
+		<-r.Context().Done()
+		return
+	case Fails:
+		rw.Header().Set("Response-Seal", "seal-"+a.ID)
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	case FalsePromise:
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Unsigned:
+		_, _ = io.WriteString(rw, body) // the caller left
+		return
+	case Cuts:
+		rw.Header().Set("Response-Seal", "seal-"+a.ID)
+		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = io.WriteString(rw, body[:len(body)/2]) // the caller left
+		panic(http.ErrAbortHandler)
+	case Extra, Unframed:
+		w.raw(rw, a, body, fault)
+		return
+	}
+	rw.Header().Set("Response-Seal", "seal-"+a.ID)
+	_, _ = io.WriteString(rw, body) // the caller left
+}
+
+// Body is the answer of a plain service to a request.
+func Body(id, worker string) string { return "answer to " + id + " by " + worker }
+
+// raw writes an answer that the HTTP library would not.
+func (w *Worker) raw(rw http.ResponseWriter, a *Arrival, body string, fault Fault) {
+	c, buf, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + a.ID + "\r\nResponse-Seal: seal-" + a.ID + "\r\n"
+	if fault == Unframed {
+		fmt.Fprintf(buf, "%sConnection: close\r\n\r\n%s", head, body)
+		_ = buf.Flush() // the caller left
+		c.Close()
+		return
+	}
+	fmt.Fprintf(buf, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	_ = buf.Flush() // the caller left
+	time.Sleep(20 * time.Millisecond)
+	fmt.Fprintf(buf, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	_ = buf.Flush() // the caller left
+	go func() { _, _ = io.Copy(io.Discard, c); c.Close() }()
+}
+
+// answerEarly answers before the body has been read, and reads it then.
+func (w *Worker) answerEarly(rw http.ResponseWriter, r *http.Request) {
+	if err := http.NewResponseController(rw).EnableFullDuplex(); err != nil {
+		return
+	}
+	id := r.Header.Get("Attempt-Id")
+	body := Body(id, w.ID)
+	rw.Header().Set("Attempt-Id", id)
+	rw.Header().Set("Response-Seal", "seal-"+id)
+	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(rw, body)            // the caller left
+	_ = http.NewResponseController(rw).Flush() // the caller left
+	rest, _ := io.ReadAll(r.Body)              // what came is recorded
+	a := &Arrival{Worker: w.ID, ID: id, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(rest), Ran: true}
+	w.mu.Lock()
+	w.arrivals = append(w.arrivals, a)
+	w.mu.Unlock()
+}
+
+// Event is an event of a stream.
+func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", n, id, n) }
+
+// stream makes events until it has made all, or the run is stopped by a move.
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, a *Arrival, fault Fault) {
+	first := 0
+	if from := r.Header.Get("Kv-From"); from != "" {
+		_, handle, _ := strings.Cut(from, "/")
+		w.mu.Lock()
+		c := w.copies[handle]
+		delete(w.copies, handle)
+		w.mu.Unlock()
+		if c == nil || c.id != a.ID {
+			w.mark(a, func() { a.Ran = false })
+			rw.Header().Set("Not-Executed", "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
+	if last := r.Header.Get("Last-Event-Id"); last != "" {
+		first, _ = strconv.Atoi(last)
+	}
+	run := &run{id: a.ID, events: first, stopped: make(chan struct{})}
+	w.mark(a, func() { w.runs[a.ID] = run })
+	defer w.mark(a, func() {
+		if w.runs[a.ID] == run {
+			delete(w.runs, a.ID)
+		}
+	})
+	rw.Header().Set("Content-Type", "text/event-stream")
+	rw.Header().Set("Response-Seal", "seal-"+a.ID)
+	flush := http.NewResponseController(rw)
+	for n := first + 1; n <= w.EventCount; n++ {
+		select {
+		case <-time.After(w.EventEvery):
+		case <-run.stopped:
+			panic(http.ErrAbortHandler)
+		case <-r.Context().Done():
+			w.mark(a, func() { a.CallerLeft = true })
+			return
+		}
+		if fault == Cuts && n > w.EventCount/2 {
+			_, _ = io.WriteString(rw, Event(a.ID, n)[:6]) // the caller left
+			_ = flush.Flush()                             // the caller left
+			panic(http.ErrAbortHandler)
+		}
+		w.mark(a, func() { run.events, a.Events = n, a.Events+1 })
+		if _, err := io.WriteString(rw, Event(a.ID, n)); err != nil {
+			return
+		}
+		if err := flush.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+type moveCall struct {
+	ID   string `json:"id"`
+	To   string `json:"to"`
+	Last bool   `json:"last"`
+}
+
+// move copies a run to another worker, and stops it first if it is told so.
+func (w *Worker) move(rw http.ResponseWriter, r *http.Request) {
+	var m moveCall
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	run := w.runs[m.ID]
+	w.mu.Unlock()
+	if run == nil {
+		rw.WriteHeader(http.StatusNotFound)
+		return
+	}
+	to := w.others(m.To)
+	if to == nil {
+		time.Sleep(w.CopyTime)
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if m.Last {
+		run.stop()
+	} else {
+		time.Sleep(w.CopyTime)
+	}
+	handle := "copy-" + m.ID
+	to.mark(nil, func() { to.copies[handle] = run })
+	w.mu.Lock()
+	events := run.events
+	w.mu.Unlock()
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(map[string]any{"handle": handle, "created_rev": events}) // the caller left
+}
+
+func (w *Worker) report(rw http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(map[string]any{"running": len(w.runs), "state": w.state}) // the caller left
+}
--- /dev/null
+++ b/internal/standin/hosting/world.go
@@ -0,0 +1,221 @@
+package hosting
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin"
+)
+
+// Names in the configuration that a world begins with.
+const (
+	Host        = "world.example"
+	PathDraft   = "/draft/"
+	PathBrief   = "/brief/"
+	PathBooking = "/booking/"
+	PathLookUp  = "/look-up/"
+	Key         = "key-one"
+	Owner       = "org-one"
+	Pool        = "pool"
+	Desk        = "desk"
+	// RevokeWithin is the bound on revocation in the worlds' settings.
+	RevokeWithin = 3 * time.Second
+	// beatEvery is how often workers renew their entries.
+	beatEvery = 300 * time.Millisecond
+)
+
+// World is a platform with its store and workers. Instances are started by the
+// test, with the settings files that the world writes.
+type World struct {
+	Table *Table
+	// Dir holds the settings files.
+	Dir    string
+	store  *standin.Server
+	nextIP int
+
+	mu      sync.Mutex
+	workers []*Worker
+	version int64
+}
+
+// NewWorld starts a store. Machines take addresses 127.0.net.1 and on.
+func NewWorld(dir string) (*World, error) {
+	w := &World{Table: NewTable(), Dir: dir}
+	var err error
+	w.store, err = standin.Start("127.0.0.1:0", w.Table)
+	return w, err
+}
+
+// Close ends everything that the world has started.
+func (w *World) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.store.Close()
+	for _, k := range w.workers {
+		k.server.Close()
+	}
+}
+
+// Add starts a worker. Engines make events, plain services answer at once.
+func (w *World) Add(id, service string, shape func(*Worker)) (*Worker, error) {
+	k := &Worker{
+		ID: id, Service: service, Born: time.Now().UnixMilli(), zone: "zone-a", state: "ready", table: w.Table,
+		runs: map[string]*run{}, copies: map[string]*run{}, others: w.at, stop: make(chan struct{}),
+	}
+	shape(k)
+	var err error
+	if k.server, err = standin.Start("127.0.0.1:0", k); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	w.workers = append(w.workers, k)
+	w.mu.Unlock()
+	go k.beat(beatEvery)
+	return k, nil
+}
+
+// at returns the worker at an address, or nil.
+func (w *World) at(address string) *Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range w.workers {
+		select {
+		case <-k.stop:
+			continue
+		default:
+		}
+		if k.Address() == address {
+			return k
+		}
+	}
+	return nil
+}
+
+// Arrivals returns what has reached all workers, by request.
+func (w *World) Arrivals() map[string][]Arrival {
+	w.mu.Lock()
+	workers := append([]*Worker(nil), w.workers...)
+	w.mu.Unlock()
+	out := map[string][]Arrival{}
+	for _, k := range workers {
+		for _, a := range k.Arrivals() {
+			out[a.ID] = append(out[a.ID], a)
+		}
+	}
+	return out
+}
+
+// Configure writes the next version of the configuration; change edits it.
+func (w *World) Configure(change func(c map[string]any)) int64 {
+	w.mu.Lock()
+	w.version += 3
+	version := w.version
+	w.mu.Unlock()
+	route := func(name, path, kind, service string, timeout, aim, attempts int, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": Host, "path_prefix": path, "kind": kind, "timeout_ms": timeout,
+			"target_latency_ms": aim, "priority": 1, "service": service, "max_attempts": attempts, "public": false,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	stream := map[string]any{"session_affinity": true, "gap_aim_ms": 180}
+	resumed := map[string]any{"session_affinity": true, "gap_aim_ms": 180, "stream_resume": true}
+	c := map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			route("draft", PathDraft, "streaming", Pool, 30000, 1800, 1, stream),
+			route("brief", PathBrief, "streaming", Pool, 6000, 1500, 2, resumed),
+			route("booking", PathBooking, "unsafe", Desk, 1500, 300, 1, nil),
+			route("look-up", PathLookUp, "safe", Desk, 1500, 300, 2, nil),
+		},
+		"services": []map[string]any{
+			{"name": Pool, "health_path": "/healthz", "max_conns": 100, "engine": map[string]any{
+				"slots": 24, "kv_tokens": 34000, "kv_bytes": 18432, "link_mbps": 2700.0, "moves": true, "backups": true, "stride": 4, "handle_s": 5.0,
+			}},
+			{"name": Desk, "health_path": "/healthz", "max_conns": 100},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": Owner, "api_keys": []string{Key}, "priority": 1}},
+	}
+	if change != nil {
+		change(c)
+	}
+	w.Table.Put("op", "config", c)
+	return version
+}
+
+// Machine is where an instance runs.
+type Machine struct {
+	Name     string
+	IP       string
+	Settings string
+	Callers  string
+	Ready    string
+	Entries  string
+}
+
+// Machine writes the settings of one more machine.
+func (w *World) Machine(name string) (Machine, error) {
+	w.mu.Lock()
+	w.nextIP++
+	n := w.nextIP
+	w.mu.Unlock()
+	ip, ports, err := freeIP(n)
+	if err != nil {
+		return Machine{}, err
+	}
+	m := Machine{
+		Name: name, IP: ip, Settings: filepath.Join(w.Dir, name+".yaml"),
+		Callers: fmt.Sprintf("%s:%d", ip, ports[0]), Ready: fmt.Sprintf("%s:%d", ip, ports[1]), Entries: fmt.Sprintf("%s:%d", ip, ports[2]),
+	}
+	text := fmt.Sprintf(settingsText, name, ip, m.Callers, m.Ready, m.Entries, ports[3], ports[3]+1, RevokeWithin.Milliseconds(), w.store.Address())
+	return m, os.WriteFile(m.Settings, []byte(text), 0o600)
+}
+
+// settingsText is a machine's settings file, as the platform writes it.
+const settingsText = `node_name: %q
+role: "serve"
+serves: ["frontend", "directory"]
+ip: %q
+zone: "zone-a"
+region: "region-a"
+zones: {zone-a: "region-a"}
+listen: {frontend: %q, readiness: %q, directory: %q}
+internal_ports: [%d, %d]
+limits: {cpu_share: 0.27, cores: 1, memory_mb: 120, max_fds: 2870}
+heartbeat_ms: 300
+bounds:
+  drain_ms: 2000
+  grace_s: 8
+  config_apply_ms: 2000
+  strict_revocation: true
+  revoke_ms: %d
+  retry_budget_ratio: 0.2
+  budget_window_s: 10
+  retry_budget_slack: 100
+  ttl_max_s: 5
+platform: {address: %q, form: "table"}
+`
+
+// freeIP returns an address of the loopback range and four ports that are free
+// there. Each machine has its own address, as on the platform.
+func freeIP(n int) (string, [4]int, error) {
+	ip := fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%200, n)
+	var ports [4]int
+	for k := range ports {
+		ln, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return "", ports, err
+		}
+		defer ln.Close()
+		ports[k] = ln.Addr().(*net.TCPAddr).Port
+	}
+	return ip, ports, nil
+}
