--- a/internal/core/forward/property_test.go
+++ b/internal/core/forward/property_test.go
@@ -9,6 +9,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
 var outcomes = []Outcome{Done, NotSent, Rejected, Misdirected, Lost, Failed, Cut}
@@ -74,9 +75,8 @@
 // not be repeated runs once, no call is sent more often than its route allows,
 // and "not run" is only said of a call that has not run.
 func TestPropertyAttemptsKeepTheirPromises(t *testing.T) {
-	p := gopter.DefaultTestParameters()
-	p.MinSuccessfulTests = 3000
-	p.Rng.Seed(1)
+	p := testkit.Parameters()
+	p.MinSuccessfulTests *= 3
 	props := gopter.NewProperties(p)
 	props.Property("attempts keep their promises", prop.ForAll(
 		func(path int, draws []int) string { return play(paths[path], draws) },
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -86,6 +86,10 @@
 	return &Roster{byID: map[string]*Upstream{}, versions: map[string]int64{}, byService: map[string][]*Upstream{}}
 }
 
+// Known reports whether the list was received at all. An instance that has the
+// configuration but no list yet would refuse everything.
+func (r *Roster) Known() bool { return r.newest > 0 }
+
 // Changed returns the version of the newest change that was more than a
 // heartbeat.
 func (r *Roster) Changed() int64 { return r.changed }
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -19,25 +19,37 @@
 	// PeerPatience is how long an instance waits for another's answer, which
 	// comes after peerHold at the latest.
 	PeerPatience = 900 * time.Millisecond
-	// PeerHold is how long an instance holds a question while it has no news.
+	// PeerHold is how long an instance holds a question while it has no news,
+	// at most.
 	PeerHold = 400 * time.Millisecond
 	// badFor is how long a source is passed over that did not answer, or
 	// whose knowledge is old.
 	badFor = 2 * time.Second
-	// staleAge is the age of a confirmation from which on another source is
-	// asked. A reader's questions to the store take a second each, so its
-	// knowledge is up to two seconds old when all is well.
-	staleAge = 2600 * time.Millisecond
+	// staleLeast is the least age of a confirmation from which on another
+	// source is asked. A reader's questions to the store take a second each at
+	// most, so its knowledge is up to two seconds old when all is well.
+	staleLeast = 2200 * time.Millisecond
+	// staleShare is the same as a part of the time for which keys are
+	// accepted after a confirmation, where that is shorter.
+	staleShare = 0.6
 )
 
 // Watch chooses among sources. It is not safe for concurrent use.
 type Watch struct {
-	self string
-	bad  map[string]time.Time
+	self  string
+	stale time.Duration
+	bad   map[string]time.Time
 }
 
-// New returns a watch of an instance.
-func New(self string) *Watch { return &Watch{self: self, bad: map[string]time.Time{}} }
+// New returns a watch of an instance. keys is how long keys are accepted after
+// a confirmation; 0 is for ever.
+func New(self string, keys time.Duration) *Watch {
+	w := &Watch{self: self, stale: staleLeast, bad: map[string]time.Time{}}
+	if keys > 0 {
+		w.stale = min(staleLeast, time.Duration(staleShare*float64(keys)))
+	}
+	return w
+}
 
 // Source returns whom to ask now. readers are those that read the store for
 // the others, live all other instances that live.
@@ -86,7 +98,7 @@
 
 // Answered notes an answer with the age of what it confirms.
 func (w *Watch) Answered(now time.Time, source string, age time.Duration) {
-	if age < 0 || age > staleAge {
+	if age < 0 || age > w.stale {
 		w.bad[source] = now.Add(badFor)
 		return
 	}
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -9,13 +9,13 @@
 
 func TestReadersAskTheStoreOthersTheReaders(t *testing.T) {
 	live := []string{"b", "c", "d"}
-	if got := New("a").Source(start, []string{"a", "b"}, live); got != Store {
+	if got := New("a", 0).Source(start, []string{"a", "b"}, live); got != Store {
 		t.Errorf("a reader asks %q", got)
 	}
-	if got := New("d").Source(start, []string{"a", "b"}, []string{"a", "b", "c"}); got != "a" {
+	if got := New("d", 0).Source(start, []string{"a", "b"}, []string{"a", "b", "c"}); got != "a" {
 		t.Errorf("another asks %q, want the first reader", got)
 	}
-	if got := New("a").Source(start, nil, nil); got != Store {
+	if got := New("a", 0).Source(start, nil, nil); got != Store {
 		t.Errorf("alone, it asks %q", got)
 	}
 }
@@ -24,7 +24,7 @@
 // the next source each time, and comes back to the first when that has had time
 // to recover. Its callers notice nothing as long as one source answers.
 func TestFailedSourcesArePassedOver(t *testing.T) {
-	w, live := New("d"), []string{"a", "b", "c"}
+	w, live := New("d", 0), []string{"a", "b", "c"}
 	want := []string{"a", "b", Store, "c"}
 	for _, source := range want {
 		if got := w.Source(start, []string{"a", "b"}, live); got != source {
@@ -45,8 +45,8 @@
 // what it knows gets old, and keys may have been taken away meanwhile: another
 // source is asked before that matters.
 func TestAReaderWithOldKnowledgeIsPassedOver(t *testing.T) {
-	w := New("d")
-	w.Answered(start, "a", staleAge+time.Millisecond)
+	w := New("d", 0)
+	w.Answered(start, "a", staleLeast+time.Millisecond)
 	if got := w.Source(start, []string{"a", "b"}, []string{"a", "b"}); got != "b" {
 		t.Errorf("asks %q, want the other reader", got)
 	}
--- a/internal/proctest/process_test.go
+++ b/internal/proctest/process_test.go
@@ -66,8 +66,15 @@
 
 // start starts the binary; the process is gone when the test ends.
 func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	return startWith(t, name, nil, args...)
+}
+
+// startWith starts the binary with more variables in its environment.
+func startWith(t *testing.T, name string, environment []string, args ...string) *process {
 	t.Helper()
 	p := &process{name: name, cmd: exec.Command(binary, args...), ended: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), environment...)
 	p.line = sync.NewCond(&p.mu)
 	r, w := io.Pipe()
 	p.cmd.Stdout, p.cmd.Stderr = w, w
--- /dev/null
+++ b/internal/proctest/resident_test.go
@@ -0,0 +1,409 @@
+package proctest
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
+)
+
+// On a calm day every request is served whole, runs once, and reaches its
+// upstream as its caller sent it, with the organisation's name in place of the
+// key.
+func TestResidentCalmRun(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	var calls []call
+	for k := range 30 {
+		calls = append(calls, draft(fmt.Sprintf("d%d", k)), booking(fmt.Sprintf("b%d", k)), lookUp(fmt.Sprintf("l%d", k)))
+	}
+	results := make([]result, len(calls))
+	var wg sync.WaitGroup
+	for k, c := range calls {
+		wg.Go(func() { results[k] = w.do(w.machines[k%len(w.machines)], c) })
+	}
+	wg.Wait()
+	arrivals := w.Arrivals()
+	for k, c := range calls {
+		r, got := results[k], arrivals[c.id]
+		if r.status != http.StatusOK || r.cut || r.header.Get("Response-Seal") != "seal-"+c.id || r.header.Get("Attempt-Id") != c.id {
+			t.Errorf("%s: %+v, want a signed success", c.id, r)
+			continue
+		}
+		if len(got) != 1 || !got[0].Ran {
+			t.Errorf("%s arrived %d times, want once", c.id, len(got))
+			continue
+		}
+		checkArrival(t, c, got[0])
+		want := hosting.Body(c.id, got[0].Worker)
+		if strings.HasPrefix(c.path, hosting.PathDraft) {
+			want = events(c.id)
+		}
+		if r.body != want {
+			t.Errorf("%s: body %.80q, want %.80q", c.id, r.body, want)
+		}
+	}
+	if calls := w.Table.Calls("/v1/rows-feed"); calls == 0 {
+		t.Error("nobody followed the store")
+	}
+}
+
+func checkArrival(t *testing.T, c call, a hosting.Arrival) {
+	t.Helper()
+	if a.Method != c.method || a.Target != c.path || a.Host != hosting.Host || a.Body != c.body {
+		t.Errorf("%s reached its upstream as %s %s at %s with %q", c.id, a.Method, a.Target, a.Host, a.Body)
+	}
+	if a.Header.Get("Tenant") != hosting.Owner || a.Header.Get("Credential") != "" || a.Header.Get("Expect-Instance") != a.Worker {
+		t.Errorf("%s: headers %v", c.id, a.Header)
+	}
+	for _, name := range []string{"User-Agent", "Accept-Encoding", "Connection"} {
+		if name != "User-Agent" && a.Header.Get(name) != "" {
+			t.Errorf("%s: header %s must not reach an upstream", c.id, name)
+		}
+	}
+}
+
+// What only the system may say must not pass from a caller to an upstream, also
+// not hidden behind Connection, which would take the caller's own headers away.
+func TestResidentReservedHeaders(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	c := booking("reserved")
+	c.header = map[string]string{
+		"Tenant": "other", "Hold": "h", "Pin-Ms": "9", "Kv-From": "1.2.3.4:5/x", "Kv-Backup": "1.2.3.4:5", "Kv-Fetch": "1.2.3.4:5",
+		"Request-Urgency": "0", "Expect-Version": "1", "Expect-Instance": "i", "Connection": "Attempt-Id, X-Mine", "X-Mine": "1", "X-Kept": "yes",
+	}
+	if r := w.do(w.machines[0], c); r.status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+	a := w.Arrivals()["reserved"][0]
+	checkArrival(t, c, a)
+	for _, name := range []string{"Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Kv-Fetch", "Request-Urgency", "Expect-Version", "X-Mine"} {
+		if a.Header.Get(name) != "" {
+			t.Errorf("header %s reached the upstream", name)
+		}
+	}
+	if a.ID != "reserved" || a.Header.Get("X-Kept") != "yes" {
+		t.Errorf("headers %v: the id and the caller's own must stay", a.Header)
+	}
+}
+
+// Two upstreams announce that they leave, and crash two seconds later, while
+// each runs several drafts. A draft may not run twice. All are moved, and the
+// callers see every event once, in order, as if nothing had happened.
+func TestResidentDraftsOutliveTheirUpstreams(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	const drafts = 12
+	results := make([]result, drafts)
+	var wg sync.WaitGroup
+	for k := range drafts {
+		wg.Go(func() { results[k] = w.do(w.machines[k%len(w.machines)], draft(fmt.Sprintf("m%d", k))) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	w.pool[0].Leave()
+	time.AfterFunc(600*time.Millisecond, w.pool[0].Crash)
+	time.Sleep(50 * time.Millisecond)
+	w.pool[1].Leave()
+	time.AfterFunc(600*time.Millisecond, w.pool[1].Crash)
+	wg.Wait()
+	arrivals, moved := w.Arrivals(), 0
+	for k := range drafts {
+		id := fmt.Sprintf("m%d", k)
+		r := results[k]
+		if r.status != http.StatusOK || r.cut || r.body != events(id) {
+			t.Errorf("%s: status %d cut %v error %v, %d events of %d", id, r.status, r.cut, r.err, strings.Count(r.body, "\n\n"), draftSteps)
+		}
+		if n := runs(arrivals[id]); n != 1 {
+			t.Errorf("%s was begun %d times, want once", id, n)
+		}
+		if len(arrivals[id]) > 1 {
+			moved++
+		}
+	}
+	if moved == 0 {
+		t.Error("no draft was moved: the test shows nothing")
+	}
+}
+
+// An upstream vanishes without a word in mid-stream. A draft can't go on; its
+// answer must not look whole. A brief may be resumed, and is.
+func TestResidentUpstreamCrash(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	for _, k := range w.pool {
+		k.SetFault(hosting.Cuts)
+	}
+	if r := w.do(w.machines[0], draft("cut")); !r.cut {
+		t.Errorf("status %d, body of %d bytes: a cut draft must not look whole", r.status, len(r.body))
+	}
+	if n := runs(w.Arrivals()["cut"]); n != 1 {
+		t.Errorf("the draft was begun %d times", n)
+	}
+	for _, k := range w.pool[1:] {
+		k.SetFault(hosting.None)
+	}
+	for k := range 8 {
+		c := draft(fmt.Sprintf("brief%d", k))
+		c.path = hosting.PathBrief + "x"
+		if r := w.do(w.machines[k%3], c); r.cut || r.body != events(c.id) {
+			t.Errorf("%s: status %d cut %v, %d events", c.id, r.status, r.cut, strings.Count(r.body, "\n\n"))
+		}
+	}
+}
+
+// Each way in which a booking's upstream can spoil its answer. A caller that is
+// told "not run" asks again, so that may only be said where it is true; and no
+// success may be passed on that the upstream did not sign whole.
+func TestResidentSpoiledAnswers(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	for _, c := range []struct {
+		fault hosting.Fault
+		// served tells that the caller gets the answer all the same.
+		served bool
+	}{
+		{hosting.Full, false},
+		{hosting.Fails, false},
+		{hosting.LostAnswer, false},
+		{hosting.Mute, false},
+		{hosting.Cuts, false},
+		{hosting.Unsigned, false},
+		{hosting.FalsePromise, false},
+		{hosting.Extra, true},
+		{hosting.Unframed, true},
+	} {
+		for _, k := range w.desk {
+			k.SetFault(c.fault)
+		}
+		for n := range 6 {
+			id := fmt.Sprintf("%s-%d", c.fault, n)
+			r := w.do(w.machines[0], booking(id))
+			list := w.Arrivals()[id]
+			if runs(list) > 1 {
+				t.Errorf("%s ran %d times", id, runs(list))
+			}
+			if refusedHonestly(r.status) && runs(list) > 0 {
+				t.Errorf("%s was told %d, but it ran", id, r.status)
+			}
+			if r.status == http.StatusOK && !r.cut && r.body != hosting.Body(id, list[0].Worker) {
+				t.Errorf("%s got the body %q", id, r.body)
+			}
+			if got := r.status == http.StatusOK && !r.cut; got != c.served {
+				t.Errorf("%s: %+v, served should be %v", id, r, c.served)
+			}
+		}
+	}
+}
+
+// Look-ups fail at one upstream of three: they are tried elsewhere once, and
+// the callers notice nothing.
+func TestResidentLookUpsAreTriedElsewhere(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	for _, fault := range []hosting.Fault{hosting.Fails, hosting.LostAnswer, hosting.Cuts, hosting.Full, hosting.Unsigned} {
+		w.desk[0].SetFault(fault)
+		for n := range 6 {
+			id := fmt.Sprintf("look-%s-%d", fault, n)
+			if r := w.do(w.machines[n%3], lookUp(id)); r.status != http.StatusOK || r.cut {
+				t.Errorf("%s: %+v", id, r)
+			}
+		}
+	}
+}
+
+// A key is taken away while one instance is cut off from the store. Within the
+// bound the key works nowhere: the instance hears of it through another one.
+// Then the store is away for all: every key is refused once no confirmation is
+// young enough, and accepted again after the store's return.
+func TestResidentRevocation(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	cut := w.machines[0]
+	w.Table.SetFor(cut.IP, hosting.Silent)
+	time.Sleep(500 * time.Millisecond)
+	w.Configure(func(c map[string]any) {
+		c["tenants"] = []map[string]any{{"name": hosting.Owner, "api_keys": []string{"key-two"}}}
+	})
+	time.Sleep(hosting.RevokeWithin)
+	if r := w.do(cut, booking("revoked")); r.status == http.StatusOK {
+		t.Errorf("a key that was taken away works: %+v", r)
+	}
+	renewed := booking("renewed")
+	renewed.key = "key-two"
+	if r := w.do(cut, renewed); r.status != http.StatusOK {
+		t.Errorf("the new key at the instance that is cut off: %+v", r)
+	}
+	w.Table.Set(hosting.Silent)
+	time.Sleep(hosting.RevokeWithin)
+	for k, m := range w.machines {
+		c := booking(fmt.Sprintf("dark-%d", k))
+		c.key = "key-two"
+		if r := w.do(m, c); r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" {
+			t.Errorf("%s: %+v, want a refusal with a time to come back", m.Name, r)
+		}
+		if w.ready(m) {
+			t.Errorf("%s says that it is ready, but can accept no key", m.Name)
+		}
+	}
+	w.Table.Set(hosting.Well)
+	testkit.Eventually(t, startWithin, "all are ready again", func() bool {
+		return w.ready(w.machines[1]) && w.ready(w.machines[2])
+	})
+}
+
+// A machine is suspended for longer than the bound on revocation, and a key is
+// taken away meanwhile. A clock that stands still in the meantime would call
+// the confirmation fresh when the machine wakes.
+func TestResidentWakesWithOldKeys(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	if err := w.procs[0].signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	w.Configure(func(c map[string]any) {
+		c["tenants"] = []map[string]any{{"name": hosting.Owner, "api_keys": []string{"key-two"}}}
+	})
+	time.Sleep(hosting.RevokeWithin)
+	done := make(chan result)
+	go func() { done <- w.do(w.machines[0], booking("woken")) }()
+	time.Sleep(100 * time.Millisecond)
+	if err := w.procs[0].signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	if r := <-done; r.status == http.StatusOK {
+		t.Errorf("a key that was taken away works after the pause: %+v", r)
+	}
+}
+
+// One instance is told to stop while it serves drafts. It is no longer named,
+// and what it serves is served to the end.
+func TestResidentDrain(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	done := make(chan result, 3)
+	for k := range 3 {
+		go func() { done <- w.do(w.machines[0], draft(fmt.Sprintf("drain-%d", k))) }()
+	}
+	time.Sleep(300 * time.Millisecond)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.procs[0].drain(t)
+	}()
+	time.Sleep(200 * time.Millisecond)
+	if w.ready(w.machines[0]) {
+		t.Error("a leaving instance says that it is ready")
+	}
+	for _, a := range w.named(w.machines[1]) {
+		if a == w.machines[0].Callers {
+			t.Error("a leaving instance is still named")
+		}
+	}
+	if r := w.do(w.machines[0], booking("late")); r.status != http.StatusOK {
+		t.Errorf("a caller with an old answer: %+v", r)
+	}
+	if r := w.do(w.machines[0], draft("late-draft")); !refusedHonestly(r.status) {
+		t.Errorf("a draft that could not end in time: %+v", r)
+	}
+	for range 3 {
+		if r := <-done; r.cut || r.status != http.StatusOK {
+			t.Errorf("a draft was cut by the drain: %+v", r)
+		}
+	}
+	<-ended
+}
+
+// All instances lose power at once. Their callers are served again as soon as
+// they are back, and until one knows a configuration it says so: an answer such
+// as "unknown key" would end the caller's tries.
+func TestResidentAllStartAgain(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	for _, p := range w.procs {
+		p.kill()
+	}
+	w.Table.Set(hosting.Busy)
+	for k, m := range w.machines {
+		w.procs[k] = w.run(t, m)
+	}
+	testkit.Eventually(t, startWithin, "an instance without a configuration refuses", func() bool {
+		return w.do(w.machines[0], booking("early")).status == http.StatusServiceUnavailable
+	})
+	w.Table.Set(hosting.Well)
+	began := time.Now()
+	w.waitReady(t)
+	if took := time.Since(began); took > 6*time.Second {
+		t.Errorf("ready after %v", took)
+	}
+	if r := w.do(w.machines[0], booking("back")); r.status != http.StatusOK {
+		t.Errorf("%+v", r)
+	}
+	if n := runs(w.Arrivals()["early"]); n != 0 {
+		t.Error("a request that was refused has run")
+	}
+}
+
+// The store forgets its history, and writes are done without an answer. What
+// was known stays in force, and what is new arrives all the same.
+func TestResidentStoreForgets(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	w.Table.Forget()
+	w.Configure(func(c map[string]any) {
+		c["tenants"] = []map[string]any{{"name": hosting.Owner, "api_keys": []string{hosting.Key, "key-three"}}}
+	})
+	w.Table.Forget()
+	c := booking("forgotten")
+	c.key = "key-three"
+	testkit.Eventually(t, startWithin, "the new key works everywhere", func() bool {
+		c.id += "."
+		for _, m := range w.machines {
+			if w.do(m, c).status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// An upstream answers a long body before it has read it. The caller gets the
+// answer, and the rest of that body follows on the same connection: nothing
+// else may stand there.
+func TestResidentEarlyAnswerToALongBody(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	for _, k := range w.desk {
+		k.SetFault(hosting.Early)
+	}
+	c := booking("long")
+	c.body = strings.Repeat("0123456789abcdef", 32<<10) // 512 KB: longer than what is held
+	r := w.do(w.machines[0], c)
+	if r.status != http.StatusOK || r.cut {
+		t.Errorf("%d cut %v error %v", r.status, r.cut, r.err)
+	}
+	testkit.Eventually(t, startWithin, "the upstream has read what came", func() bool { return len(w.Arrivals()["long"]) == 1 })
+	if got := w.Arrivals()["long"][0].Body; !strings.HasPrefix(c.body, got) {
+		t.Errorf("the rest of the body was not that body: %d bytes", len(got))
+	}
+}
+
+// A caller leaves in mid-stream. Its generation must not go on: it holds memory
+// and a place that others wait for.
+func TestResidentCallerLeaves(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	c := draft("left")
+	c.patience = 200*time.Millisecond - 5*time.Second // the client ends after 0.2 s
+	w.do(w.machines[0], c)
+	testkit.Eventually(t, 5*time.Second, "the upstream notices", func() bool {
+		list := w.Arrivals()["left"]
+		return len(list) == 1 && list[0].CallerLeft
+	})
+}
--- /dev/null
+++ b/internal/proctest/resident_world_test.go
@@ -0,0 +1,205 @@
+package proctest
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
+)
+
+// Sizes of the worlds: small, as several run beside each other.
+const (
+	residents  = 3
+	poolSize   = 4
+	deskSize   = 3
+	draftSteps = 40
+	briefSteps = 5
+)
+
+// world is a hosting platform with instances in processes of their own.
+type world struct {
+	*hosting.World
+	machines []hosting.Machine
+	procs    []*process
+	pool     []*hosting.Worker
+	desk     []*hosting.Worker
+}
+
+// settle starts a platform, its workers and instances, and waits until each
+// instance is ready.
+func settle(t *testing.T) *world {
+	t.Helper()
+	base, err := hosting.NewWorld(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(base.Close)
+	w := &world{World: base}
+	base.Configure(nil)
+	for k := range poolSize {
+		w.pool = append(w.pool, w.worker(t, fmt.Sprintf("engine-%d", k), hosting.Pool, func(k *hosting.Worker) {
+			k.EventEvery, k.EventCount, k.CopyTime = 25*time.Millisecond, draftSteps, 30*time.Millisecond
+		}))
+	}
+	for k := range deskSize {
+		w.desk = append(w.desk, w.worker(t, fmt.Sprintf("desk-%d", k), hosting.Desk, func(k *hosting.Worker) {
+			k.Work = 10 * time.Millisecond
+		}))
+	}
+	for k := range residents {
+		w.machine(t, fmt.Sprintf("entry-%d", k))
+	}
+	w.waitReady(t)
+	return w
+}
+
+func (w *world) worker(t *testing.T, id, service string, shape func(*hosting.Worker)) *hosting.Worker {
+	t.Helper()
+	k, err := w.Add(id, service, shape)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+func (w *world) machine(t *testing.T, name string) {
+	t.Helper()
+	m, err := w.Machine(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.machines = append(w.machines, m)
+	w.procs = append(w.procs, w.run(t, m))
+}
+
+func (w *world) run(t *testing.T, m hosting.Machine) *process {
+	t.Helper()
+	return startWith(t, m.Name, []string{"MULBERRYLUG_SETTINGS=" + m.Settings}, "serve")
+}
+
+// ready reports whether a machine says that it is.
+func (w *world) ready(m hosting.Machine) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Ready+"/v1/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// named returns the addresses that a machine tells callers to use.
+func (w *world) named(m hosting.Machine) []string {
+	var out struct {
+		Addresses []string `json:"addresses"`
+	}
+	url := "http://" + m.Entries + "/v1/resolve?name=" + hosting.Host + "&region=region-a&zone=zone-a"
+	if err := get(url, &out); err != nil {
+		return nil
+	}
+	return out.Addresses
+}
+
+func (w *world) waitReady(t *testing.T) {
+	t.Helper()
+	for _, m := range w.machines {
+		testkit.Eventually(t, startWithin, m.Name+" is ready and knows the others", func() bool {
+			return w.ready(m) && len(w.named(m)) == len(w.machines)
+		})
+	}
+}
+
+// call is a caller's request.
+type call struct {
+	id, method, path, key, body string
+	header                      map[string]string
+	patience                    time.Duration
+}
+
+// result is what the caller saw.
+type result struct {
+	status int
+	header http.Header
+	body   string
+	// cut is set if the answer broke off.
+	cut bool
+	err error
+}
+
+// do makes a request on a connection of its own.
+func (w *world) do(m hosting.Machine, c call) result {
+	ctx, cancel := context.WithTimeout(context.Background(), c.patience+5*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+m.Callers+c.path, bytes.NewBufferString(c.body))
+	if err != nil {
+		return result{err: err}
+	}
+	req.Host = hosting.Host
+	req.Header.Set("Attempt-Id", c.id)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(c.patience.Milliseconds()))
+	if c.key != "" {
+		req.Header.Set("Credential", c.key)
+	}
+	for k, v := range c.header {
+		req.Header.Set(k, v)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, body: string(body), cut: err != nil, err: err}
+}
+
+func draft(id string) call {
+	return call{
+		id: id, method: http.MethodPost, path: hosting.PathDraft + "d?x=%2F", key: hosting.Key, body: "prompt of " + id, patience: 20 * time.Second,
+		header: map[string]string{"Token-Counts": fmt.Sprintf("1000,%d", 4*draftSteps), "Model": "m"},
+	}
+}
+
+func booking(id string) call {
+	return call{id: id, method: http.MethodPost, path: hosting.PathBooking + "b", key: hosting.Key, body: "book " + id, patience: 3 * time.Second}
+}
+
+func lookUp(id string) call {
+	return call{id: id, method: http.MethodGet, path: hosting.PathLookUp + "l?q=1", key: hosting.Key, patience: 3 * time.Second}
+}
+
+// events returns a whole stream of a request.
+func events(id string) string {
+	var b strings.Builder
+	for n := 1; n <= draftSteps; n++ {
+		b.WriteString(hosting.Event(id, n))
+	}
+	return b.String()
+}
+
+// refusedHonestly reports whether a status promises that nothing ran.
+func refusedHonestly(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// runs counts how often a request was begun anew.
+func runs(list []hosting.Arrival) (n int) {
+	for _, a := range list {
+		if a.Ran && !a.Resumed {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -18,9 +18,15 @@
 
 const (
 	// configWait is how long the store may hold a question for changes of the
-	// configuration. Its answer confirms the configuration as of the moment
-	// of the question, so a longer wait lets confirmations age.
+	// configuration, at most.
 	configWait = time.Second
+	// confirmShare is the part of the time for which keys are accepted
+	// without a new confirmation that a question may be held. An answer
+	// confirms as of its question, so a reader's knowledge is two waits old
+	// when the next answer is due, and who asks the reader adds a hold of the
+	// same length: three fifths of the time, and one failed question more is
+	// borne.
+	confirmShare = 5
 	// listWait is how long the store may hold a question for changes of the
 	// list of upstreams.
 	listWait = time.Second
@@ -49,6 +55,8 @@
 	adopted func(*route.Config)
 	fellows *fellows
 	relay   *relay
+	// wait is how long the store may hold a question for the configuration.
+	wait time.Duration
 
 	// mu guards watch.
 	mu    sync.Mutex
@@ -61,6 +69,15 @@
 	listAt   int64
 }
 
+// holdFor returns how long questions may be held if keys are accepted for a
+// time after a confirmation; 0 accepts them for ever.
+func holdFor(keys time.Duration) time.Duration {
+	if keys == 0 {
+		return configWait
+	}
+	return min(configWait, keys/confirmShare)
+}
+
 // followConfig follows the configuration until the context ends.
 func (f *follower) followConfig(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -88,7 +105,7 @@
 	if f.configAt == 0 {
 		return f.store.Config(ctx)
 	}
-	return f.store.ConfigSince(ctx, f.configAt, configWait)
+	return f.store.ConfigSince(ctx, f.configAt, f.wait)
 }
 
 func (f *follower) takeConfig(asked time.Time, read ConfigRead) {
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -17,6 +17,8 @@
 type relay struct {
 	server *server
 	send   func(to string, m msg.Message)
+	// hold is how long a question is held while there is no news.
+	hold time.Duration
 
 	mu      sync.Mutex
 	waiting map[string]waitingAsk
@@ -37,7 +39,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.waiting[from] = waitingAsk{ask: m, until: time.Now().Add(watch.PeerHold)}
+	r.waiting[from] = waitingAsk{ask: m, until: time.Now().Add(r.hold)}
 }
 
 // tick answers the questions that there is news for, or that waited long enough.
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -96,10 +96,10 @@
 		drained: make(chan struct{}), leaveNow: make(chan struct{}),
 	}
 	r.fellows = &fellows{store: store, metrics: m, log: log, state: r.state, fleet: fleet.New(r.beat())}
-	r.relay = &relay{server: srv, send: r.fellows.sendTo, waiting: map[string]waitingAsk{}}
+	r.relay = &relay{server: srv, send: r.fellows.sendTo, hold: min(watch.PeerHold, holdFor(keys)), waiting: map[string]waitingAsk{}}
 	r.follower = &follower{
 		store: store, server: srv, metrics: m, log: log, left: func([]*roster.Upstream, string) { r.homes.sync() },
-		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(s.Name),
+		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(s.Name, keys), wait: holdFor(keys),
 	}
 	r.homes = &homes{
 		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer,
@@ -269,11 +269,11 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// ready reports whether the instance can serve: it knows a configuration, and
-// keys may be accepted.
+// ready reports whether the instance can serve: it knows a configuration and the
+// upstreams, and keys may be accepted.
 func (r *Resident) ready() (ok bool) {
 	r.server.decide(func(now time.Time, g *forward.Gate) {
-		ok = !r.server.leaving && g.Table() != nil && g.KeysGood(now)
+		ok = !r.server.leaving && g.Table() != nil && g.Roster().Known() && g.KeysGood(now)
 	})
 	return ok
 }
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -1,9 +1,11 @@
 package hosting
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -275,12 +277,46 @@
 	}
 	fmt.Fprintf(buf, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	_ = buf.Flush() // the caller left
-	time.Sleep(20 * time.Millisecond)
-	fmt.Fprintf(buf, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-	_ = buf.Flush() // the caller left
-	go func() { _, _ = io.Copy(io.Discard, c); c.Close() }()
+	go w.repeat(c, buf, head, body)
+}
+
+// repeat sends an answer once more, late, and serves the connection on: the
+// answer that is too many arrives where the next request's is due.
+func (w *Worker) repeat(c net.Conn, buf *bufio.ReadWriter, head, body string) {
+	defer c.Close()
+	for {
+		time.Sleep(extraAfter)
+		fmt.Fprintf(buf, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		if buf.Flush() != nil {
+			return
+		}
+		r, err := http.ReadRequest(buf.Reader)
+		if err != nil {
+			return
+		}
+		sent, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		a := &Arrival{
+			Worker: w.ID, ID: r.Header.Get("Attempt-Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host,
+			Header: r.Header, Body: string(sent), Ran: true,
+		}
+		w.mark(a, func() { w.arrivals = append(w.arrivals, a) })
+		head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + a.ID + "\r\nResponse-Seal: seal-" + a.ID + "\r\n"
+		body = Body(a.ID, w.ID)
+		fmt.Fprintf(buf, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		if buf.Flush() != nil {
+			return
+		}
+	}
 }
 
+// extraAfter is how long after an answer its repetition follows: late enough
+// that the next request is on its way at times, and early enough that at times
+// it is not.
+const extraAfter = 20 * time.Millisecond
+
 // answerEarly answers before the body has been read, and reads it then.
 func (w *Worker) answerEarly(rw http.ResponseWriter, r *http.Request) {
 	if err := http.NewResponseController(rw).EnableFullDuplex(); err != nil {
