Only instances that the store answers read it for the others

Change: beats say whether the store answers; the configuration row is read every 0.6 s in place of a feed whose silence proves nothing; a feed that fails is followed by a whole reading before the store counts as away.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -66,7 +66,9 @@
 func (f *Fleet) Self() msg.Beat { return f.self }
 
 // SetSelf updates what the instance tells of itself.
-func (f *Fleet) SetSelf(ready, leaving bool) { f.self.Ready, f.self.Leaving = ready, leaving }
+func (f *Fleet) SetSelf(ready, leaving, reads bool) {
+	f.self.Ready, f.self.Leaving, f.self.Reads = ready, leaving, reads
+}
 
 // Heard takes a beat of another instance. It reports whether the instance was
 // not known to live before.
@@ -149,9 +151,26 @@
 // Size is how many instances are known, this one included.
 func (f *Fleet) Size() int { return len(f.members) + 1 }
 
-// Readers lists the instances that read the store for the others.
+// Readers lists the instances that read the store for the others: the first in
+// rendezvous order among those that the store answers. One that is cut off from
+// the store says so, and the next takes its place; if all say so, each of them
+// asks the store itself.
 func (f *Fleet) Readers(now time.Time) []string {
-	return f.view.Homes(now, readersKey, readers, func(string) int { return 0 })
+	var out []string
+	for _, name := range f.view.Homes(now, readersKey, f.Size(), func(string) int { return 0 }) {
+		if len(out) < readers && f.reads(name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func (f *Fleet) reads(name string) bool {
+	if name == f.self.Name {
+		return f.self.Reads && !f.self.Leaving
+	}
+	m := f.members[name]
+	return m != nil && m.Reads && !m.Leaving
 }
 
 // Home returns the instance that decides for a key.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -14,13 +14,13 @@
 func beat(k int) msg.Beat {
 	return msg.Beat{
 		Name: fmt.Sprintf("i%02d", k), DataCentre: "dc", CallerAddress: fmt.Sprintf("10.0.0.%d:80", k),
-		PeerAddress: fmt.Sprintf("10.0.0.%d:7200", k), Boot: "b", Ready: true,
+		PeerAddress: fmt.Sprintf("10.0.0.%d:7200", k), Boot: "b", Ready: true, Reads: true,
 	}
 }
 
 func fleetOf(self, n int) *Fleet {
 	f := New(beat(self))
-	f.SetSelf(true, false)
+	f.SetSelf(true, false, true)
 	for k := range n {
 		f.Heard(start, beat(k))
 	}
@@ -82,3 +82,24 @@
 		t.Error("a beat of the same run is no news, one of another run is")
 	}
 }
+
+// Both readers are cut off from the store while the others reach it. They go on
+// answering, but what they know gets old, and with it every key: the next two
+// must take the role over.
+func TestAReaderThatIsCutOffLosesTheRole(t *testing.T) {
+	f := fleetOf(0, 5)
+	before := f.Readers(start)
+	for k := range 5 {
+		if b := beat(k); slices.Contains(before, b.Name) {
+			b.Reads = false
+			f.Heard(start, b)
+			if k == 0 {
+				f.SetSelf(true, false, false)
+			}
+		}
+	}
+	after := f.Readers(start)
+	if len(after) != readers || slices.Contains(after, before[0]) || slices.Contains(after, before[1]) {
+		t.Errorf("readers were %v and are %v", before, after)
+	}
+}
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -27,6 +27,8 @@
 	Boot string
 	// Ready is set while callers may be sent to the sender.
 	Ready bool
+	// Reads is set while the platform's store answers the sender.
+	Reads bool
 	// Leaving is set once the sender drains.
 	Leaving bool
 	// Answer asks the receiver for a beat of its own: the sender has just
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -93,6 +93,9 @@
 	return append(order, live...)
 }
 
+// Bad reports whether a source is passed over at present.
+func (w *Watch) Bad(now time.Time, source string) bool { return now.Before(w.bad[source]) }
+
 // Failed notes that a source did not answer.
 func (w *Watch) Failed(now time.Time, source string) { w.bad[source] = now.Add(badFor) }
 
--- a/internal/resident/fleet.go
+++ b/internal/resident/fleet.go
@@ -23,8 +23,9 @@
 	peers   *peer.Transport
 	metrics *metrics.Metrics
 	log     hclog.Logger
-	// state tells whether this instance is ready, and whether it leaves.
-	state func() (ready, leaving bool)
+	// state tells whether this instance is ready, whether it leaves, and
+	// whether the store answers it.
+	state func() (ready, leaving, reads bool)
 
 	// mu guards the view.
 	mu    sync.Mutex
@@ -91,11 +92,11 @@
 
 // beat tells every other instance that this one lives.
 func (f *fellows) beat(answer bool) {
-	ready, leaving := f.state()
+	ready, leaving, reads := f.state()
 	var self msg.Beat
 	var others []msg.Beat
 	f.with(func(_ time.Time, v *fleet.Fleet) {
-		v.SetSelf(ready, leaving)
+		v.SetSelf(ready, leaving, reads)
 		self = v.Self()
 		for _, m := range v.Others() {
 			others = append(others, m.Beat)
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -17,16 +16,15 @@
 )
 
 const (
-	// configWait is how long the store may hold a question for changes of the
-	// configuration, at most.
-	configWait = time.Second
+	// configWait is the most time between two readings of the configuration.
+	// A new one is in force everywhere that much later, plus some
+	// milliseconds; operators are promised two seconds.
+	configWait = 600 * time.Millisecond
 	// confirmShare is the part of the time for which keys are accepted
-	// without a new confirmation that a question may be held. An answer
-	// confirms as of its question, so a reader's knowledge is two waits old
-	// when the next answer is due, and who asks the reader adds a hold of the
-	// same length: three fifths of the time, and one failed question more is
-	// borne.
-	confirmShare = 5
+	// without a new confirmation that may pass between two readings. Who asks
+	// a reader adds a hold of the same length, so that three failed readings
+	// in a row are borne.
+	confirmShare = 6
 	// listWait is how long the store may hold a question for changes of the
 	// list of upstreams.
 	listWait = time.Second
@@ -55,7 +53,7 @@
 	adopted func(*route.Config)
 	fellows *fellows
 	relay   *relay
-	// wait is how long the store may hold a question for the configuration.
+	// wait is the time between two readings of the configuration.
 	wait time.Duration
 
 	// mu guards watch.
@@ -69,8 +67,9 @@
 	listAt   int64
 }
 
-// holdFor returns how long questions may be held if keys are accepted for a
-// time after a confirmation; 0 accepts them for ever.
+// holdFor returns the time between two readings, and for which another
+// instance's question may be held, if keys are accepted for a time after a
+// confirmation; 0 accepts them for ever.
 func holdFor(keys time.Duration) time.Duration {
 	if keys == 0 {
 		return configWait
@@ -78,7 +77,9 @@
 	return min(configWait, keys/confirmShare)
 }
 
-// followConfig follows the configuration until the context ends.
+// followConfig follows the configuration until the context ends. It reads the
+// row itself again and again: a feed of changes may be silent for a while though
+// there are changes, and its silence must not confirm that keys are still good.
 func (f *follower) followConfig(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if f.source() != watch.Store {
@@ -86,36 +87,30 @@
 			continue
 		}
 		asked := boottime.Now()
-		read, err := f.readConfig(ctx)
+		read, err := f.store.Config(ctx)
 		if err != nil {
 			f.sourceFailed(watch.Store, err.Error())
 			f.failed(ctx, "configuration", err)
-			if errors.Is(err, ErrHistoryGone) {
-				f.configAt = 0
-			}
 			pause(ctx, retryPause)
 			continue
 		}
 		f.takeConfig(asked, read)
+		pause(ctx, f.wait)
 	}
 	return ctx.Err()
 }
 
-func (f *follower) readConfig(ctx context.Context) (ConfigRead, error) {
-	if f.configAt == 0 {
-		return f.store.Config(ctx)
-	}
-	return f.store.ConfigSince(ctx, f.configAt, f.wait)
-}
-
 func (f *follower) takeConfig(asked time.Time, read ConfigRead) {
 	if read.Version < f.configAt {
+		f.metrics.Count("stale_answers_total", "configuration")
 		f.log.Warn("configuration_answer_stale", "version", read.Version, "known", f.configAt)
 		return
 	}
 	f.configAt = read.Version
 	f.sourceAnswered(watch.Store, 0)
-	f.adopt(asked, read.Config, "store")
+	if read.Config != nil {
+		f.adopt(asked, read.Config, "store")
+	}
 }
 
 // adopt puts a configuration in force and confirms it as of the question.
@@ -148,12 +143,14 @@
 			continue
 		}
 		began := time.Now()
-		if err := f.readList(ctx); err != nil {
-			f.failed(ctx, "list", err)
-			if errors.Is(err, ErrHistoryGone) {
-				f.listAt = 0
+		whole := f.listAt == 0
+		if err := f.readList(ctx, whole); err != nil {
+			f.metrics.Count("store_failures_total", "list")
+			f.listAt = 0
+			if whole {
+				f.failed(ctx, "list", err)
+				pause(ctx, retryPause)
 			}
-			pause(ctx, retryPause)
 			continue
 		}
 		pause(ctx, listPause-time.Since(began))
@@ -161,8 +158,9 @@
 	return ctx.Err()
 }
 
-func (f *follower) readList(ctx context.Context) error {
-	whole := f.listAt == 0
+// readList reads the whole list, or what has changed. A feed that fails or is
+// cut is no sign that the store is away: the whole list is read then.
+func (f *follower) readList(ctx context.Context, whole bool) error {
 	var read ListRead
 	var err error
 	if whole {
@@ -213,7 +211,7 @@
 	}
 	f.metrics.Count("store_failures_total", what)
 	f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().StoreDown() })
-	if f.up && !errors.Is(err, ErrHistoryGone) {
+	if f.up {
 		f.up = false
 		f.log.Warn("dependency_lost", "dependency", "store", "step", what, "error", err)
 	}
@@ -265,6 +263,17 @@
 	f.metrics.Count("source_failures_total", sourceName(source))
 	f.log.Info("source_failed", "source", sourceName(source), "why", why)
 	f.watch.Failed(boottime.Now(), source)
+	if source == watch.Store {
+		go f.fellows.beat(false) // the others must choose another reader soon
+	}
+}
+
+// reads reports whether the store answered this instance when it last asked, or
+// enough time has passed since to ask again.
+func (f *follower) reads() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.watch.Bad(boottime.Now(), watch.Store)
 }
 
 func (f *follower) sourceAnswered(source string, age time.Duration) {
--- a/internal/resident/ports.go
+++ b/internal/resident/ports.go
@@ -30,12 +30,10 @@
 	Changes []roster.Change
 }
 
-// Store is what an instance needs of the platform's store. The reads named
-// Since wait for changes after a version, and return ErrHistoryGone if those are
-// no longer held.
+// Store is what an instance needs of the platform's store. ListSince waits for
+// changes after a version, and returns ErrHistoryGone if those are no longer held.
 type Store interface {
 	Config(ctx context.Context) (ConfigRead, error)
-	ConfigSince(ctx context.Context, after int64, wait time.Duration) (ConfigRead, error)
 	List(ctx context.Context) (ListRead, error)
 	ListSince(ctx context.Context, after int64, wait time.Duration) (ListRead, error)
 	// Join makes an instance known to the others, Members lists all that did,
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -119,10 +119,9 @@
 	}
 }
 
-// state tells whether callers may be sent here, and whether this instance leaves.
-func (r *Resident) state() (ready, leaving bool) {
-	ready = r.ready()
-	return ready, r.server.isLeaving()
+// state is what this instance tells the others of itself.
+func (r *Resident) state() (ready, leaving, reads bool) {
+	return r.ready(), r.server.isLeaving(), r.follower.reads()
 }
 
 // adopted hands a new configuration on to the instances that ask for it.
@@ -297,9 +296,9 @@
 
 func (r *Resident) addresses(Directory) []string {
 	var out []string
-	ready, leaving := r.state()
+	ready, leaving, reads := r.state()
 	r.fellows.with(func(_ time.Time, v *fleet.Fleet) {
-		v.SetSelf(ready, leaving)
+		v.SetSelf(ready, leaving, reads)
 		out = v.Addresses()
 	})
 	return out
