A pool's home asks upstreams for their state while the list is old

Change: the home asks the upstreams' own reports every 0.3 s once the list is older than 1.2 s; an upstream that could not be reached gets no new work for 1.5 s.

--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -52,6 +52,8 @@
 	// ConfigAge is how long ago the sender asked the question whose answer
 	// last confirmed its configuration. Negative if it has none.
 	ConfigAge time.Duration
+	// ListAge is the same for the list of upstreams.
+	ListAge time.Duration
 	// Config is nil if the asker's version is the newest known.
 	Config *route.Config
 	// ListVersion is the version of the whole list in List; 0 if it has
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -80,6 +80,8 @@
 	Upstream    string
 	Boot        string
 	Fingerprint uint64
+	// Unreachable is set when no connection to Upstream could be made.
+	Unreachable bool
 	// Cut is set when the caller had left: the length is then no answer's, as
 	// little as that of a failed attempt.
 	Cut bool
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -33,6 +33,16 @@
 	// free; weighed lightly, it gets every prompt for a second, and the last
 	// of them waits longer than a first token may take.
 	promptWeight = 2.0
+	// avoidFor is how long an upstream gets no new work that could not be
+	// reached. A dead one stays listed for three of its heartbeats, and while
+	// the store is away for as long as that lasts.
+	avoidFor = 1500 * time.Millisecond
+	// listFresh is the age of the list from which on the upstreams themselves
+	// are asked whether they leave.
+	listFresh = 1200 * time.Millisecond
+	// lookEvery is the pause between two such questions to one upstream. Each
+	// has a price, and a notice may be as short as 1.5 s.
+	lookEvery = 300 * time.Millisecond
 	// AnnounceEvery is how often an entry tells the home what it runs.
 	AnnounceEvery = 500 * time.Millisecond
 )
@@ -52,9 +62,22 @@
 	// entries maps attempts to the instances that asked for them.
 	entries     map[string]string
 	evacuations map[string]*evacuation
-	number      int64
-	out         []Out
-	notes       []Note
+	// unreachable holds when an upstream was last found so, looked when it
+	// was last asked for its state.
+	unreachable map[string]time.Time
+	// own holds the upstreams that have said themselves that they leave.
+	own    map[string]time.Time
+	looked map[string]time.Time
+	number int64
+	looks  []Look
+	out    []Out
+	notes  []Note
+}
+
+// Look is an upstream that is to be asked for its state.
+type Look struct {
+	ID      string
+	Address string
 }
 
 // Note is a decision to be logged.
@@ -68,6 +91,7 @@
 	return &Home{
 		service: service, engine: engine, upstreams: map[string]*roster.Upstream{},
 		entries: map[string]string{}, evacuations: map[string]*evacuation{},
+		unreachable: map[string]time.Time{}, own: map[string]time.Time{}, looked: map[string]time.Time{},
 		placement: placement.NewHome(placement.Settings{
 			Weights: config.Weights{Stall: 1, Preemptions: 1, Tail: 1}, Engine: true, Service: service,
 			PromptRate: promptRate, PromptWeight: promptWeight,
@@ -82,6 +106,14 @@
 	return out
 }
 
+// Looks returns the upstreams that are to be asked for their state, and forgets
+// them.
+func (h *Home) Looks() []Look {
+	looks := h.looks
+	h.looks = nil
+	return looks
+}
+
 // Notes returns the decisions that are to be logged, and forgets them.
 func (h *Home) Notes() []Note {
 	notes := h.notes
@@ -95,11 +127,15 @@
 	h.notes = append(h.notes, Note{Event: event, Pairs: append(pairs, "pool", h.service)})
 }
 
-// Sync takes the upstreams of the pool as they are listed now.
-func (h *Home) Sync(now time.Time, listed []*roster.Upstream) {
+// Sync takes the upstreams of the pool as they are listed now; confirmed is the
+// moment for which the list is known to hold.
+func (h *Home) Sync(now, confirmed time.Time, listed []*roster.Upstream) {
 	seen := map[string]bool{}
 	for _, u := range listed {
 		seen[u.ID] = true
+		if at, ok := h.own[u.ID]; ok && u.LeavingSince.IsZero() {
+			u.LeavingSince = at // it said so itself; the list does not know yet
+		}
 		h.upstreams[u.ID] = u
 		h.report(now, u)
 	}
@@ -108,9 +144,49 @@
 			h.gone(now, id)
 		}
 	}
+	if now.Sub(confirmed) > listFresh {
+		h.look(now)
+	}
+	h.evacuate(now)
+}
+
+// look asks the upstreams themselves whether they leave. While the store is away
+// their announcements do not arrive, and what runs on them would be cut.
+func (h *Home) look(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(h.upstreams)) {
+		if u := h.upstreams[id]; u.LeavingSince.IsZero() && now.Sub(h.looked[id]) >= lookEvery {
+			h.looked[id] = now
+			h.looks = append(h.looks, Look{ID: id, Address: u.Address})
+		}
+	}
+}
+
+// Leaves takes an upstream's own word that it leaves, and when.
+func (h *Home) Leaves(now time.Time, id string, in time.Duration, known bool) {
+	u := h.upstreams[id]
+	if u == nil {
+		return
+	}
+	if u.LeavingSince.IsZero() {
+		u.LeavingSince = now
+		h.own[id] = now
+	}
+	h.report(now, u)
+	if e := h.evacuations[id]; e != nil && known {
+		e.ends = now.Add(in)
+		h.note("upstream_leaves", "upstream", id, "in", in)
+	}
 	h.evacuate(now)
 }
 
+// Unreachable notes that no connection to an upstream could be made.
+func (h *Home) Unreachable(now time.Time, id string) {
+	if u := h.upstreams[id]; u != nil {
+		h.unreachable[id] = now
+		h.report(now, u)
+	}
+}
+
 // report gives the placement what is known of an upstream.
 func (h *Home) report(now time.Time, u *roster.Upstream) {
 	slots := u.Slots
@@ -118,10 +194,11 @@
 		slots = h.engine.Slots
 	}
 	h.decide(now, h.placement.Report(now, now, placement.Report{
-		Upstream: u.ID, Leaving: !u.TakesWork(), Capacity: h.engine.MemoryToken, MaxBatch: slots,
+		Upstream: u.ID, Leaving: !u.TakesWork() || now.Sub(h.unreachable[u.ID]) < avoidFor, Capacity: h.engine.MemoryToken, MaxBatch: slots,
 	}))
 	if !u.TakesWork() && h.evacuations[u.ID] == nil {
 		h.evacuations[u.ID] = newEvacuation(u, now)
+		h.looks = append(h.looks, Look{ID: u.ID, Address: u.Address})
 		h.note("evacuation_began", "upstream", u.ID, "running", len(h.placement.On(now, u.ID)))
 	}
 }
@@ -144,6 +221,9 @@
 	}
 	delete(h.upstreams, id)
 	delete(h.evacuations, id)
+	delete(h.unreachable, id)
+	delete(h.looked, id)
+	delete(h.own, id)
 }
 
 // Ask places a generation.
@@ -168,6 +248,9 @@
 // End releases what an attempt held.
 func (h *Home) End(now time.Time, m msg.GrantEnd) {
 	delete(h.entries, m.Attempt)
+	if m.Unreachable {
+		h.Unreachable(now, m.Upstream)
+	}
 	h.decide(now, h.placement.End(now, m.Attempt, m.Tokens, !m.Failed && !m.Cut))
 	h.ended(now, m.Attempt)
 }
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -35,6 +35,8 @@
 	orders  []msg.MoveOrder
 	asks    map[string]placement.Ask
 	began   map[string]time.Time
+	// away is for how long the store has not answered.
+	away time.Duration
 }
 
 func newSim(t *testing.T, upstreams int) *sim {
@@ -61,8 +63,11 @@
 	return nil
 }
 
+// confirmed is the moment for which the list holds; away sets it back.
+func (s *sim) confirmed() time.Time { return s.now.Add(-s.away) }
+
 func (s *sim) sync() {
-	s.home.Sync(s.now, s.list)
+	s.home.Sync(s.now, s.confirmed(), s.list)
 	s.drain()
 }
 
@@ -304,3 +309,53 @@
 		}
 	}
 }
+
+// The store is away, so that no announcement of leaving arrives. The home asks
+// the upstreams themselves, and moves what runs on those that leave.
+func TestLeavingIsNoticedWithoutTheStore(t *testing.T) {
+	s := newSim(t, 4)
+	for k := range 8 {
+		s.ask(fmt.Sprintf("d-%02d", k), 3000, 900)
+		s.pass(200 * time.Millisecond)
+	}
+	s.home.Looks()
+	s.pass(time.Second)
+	if looks := s.home.Looks(); len(looks) != 0 {
+		t.Errorf("%d questions while the list is fresh: each has a price", len(looks))
+	}
+	s.away = 2 * listFresh
+	s.pass(time.Second)
+	if looks := len(s.home.Looks()); looks < 8 || looks > 16 {
+		t.Errorf("%d questions to 4 upstreams in a second", looks)
+	}
+	s.home.Leaves(s.now, "u02", 1500*time.Millisecond, true)
+	s.drain()
+	if len(s.orders) != 1 || s.orders[0].From != "u02" {
+		t.Fatalf("orders %+v, want one from u02", s.orders)
+	}
+	s.ask("new", 3000, 900)
+	s.sync() // the list still calls it ready
+	if s.granted["new"] == "u02" || len(s.orders) != 1 {
+		t.Error("the list's old word must not undo the upstream's own")
+	}
+}
+
+// An upstream has died and is still listed. Each request that is placed there
+// costs a dial; after the first, others get the work.
+func TestAnUnreachableUpstreamGetsNoWork(t *testing.T) {
+	s := newSim(t, 2)
+	s.home.Unreachable(s.now, "u00")
+	for k := range 4 {
+		s.ask(fmt.Sprintf("d-%d", k), 3000, 900)
+	}
+	if n := s.on("u00"); n != 0 {
+		t.Errorf("%d placed on a dead upstream", n)
+	}
+	s.pass(avoidFor + 100*time.Millisecond)
+	for k := range 6 {
+		s.ask(fmt.Sprintf("e-%d", k), 3000, 900)
+	}
+	if s.on("u00") == 0 {
+		t.Error("it must be tried again after a while")
+	}
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -79,6 +79,8 @@
 	// down is set while the store does not answer, since returned.
 	down     bool
 	returned time.Time
+	// confirmed is the moment for which the list was last confirmed.
+	confirmed time.Time
 	// joined holds the runs that were listed since Joined was last called.
 	joined []*Upstream
 }
@@ -88,6 +90,17 @@
 	return &Roster{byID: map[string]*Upstream{}, versions: map[string]int64{}, byService: map[string][]*Upstream{}}
 }
 
+// Confirm tells that the list was the newest at a moment: that of the question
+// whose answer said so.
+func (r *Roster) Confirm(asked time.Time) {
+	if asked.After(r.confirmed) {
+		r.confirmed = asked
+	}
+}
+
+// Confirmed returns the moment for which the list was last confirmed.
+func (r *Roster) Confirmed() time.Time { return r.confirmed }
+
 // Joined returns the runs that were listed since the last call.
 func (r *Roster) Joined() []*Upstream {
 	joined := r.joined
--- a/internal/resident/exchange.go
+++ b/internal/resident/exchange.go
@@ -82,7 +82,7 @@
 		}
 		x.logAttempt(a, outcome, step)
 		if step.Send == nil || step.Send.CopyAt == "" {
-			x.endGrant(grant, outcome)
+			x.endGrant(grant, a, outcome)
 		}
 	}
 	switch {
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -161,6 +161,7 @@
 // readList reads the whole list, or what has changed. A feed that fails or is
 // cut is no sign that the store is away: the whole list is read then.
 func (f *follower) readList(ctx context.Context, whole bool) error {
+	asked := boottime.Now()
 	var read ListRead
 	var err error
 	if whole {
@@ -171,15 +172,16 @@
 	if err != nil {
 		return err
 	}
-	f.takeList(read, whole)
+	f.takeList(asked, read, whole)
 	return nil
 }
 
-func (f *follower) takeList(read ListRead, whole bool) {
+func (f *follower) takeList(asked time.Time, read ListRead, whole bool) {
 	var left []*roster.Upstream
 	f.server.decide(func(now time.Time, g *forward.Gate) {
 		r := g.Roster()
 		r.StoreUp(now)
+		r.Confirm(asked)
 		if whole {
 			left, _ = r.Replace(now, read.Changes, read.Version)
 		} else {
--- a/internal/resident/home.go
+++ b/internal/resident/home.go
@@ -40,12 +40,14 @@
 	// syncEvery is how often a home compares its ledger with the list, and
 	// gives the orders that have come due.
 	syncEvery = 100 * time.Millisecond
+	// lookTimeout bounds the question for an upstream's state.
+	lookTimeout = 400 * time.Millisecond
 )
 
 // on runs f on the home of a pool, beginning it if need be.
 func (h *homes) on(name string, f func(now time.Time, p *pool.Home)) {
 	now := boottime.Now()
-	service, listed := h.listed(name)
+	service, listed, confirmed := h.listed(name)
 	if service == nil || service.Engine == nil {
 		return // not known here yet: the entry chooses by itself
 	}
@@ -54,38 +56,54 @@
 	if p == nil {
 		p = pool.NewHome(name, *service.Engine)
 		h.pools[name] = p
-		p.Sync(now, listed)
+		p.Sync(now, confirmed, listed)
 		h.log.Info("home_began", "pool", name, "upstreams", len(listed))
 	}
 	h.used[name] = now
 	f(now, p)
-	out, notes := p.Take(), p.Notes()
+	done := h.collect(name, p)
 	h.mu.Unlock()
-	h.deliver(out, notes)
+	h.deliver(done)
 }
 
-// listed returns a pool's service and its upstreams in the list. Upstreams are
-// copied: the list may change while the home looks at them.
-func (h *homes) listed(name string) (service *route.Service, list []*roster.Upstream) {
+// collected is what a home wants done.
+type collected struct {
+	pool  string
+	out   []pool.Out
+	notes []pool.Note
+	looks []pool.Look
+}
+
+func (h *homes) collect(name string, p *pool.Home) collected {
+	return collected{pool: name, out: p.Take(), notes: p.Notes(), looks: p.Looks()}
+}
+
+// listed returns a pool's service and its upstreams in the list, and the moment
+// for which that holds. Upstreams are copied: the list may change while the home
+// looks at them.
+func (h *homes) listed(name string) (service *route.Service, list []*roster.Upstream, confirmed time.Time) {
 	h.server.decide(func(_ time.Time, g *forward.Gate) {
 		if g.Table() == nil {
 			return
 		}
-		service = g.Table().Service(name)
+		service, confirmed = g.Table().Service(name), g.Roster().Confirmed()
 		for _, u := range g.Roster().Of(name) {
 			c := *u
 			list = append(list, &c)
 		}
 	})
-	return service, list
+	return service, list, confirmed
 }
 
-func (h *homes) deliver(out []pool.Out, notes []pool.Note) {
-	for _, n := range notes {
+func (h *homes) deliver(c collected) {
+	for _, l := range c.looks {
+		go h.look(c.pool, l)
+	}
+	for _, n := range c.notes {
 		h.metrics.Count("home_decisions_total", n.Event)
 		h.log.Info(n.Event, n.Pairs...)
 	}
-	for _, o := range out {
+	for _, o := range c.out {
 		if o.To == h.self {
 			h.local(h.self, o.Msg)
 		} else {
@@ -94,10 +112,31 @@
 	}
 }
 
+// look asks an upstream for its state and tells the home if it leaves.
+func (h *homes) look(name string, l pool.Look) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	h.metrics.Count("upstream_questions_total", name)
+	_, body, err := h.server.call(ctx, l.Address, h.server.wire.Report())
+	if err != nil {
+		h.log.Info("upstream_silent", "upstream", l.ID, "pool", name, "error", err)
+		h.on(name, func(now time.Time, p *pool.Home) { p.Unreachable(now, l.ID) })
+		return
+	}
+	r, err := h.server.wire.Reported(body)
+	if err != nil {
+		h.log.Warn("upstream_report_unreadable", "upstream", l.ID, "pool", name, "error", err)
+		return
+	}
+	if r.Leaving || r.Known {
+		h.on(name, func(now time.Time, p *pool.Home) { p.Leaves(now, l.ID, r.LeavesIn, r.Known) })
+	}
+}
+
 // sync gives every home the list as it is now.
 func (h *homes) sync() {
 	for _, name := range h.names() {
-		_, listed := h.listed(name)
+		_, listed, confirmed := h.listed(name)
 		h.mu.Lock()
 		p := h.pools[name]
 		if p == nil {
@@ -105,14 +144,14 @@
 			continue
 		}
 		now := boottime.Now()
-		p.Sync(now, listed)
+		p.Sync(now, confirmed, listed)
 		p.Tick(now)
-		out, notes := p.Take(), p.Notes()
+		done := h.collect(name, p)
 		if now.Sub(h.used[name]) > homeIdle {
 			delete(h.pools, name)
 		}
 		h.mu.Unlock()
-		h.deliver(out, notes)
+		h.deliver(done)
 	}
 }
 
--- a/internal/resident/place.go
+++ b/internal/resident/place.go
@@ -74,13 +74,14 @@
 }
 
 // endGrant tells the home that an attempt has ended.
-func (x *exchange) endGrant(attempt string, o forward.Outcome) {
+func (x *exchange) endGrant(attempt string, a *forward.Attempt, o forward.Outcome) {
 	if !x.call.Route.Generation || x.home == "" {
 		return
 	}
 	x.server.homes.send(x.home, msg.GrantEnd{
 		Pool: x.call.Service, Attempt: attempt, Tokens: x.tokens(),
 		Failed: o != forward.Done && o != forward.Cancelled, Cut: o == forward.Cancelled,
+		Upstream: a.Upstream.ID, Unreachable: o == forward.NotSent,
 	})
 }
 
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -72,6 +72,7 @@
 			return
 		}
 		a.ConfigAge = max(now.Sub(g.Confirmed()), 0)
+		a.ListAge = max(now.Sub(g.Roster().Confirmed()), 0)
 		if g.Table().Version > m.Config && r.config != nil {
 			a.Config, news = r.config, true
 		}
@@ -146,6 +147,7 @@
 		return
 	}
 	f.adopt(asked.Add(-m.ConfigAge), m.Config, source)
+	f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(asked.Add(-m.ListAge)) })
 	if m.ListVersion == 0 {
 		return
 	}
