--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,8 +5,12 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
+	"github.com/hashicorp/go-hclog"
 
 	"mulberrylug.example/mulberrylug/internal/daemon"
 	internalplatform "mulberrylug.example/mulberrylug/internal/platform"
@@ -82,6 +86,10 @@
 	}
 }
 
+// settingsEvery is how often the settings file is looked at: the platform may
+// change it without a signal.
+const settingsEvery = 2 * time.Second
+
 // serveResident runs an instance on the hosting platform.
 func (c *serveCmd) serveResident(ctx context.Context, path string) subcommands.ExitStatus {
 	s, err := platform.LoadSettings(path)
@@ -98,8 +106,48 @@
 		<-ctx.Done()
 		r.Drain()
 	}()
+	go followSettings(ctx, path, r, log)
 	if err := r.Serve(context.Background()); err != nil {
 		return fail(exitFailed, err)
 	}
 	return exitOK
 }
+
+// followSettings reloads the settings on a signal, and when the file changes.
+// A file that can't be used leaves the settings as they are.
+func followSettings(ctx context.Context, path string, r *resident.Resident, log hclog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	last := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-t.C:
+			if modified(path).Equal(last) {
+				continue
+			}
+		}
+		last = modified(path)
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			log.Warn("reload_failed", "step", "settings", "error", err)
+			continue
+		}
+		r.Reload(s)
+	}
+}
+
+// modified returns when a file was last changed, or the zero time if it can't
+// be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/internal/core/forward/admit.go
+++ b/internal/core/forward/admit.go
@@ -18,7 +18,7 @@
 	// just started: the first configuration takes a few answers of the store.
 	restartSoon = 300 * time.Millisecond
 	// crashedLater is when a request that crashes upstreams may come back.
-	crashedLater = 30 * time.Second
+	crashedLater = crashMemory
 )
 
 // Admit lets a request in or refuses it. A request that was let in needs Start
@@ -35,6 +35,9 @@
 	if refusal := g.authenticate(now, c); refusal != nil {
 		return nil, refusal
 	}
+	if most := g.table.Limits.MaxBodyBytes; most > 0 && r.Length > most {
+		return nil, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: TooLarge}
+	}
 	if g.suspects.Judge(now, r.Print) == suspect.Refused {
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: Crashes, RetryAfter: crashedLater}
 	}
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -18,9 +18,11 @@
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
-// crashMemory is how long a request that crashes upstreams is remembered. Such
-// a request comes again for as long as its caller has patience, minutes at most.
-const crashMemory = 5 * time.Minute
+// crashMemory is how long a crash is held against the requests that ran there.
+// A request that crashes upstreams comes again within seconds. A look-up that
+// many callers make is at hand at other crashes too, and must not be refused for
+// long because of two of them.
+const crashMemory = 30 * time.Second
 
 // Options describe an instance at its start.
 type Options struct {
@@ -100,5 +102,17 @@
 // SetInstances tells how many instances share the retry budget.
 func (g *Gate) SetInstances(n int) { g.instances = max(n, 1) }
 
+// Strike notes that an upstream crashed while it ran a request with a print. A
+// request with two strikes from different crashes is refused: each further run
+// would take an upstream from all others. It reports whether that was news.
+func (g *Gate) Strike(now time.Time, s suspect.Strike) bool { return g.suspects.Strike(now, s) }
+
+// Configure takes new bounds.
+func (g *Gate) Configure(o Options) {
+	o.Seed, o.DataCentre, o.NoHomes = g.options.Seed, g.options.DataCentre, g.options.NoHomes
+	g.options = o
+	g.budgets = map[string]*budget{}
+}
+
 // Drain makes the gate refuse long work, as this instance will end soon.
 func (g *Gate) Drain() { g.draining = true }
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -26,6 +26,8 @@
 	// Print identifies the request's content: path, key and body. A request
 	// that crashes upstreams comes again under the same print.
 	Print uint64
+	// Length is the stated length of the body, -1 if it is not stated.
+	Length int64
 	// Replayable is set when the whole body is held, so that it can be sent
 	// again.
 	Replayable bool
@@ -52,6 +54,7 @@
 	NotReplayable Reason = "body_not_held"
 	Unrepeatable  Reason = "not_repeatable"
 	Memory        Reason = "body_memory"
+	TooLarge      Reason = "body_too_large"
 )
 
 // Refusal is a final answer of the system's own.
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -115,7 +115,8 @@
 	switch o {
 	case Done:
 		l.note(now, false)
-	case NotSent:
+	case NotSent, Misdirected:
+		// Nobody is there, or somebody else: the entry is out of date.
 		l.rest(now)
 	case Lost, Failed, Cut, Rejected:
 		l.note(now, true)
--- /dev/null
+++ b/internal/proctest/resident_raw_test.go
@@ -0,0 +1,99 @@
+package proctest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+)
+
+// raw sends bytes on one connection and returns what comes back within a second.
+func raw(t *testing.T, address, bytes string) string {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, bytes); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	got, _ := io.ReadAll(c) // ends with the deadline or the connection
+	return string(got)
+}
+
+func head(id string) string {
+	return "POST " + hosting.PathBooking + "b HTTP/1.1\r\nHost: " + hosting.Host + "\r\nAttempt-Id: " + id +
+		"\r\nDeadline-Ms: 3000\r\nCredential: " + hosting.Key + "\r\n"
+}
+
+// A caller hides a second request in the body of a first, in the ways in which
+// two readers can disagree about where a body ends. The upstream must run the
+// first as one request, or nothing; never the hidden one.
+func TestResidentSmuggledRequests(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	hidden := head("hidden") + "Content-Length: 0\r\n\r\n"
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(hidden), hidden)
+	for name, bytes := range map[string]string{
+		"both lengths":        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked,
+		"short length":        fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n%s", len(chunked)+10, chunked),
+		"two lengths":         fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n\r\n%s", len(hidden), hidden),
+		"odd encoding":        "Transfer-Encoding: xchunked\r\n\r\n" + chunked,
+		"encoding in space":   "Transfer-Encoding : chunked\r\n\r\n" + chunked,
+		"two encodings":       "Transfer-Encoding: identity, chunked\r\n\r\n" + chunked,
+		"chunk of odd size":   "Transfer-Encoding: chunked\r\n\r\n0x" + chunked,
+		"negative chunk":      "Transfer-Encoding: chunked\r\n\r\n-1\r\n" + hidden,
+		"bare newline header": "X-A: b\nContent-Length: 0\n\n",
+		"chunk in chunk":      "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x;a=\n%s\r\n0\r\n\r\n", len(hidden), hidden),
+	} {
+		raw(t, w.machines[0].Callers, head("outer")+bytes)
+		for id, list := range w.Arrivals() {
+			if id == "hidden" {
+				t.Errorf("%s: the hidden request reached %s", name, list[0].Worker)
+			}
+		}
+	}
+}
+
+// Requests with a body and without follow each other on one connection, and the
+// connection is kept: nothing that one leaves behind may disturb the next.
+func TestResidentKeptConnection(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	c, err := net.Dial("tcp", w.machines[0].Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for k := range 12 {
+		id := fmt.Sprintf("kept-%d", k)
+		body := strings.Repeat("x", k*100)
+		text := head(id) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+		if k%3 == 1 {
+			text = head(id) + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", id, err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		list := w.Arrivals()[id]
+		if err != nil || len(list) != 1 || string(got) != hosting.Body(id, list[0].Worker) || list[0].Body != body {
+			t.Errorf("%s: %q, %v, arrivals %d", id, got, err, len(list))
+		}
+	}
+}
--- a/internal/proctest/resident_test.go
+++ b/internal/proctest/resident_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -407,3 +408,73 @@
 		return len(list) == 1 && list[0].CallerLeft
 	})
 }
+
+// The platform signals that the settings have changed, and changes them without
+// a signal too. A process that knows no better ends at the signal and cuts all
+// that it serves. A file that can't be read leaves the settings as they are.
+func TestResidentReload(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	p, m := w.procs[0], w.machines[0]
+	done := make(chan result)
+	go func() { done <- w.do(m, draft("hup")) }()
+	time.Sleep(200 * time.Millisecond)
+	if err := p.signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, startWithin, "the reload is logged", func() bool { return strings.Contains(p.output(), "event=reloaded") })
+	good, err := os.ReadFile(m.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(m.Settings, []byte("node_name: ["), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, startWithin, "the bad file is told", func() bool { return strings.Contains(p.output(), "event=reload_failed") })
+	changed := strings.Replace(string(good), "retry_budget_slack: 100", "retry_budget_slack: 50", 1)
+	if err := os.WriteFile(m.Settings, []byte(changed), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	testkit.Eventually(t, startWithin, "the new bound is in force", func() bool { return strings.Contains(p.output(), "retry_slack=50") })
+	if r := <-done; r.status != http.StatusOK || r.cut {
+		t.Errorf("the draft: %+v", r)
+	}
+	if p.hasEnded() {
+		t.Error("the process has ended")
+	}
+}
+
+// A request crashes each upstream that begins to run it, and its caller sends it
+// again, to other instances. After two crashes no further upstream is lost.
+func TestResidentRequestsThatCrashUpstreams(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	crashed := 0
+	for k := range 5 {
+		id := fmt.Sprintf("bad-%d", k)
+		c := booking(id)
+		c.body = "the same each time"
+		done := make(chan result, 1)
+		for _, d := range w.desk {
+			d.SetFault(hosting.Mute)
+		}
+		go func() { done <- w.do(w.machines[k%3], c) }()
+		time.Sleep(150 * time.Millisecond)
+		for _, d := range w.desk {
+			for _, a := range d.Arrivals() {
+				if a.ID == id && a.Ran {
+					d.Crash()
+					crashed++
+				}
+			}
+		}
+		r := <-done
+		time.Sleep(200 * time.Millisecond)
+		if k >= 2 && !refusedHonestly(r.status) {
+			t.Errorf("%s: %+v, want a refusal", id, r)
+		}
+	}
+	if crashed != 2 {
+		t.Errorf("%d upstreams were lost, want two", crashed)
+	}
+}
--- /dev/null
+++ b/internal/resident/crash.go
@@ -0,0 +1,67 @@
+package resident
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/conn"
+	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/suspect"
+)
+
+// crashLook bounds the dial that tells a crash from a broken connection.
+const crashLook = 300 * time.Millisecond
+
+// suspectCrash looks whether an upstream that broke an attempt off has crashed,
+// and if so holds that against the request, here and at every instance. Some
+// requests crash each upstream that runs them, and come again at any instance;
+// an upstream that was about to leave proves nothing.
+func (s *server) suspectCrash(c *forward.Call, a *forward.Attempt, o forward.Outcome) {
+	if o != forward.Lost && o != forward.Cut || !a.Upstream.LeavingSince.IsZero() {
+		return
+	}
+	go func() {
+		if !refused(a.Upstream.Address) {
+			return
+		}
+		crash := suspect.Crash{Upstream: a.Upstream.ID, Boot: strconv.FormatInt(a.Upstream.Born, 10)}
+		news := false
+		s.decide(func(now time.Time, g *forward.Gate) {
+			news = g.Strike(now, suspect.Strike{Fingerprint: c.Print, Crash: crash, At: now})
+		})
+		if !news {
+			return
+		}
+		s.metrics.Count("strikes_total", c.Service)
+		s.log.Info("strike", "request", c.ID, "print", c.Print, "upstream", crash.Upstream, "boot", crash.Boot)
+		s.homes.broadcast(msg.Strike{Fingerprint: c.Print, Upstream: crash.Upstream, Boot: crash.Boot})
+	}()
+}
+
+// refused reports whether nothing listens at an address.
+func refused(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), crashLook)
+	defer cancel()
+	c, err := conn.Dialer().DialContext(ctx, "tcp", address)
+	if err != nil {
+		var timeout net.Error
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &timeout) && timeout.Timeout()
+	}
+	c.Close()
+	return false
+}
+
+// struck takes another instance's strike.
+func (s *server) struck(m msg.Strike) {
+	s.decide(func(now time.Time, g *forward.Gate) {
+		g.Strike(now, suspect.Strike{
+			Fingerprint: m.Fingerprint, At: now.Add(-m.Age),
+			Crash: suspect.Crash{Upstream: m.Upstream, Boot: m.Boot},
+		})
+	})
+}
--- a/internal/resident/exchange.go
+++ b/internal/resident/exchange.go
@@ -81,6 +81,7 @@
 			step = x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.Ended(now, x.call, outcome, x.begun) })
 		}
 		x.logAttempt(a, outcome, step)
+		s.suspectCrash(x.call, a, outcome)
 		if step.Send == nil || step.Send.CopyAt == "" {
 			x.endGrant(grant, a, outcome)
 		}
--- a/internal/resident/place.go
+++ b/internal/resident/place.go
@@ -17,6 +17,8 @@
 	send func(to string, m msg.Message)
 	// silent notes a home that did not answer.
 	silent func(name string)
+	// broadcast sends a message to every other instance that lives.
+	broadcast func(m msg.Message)
 }
 
 // askHome asks the home of the call's pool and returns the next step.
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"reflect"
 	"runtime/debug"
 	"strconv"
 	"time"
@@ -77,14 +78,10 @@
 // New prepares an instance. Serve runs it.
 func New(s Settings, wire Wire, store Store, log hclog.Logger) *Resident {
 	m := metrics.NewMetrics()
-	keys := time.Duration(0)
-	if s.StrictRevocation {
-		keys = s.RevokeWithin - keyMargin
-	}
-	gate := forward.New(forward.Options{
-		DataCentre: s.DataCentre, KeysGoodFor: keys, RetryRatio: s.RetryRatio,
-		RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow, Seed: rand.Uint64(),
-	})
+	o := options(s)
+	keys := o.KeysGoodFor
+	o.Seed = rand.Uint64()
+	gate := forward.New(o)
 	conns := conn.NewPool()
 	conns.Dialled = func() { m.Count("upstream_connections_total", "dialled") }
 	srv := &server{
@@ -105,11 +102,47 @@
 		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer,
 		pools: map[string]*pool.Home{}, used: map[string]time.Time{},
 	}
-	srv.homes = homeLink{name: r.homeOf, send: r.sendAny, silent: r.homeSilent}
+	srv.homes = homeLink{name: r.homeOf, send: r.sendAny, silent: r.homeSilent, broadcast: r.broadcast}
 	r.asker = &asker{follower: r.follower, answers: make(chan syncAnswer, 16)}
 	return r
 }
 
+// options returns what the gate needs of the settings.
+func options(s Settings) forward.Options {
+	o := forward.Options{
+		DataCentre: s.DataCentre, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+	}
+	if s.StrictRevocation {
+		o.KeysGoodFor = max(s.RevokeWithin-keyMargin, time.Millisecond)
+	}
+	return o
+}
+
+// Reload takes changed settings. The bounds are in force at once; addresses and
+// names belong to the process and need a new one, which the log then says.
+func (r *Resident) Reload(s Settings) {
+	old := r.current()
+	s.MetricsPort = old.MetricsPort
+	if reflect.DeepEqual(s, old) {
+		r.log.Info("reloaded", "changed", false)
+		return
+	}
+	r.server.decide(func(_ time.Time, g *forward.Gate) {
+		g.Configure(options(s))
+		r.settings.Grace, r.settings.MaxEntryTTL = s.Grace, s.MaxEntryTTL
+	})
+	restart := s.CallerAddress != old.CallerAddress || s.ReadyAddress != old.ReadyAddress ||
+		s.DirectoryAddress != old.DirectoryAddress || s.Name != old.Name || s.StoreAddress != old.StoreAddress
+	r.log.Info("reloaded", "changed", true, "grace", s.Grace, "revoke_within", s.RevokeWithin,
+		"retry_ratio", s.RetryRatio, "retry_slack", s.RetrySlack, "restart_needed", restart)
+}
+
+// current returns the settings in force.
+func (r *Resident) current() (s Settings) {
+	r.server.decide(func(time.Time, *forward.Gate) { s = r.settings })
+	return s
+}
+
 // beat is what this instance tells the others of itself.
 func (r *Resident) beat() msg.Beat {
 	return msg.Beat{
@@ -149,6 +182,14 @@
 	r.fellows.sendTo(to, m)
 }
 
+// broadcast sends a message to every other instance that lives.
+func (r *Resident) broadcast(m msg.Message) {
+	_, live := r.fellows.readers()
+	for _, name := range live {
+		r.fellows.sendTo(name, m)
+	}
+}
+
 // announce tells the homes what runs here until the context ends.
 func (r *Resident) announce(ctx context.Context) error {
 	t := time.NewTicker(announceEvery)
@@ -171,6 +212,8 @@
 	switch m := m.(type) {
 	case msg.GrantAnswer:
 		r.server.granted(m)
+	case msg.Strike:
+		r.server.struck(m)
 	case msg.MoveOrder:
 		r.server.orderMove(from, m)
 	case msg.Beat:
@@ -197,6 +240,7 @@
 	if r.settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(r.settings.MemoryBytes)))
 	}
+	checkDescriptors(r.settings.MaxDescriptors, r.log)
 	tree := suture.New(r.settings.Name, suture.Spec{EventHook: func(e suture.Event) {
 		r.log.Warn("supervisor", "detail", e.String())
 	}})
@@ -205,6 +249,9 @@
 		if err != nil {
 			return fmt.Errorf("listen for %s on %s: %w", l.what, l.address, err)
 		}
+		if l.what == callersListener {
+			ln = limitConnections(ln, r.settings.MaxDescriptors)
+		}
 		tree.Add(&httpService{what: l.what, listener: ln, server: &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, IdleTimeout: idleTimeout,
 		}})
@@ -240,6 +287,9 @@
 	}
 }
 
+// callersListener names the listener for callers.
+const callersListener = "callers"
+
 type listener struct {
 	what    string
 	address string
@@ -248,7 +298,7 @@
 
 func (r *Resident) listeners() []listener {
 	out := []listener{
-		{"callers", r.settings.CallerAddress, r.server},
+		{callersListener, r.settings.CallerAddress, r.server},
 		{"readiness", r.settings.ReadyAddress, only(r.wire.IsReady, r.answerReady)},
 		{"directory", r.settings.DirectoryAddress, http.HandlerFunc(r.answerDirectory)},
 	}
@@ -322,7 +372,7 @@
 		time.Sleep(50 * time.Millisecond)
 		since := time.Since(began)
 		lingered := since > lingerTTLs*entryTTL+time.Second
-		if lingered && r.server.open() == 0 || since > r.settings.Grace-drainMargin {
+		if lingered && r.server.open() == 0 || since > r.current().Grace-drainMargin {
 			close(r.drained)
 			return
 		}
--- a/internal/resident/server.go
+++ b/internal/resident/server.go
@@ -64,7 +64,7 @@
 		return
 	}
 	defer body.release()
-	req.Replayable = body.whole()
+	req.Replayable, req.Length = body.whole(), r.ContentLength
 	req.Print ^= xxhash.Sum64(body.data)
 	s.handle(w, r, req, body)
 }
