--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -198,3 +198,13 @@
 	}
 	return out
 }
+
+// Alone reports whether no other instance is ready to serve.
+func (f *Fleet) Alone() bool {
+	for _, name := range f.live {
+		if m := f.members[name]; m.Ready && !m.Leaving {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/core/forward/admit.go
+++ b/internal/core/forward/admit.go
@@ -14,6 +14,10 @@
 	// soon is when a caller should come back after a refusal whose cause
 	// another instance does not share, or that passes within moments.
 	soon = 100 * time.Millisecond
+	// outageLater is when a caller should come back while no instance can
+	// accept keys. An outage of the store takes seconds; callers wait a third
+	// of their patience at most, so that bookings come back within one.
+	outageLater = 2 * time.Second
 	// restartSoon is when a caller should come back to an instance that has
 	// just started: the first configuration takes a few answers of the store.
 	restartSoon = 300 * time.Millisecond
@@ -73,7 +77,11 @@
 		return nil
 	}
 	if !g.KeysGood(now) {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: StaleKeys, RetryAfter: soon}
+		after := soon
+		if g.alone {
+			after = outageLater
+		}
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: StaleKeys, RetryAfter: after}
 	}
 	org := g.table.Organisation(c.Key)
 	if org == nil {
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -112,6 +112,10 @@
 	if _, refusal := g.Admit(now, request("/once/1")); refusal == nil || refusal.RetryAfter == 0 {
 		t.Errorf("%+v, want a refusal that says when to come back", refusal)
 	}
+	g.SetAlone(true)
+	if _, refusal := g.Admit(now, request("/once/1")); refusal.RetryAfter != outageLater {
+		t.Errorf("%+v: while nobody can serve, an early return helps nobody", refusal)
+	}
 	g.Confirm(start.Add(-time.Second)) // a late answer to an older question
 	if g.KeysGood(now) {
 		t.Error("an older confirmation made keys good")
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -51,7 +51,9 @@
 	budgets   map[string]*budget
 	suspects  *suspect.List
 	instances int
-	draining  bool
+	// alone is set while no other instance is ready either.
+	alone    bool
+	draining bool
 	rng       *rand.Rand
 }
 
@@ -114,5 +116,9 @@
 	g.budgets = map[string]*budget{}
 }
 
+// SetAlone tells whether no other instance is ready: a caller that is refused
+// then is not better served elsewhere, and is told to come back later.
+func (g *Gate) SetAlone(alone bool) { g.alone = alone }
+
 // Drain makes the gate refuse long work, as this instance will end soon.
 func (g *Gate) Drain() { g.draining = true }
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -38,8 +38,9 @@
 	// the store is away for as long as that lasts.
 	avoidFor = 1500 * time.Millisecond
 	// listFresh is the age of the list from which on the upstreams themselves
-	// are asked whether they leave.
-	listFresh = 1200 * time.Millisecond
+	// are asked whether they leave. A list that is well is confirmed every
+	// 1.4 s at the latest.
+	listFresh = 1800 * time.Millisecond
 	// lookEvery is the pause between two such questions to one upstream. Each
 	// has a price, and a notice may be as short as 1.5 s.
 	lookEvery = 300 * time.Millisecond
--- a/internal/resident/exchange.go
+++ b/internal/resident/exchange.go
@@ -45,6 +45,10 @@
 	// granted the attempt in progress.
 	grants chan msg.GrantAnswer
 	home   string
+	// upstream is where the last attempt went, listAge the age of the list of
+	// upstreams when the request was let in; both are for the log.
+	upstream string
+	listAge  time.Duration
 	// eventTokens is the number of tokens that one event holds.
 	eventTokens int
 	// mover makes a move of the run; nil if none is in progress. The server's
@@ -70,6 +74,7 @@
 			continue
 		}
 		a := step.Send
+		x.upstream = a.Upstream.ID
 		grant := x.call.Grant()
 		outcome := x.attempt(a)
 		if outcome != forward.Done {
@@ -340,6 +345,6 @@
 	}
 	s.log.Info("request_ended",
 		"request", x.call.ID, "outcome", outcome, "status", status, "route", x.call.Route.Name,
-		"service", x.call.Service, "organisation", x.call.Organisation, "config", x.call.ConfigVersion,
+		"service", x.call.Service, "upstream", x.upstream, "home", x.home, "list_age", x.listAge.Round(time.Millisecond), "organisation", x.call.Organisation, "config", x.call.ConfigVersion,
 		"sends", x.call.Sends(), "events", x.call.Events, "first", x.first.Round(time.Millisecond), "took", took.Round(time.Millisecond))
 }
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -26,13 +26,15 @@
 	// in a row are borne.
 	confirmShare = 6
 	// listWait is how long the store may hold a question for changes of the
-	// list of upstreams.
-	listWait = time.Second
-	// listPause is the least time between two questions for the list, whose
-	// heartbeats change it a dozen times a second. It bounds the calls to four
-	// a second and delays the news of a leaving upstream by as much; that is
-	// an eighth of the shortest notice seen, 1.5 s.
-	listPause = 200 * time.Millisecond
+	// list of upstreams. Heartbeats are no changes, so a calm list answers
+	// only at the end of the wait, and that is what confirms it: the homes of
+	// pools ask the upstreams themselves once the list is older than 1.8 s,
+	// and what reaches a home through a reader is up to two waits and a hold
+	// old.
+	listWait = 500 * time.Millisecond
+	// listPause is the least time between two questions for the list: many
+	// changes at once must not cost a call each.
+	listPause = 100 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 150 * time.Millisecond
 	// sourcePause is how often it is looked whether another source is to be
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -379,11 +379,15 @@
 	}
 }
 
-// countInstances tells the gate how many instances share the retry budget.
+// countInstances tells the gate how many instances share the retry budget, and
+// whether another one could serve.
 func (r *Resident) countInstances() {
-	n := 1
-	r.fellows.with(func(_ time.Time, v *fleet.Fleet) { n = v.Size() })
-	r.server.decide(func(_ time.Time, g *forward.Gate) { g.SetInstances(n) })
+	n, alone := 1, false
+	r.fellows.with(func(_ time.Time, v *fleet.Fleet) { n, alone = v.Size(), v.Alone() })
+	r.server.decide(func(_ time.Time, g *forward.Gate) {
+		g.SetInstances(n)
+		g.SetAlone(alone)
+	})
 }
 
 func (r *Resident) tick(ctx context.Context) error {
--- a/internal/resident/server.go
+++ b/internal/resident/server.go
@@ -83,7 +83,8 @@
 	ctx, cancel := context.WithTimeout(r.Context(), call.Deadline.Sub(call.Arrived))
 	defer cancel()
 	x := &exchange{server: s, w: w, r: r, body: b, call: call, ctx: ctx, started: time.Now(), grants: make(chan msg.GrantAnswer, 4)}
-	s.decide(func(_ time.Time, g *forward.Gate) {
+	s.decide(func(now time.Time, g *forward.Gate) {
+		x.listAge = now.Sub(g.Roster().Confirmed())
 		if service := g.Table().Service(call.Service); service != nil && service.Engine != nil {
 			x.eventTokens = service.Engine.EventTokens
 		}
