A soak with random troubles on real processes; silent links between instances are reset

An instance now says whom it hears: a connection that swallows beats made a live instance look dead to one other for as long as it stayed open.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -38,8 +38,14 @@
 	Heard time.Time
 	// Known is when it was first known.
 	Known time.Time
+	// reset is when the connection to it was last given up.
+	reset time.Time
 }
 
+// resetEvery is the least time between two resets of the connection to an
+// instance: a new one needs a beat's time to be heard on.
+const resetEvery = 2 * silentAfter
+
 // Fleet is one instance's view of all instances. It is not safe for concurrent
 // use.
 type Fleet struct {
@@ -89,6 +95,24 @@
 	return fresh
 }
 
+// Unheard reports whether a live instance says that it does not hear this one,
+// though it is sent beats: then the connection to it has gone silent, and a new
+// one must be made. It reports so once in a while only.
+func (f *Fleet) Unheard(now time.Time, b msg.Beat) bool {
+	m := f.members[b.Name]
+	if b.Hears || m == nil || now.Sub(m.Known) < resetEvery || now.Sub(m.reset) < resetEvery {
+		return false
+	}
+	m.reset = now
+	return true
+}
+
+// Hears reports whether an instance was heard lately.
+func (f *Fleet) Hears(now time.Time, name string) bool {
+	m := f.members[name]
+	return m != nil && f.alive(now, m)
+}
+
 // Learn takes in an instance that is known from the store only.
 func (f *Fleet) Learn(now time.Time, b msg.Beat) {
 	if b.Name == f.self.Name || f.members[b.Name] != nil {
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -103,3 +103,24 @@
 		t.Errorf("readers were %v and are %v", before, after)
 	}
 }
+
+// Something between two instances loses track of the connection from one to the
+// other: it stays open and swallows every beat. The other takes the first for
+// dead, while its own beats still arrive. It says that it hears nothing, and the
+// first makes a new connection, though not one for each beat.
+func TestASilentConnectionIsGivenUp(t *testing.T) {
+	f := fleetOf(0, 2)
+	deaf := beat(1)
+	now := start.Add(resetEvery)
+	f.Heard(now, deaf)
+	if !f.Unheard(now, deaf) || f.Unheard(now.Add(BeatEvery), deaf) {
+		t.Error("want one reset, and no other at the next beat")
+	}
+	deaf.Hears = true
+	if f.Unheard(now.Add(2*resetEvery), deaf) {
+		t.Error("an instance that hears needs no new connection")
+	}
+	if f.Unheard(start, beat(1)) {
+		t.Error("one that is just known has not had time to hear")
+	}
+}
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -31,6 +31,9 @@
 	Reads bool
 	// Leaving is set once the sender drains.
 	Leaving bool
+	// Hears is set if the sender has heard the receiver lately. If not, the
+	// receiver's connection to the sender may swallow all that is sent.
+	Hears bool
 	// Answer asks the receiver for a beat of its own: the sender has just
 	// started and must learn who lives.
 	Answer bool
--- /dev/null
+++ b/internal/proctest/soak_test.go
@@ -0,0 +1,298 @@
+package proctest
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
+)
+
+// The soak plays random troubles against real processes. One short run with a
+// fixed seed belongs to every test run; more, by hand:
+//
+//	go test ./internal/proctest -run Soak -soak.seed=7 -soak.seeds=50 -soak.for=10s -timeout 60m
+var (
+	soakSeed  = flag.Uint64("soak.seed", 1, "first seed of the soak")
+	soakSeeds = flag.Int("soak.seeds", 1, "number of seeds, one after the other")
+	soakFor   = flag.Duration("soak.for", 6*time.Second, "time of troubles of each seed")
+)
+
+// soakRegressions are seeds that have failed once, each with its cause.
+var soakRegressions = []uint64{}
+
+const (
+	// soakCallers ask one request after another.
+	soakCallers = 9
+	// calmWithin is how soon after the last trouble requests must be served.
+	calmWithin = 8 * time.Second
+)
+
+// soak is one run.
+type soak struct {
+	*world
+	t    *testing.T
+	rand *rand.Rand
+	stop chan struct{}
+	// down holds the instances that are stopped or killed at present.
+	down map[int]bool
+
+	mu    sync.Mutex
+	asked map[string]asked
+	key   string
+	// revoked holds when each key was taken away.
+	revoked map[string]time.Time
+	served  int
+}
+
+// asked is a request and what its caller saw.
+type asked struct {
+	call
+	sent time.Time
+	got  result
+}
+
+func TestSoak(t *testing.T) {
+	seeds := append([]uint64(nil), soakRegressions...)
+	for k := range *soakSeeds {
+		seeds = append(seeds, *soakSeed+uint64(k))
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { playSoak(t, seed) })
+	}
+}
+
+func playSoak(t *testing.T, seed uint64) {
+	s := &soak{
+		world: settle(t), t: t, rand: rand.New(rand.NewPCG(seed, seed)), stop: make(chan struct{}),
+		down: map[int]bool{}, asked: map[string]asked{}, key: hosting.Key, revoked: map[string]time.Time{},
+	}
+	var callers sync.WaitGroup
+	for k := range soakCallers {
+		r := rand.New(rand.NewPCG(seed, uint64(k)+100))
+		callers.Go(func() { s.ask(k, r) })
+	}
+	for end := time.Now().Add(*soakFor); time.Now().Before(end); {
+		s.trouble()
+		time.Sleep(time.Duration(100+s.rand.IntN(500)) * time.Millisecond)
+	}
+	s.calm()
+	close(s.stop)
+	callers.Wait()
+	s.check()
+	t.Logf("seed=%d requests=%d served=%d", seed, len(s.asked), s.served)
+}
+
+// ask sends requests until the soak ends.
+func (s *soak) ask(caller int, r *rand.Rand) {
+	for k := 0; ; k++ {
+		select {
+		case <-s.stop:
+			return
+		default:
+		}
+		id := fmt.Sprintf("c%d-%d", caller, k)
+		c := draft(id)
+		switch {
+		case caller%3 == 1:
+			c = booking(id)
+		case caller%3 == 2:
+			c = lookUp(id)
+		case r.IntN(2) == 0:
+			c.path = hosting.PathBrief + "x"
+		}
+		s.mu.Lock()
+		c.key = s.key
+		if r.IntN(8) == 0 && len(s.revoked) > 0 {
+			c.key = hosting.Key // a caller that has not heard of the new key
+		}
+		s.mu.Unlock()
+		a := asked{call: c, sent: time.Now()}
+		a.got = s.do(s.machines[r.IntN(len(s.machines))], c)
+		s.mu.Lock()
+		s.asked[id] = a
+		if a.got.status == http.StatusOK && !a.got.cut {
+			s.served++
+		}
+		s.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// trouble makes one thing go wrong, or right again.
+func (s *soak) trouble() {
+	n := s.rand.IntN(len(s.procs))
+	worker := append(append([]*hosting.Worker(nil), s.pool...), s.desk...)[s.rand.IntN(len(s.pool)+len(s.desk))]
+	switch s.rand.IntN(12) {
+	case 0:
+		s.restart(n, syscall.SIGKILL)
+	case 1:
+		s.restart(n, syscall.SIGTERM)
+	case 2:
+		s.freeze(n)
+	case 3:
+		s.Table.Set([]hosting.Mode{hosting.Busy, hosting.Silent, hosting.Lost}[s.rand.IntN(3)])
+	case 4:
+		s.Table.SetFor(s.machines[n].IP, []hosting.Mode{hosting.Busy, hosting.Silent}[s.rand.IntN(2)])
+	case 5, 6:
+		s.mend()
+	case 7:
+		s.Table.Forget()
+	case 8:
+		faults := []hosting.Fault{
+			hosting.Full, hosting.Fails, hosting.LostAnswer, hosting.Mute, hosting.Cuts,
+			hosting.Unsigned, hosting.FalsePromise, hosting.Extra, hosting.Unframed,
+		}
+		worker.SetFault(faults[s.rand.IntN(len(faults))])
+	case 9:
+		s.leave()
+	case 10:
+		s.revoke()
+	case 11:
+		if err := s.procs[n].signal(syscall.SIGHUP); err != nil {
+			s.t.Error(err)
+		}
+	}
+}
+
+// restart ends an instance and starts it anew a moment later. One stays.
+func (s *soak) restart(n int, how syscall.Signal) {
+	if s.down[n] || len(s.down) > len(s.procs)-2 {
+		return
+	}
+	p := s.procs[n]
+	if err := p.signal(how); err != nil {
+		s.t.Error(err)
+	}
+	select {
+	case <-p.ended:
+	case <-time.After(10 * time.Second):
+		s.t.Errorf("%s did not end within 10 s of %v", p.name, how)
+		p.kill()
+	}
+	s.procs[n] = s.run(s.t, s.machines[n])
+}
+
+// freeze stops an instance for up to a second and a half.
+func (s *soak) freeze(n int) {
+	p := s.procs[n]
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		s.t.Error(err)
+	}
+	time.Sleep(time.Duration(200+s.rand.IntN(1300)) * time.Millisecond)
+	if err := p.signal(syscall.SIGCONT); err != nil {
+		s.t.Error(err)
+	}
+}
+
+// leave makes an engine announce its end and crash; another takes its place.
+func (s *soak) leave() {
+	k := s.rand.IntN(len(s.pool))
+	w := s.pool[k]
+	w.Leave()
+	time.AfterFunc(700*time.Millisecond, func() { w.Crash(); w.Vanish() })
+	s.pool[k] = s.worker(s.t, fmt.Sprintf("engine-%d-%d", k, s.rand.IntN(1<<20)), hosting.Pool, func(k *hosting.Worker) {
+		k.EventEvery, k.EventCount, k.CopyTime = 25*time.Millisecond, draftSteps, 30*time.Millisecond
+	})
+}
+
+// revoke takes the key away and gives another.
+func (s *soak) revoke() {
+	s.mu.Lock()
+	old := s.key
+	s.key = fmt.Sprintf("key-%d", s.rand.IntN(1<<20))
+	keys := []string{s.key}
+	s.mu.Unlock()
+	s.Configure(func(c map[string]any) {
+		c["tenants"] = []map[string]any{{"name": hosting.Owner, "api_keys": keys}}
+	})
+	s.mu.Lock()
+	s.revoked[old] = time.Now()
+	s.mu.Unlock()
+}
+
+// mend ends what lasts: outages of the store and faults of workers.
+func (s *soak) mend() {
+	s.Table.Set(hosting.Well)
+	for _, m := range s.machines {
+		s.Table.SetFor(m.IP, hosting.Well)
+	}
+	for _, w := range append(append([]*hosting.Worker(nil), s.pool...), s.desk...) {
+		w.SetFault(hosting.None)
+	}
+}
+
+// calm mends everything and waits until each instance serves again.
+func (s *soak) calm() {
+	s.mend()
+	began := time.Now()
+	for k, m := range s.machines {
+		testkit.Eventually(s.t, calmWithin, m.Name+" serves again", func() bool {
+			c := booking(fmt.Sprintf("calm-%d-%d", k, time.Since(began)))
+			c.key = s.key
+			return s.do(m, c).status == http.StatusOK
+		})
+	}
+}
+
+// check judges by what callers saw and what reached the workers.
+func (s *soak) check() {
+	arrivals := s.Arrivals()
+	for id, a := range s.asked {
+		list := arrivals[id]
+		once := !strings.HasPrefix(a.path, hosting.PathBrief) && !strings.HasPrefix(a.path, hosting.PathLookUp)
+		if n := runs(list); once && n > 1 {
+			s.t.Errorf("%s ran %d times", id, n)
+		} else if n > 2 {
+			s.t.Errorf("%s ran %d times, its route allows two", id, n)
+		}
+		if once && refusedHonestly(a.got.status) && runs(list) > 0 {
+			s.t.Errorf("%s was told %d, but it ran", id, a.got.status)
+		}
+		if a.got.status == http.StatusOK && !a.got.cut {
+			s.checkWhole(id, a, list)
+		}
+		s.mu.Lock()
+		gone, taken := s.revoked[a.key]
+		s.mu.Unlock()
+		if taken && a.sent.After(gone.Add(hosting.RevokeWithin)) && runs(list) > 0 {
+			s.t.Errorf("%s ran with a key that was taken away %v before", id, a.sent.Sub(gone))
+		}
+		for _, arrival := range list {
+			if arrival.Header.Get("Tenant") != hosting.Owner || arrival.Header.Get("Credential") != "" {
+				s.t.Errorf("%s reached %s with %v", id, arrival.Worker, arrival.Header)
+			}
+		}
+	}
+	for id := range arrivals {
+		if _, ok := s.asked[id]; !ok && !strings.HasPrefix(id, "calm-") {
+			s.t.Errorf("a request that nobody sent reached a worker: %s", id)
+		}
+	}
+	if s.served == 0 {
+		s.t.Error("nothing was served: the soak shows nothing")
+	}
+}
+
+// checkWhole checks that a success is one worker's whole answer.
+func (s *soak) checkWhole(id string, a asked, list []hosting.Arrival) {
+	if strings.HasPrefix(a.path, hosting.PathDraft) || strings.HasPrefix(a.path, hosting.PathBrief) {
+		if a.got.body != events(id) {
+			s.t.Errorf("%s: the stream looks whole but is not: %d events", id, strings.Count(a.got.body, "\n\n"))
+		}
+		return
+	}
+	for _, arrival := range list {
+		if a.got.body == hosting.Body(id, arrival.Worker) && a.got.header.Get("Response-Seal") == "seal-"+id {
+			return
+		}
+	}
+	s.t.Errorf("%s got %q with seal %q", id, a.got.body, a.got.header.Get("Response-Seal"))
+}
--- a/internal/resident/fleet.go
+++ b/internal/resident/fleet.go
@@ -95,15 +95,18 @@
 	ready, leaving, reads := f.state()
 	var self msg.Beat
 	var others []msg.Beat
-	f.with(func(_ time.Time, v *fleet.Fleet) {
+	hears := map[string]bool{}
+	f.with(func(now time.Time, v *fleet.Fleet) {
 		v.SetSelf(ready, leaving, reads)
 		self = v.Self()
 		for _, m := range v.Others() {
 			others = append(others, m.Beat)
+			hears[m.Name] = v.Hears(now, m.Name)
 		}
 	})
 	self.Answer = answer
 	for _, o := range others {
+		self.Hears = hears[o.Name]
 		f.send(o, self)
 	}
 }
@@ -132,13 +135,19 @@
 
 // heard takes another instance's beat.
 func (f *fellows) heard(b msg.Beat) {
-	fresh := false
-	f.with(func(now time.Time, v *fleet.Fleet) { fresh = v.Heard(now, b) })
+	fresh, unheard := false, false
+	f.with(func(now time.Time, v *fleet.Fleet) { fresh, unheard = v.Heard(now, b), v.Unheard(now, b) })
+	if unheard {
+		f.log.Info("peer_link_reset", "peer", b.Name, "why", "peer_does_not_hear")
+		f.peers.Reset(b.Name)
+	}
 	if fresh {
 		f.log.Info("dependency_regained", "dependency", "instance", "peer", b.Name, "boot", b.Boot, "ready", b.Ready)
 	}
 	if b.Answer {
-		f.send(b, f.self())
+		self := f.self()
+		self.Hears = true
+		f.send(b, self)
 	}
 }
 
