--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -54,7 +54,7 @@
 	// alone is set while no other instance is ready either.
 	alone    bool
 	draining bool
-	rng       *rand.Rand
+	rng      *rand.Rand
 }
 
 // New returns a gate that knows no configuration yet.
