experiment: policies side by side on leaving workers, in virtual time, with plots

The emulator gains engines of unequal speed that leave with notice and are replaced, links, and moves of running generations.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,6 +48,7 @@
 	c.Register(&bookCmd{}, "callers")
 	c.Register(&standinCmd{}, "trying out")
 	c.Register(&demoCmd{}, "trying out")
+	c.Register(&experimentCmd{}, "trying out")
 	c.Explain = func(w io.Writer) { explainAll(c, w) }
 	flag.Usage = func() { c.Explain(flag.CommandLine.Output()) }
 	flag.Parse()
--- /dev/null
+++ b/internal/cli/experiment.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"mulberrylug.example/mulberrylug/internal/experiment"
+)
+
+type experimentCmd struct {
+	file  string
+	seeds int
+	plots string
+}
+
+func (*experimentCmd) Name() string     { return "experiment" }
+func (*experimentCmd) Synopsis() string { return "compare placement policies in virtual time" }
+func (*experimentCmd) Usage() string {
+	return `experiment -f FILE [-seeds N] [-plots DIR]:
+  Play placement policies side by side on the workload that a YAML file
+  describes, in virtual time, and print a table: each figure is the median over
+  the seeds. With -plots, write a bar chart for each figure.
+
+`
+}
+
+func (c *experimentCmd) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "f", "", "experiment file")
+	f.IntVar(&c.seeds, "seeds", 5, "number of seeds")
+	f.StringVar(&c.plots, "plots", "", "directory for plots; none if empty")
+}
+
+func (c *experimentCmd) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := noArguments("experiment", f); err != nil {
+		return fail(exitUsage, err)
+	}
+	if c.seeds < 1 {
+		return fail(exitUsage, errors.New("experiment: -seeds must be 1 or more"))
+	}
+	data, err := os.ReadFile(c.file)
+	if err != nil {
+		return fail(exitUsage, fmt.Errorf("experiment: -f must name an experiment file: %w", err))
+	}
+	e, err := experiment.Parse(c.file, data)
+	if err != nil {
+		return fail(exitUsage, err)
+	}
+	rows, err := e.Run(c.seeds, func(policy string) { fmt.Fprintf(os.Stderr, "played %s\n", policy) })
+	if err != nil {
+		return fail(exitFailed, err)
+	}
+	if err := experiment.Table(os.Stdout, rows); err != nil {
+		return fail(exitFailed, err)
+	}
+	if c.plots == "" {
+		return exitOK
+	}
+	files, err := experiment.Plots(c.plots, e.Name, rows)
+	if err != nil {
+		return fail(exitFailed, err)
+	}
+	for _, file := range files {
+		fmt.Println("plot", file)
+	}
+	return exitOK
+}
--- a/internal/trial/engine.go
+++ b/internal/trial/engine.go
@@ -34,6 +34,11 @@
 	// last is when the latest token came out, 0 before the first.
 	last    time.Duration
 	longest time.Duration
+	// first is how long its caller waited for the first token.
+	first time.Duration
+	// copied is how many tokens of it lie at the engine copyAt.
+	copied int
+	copyAt int
 }
 
 func (g *generation) memory() int { return g.req.Prompt + g.tokens }
@@ -52,6 +57,8 @@
 	busy    bool
 	leaving bool
 	dead    bool
+	// link is until when the engine's link is taken by copies.
+	link time.Duration
 
 	arrivals    int
 	preemptions int64
@@ -200,6 +207,7 @@
 	lost := append(e.running, e.waiting...)
 	e.running, e.waiting, e.used = nil, nil, 0
 	for _, g := range lost {
+		e.run.dropCopy(g)
 		e.run.lost(g)
 	}
 }
--- a/internal/trial/measure.go
+++ b/internal/trial/measure.go
@@ -15,6 +15,10 @@
 	// not notice it, and a preempted answer's gap is many times as long.
 	GapThreshold = 200 * time.Millisecond
 
+	// SteadyGap is the longest gap of an answer that is on time: what the
+	// users' sheets allow between two events.
+	SteadyGap = 180 * time.Millisecond
+
 	// gapLowest, gapHighest and gapDigits shape the histogram of gaps, in
 	// microseconds.
 	gapLowest  = 1
@@ -40,6 +44,9 @@
 	// Done counts whole answers, Partial those cut by a reclaimed engine,
 	// Refused refusals (a caller that comes back may be refused again).
 	Done, Partial, Refused int
+	// InTime counts whole answers whose first token and whose every gap were
+	// on time, Moved the moves of generations to another engine.
+	InTime, Moved int
 	// Late counts refusals that did not come at once.
 	Late int
 	// Returned counts callers that came back when told, Served those of them
@@ -99,6 +106,7 @@
 
 func (m *measure) first(g *generation, end time.Duration) {
 	wait := end - g.req.asked
+	g.first = wait
 	_ = m.firsts.RecordValue(wait.Microseconds())
 	m.stall(g.req, wait-FirstTokenTarget)
 	m.lastFirst = max(m.lastFirst, end)
@@ -118,6 +126,9 @@
 func (m *measure) done(g *generation) {
 	m.result.Done++
 	m.longest = append(m.longest, g.longest)
+	if g.first <= FirstTokenTarget && g.longest <= SteadyGap {
+		m.result.InTime++
+	}
 	if g.req.returns > 0 {
 		m.result.Served++
 	}
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -127,6 +127,9 @@
 		r.at(q.At+hop, func() { r.policy.Arrive(q) })
 	}
 	r.at(r.work.Length, r.countBacklog)
+	if r.work.Leaving.Every > 0 {
+		r.at(r.work.Leaving.First, r.depart)
+	}
 	if r.work.ReclaimAt > 0 {
 		r.at(r.work.ReclaimAt, func() { r.engines[0].leaving = true })
 		r.at(r.work.ReclaimAt+reclaimNotice, r.engines[0].reclaim)
--- a/internal/trial/sweep.go
+++ b/internal/trial/sweep.go
@@ -76,6 +76,8 @@
 	m.Drained = median(list, func(r Result) time.Duration { return r.Drained })
 	m.Done = median(list, func(r Result) int { return r.Done })
 	m.Refused = median(list, func(r Result) int { return r.Refused })
+	m.InTime = median(list, func(r Result) int { return r.InTime })
+	m.Moved = median(list, func(r Result) int { return r.Moved })
 	m.Late = median(list, func(r Result) int { return r.Late })
 	m.Returned = median(list, func(r Result) int { return r.Returned })
 	m.Served = median(list, func(r Result) int { return r.Served })
--- a/internal/trial/workload.go
+++ b/internal/trial/workload.go
@@ -21,7 +21,9 @@
 	Prompt    int
 	Output    int
 	MaxOutput int
-	Prefix    []uint64
+	// Expected is the caller's own estimate of Output, 0 if it gives none.
+	Expected int
+	Prefix   []uint64
 	// Fingerprint names the body, also when the caller comes back with it.
 	Fingerprint uint64
 
@@ -65,6 +67,12 @@
 	ReclaimAt time.Duration
 	// MaxWait is the longest a request may queue before its first token.
 	MaxWait time.Duration
+	// Leaving makes engines leave and join, Links carry what runs on them.
+	Leaving Leaving
+	Links   Links
+	// HintSigma spreads the callers' estimates of their outputs around the
+	// truth; 0 means that they give none.
+	HintSigma float64
 	// Return makes refused callers come back when told.
 	Return bool
 	// ReportLag is the age of the load in an engine's report.
@@ -221,6 +229,9 @@
 		Prompt: prompt, MaxOutput: w.MaxOutput, Output: logNormal(rng, median, o.Sigma, w.MaxOutput),
 		Fingerprint: rng.Uint64(),
 	}
+	if w.HintSigma > 0 {
+		r.Expected = logNormal(rng, float64(r.Output), w.HintSigma, w.MaxOutput)
+	}
 	for i := range o.Shared / blockTokens {
 		r.Prefix = append(r.Prefix, xxhash.Sum64String(fmt.Sprintf("%s/%d", o.Name, i)))
 	}
