--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -22,6 +22,8 @@
 type serveCmd struct {
 	settings    string
 	metricsPort int
+	noHomes     bool
+	noMoves     bool
 }
 
 func (*serveCmd) Name() string     { return "serve" }
@@ -41,6 +43,8 @@
 func (c *serveCmd) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "settings.yaml", "settings file")
 	f.IntVar(&c.metricsPort, "metrics-port", 0, "port of the metrics on a hosting platform; 0 serves none")
+	f.BoolVar(&c.noHomes, "no-homes", false, "on a hosting platform: each entry places generations by itself, for comparison")
+	f.BoolVar(&c.noMoves, "no-moves", false, "on a hosting platform: leave generations on upstreams that leave, for comparison")
 }
 
 func (c *serveCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -96,7 +100,7 @@
 	if err != nil {
 		return fail(exitUsage, err)
 	}
-	s.MetricsPort = c.metricsPort
+	s.MetricsPort, s.NoHomes, s.NoMoves = c.metricsPort, c.noHomes, c.noMoves
 	log, flush := newLogger(os.Stdout, "info")
 	defer flush()
 	store := platform.NewStore(s.StoreAddress)
--- a/internal/resident/home.go
+++ b/internal/resident/home.go
@@ -26,6 +26,8 @@
 	log     hclog.Logger
 	self    string
 	send    func(to string, m msg.Message)
+	// noMoves leaves generations on upstreams that leave.
+	noMoves bool
 	// local takes messages for this instance itself.
 	local func(from string, m msg.Message)
 
@@ -54,7 +56,9 @@
 	h.mu.Lock()
 	p := h.pools[name]
 	if p == nil {
-		p = pool.NewHome(name, *service.Engine)
+		engine := *service.Engine
+		engine.Moves = engine.Moves && !h.noMoves
+		p = pool.NewHome(name, engine)
 		h.pools[name] = p
 		p.Sync(now, confirmed, listed)
 		h.log.Info("home_began", "pool", name, "upstreams", len(listed))
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -99,7 +99,7 @@
 		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(s.Name, keys), wait: holdFor(keys),
 	}
 	r.homes = &homes{
-		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer,
+		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer, noMoves: s.NoMoves || s.NoHomes,
 		pools: map[string]*pool.Home{}, used: map[string]time.Time{},
 	}
 	srv.homes = homeLink{name: r.homeOf, send: r.sendAny, silent: r.homeSilent, broadcast: r.broadcast}
@@ -111,6 +111,7 @@
 func options(s Settings) forward.Options {
 	o := forward.Options{
 		DataCentre: s.DataCentre, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+		NoHomes: s.NoHomes,
 	}
 	if s.StrictRevocation {
 		o.KeysGoodFor = max(s.RevokeWithin-keyMargin, time.Millisecond)
@@ -122,7 +123,7 @@
 // names belong to the process and need a new one, which the log then says.
 func (r *Resident) Reload(s Settings) {
 	old := r.current()
-	s.MetricsPort = old.MetricsPort
+	s.MetricsPort, s.NoHomes, s.NoMoves = old.MetricsPort, old.NoHomes, old.NoMoves
 	if reflect.DeepEqual(s, old) {
 		r.log.Info("reloaded", "changed", false)
 		return
--- a/internal/resident/settings.go
+++ b/internal/resident/settings.go
@@ -44,6 +44,10 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// NoHomes makes each entry place generations by itself, and NoMoves leaves
+	// them on upstreams that leave. Both are for comparison.
+	NoHomes bool
+	NoMoves bool
 	// MaxEntryTTL is the longest that callers keep a directory answer.
 	MaxEntryTTL time.Duration
 }
