--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"mulberrylug.example/mulberrylug/internal/metrics"
 	"mulberrylug.example/mulberrylug/internal/peer"
 	"mulberrylug.example/mulberrylug/internal/platform"
+	"mulberrylug.example/mulberrylug/internal/task"
 	"mulberrylug.example/mulberrylug/internal/upstream"
 )
 
@@ -142,16 +143,16 @@
 	tree.Add(d.loop)
 	tree.Add(d.peers)
 	flushed := make(chan struct{})
-	tree.Add(service(func(ctx context.Context) error {
+	tree.Add(task.Task{Name: "callers", Run: func(ctx context.Context) error {
 		err := d.serveHTTP(ctx, d.callers, callers, d.exited)
 		if errors.Is(err, suture.ErrDoNotRestart) {
 			close(flushed)
 		}
 		return err
-	}))
-	tree.Add(service(func(ctx context.Context) error { return d.serveHTTP(ctx, d.operators, operators, nil) }))
-	tree.Add(every(listEvery, d.readList))
-	tree.Add(every(announceEvery, d.announce))
+	}})
+	tree.Add(task.Task{Name: "operators", Run: func(ctx context.Context) error { return d.serveHTTP(ctx, d.operators, operators, nil) }})
+	tree.Add(task.Every("list", listEvery, d.readList))
+	tree.Add(task.Every("announcements", announceEvery, d.announce))
 	d.log.Info("serving", "name", d.settings.Name, "data_centre", d.settings.DataCentre,
 		"caller_address", d.CallerAddress(), "peer_address", d.peers.Address(), "operator_address", d.OperatorAddress())
 	ended := tree.ServeBackground(ctx)
@@ -243,24 +244,3 @@
 		d.metrics.Count("platform_failures_total", "announce")
 	}
 }
-
-// service makes a function a suture service.
-type service func(ctx context.Context) error
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error { return s(ctx) }
-
-func every(interval time.Duration, f func(ctx context.Context)) service {
-	return func(ctx context.Context) error {
-		t := time.NewTicker(interval)
-		defer t.Stop()
-		for {
-			f(ctx)
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-t.C:
-			}
-		}
-	}
-}
--- a/internal/resident/fleet.go
+++ b/internal/resident/fleet.go
@@ -75,21 +75,6 @@
 	f.beat(true)
 }
 
-// beats tells the others that this instance lives until the context ends.
-func (f *fellows) beats(ctx context.Context) error {
-	t := time.NewTicker(fleet.BeatEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			f.beat(false)
-			f.lose()
-		}
-	}
-}
-
 // beat tells every other instance that this one lives.
 func (f *fellows) beat(answer bool) {
 	ready, leaving, reads := f.state()
--- a/internal/resident/home.go
+++ b/internal/resident/home.go
@@ -170,20 +170,6 @@
 	return names
 }
 
-// run keeps the homes' ledgers in step with the list until the context ends.
-func (h *homes) run(ctx context.Context) error {
-	t := time.NewTicker(syncEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			h.sync()
-		}
-	}
-}
-
 // take handles a message for a home. It reports false for any other.
 func (h *homes) take(from string, m msg.Message) bool {
 	switch m := m.(type) {
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -25,6 +25,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/watch"
 	"mulberrylug.example/mulberrylug/internal/metrics"
 	"mulberrylug.example/mulberrylug/internal/peer"
+	"mulberrylug.example/mulberrylug/internal/task"
 )
 
 const (
@@ -191,20 +192,6 @@
 	}
 }
 
-// announce tells the homes what runs here until the context ends.
-func (r *Resident) announce(ctx context.Context) error {
-	t := time.NewTicker(announceEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C:
-			r.server.announce()
-		}
-	}
-}
-
 // onPeer takes a message of another instance.
 func (r *Resident) onPeer(from string, m msg.Message) {
 	if r.homes.take(from, m) {
@@ -264,14 +251,9 @@
 	peers.Dropped = func(to string, frames int) { r.metrics.Add("peer_lost_messages_total", to, int64(frames)) }
 	r.fellows.peers = peers
 	tree.Add(peers)
-	tree.Add(service{"join", r.fellows.join})
-	tree.Add(service{"beats", r.fellows.beats})
-	tree.Add(service{"asker", r.asker.run})
-	tree.Add(service{"configuration", r.follower.followConfig})
-	tree.Add(service{"list", r.follower.followList})
-	tree.Add(service{"ticks", r.tick})
-	tree.Add(service{"homes", r.homes.run})
-	tree.Add(service{"announcements", r.announce})
+	for _, t := range r.tasks() {
+		tree.Add(t)
+	}
 	r.log.Info("started", "name", r.settings.Name, "data_centre", r.settings.DataCentre,
 		"caller_address", r.settings.CallerAddress, "store", r.settings.StoreAddress,
 		"memory_bytes", r.settings.MemoryBytes, "max_descriptors", r.settings.MaxDescriptors)
@@ -288,98 +270,6 @@
 	}
 }
 
-// callersListener names the listener for callers.
-const callersListener = "callers"
-
-type listener struct {
-	what    string
-	address string
-	handler http.Handler
-}
-
-func (r *Resident) listeners() []listener {
-	out := []listener{
-		{callersListener, r.settings.CallerAddress, r.server},
-		{"readiness", r.settings.ReadyAddress, only(r.wire.IsReady, r.answerReady)},
-		{"directory", r.settings.DirectoryAddress, http.HandlerFunc(r.answerDirectory)},
-	}
-	if r.settings.MetricsPort > 0 {
-		address := net.JoinHostPort(r.settings.IP, strconv.Itoa(r.settings.MetricsPort))
-		out = append(out, listener{"metrics", address, r.metrics})
-	}
-	return out
-}
-
-// answerReady tells the platform whether callers may come.
-func (r *Resident) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if !r.ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-// ready reports whether the instance can serve: it knows a configuration and the
-// upstreams, and keys may be accepted.
-func (r *Resident) ready() (ok bool) {
-	r.server.decide(func(now time.Time, g *forward.Gate) {
-		ok = !r.server.leaving && g.Table() != nil && g.Roster().Known() && g.KeysGood(now)
-	})
-	return ok
-}
-
-// answerDirectory tells a caller where to connect.
-func (r *Resident) answerDirectory(w http.ResponseWriter, req *http.Request) {
-	q, ok := r.wire.IsDirectory(req)
-	if !ok {
-		http.Error(w, "not found", http.StatusNotFound)
-		return
-	}
-	addresses := r.addresses(q)
-	if len(addresses) == 0 {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	if err := r.wire.Addresses(w, addresses, entryTTL); err != nil {
-		r.log.Debug("directory_answer_lost", "error", err)
-	}
-}
-
-func (r *Resident) addresses(Directory) []string {
-	var out []string
-	ready, leaving, reads := r.state()
-	r.fellows.with(func(_ time.Time, v *fleet.Fleet) {
-		v.SetSelf(ready, leaving, reads)
-		out = v.Addresses()
-	})
-	return out
-}
-
-// Drain leaves: callers are sent elsewhere, and the process ends once nothing
-// runs any more or the grace is over.
-func (r *Resident) Drain() {
-	r.server.decide(func(_ time.Time, g *forward.Gate) {
-		r.server.leaving = true
-		g.Drain()
-	})
-	r.log.Info("draining", "name", r.settings.Name, "open_requests", r.server.open(), "grace", r.settings.Grace)
-	r.fellows.beat(false)
-	go r.waitDrained()
-}
-
-func (r *Resident) waitDrained() {
-	began := time.Now()
-	for {
-		time.Sleep(50 * time.Millisecond)
-		since := time.Since(began)
-		lingered := since > lingerTTLs*entryTTL+time.Second
-		if lingered && r.server.open() == 0 || since > r.current().Grace-drainMargin {
-			close(r.drained)
-			return
-		}
-	}
-}
-
 // countInstances tells the gate how many instances share the retry budget, and
 // whether another one could serve.
 func (r *Resident) countInstances() {
@@ -391,52 +281,24 @@
 	})
 }
 
-func (r *Resident) tick(ctx context.Context) error {
-	sweep := time.NewTicker(sweepEvery)
-	defer sweep.Stop()
-	tick := time.NewTicker(tickEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-sweep.C:
-			r.server.pool.Sweep()
-		case <-tick.C:
+// tasks lists what the instance does besides serving.
+func (r *Resident) tasks() []task.Task {
+	return []task.Task{
+		{Name: "join", Run: r.fellows.join},
+		{Name: "asker", Run: r.asker.run},
+		{Name: "configuration", Run: r.follower.followConfig},
+		{Name: "list", Run: r.follower.followList},
+		task.Every("beats", fleet.BeatEvery, func(context.Context) {
+			r.fellows.beat(false)
+			r.fellows.lose()
+		}),
+		task.Every("homes", syncEvery, func(context.Context) { r.homes.sync() }),
+		task.Every("announcements", announceEvery, func(context.Context) { r.server.announce() }),
+		task.Every("idle connections", sweepEvery, func(context.Context) { r.server.pool.Sweep() }),
+		task.Every("ticks", tickEvery, func(context.Context) {
 			r.follower.tick()
 			r.relay.tick()
 			r.countInstances()
-		}
-	}
-}
-
-// service is a named function in the supervision tree.
-type service struct {
-	name string
-	run  func(ctx context.Context) error
-}
-
-// Serve implements suture.Service.
-func (s service) Serve(ctx context.Context) error { return s.run(ctx) }
-
-func (s service) String() string { return s.name }
-
-// httpService serves HTTP on a listener until the context ends.
-type httpService struct {
-	what     string
-	listener net.Listener
-	server   *http.Server
-}
-
-// Serve implements suture.Service.
-func (h *httpService) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = h.server.Close() }) // the process ends; nothing is left to do
-	defer stop()
-	err := h.server.Serve(h.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return suture.ErrDoNotRestart
+		}),
 	}
-	return fmt.Errorf("serve %s on %s: %w", h.what, h.listener.Addr(), err)
 }
-
-func (h *httpService) String() string { return h.what }
--- a/internal/resident/server.go
+++ b/internal/resident/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -155,9 +154,3 @@
 		answer(w, r)
 	})
 }
-
-// host strips the port from an address.
-func host(address string) string {
-	h, _, _ := strings.Cut(address, ":")
-	return h
-}
