--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -100,7 +100,7 @@
 	if left < leastLeft {
 		return g.fail(c, OutOfTime, 0, c.Events > 0)
 	}
-	a.Number, a.Sent, a.Within, a.tokens = c.sends, now, left, c.tokens()
+	a.Entry, a.Number, a.Sent, a.Within, a.tokens = a.Upstream.Entry, c.sends, now, left, c.tokens()
 	c.current = a
 	l := g.load(a.Upstream)
 	l.calls++
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -101,7 +101,10 @@
 
 // Attempt is one send of a request to one upstream.
 type Attempt struct {
+	// Upstream belongs to the gate, which may change it at any time; Entry
+	// is what it was when the attempt was decided.
 	Upstream *roster.Upstream
+	Entry    roster.Entry
 	// Number counts the attempts of the call from 1.
 	Number int
 	Sent   time.Time
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -41,6 +41,9 @@
 	return g.sendTo(now, c, u)
 }
 
+// Leaving reports whether an attempt's upstream is known to leave by now.
+func (a *Attempt) Leaving() bool { return !a.Upstream.LeavingSince.IsZero() }
+
 // Progress tells that an event of the call's stream was passed on. An attempt
 // that went on from a copy has used it up by then: what is left of an earlier
 // move must not be tried once more when this attempt ends.
@@ -60,7 +63,7 @@
 		return g.giveUp(c, OutOfTime, 0)
 	}
 	c.sends++
-	c.current = &Attempt{Upstream: u, Number: c.sends, Sent: now, Within: left, tokens: c.tokens()}
+	c.current = &Attempt{Upstream: u, Entry: u.Entry, Number: c.sends, Sent: now, Within: left, tokens: c.tokens()}
 	c.tried = append(c.tried, u)
 	if c.Route.Kind == "idempotent" && c.sends < c.Route.MaxAttempts {
 		c.current.GiveUp = now.Add(time.Duration(patienceShare * float64(left)))
--- a/internal/resident/crash.go
+++ b/internal/resident/crash.go
@@ -22,14 +22,14 @@
 // requests crash each upstream that runs them, and come again at any instance;
 // an upstream that was about to leave proves nothing.
 func (s *server) suspectCrash(c *forward.Call, a *forward.Attempt, o forward.Outcome) {
-	if o != forward.Lost && o != forward.Cut || !a.Upstream.LeavingSince.IsZero() {
+	if o != forward.Lost && o != forward.Cut || s.isLeavingUpstream(a) {
 		return
 	}
 	go func() {
-		if !refused(a.Upstream.Address) {
+		if !refused(a.Entry.Address) {
 			return
 		}
-		crash := suspect.Crash{Upstream: a.Upstream.ID, Boot: strconv.FormatInt(a.Upstream.Born, 10)}
+		crash := suspect.Crash{Upstream: a.Entry.ID, Boot: strconv.FormatInt(a.Entry.Born, 10)}
 		news := false
 		s.decide(func(now time.Time, g *forward.Gate) {
 			news = g.Strike(now, suspect.Strike{Fingerprint: c.Print, Crash: crash, At: now})
@@ -43,6 +43,12 @@
 	}()
 }
 
+// isLeavingUpstream reports whether an attempt's upstream is known to leave.
+func (s *server) isLeavingUpstream(a *forward.Attempt) (leaving bool) {
+	s.decide(func(time.Time, *forward.Gate) { leaving = a.Leaving() })
+	return leaving
+}
+
 // refused reports whether nothing listens at an address.
 func refused(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashLook)
--- a/internal/resident/exchange.go
+++ b/internal/resident/exchange.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		a := step.Send
-		x.upstream = a.Upstream.ID
+		x.upstream = a.Entry.ID
 		grant := x.call.Grant()
 		outcome := x.attempt(a)
 		if outcome != forward.Done {
@@ -116,7 +116,7 @@
 // attempt sends the request to one upstream and passes its answer on.
 func (x *exchange) attempt(a *forward.Attempt) forward.Outcome {
 	s := x.server
-	c, err := s.pool.Get(x.ctx, a.Upstream.Address)
+	c, err := s.pool.Get(x.ctx, a.Entry.Address)
 	if err != nil {
 		x.lastErr = err
 		if x.ctx.Err() != nil {
@@ -323,13 +323,13 @@
 		return
 	}
 	pairs := []any{
-		"request", x.call.ID, "attempt", a.Number, "upstream", a.Upstream.ID, "address", a.Upstream.Address,
+		"request", x.call.ID, "attempt", a.Number, "upstream", a.Entry.ID, "address", a.Entry.Address,
 		"outcome", o, "after", boottime.Now().Sub(a.Sent).Round(time.Millisecond),
-		"upstream_leaving", !a.Upstream.LeavingSince.IsZero(), "events", x.call.Events, "error", x.lastErr,
+		"upstream_leaving", s.isLeavingUpstream(a), "events", x.call.Events, "error", x.lastErr,
 	}
 	if next.Send != nil {
 		s.metrics.Count("retries_total", string(o))
-		pairs = append(pairs, "next", next.Send.Upstream.ID)
+		pairs = append(pairs, "next", next.Send.Entry.ID)
 	} else {
 		pairs = append(pairs, "next", "none", "why", next.Why)
 	}
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -49,7 +49,7 @@
 	metrics *metrics.Metrics
 	log     hclog.Logger
 	// left is called with upstreams that begin to leave.
-	left func([]*roster.Upstream, string)
+	left func()
 	up   bool
 	// adopted is called with each configuration that is put in force.
 	adopted func(*route.Config)
@@ -179,31 +179,31 @@
 }
 
 func (f *follower) takeList(asked time.Time, read ListRead, whole bool) {
-	var left []*roster.Upstream
-	f.server.decide(func(now time.Time, g *forward.Gate) {
-		r := g.Roster()
+	f.change("list", func(now time.Time, r *roster.Roster) (left []*roster.Upstream) {
 		r.StoreUp(now)
 		r.Confirm(asked)
-		if whole {
-			left, _ = r.Replace(now, read.Changes, read.Version)
-		} else {
-			left = r.Update(now, read.Changes, read.Version)
+		if !whole {
+			return r.Update(now, read.Changes, read.Version)
 		}
+		left, _ = r.Replace(now, read.Changes, read.Version)
+		return left
 	})
 	if !f.up {
 		f.up = true
 		f.log.Info("dependency_regained", "dependency", "store", "version", read.Version)
 	}
 	f.listAt = max(f.listAt, read.Version)
-	f.report(left, "list")
 	f.relay.tick()
 }
 
-// report logs what the list has changed, and tells who must know of it.
-func (f *follower) report(left []*roster.Upstream, source string) {
-	var joined []*roster.Upstream
+// change changes the list, logs what that changes and tells who must know of it.
+func (f *follower) change(source string, do func(now time.Time, r *roster.Roster) []*roster.Upstream) {
+	var left, joined []roster.Upstream
 	listed := 0
-	f.server.decide(func(_ time.Time, g *forward.Gate) { joined, listed = g.Roster().Joined(), len(g.Roster().All()) })
+	f.server.decide(func(now time.Time, g *forward.Gate) {
+		left = copies(do(now, g.Roster()))
+		joined, listed = copies(g.Roster().Joined()), len(g.Roster().All())
+	})
 	for _, u := range joined {
 		f.log.Info("upstream_joined", "upstream", u.ID, "service", u.Service, "address", u.Address, "data_centre", u.DataCentre,
 			"born", u.Born, "leaving", u.Leaving, "source", source, "version", u.Version, "listed", listed)
@@ -213,8 +213,17 @@
 			"gone", u.Gone, "source", source, "version", u.Version)
 	}
 	if len(left) > 0 {
-		f.left(left, source)
+		f.left()
+	}
+}
+
+// copies returns upstreams as they are: the list goes on changing them.
+func copies(list []*roster.Upstream) []roster.Upstream {
+	out := make([]roster.Upstream, 0, len(list))
+	for _, u := range list {
+		out = append(out, *u)
 	}
+	return out
 }
 
 func (f *follower) failed(ctx context.Context, what string, err error) {
@@ -231,9 +240,7 @@
 
 // tick gives up what lapsed and did not come back.
 func (f *follower) tick() {
-	var left []*roster.Upstream
-	f.server.decide(func(now time.Time, g *forward.Gate) { left = g.Roster().Tick(now) })
-	f.report(left, "lapse")
+	f.change("lapse", func(now time.Time, r *roster.Roster) []*roster.Upstream { return r.Tick(now) })
 }
 
 // pause waits, unless the context ends first.
--- a/internal/resident/move.go
+++ b/internal/resident/move.go
@@ -48,7 +48,7 @@
 	mv := &mover{order: m, done: make(chan struct{})}
 	var source *forward.Attempt
 	s.decide(func(time.Time, *forward.Gate) {
-		if a := x.call.Current(); x.mover == nil && a != nil && a.Upstream.ID == m.From && x.body.whole() {
+		if a := x.call.Current(); x.mover == nil && a != nil && a.Entry.ID == m.From && x.body.whole() {
 			source = a
 			x.mover = mv
 		}
@@ -72,14 +72,14 @@
 // is new: the caller waits for the second, short copy only.
 func (x *exchange) move(mv *mover, source *forward.Attempt) (msg.MoveOutcome, error) {
 	s := x.server
-	first, err := s.copyRun(x.ctx, source.Upstream.Address, x.call.ID, mv.order.ToAddress, false)
+	first, err := s.copyRun(x.ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, false)
 	if err != nil || first.Outcome != msg.MoveDone {
 		return first.Outcome, err
 	}
 	s.decide(func(time.Time, *forward.Gate) { mv.stopping = true })
 	ctx, cancel := context.WithTimeout(x.ctx, lastTimeout)
 	defer cancel()
-	last, err := s.copyRun(ctx, source.Upstream.Address, x.call.ID, mv.order.ToAddress, true)
+	last, err := s.copyRun(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
 	if last.Outcome == msg.MoveNoRun {
 		return msg.MoveNoRun, err
 	}
@@ -99,7 +99,7 @@
 		if to == nil {
 			to = &roster.Upstream{Entry: roster.Entry{ID: mv.order.To, Address: mv.order.ToAddress, Service: x.call.Service}}
 		}
-		at := s.wire.CopyAt(source.Upstream.Address, handle)
+		at := s.wire.CopyAt(source.Entry.Address, handle)
 		back := &forward.Attempt{Upstream: source.Upstream, CopyAt: at}
 		if o == msg.MoveNoRoom {
 			g.Redirect(x.call, source.Upstream, at, nil)
--- a/internal/resident/place.go
+++ b/internal/resident/place.go
@@ -83,7 +83,7 @@
 	x.server.homes.send(x.home, msg.GrantEnd{
 		Pool: x.call.Service, Attempt: attempt, Tokens: x.tokens(),
 		Failed: o != forward.Done && o != forward.Cancelled, Cut: o == forward.Cancelled,
-		Upstream: a.Upstream.ID, Unreachable: o == forward.NotSent,
+		Upstream: a.Entry.ID, Unreachable: o == forward.NotSent,
 	})
 }
 
@@ -102,7 +102,7 @@
 			ask := x.call.Ask(now).Ask
 			ask.Exclude = nil
 			running[x.call.Service] = append(running[x.call.Service], msg.RunningAttempt{
-				Ask: ask, Upstream: a.Upstream.ID, Tokens: x.tokens(),
+				Ask: ask, Upstream: a.Entry.ID, Tokens: x.tokens(),
 			})
 		}
 	})
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -151,9 +151,8 @@
 	if m.ListVersion == 0 {
 		return
 	}
-	var left []*roster.Upstream
-	f.server.decide(func(now time.Time, g *forward.Gate) {
-		left, _ = g.Roster().Adopt(now, m.List, m.ListVersion)
+	f.change(source, func(now time.Time, r *roster.Roster) []*roster.Upstream {
+		left, _ := r.Adopt(now, m.List, m.ListVersion)
+		return left
 	})
-	f.report(left, source)
 }
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -20,7 +20,6 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/pool"
-	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/watch"
 	"mulberrylug.example/mulberrylug/internal/metrics"
@@ -96,7 +95,7 @@
 	r.fellows = &fellows{store: store, metrics: m, log: log, state: r.state, fleet: fleet.New(r.beat())}
 	r.relay = &relay{server: srv, send: r.fellows.sendTo, hold: min(watch.PeerHold, holdFor(keys)), waiting: map[string]waitingAsk{}}
 	r.follower = &follower{
-		store: store, server: srv, metrics: m, log: log, left: func([]*roster.Upstream, string) { r.homes.sync() },
+		store: store, server: srv, metrics: m, log: log, left: func() { r.homes.sync() },
 		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(s.Name, keys), wait: holdFor(keys),
 	}
 	r.homes = &homes{
