--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -261,6 +261,28 @@
 	}
 }
 
+// Pattern: one of three upstreams of a booking service resets half of its
+// connections with good health, under 45 requests a second at a dozen instances.
+// A booking that is reset is lost. Told by the others after their losses, an
+// instance passes the upstream over before it has lost anything there itself.
+func TestAnUpstreamThatFailsElsewhereIsPassedOver(t *testing.T) {
+	g := gate(t, 3)
+	for range 3 {
+		g.Failing(start, "u1", 0)
+	}
+	g.Failing(start, "u2", 99) // another run of u2: the one listed has done nothing
+	for k := range 12 {
+		c := admit(t, g, request("/once/1"))
+		if s := g.Start(start, c); s.Send.Upstream.ID == "u1" && k < 6 {
+			t.Fatalf("request %d went to the failing upstream", k)
+		}
+	}
+	later := start.Add(20 * time.Second)
+	if rate := g.load(g.Roster().Find("u1")).rate(later); rate > 0.02 {
+		t.Errorf("failure rate %v after 20 s: it must be tried again", rate)
+	}
+}
+
 func TestPatience(t *testing.T) {
 	for _, c := range []struct{ timeout, caller, want time.Duration }{
 		{time.Second, 3 * time.Second, time.Second},
--- a/internal/core/forward/health.go
+++ b/internal/core/forward/health.go
@@ -15,6 +15,17 @@
 	failureForget = 3 * time.Second
 )
 
+// Failing notes another instance's word that an upstream gave it no usable
+// answer. Counted like an own failure, it keeps the callers of all instances from
+// an upstream after the first few losses, not after some at each instance; an
+// instance whose own links are bad accuses all upstreams alike, which leaves the
+// choice among them as it is.
+func (g *Gate) Failing(now time.Time, id string, born int64) {
+	if u := g.roster.Find(id); u != nil && u.Born == born {
+		g.load(u).note(now, true)
+	}
+}
+
 // health remembers how an upstream has answered.
 type health struct {
 	restUntil time.Time
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -15,6 +15,7 @@
 	KindSyncAnswer
 	KindMoveOrder
 	KindMoved
+	KindFailing
 )
 
 // Beat tells an instance that the sender lives, and where it is reached.
@@ -102,6 +103,18 @@
 	MoveFailed MoveOutcome = "failed"
 )
 
+// Failing tells an instance that an upstream took a request of the sender's and
+// gave no usable answer. Each instance alone would find that out at the cost of
+// its own callers.
+type Failing struct {
+	Upstream string
+	// Born tells the upstream's runs apart.
+	Born int64
+}
+
+// Kind implements Message.
+func (Failing) Kind() Kind { return KindFailing }
+
 // Kind implements Message.
 func (Beat) Kind() Kind { return KindBeat }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -135,6 +135,7 @@
 	msg.KindSyncAnswer: decodeAs[msg.SyncAnswer],
 	msg.KindMoveOrder:  decodeAs[msg.MoveOrder],
 	msg.KindMoved:      decodeAs[msg.Moved],
+	msg.KindFailing:    decodeAs[msg.Failing],
 }
 
 func decodeAs[T msg.Message](b []byte) (msg.Message, error) {
--- a/internal/peer/size_test.go
+++ b/internal/peer/size_test.go
@@ -80,6 +80,7 @@
 			Pool: "assistant-12", Attempt: attempt, Number: 100_000, From: "engine-123", To: "engine-124", ToAddress: "127.100.100.100:8000",
 		}, 120},
 		{"moved", msg.Moved{Pool: "assistant-12", Attempt: attempt, Number: 100_000, Outcome: msg.MoveDone}, 80},
+		{"failing", msg.Failing{Upstream: "engine-123", Born: 1_790_000_000_000}, 50},
 		{"explain_answer", msg.ExplainAnswer{ID: 1, Lines: []string{"time=2026-01-01T00:00:00Z request=entry-1:0:1 step=finish"}}, 90},
 	}
 }
--- a/internal/resident/crash.go
+++ b/internal/resident/crash.go
@@ -49,6 +49,23 @@
 	return leaving
 }
 
+// tellFailing tells the other instances of an upstream that took a request and
+// gave no usable answer.
+func (s *server) tellFailing(a *forward.Attempt, o forward.Outcome) {
+	if o != forward.Lost || s.isLeavingUpstream(a) {
+		return
+	}
+	s.metrics.Count("upstreams_failing_total", "told")
+	s.homes.broadcast(msg.Failing{Upstream: a.Entry.ID, Born: a.Entry.Born})
+}
+
+// failing takes another instance's word of an upstream.
+func (s *server) failing(from string, m msg.Failing) {
+	s.metrics.Count("upstreams_failing_total", "heard")
+	s.decide(func(now time.Time, g *forward.Gate) { g.Failing(now, m.Upstream, m.Born) })
+	s.log.Info("upstream_failing", "upstream", m.Upstream, "source", from)
+}
+
 // refused reports whether nothing listens at an address.
 func refused(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashLook)
--- a/internal/resident/exchange.go
+++ b/internal/resident/exchange.go
@@ -87,6 +87,7 @@
 		}
 		x.logAttempt(a, outcome, step)
 		s.suspectCrash(x.call, a, outcome)
+		s.tellFailing(a, outcome)
 		if step.Send == nil || step.Send.CopyAt == "" {
 			x.endGrant(grant, a, outcome)
 		}
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -201,6 +201,8 @@
 		r.server.granted(m)
 	case msg.Strike:
 		r.server.struck(m)
+	case msg.Failing:
+		r.server.failing(from, m)
 	case msg.MoveOrder:
 		r.server.orderMove(from, m)
 	case msg.Beat:
