--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/standin/relay"
 	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
@@ -41,8 +42,8 @@
 	t    *testing.T
 	rand *rand.Rand
 	stop chan struct{}
-	// down holds the instances that are stopped or killed at present.
-	down map[int]bool
+	// relays stand before workers: the links to those can be harmed.
+	relays []*relay.Relay
 
 	mu    sync.Mutex
 	asked map[string]asked
@@ -72,8 +73,9 @@
 func playSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		world: settle(t), t: t, rand: rand.New(rand.NewPCG(seed, seed)), stop: make(chan struct{}),
-		down: map[int]bool{}, asked: map[string]asked{}, key: hosting.Key, revoked: map[string]time.Time{},
+		asked: map[string]asked{}, key: hosting.Key, revoked: map[string]time.Time{},
 	}
+	s.link()
 	var callers sync.WaitGroup
 	for k := range soakCallers {
 		r := rand.New(rand.NewPCG(seed, uint64(k)+100))
@@ -90,6 +92,42 @@
 	t.Logf("seed=%d requests=%d served=%d", seed, len(s.asked), s.served)
 }
 
+// link adds a worker of each service behind a relay.
+func (s *soak) link() {
+	for _, service := range []string{hosting.Pool, hosting.Desk} {
+		k, r, err := s.AddBehindRelay("behind-relay-"+service, service, func(k *hosting.Worker) {
+			k.Work = 10 * time.Millisecond
+			if service == hosting.Pool {
+				k.EventEvery, k.EventCount, k.CopyTime = 25*time.Millisecond, draftSteps, 30*time.Millisecond
+			}
+		})
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(r.Close)
+		s.relays = append(s.relays, r)
+		if service == hosting.Desk {
+			s.desk = append(s.desk, k)
+		}
+	}
+}
+
+// harm makes a link slow, cuts its connections, swallows what they carry, or
+// refuses new ones.
+func (s *soak) harm() {
+	r := s.relays[s.rand.IntN(len(s.relays))]
+	switch s.rand.IntN(4) {
+	case 0:
+		r.Delay(time.Duration(s.rand.IntN(300)) * time.Millisecond)
+	case 1:
+		r.Cut()
+	case 2:
+		r.Silence()
+	case 3:
+		r.SetDown(true)
+	}
+}
+
 // ask sends requests until the soak ends.
 func (s *soak) ask(caller int, r *rand.Rand) {
 	for k := 0; ; k++ {
@@ -130,7 +168,7 @@
 func (s *soak) trouble() {
 	n := s.rand.IntN(len(s.procs))
 	worker := append(append([]*hosting.Worker(nil), s.pool...), s.desk...)[s.rand.IntN(len(s.pool)+len(s.desk))]
-	switch s.rand.IntN(12) {
+	switch s.rand.IntN(14) {
 	case 0:
 		s.restart(n, syscall.SIGKILL)
 	case 1:
@@ -155,6 +193,8 @@
 		s.leave()
 	case 10:
 		s.revoke()
+	case 12, 13:
+		s.harm()
 	case 11:
 		if err := s.procs[n].signal(syscall.SIGHUP); err != nil {
 			s.t.Error(err)
@@ -164,9 +204,6 @@
 
 // restart ends an instance and starts it anew a moment later. One stays.
 func (s *soak) restart(n int, how syscall.Signal) {
-	if s.down[n] || len(s.down) > len(s.procs)-2 {
-		return
-	}
 	p := s.procs[n]
 	if err := p.signal(how); err != nil {
 		s.t.Error(err)
@@ -221,6 +258,10 @@
 // mend ends what lasts: outages of the store and faults of workers.
 func (s *soak) mend() {
 	s.Table.Set(hosting.Well)
+	for _, r := range s.relays {
+		r.Delay(0)
+		r.SetDown(false)
+	}
 	for _, m := range s.machines {
 		s.Table.SetFor(m.IP, hosting.Well)
 	}
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -75,6 +75,8 @@
 	CopyTime   time.Duration
 
 	server *standin.Server
+	// listed is the address under which the worker is reached.
+	listed string
 	table  *Table
 	zone   string
 
@@ -100,7 +102,7 @@
 func (r *run) stop() { r.once.Do(func() { close(r.stopped) }) }
 
 // Address returns where the worker takes requests.
-func (w *Worker) Address() string { return w.server.Address() }
+func (w *Worker) Address() string { return w.listed }
 
 // SetFault changes how the worker treats requests.
 func (w *Worker) SetFault(f Fault) {
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/standin"
+	"mulberrylug.example/mulberrylug/internal/standin/relay"
 )
 
 // Names in the configuration that a world begins with.
@@ -62,20 +63,47 @@
 
 // Add starts a worker. Engines make events, plain services answer at once.
 func (w *World) Add(id, service string, shape func(*Worker)) (*Worker, error) {
+	k := w.prepare(id, service, shape)
+	var err error
+	if k.server, err = standin.Start("127.0.0.1:0", k); err != nil {
+		return nil, err
+	}
+	k.listed = k.server.Address()
+	w.begin(k)
+	return k, nil
+}
+
+func (w *World) prepare(id, service string, shape func(*Worker)) *Worker {
 	k := &Worker{
 		ID: id, Service: service, Born: time.Now().UnixMilli(), zone: "zone-a", state: "ready", table: w.Table,
 		runs: map[string]*run{}, copies: map[string]*run{}, others: w.at, stop: make(chan struct{}),
 	}
 	shape(k)
-	var err error
-	if k.server, err = standin.Start("127.0.0.1:0", k); err != nil {
-		return nil, err
-	}
+	return k
+}
+
+func (w *World) begin(k *Worker) {
 	w.mu.Lock()
 	w.workers = append(w.workers, k)
 	w.mu.Unlock()
 	go k.beat(beatEvery)
-	return k, nil
+}
+
+// AddBehindRelay starts a worker that instances reach through a relay only, which
+// can delay, cut or silence its connections.
+func (w *World) AddBehindRelay(id, service string, shape func(*Worker)) (*Worker, *relay.Relay, error) {
+	k := w.prepare(id, service, shape)
+	var err error
+	if k.server, err = standin.Start("127.0.0.1:0", k); err != nil {
+		return nil, nil, err
+	}
+	r, err := relay.Start(k.server.Address())
+	if err != nil {
+		return nil, nil, err
+	}
+	k.listed = r.Address()
+	w.begin(k)
+	return k, r, nil
 }
 
 // at returns the worker at an address, or nil.
