--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 )
@@ -283,6 +285,21 @@
 	}
 }
 
+// An entry asks the home of a pool and is frozen before the answer is read. The
+// upstream of the grant begins to leave meanwhile, which the entry's own list does
+// not say when it wakes. Sent there, the generation would be cut.
+func TestALapsedGrantIsNotUsed(t *testing.T) {
+	g := gate(t, 3)
+	c := admit(t, g, request("/draft/1"))
+	grant := msg.GrantAnswer{TTL: time.Second, Decision: placement.Decision{Kind: placement.Granted, Upstream: "u1"}}
+	if s := g.Granted(start.Add(time.Second), start, c, grant); !s.AskHome {
+		t.Errorf("%+v, want to ask again", s)
+	}
+	if s := g.Granted(start.Add(999*time.Millisecond), start, c, grant); s.Send == nil || s.Send.Upstream.ID != "u1" {
+		t.Errorf("%+v, want the granted upstream", s)
+	}
+}
+
 func TestPatience(t *testing.T) {
 	for _, c := range []struct{ timeout, caller, want time.Duration }{
 		{time.Second, 3 * time.Second, time.Second},
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -54,10 +54,16 @@
 	return c.Route.Generation && s != nil && s.Engine != nil && !g.options.NoHomes
 }
 
-// Granted takes a home's grant. A grant for an upstream that is not known here
-// or that has begun to leave is passed over: the entry chooses by itself.
-func (g *Gate) Granted(now time.Time, c *Call, upstream string) Step {
-	u := g.roster.Find(upstream)
+// Granted takes a home's grant that was asked for at a moment. A grant for an
+// upstream that is not known here or that has begun to leave is passed over: the
+// entry chooses by itself. One that lapsed on its way is asked for again: an entry
+// that was frozen in between wakes with an old list, and the upstream may have
+// begun to leave since.
+func (g *Gate) Granted(now, asked time.Time, c *Call, a msg.GrantAnswer) Step {
+	if a.TTL > 0 && now.Sub(asked) >= a.TTL {
+		return Step{AskHome: true, Why: GrantLapsed}
+	}
+	u := g.roster.Find(a.Decision.Upstream)
 	if u == nil || !u.TakesWork() {
 		return g.send(now, c)
 	}
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -55,6 +55,7 @@
 	Unrepeatable  Reason = "not_repeatable"
 	Memory        Reason = "body_memory"
 	TooLarge      Reason = "body_too_large"
+	GrantLapsed   Reason = "grant_lapsed"
 )
 
 // Refusal is a final answer of the system's own.
--- a/internal/resident/place.go
+++ b/internal/resident/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
@@ -21,52 +22,75 @@
 	broadcast func(m msg.Message)
 }
 
+// question is an ask at a pool's home that is not decided yet.
+type question struct {
+	ask  msg.GrantAsk
+	home string
+	// began is when the home was asked first, asked when last: a grant counts
+	// from the question that may have led to it.
+	began, asked time.Time
+}
+
 // askHome asks the home of the call's pool and returns the next step.
 func (x *exchange) askHome() forward.Step {
 	s := x.server
-	var ask msg.GrantAsk
-	s.decide(func(now time.Time, _ *forward.Gate) { ask = x.call.Ask(now) })
-	home, asked := s.homes.name(x.call.Service), time.Now()
-	s.homes.send(home, ask)
-	timer := time.NewTimer(forward.HomePatience)
-	defer timer.Stop()
+	now := boottime.Now()
+	q := &question{home: s.homes.name(x.call.Service), began: now, asked: now}
+	s.decide(func(now time.Time, _ *forward.Gate) { q.ask = x.call.Ask(now) })
+	s.homes.send(q.home, q.ask)
+	silence, again := time.NewTimer(forward.HomePatience), time.NewTimer(time.Hour)
+	defer silence.Stop()
+	defer again.Stop()
 	for {
 		select {
 		case <-x.ctx.Done():
-			s.homes.send(home, msg.GrantEnd{Pool: x.call.Service, Attempt: ask.Ask.Attempt, Cut: true})
+			s.homes.send(q.home, msg.GrantEnd{Pool: x.call.Service, Attempt: q.ask.Ask.Attempt, Cut: true})
 			return x.stopped()
-		case <-timer.C:
-			s.homes.silent(home)
-			s.metrics.Count("homes_silent_total", x.call.Service)
-			s.log.Info("home_silent", "request", x.call.ID, "home", home, "pool", x.call.Service)
-			return x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.HomeSilent(now, x.call) })
+		case <-silence.C:
+			return x.homeSilent(q.home)
+		case <-again.C:
+			q.asked = boottime.Now()
+			s.homes.send(q.home, q.ask)
 		case a := <-x.grants:
-			if a.Decision.Attempt != ask.Ask.Attempt {
+			if a.Decision.Attempt != q.ask.Ask.Attempt {
 				continue // late
 			}
-			switch a.Decision.Kind {
-			case placement.Granted:
-				x.home = home
-				waited := time.Since(asked)
-				s.metrics.Observe("placement_milliseconds", x.call.Service, waited)
-				s.log.Info("placed", "request", x.call.ID, "home", home, "upstream", a.Decision.Upstream,
-					"prompt", ask.Ask.Prompt, "hint", ask.Ask.Expected, "waited", waited.Round(time.Millisecond))
-				return x.step(func(now time.Time, g *forward.Gate) forward.Step {
-					return g.Granted(now, x.call, a.Decision.Upstream)
-				})
-			case placement.Refused:
-				return x.step(func(_ time.Time, g *forward.Gate) forward.Step {
-					return g.HomeRefused(x.call, a.Decision.Reason, a.Decision.RetryAfter)
-				})
-			default:
-				// Queued: the home lives and will say more in time.
-				timer.Reset(forward.AskAgain + forward.HomePatience)
-				time.AfterFunc(forward.AskAgain, func() { s.homes.send(home, ask) })
+			if a.Decision.Kind != placement.Queued {
+				return x.decided(q, a)
 			}
+			// The home lives and will say more in time.
+			silence.Reset(forward.AskAgain + forward.HomePatience)
+			again.Reset(forward.AskAgain)
 		}
 	}
 }
 
+// decided takes the home's decision.
+func (x *exchange) decided(q *question, a msg.GrantAnswer) forward.Step {
+	s := x.server
+	if a.Decision.Kind == placement.Refused {
+		return x.step(func(_ time.Time, g *forward.Gate) forward.Step {
+			return g.HomeRefused(x.call, a.Decision.Reason, a.Decision.RetryAfter)
+		})
+	}
+	x.home = q.home
+	waited := boottime.Now().Sub(q.began)
+	s.metrics.Observe("placement_milliseconds", x.call.Service, waited)
+	s.log.Info("placed", "request", x.call.ID, "home", q.home, "upstream", a.Decision.Upstream,
+		"prompt", q.ask.Ask.Prompt, "hint", q.ask.Ask.Expected, "waited", waited.Round(time.Millisecond))
+	return x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.Granted(now, q.asked, x.call, a) })
+}
+
+// homeSilent makes the entry choose by itself, and the next request ask another
+// home.
+func (x *exchange) homeSilent(home string) forward.Step {
+	s := x.server
+	s.homes.silent(home)
+	s.metrics.Count("homes_silent_total", x.call.Service)
+	s.log.Info("home_silent", "request", x.call.ID, "home", home, "pool", x.call.Service)
+	return x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.HomeSilent(now, x.call) })
+}
+
 // stopped returns the step of a call whose caller left or whose time is over.
 func (x *exchange) stopped() forward.Step {
 	if x.r.Context().Err() != nil {
