--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/membership"
 	"mulberrylug.example/mulberrylug/internal/core/table"
 )
@@ -62,8 +63,10 @@
 // NewClient returns an adapter for the platform at a base URL.
 func NewClient(base string) *Client {
 	return &Client{base: base, http: &http.Client{
-		Timeout:   timeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: 10 * time.Second},
+		Timeout: timeout,
+		Transport: &http.Transport{
+			DialContext: conn.Dialer().DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: 10 * time.Second,
+		},
 	}}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -17,13 +16,13 @@
 	"syscall"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/prompt"
 )
 
 const (
-	dialTimeout   = 500 * time.Millisecond
 	pollTimeout   = 600 * time.Millisecond
 	cancelTimeout = 2 * time.Second
 	// maxAnswer bounds a plain service's answer in bytes.
@@ -60,7 +59,7 @@
 
 // NewCaller returns a caller whose events go to sink.
 func NewCaller(sink func(core.Event)) *Caller {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}
+	dialer := conn.Dialer()
 	return &Caller{
 		sink:   sink,
 		pooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}},
