--- a/internal/resident/move.go
+++ b/internal/resident/move.go
@@ -59,11 +59,12 @@
 	}
 	go func() {
 		outcome, err := x.move(mv, source)
-		s.decide(func(time.Time, *forward.Gate) { x.mover = nil })
+		events := 0
+		s.decide(func(time.Time, *forward.Gate) { x.mover, events = nil, x.call.Events })
 		close(mv.done)
 		s.metrics.Count("moves_total", string(outcome))
 		s.log.Info("move", "request", x.call.ID, "from", m.From, "to", m.To, "number", m.Number,
-			"outcome", outcome, "events", x.call.Events, "error", err)
+			"outcome", outcome, "events", events, "error", err)
 		reply(outcome)
 	}()
 }
@@ -81,6 +82,7 @@
 	defer cancel()
 	last, err := s.copyRun(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
 	if last.Outcome == msg.MoveNoRun {
+		s.dropCopy(source.Entry.Address, first.Handle)
 		return msg.MoveNoRun, err
 	}
 	handle := last.Handle
@@ -109,6 +111,17 @@
 	})
 }
 
+// dropCopy frees a copy that nothing will go on from, as its run has ended. It
+// would hold memory at its upstream until it lapses; if it can't be freed, it does.
+func (s *server) dropCopy(source, handle string) {
+	if handle == "" {
+		return
+	}
+	if _, _, err := s.call(context.Background(), source, s.wire.DropCopy(handle)); err != nil {
+		s.log.Info("copy_not_dropped", "address", source, "copy", handle, "error", err)
+	}
+}
+
 // copyRun makes one copy call.
 func (s *server) copyRun(ctx context.Context, source, id, to string, last bool) (Copy, error) {
 	call, err := s.wire.Move(id, to, last)
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -178,6 +178,9 @@
 	case r.URL.Path == "/v1/report":
 		w.report(rw)
 		return
+	case r.Method == http.MethodDelete && strings.HasPrefix(r.URL.Path, "/v1/kv-handle/"):
+		rw.WriteHeader(http.StatusOK)
+		return
 	}
 	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != w.ID {
 		rw.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
