--- a/internal/core/forward/admit.go
+++ b/internal/core/forward/admit.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
@@ -45,7 +46,7 @@
 	if g.suspects.Judge(now, r.Print) == suspect.Refused {
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: Crashes, RetryAfter: crashedLater}
 	}
-	if g.draining && rt.Kind == "stream" {
+	if g.draining && rt.Kind == route.Stream {
 		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: Draining, RetryAfter: soon}
 	}
 	c.Service = rt.Pick(g.rng.Float64())
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
 const (
@@ -65,7 +66,7 @@
 	c.sends++
 	c.current = &Attempt{Upstream: u, Entry: u.Entry, Number: c.sends, Sent: now, Within: left, tokens: c.tokens()}
 	c.tried = append(c.tried, u)
-	if c.Route.Kind == "idempotent" && c.sends < c.Route.MaxAttempts {
+	if c.Route.Kind == route.Idempotent && c.sends < c.Route.MaxAttempts {
 		c.current.GiveUp = now.Add(time.Duration(patienceShare * float64(left)))
 	}
 	l := g.load(u)
@@ -98,13 +99,11 @@
 		if c.dials >= dialsMax {
 			return g.fail(c, NoUpstream, busySoon, begun)
 		}
-		return g.again(now, c, o, begun)
 	case Rejected, Misdirected:
-		return g.again(now, c, o, begun)
 	default:
 		c.mayHaveRun = true
-		return g.again(now, c, o, begun)
 	}
+	return g.again(now, c, o, begun)
 }
 
 // settle updates what is known of the attempt's upstream.
--- a/internal/resident/exchange.go
+++ b/internal/resident/exchange.go
@@ -13,6 +13,7 @@
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
 // answerSmall is the largest answer that is read whole before any of it is
@@ -228,7 +229,7 @@
 // pass hands the answer on and says how the attempt ended.
 func (x *exchange) pass(c *conn.Conn, a *forward.Attempt, resp *http.Response, ans Answer) (forward.Outcome, error) {
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
-	if success && x.call.Route.Kind == "stream" && ans.Signed {
+	if success && x.call.Route.Kind == route.Stream && ans.Signed {
 		return x.passStream(resp)
 	}
 	h, err := readHeld(resp, ans)
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -50,7 +50,6 @@
 	log     hclog.Logger
 	// left is called with upstreams that begin to leave.
 	left func()
-	up   bool
 	// adopted is called with each configuration that is put in force.
 	adopted func(*route.Config)
 	fellows *fellows
@@ -58,9 +57,11 @@
 	// wait is the time between two readings of the configuration.
 	wait time.Duration
 
-	// mu guards watch.
+	// mu guards watch, last and up.
 	mu    sync.Mutex
 	watch *watch.Watch
+	// up is set while the store answers.
+	up bool
 	// last is the source that was asked last.
 	last string
 
@@ -188,8 +189,7 @@
 		left, _ = r.Replace(now, read.Changes, read.Version)
 		return left
 	})
-	if !f.up {
-		f.up = true
+	if f.setUp(true) {
 		f.log.Info("dependency_regained", "dependency", "store", "version", read.Version)
 	}
 	f.listAt = max(f.listAt, read.Version)
@@ -232,8 +232,7 @@
 	}
 	f.metrics.Count("store_failures_total", what)
 	f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().StoreDown() })
-	if f.up {
-		f.up = false
+	if f.setUp(false) {
 		f.log.Warn("dependency_lost", "dependency", "store", "step", what, "error", err)
 	}
 }
@@ -256,6 +255,15 @@
 	}
 }
 
+// setUp notes whether the store answers, and reports whether that is news.
+func (f *follower) setUp(up bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	news := f.up != up
+	f.up = up
+	return news
+}
+
 // source returns whom to ask for news: the store, or an instance by name.
 func (f *follower) source() string {
 	readers, live := f.fellows.readers()
