--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/booking"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 	"mulberrylug.example/mulberrylug/internal/core/table"
 )
 
@@ -96,17 +97,17 @@
 		i.await(now, r, row)
 	case booking.Refuse:
 		f := notRun(ReasonKeyReused, 0)
-		f.Status = statusUnprocessableEntity
+		f.Status = status.UnprocessableEntity
 		i.refuse(now, r, f)
 	default:
 		i.finish(now, r, Finish{
-			Outcome: Unknown, Status: statusConflict, Reason: ReasonNoRecord, Step: "claim", Peer: "table",
+			Outcome: Unknown, Status: status.Conflict, Reason: ReasonNoRecord, Step: "claim", Peer: "table",
 		})
 	}
 }
 
 func notRun(reason string, after time.Duration) Finish {
-	return Finish{Status: statusServiceUnavailable, Reason: reason, Step: "claim", Peer: "table", RetryAfter: after}
+	return Finish{Status: status.ServiceUnavailable, Reason: reason, Step: "claim", Peer: "table", RetryAfter: after}
 }
 
 // claimAgain claims a key whose earlier holder has renounced it.
@@ -186,10 +187,10 @@
 // bookingFailed ends a booking whose call broke: a call that can't have left
 // is released and not run, any other is unknown and never tried again.
 func (i *Instance) bookingFailed(now time.Time, r *request, e UpstreamFailed) {
-	f := Finish{Status: statusBadGateway, Reason: ReasonUpstreamCut, Step: e.Step, Peer: r.run.upstream}
+	f := Finish{Status: status.BadGateway, Reason: ReasonUpstreamCut, Step: e.Step, Peer: r.run.upstream}
 	if !e.Sent {
 		i.release(now, r)
-		f.Status, f.RetryAfter = statusServiceUnavailable, retryNoHome
+		f.Status, f.RetryAfter = status.ServiceUnavailable, retryNoHome
 		i.refuse(now, r, f)
 		return
 	}
--- a/internal/core/bookwait.go
+++ b/internal/core/bookwait.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/booking"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 	"mulberrylug.example/mulberrylug/internal/core/table"
 )
 
@@ -43,7 +44,7 @@
 		after = max(after, time.UnixMilli(rec.Until).Sub(now))
 	}
 	i.finish(now, r, Finish{
-		Outcome: Unknown, Status: statusConflict, Reason: ReasonInProgress,
+		Outcome: Unknown, Status: status.Conflict, Reason: ReasonInProgress,
 		Step: "await", Peer: "table", RetryAfter: after,
 	})
 }
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/config"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
@@ -41,7 +42,7 @@
 func (i *Instance) admit(now time.Time, r *request) *Finish {
 	if reason := i.unready(now); reason != "" {
 		r.resolve()
-		return &Finish{Status: statusServiceUnavailable, Reason: reason, Step: "admit", RetryAfter: retryNotReady}
+		return &Finish{Status: status.ServiceUnavailable, Reason: reason, Step: "admit", RetryAfter: retryNotReady}
 	}
 	if f := r.authenticate(); f != nil {
 		return f
@@ -54,10 +55,10 @@
 	}
 	if i.suspects.Judge(now, r.Fingerprint) == suspect.Refused {
 		wait := i.suspects.Until(r.Fingerprint).Sub(now)
-		return &Finish{Status: statusUnprocessableEntity, Reason: ReasonPoison, Step: "admit", RetryAfter: wait}
+		return &Finish{Status: status.UnprocessableEntity, Reason: ReasonPoison, Step: "admit", RetryAfter: wait}
 	}
 	if r.NotRepeatable && i.store.down() {
-		return &Finish{Status: statusServiceUnavailable, Reason: ReasonStore, Step: "admit", Peer: "table", RetryAfter: retryStore}
+		return &Finish{Status: status.ServiceUnavailable, Reason: ReasonStore, Step: "admit", Peer: "table", RetryAfter: retryStore}
 	}
 	return nil
 }
@@ -73,11 +74,11 @@
 
 func (r *request) authenticate() *Finish {
 	if r.version == nil {
-		return &Finish{Status: statusServiceUnavailable, Reason: ReasonNotReady, Step: "admit", RetryAfter: retryNotReady}
+		return &Finish{Status: status.ServiceUnavailable, Reason: ReasonNotReady, Step: "admit", RetryAfter: retryNotReady}
 	}
 	r.org = r.version.OrganisationByKey(r.APIKey)
 	if r.org == nil {
-		return &Finish{Status: statusUnauthorized, Reason: ReasonBadKey, Step: "authenticate"}
+		return &Finish{Status: status.Unauthorized, Reason: ReasonBadKey, Step: "authenticate"}
 	}
 	return nil
 }
@@ -86,16 +87,16 @@
 	if r.Service != "" {
 		r.service = r.version.Service(r.Service)
 		if r.service == nil || r.service.Kind != config.KindPlain {
-			return &Finish{Status: statusNotFound, Reason: ReasonUnknownService, Step: "admit"}
+			return &Finish{Status: status.NotFound, Reason: ReasonUnknownService, Step: "admit"}
 		}
 	} else {
 		r.service = r.version.ServiceForModel(r.Model)
 		if r.service == nil {
-			return &Finish{Status: statusNotFound, Reason: ReasonUnknownModel, Step: "admit"}
+			return &Finish{Status: status.NotFound, Reason: ReasonUnknownModel, Step: "admit"}
 		}
 	}
 	if !r.org.Allows(r.service.Name) {
-		return &Finish{Status: statusForbidden, Reason: ReasonForbidden, Step: "admit"}
+		return &Finish{Status: status.Forbidden, Reason: ReasonForbidden, Step: "admit"}
 	}
 	return nil
 }
@@ -103,13 +104,13 @@
 func (r *request) checkLimits() *Finish {
 	most := r.org.Limits.MaxOutputTokens
 	if r.MaxTokens < 0 || r.MaxTokens > most {
-		return &Finish{Status: statusBadRequest, Reason: ReasonMaxTokens, Step: "admit"}
+		return &Finish{Status: status.BadRequest, Reason: ReasonMaxTokens, Step: "admit"}
 	}
 	if r.MaxTokens == 0 {
 		r.MaxTokens = most
 	}
 	if r.NotRepeatable && r.IdempotencyKey == "" {
-		return &Finish{Status: statusBadRequest, Reason: ReasonNoKey, Step: "admit"}
+		return &Finish{Status: status.BadRequest, Reason: ReasonNoKey, Step: "admit"}
 	}
 	return nil
 }
--- a/internal/core/failure.go
+++ b/internal/core/failure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/retry"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 	"mulberrylug.example/mulberrylug/internal/core/stream"
 )
 
@@ -49,7 +50,7 @@
 
 func (r *request) failure(e UpstreamFailed) Finish {
 	f := Finish{
-		Outcome: NotRun, Status: statusBadGateway, Reason: ReasonUpstreamCut, Step: e.Step, Peer: r.run.upstream,
+		Outcome: NotRun, Status: status.BadGateway, Reason: ReasonUpstreamCut, Step: e.Step, Peer: r.run.upstream,
 		RetryAfter: retryNoHome, Tokens: r.seq.Next(),
 	}
 	switch {
--- a/internal/core/forward/admit.go
+++ b/internal/core/forward/admit.go
@@ -1,10 +1,10 @@
 package forward
 
 import (
-	"net/http"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
@@ -30,28 +30,28 @@
 // next and End at last.
 func (g *Gate) Admit(now time.Time, r Request) (*Call, *Refusal) {
 	if g.table == nil {
-		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: NoConfig, RetryAfter: restartSoon}
+		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: NoConfig, RetryAfter: restartSoon}
 	}
 	rt := g.table.Find(r.Host, r.Path)
 	if rt == nil {
-		return nil, &Refusal{Status: http.StatusNotFound, Reason: NoRoute}
+		return nil, &Refusal{Status: status.NotFound, Reason: NoRoute}
 	}
 	c := &Call{Request: r, Route: rt, Rank: rt.Rank, Arrived: now, ConfigVersion: g.table.Version}
 	if refusal := g.authenticate(now, c); refusal != nil {
 		return nil, refusal
 	}
 	if most := g.table.Limits.MaxBodyBytes; most > 0 && r.Length > most {
-		return nil, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: TooLarge}
+		return nil, &Refusal{Status: status.ContentTooLarge, Reason: TooLarge}
 	}
 	if g.suspects.Judge(now, r.Print) == suspect.Refused {
-		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: Crashes, RetryAfter: crashedLater}
+		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: Crashes, RetryAfter: crashedLater}
 	}
 	if g.draining && rt.Kind == route.Stream {
-		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: Draining, RetryAfter: soon}
+		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: Draining, RetryAfter: soon}
 	}
 	c.Service = rt.Pick(g.rng.Float64())
 	if g.table.Service(c.Service) == nil {
-		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: NoService, RetryAfter: restartSoon}
+		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: NoService, RetryAfter: restartSoon}
 	}
 	c.Deadline = now.Add(patience(rt.Timeout, r.Patience))
 	g.budget(c.Service).request(now)
@@ -82,11 +82,11 @@
 		if g.alone {
 			after = outageLater
 		}
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: StaleKeys, RetryAfter: after}
+		return &Refusal{Status: status.ServiceUnavailable, Reason: StaleKeys, RetryAfter: after}
 	}
 	org := g.table.Organisation(c.Key)
 	if org == nil {
-		return &Refusal{Status: http.StatusUnauthorized, Reason: UnknownKey}
+		return &Refusal{Status: status.Unauthorized, Reason: UnknownKey}
 	}
 	c.Organisation = org.Name
 	if org.Rank != nil {
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -1,13 +1,13 @@
 package forward
 
 import (
-	"net/http"
 	"strconv"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 )
 
 const (
@@ -78,7 +78,7 @@
 	}
 	s := g.giveUp(c, PoolFull, after)
 	if !c.mayHaveRun {
-		s.Refuse.Status = http.StatusServiceUnavailable
+		s.Refuse.Status = status.ServiceUnavailable
 	}
 	return s
 }
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -1,11 +1,11 @@
 package forward
 
 import (
-	"net/http"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 )
 
 // Request is what a caller asks for, as far as decisions need it.
@@ -68,10 +68,10 @@
 
 // notRun reports whether a status promises that the request has not run and
 // never will.
-func notRun(status int) bool {
-	switch status {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests,
-		http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+func notRun(code int) bool {
+	switch code {
+	case status.ServiceUnavailable, status.TooManyRequests,
+		status.RequestTimeout, status.MisdirectedRequest:
 		return true
 	}
 	return false
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -1,11 +1,11 @@
 package forward
 
 import (
-	"net/http"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 )
 
 const (
@@ -166,14 +166,14 @@
 // giveUp answers a call that is not served. Only a call that certainly has not
 // run is told so; the caller of any other must not ask again by itself.
 func (g *Gate) giveUp(c *Call, why Reason, after time.Duration) Step {
-	status := http.StatusServiceUnavailable
+	code := status.ServiceUnavailable
 	if c.mayHaveRun {
-		status, after = http.StatusBadGateway, 0
+		code, after = status.BadGateway, 0
 		if why == OutOfTime {
-			status = http.StatusGatewayTimeout
+			code = status.GatewayTimeout
 		}
 	}
-	return Step{Refuse: &Refusal{Status: status, Reason: why, RetryAfter: after}, Why: why}
+	return Step{Refuse: &Refusal{Status: code, Reason: why, RetryAfter: after}, Why: why}
 }
 
 // Expired ends a call whose deadline has passed while an attempt was running.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -6,6 +6,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/config"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
@@ -49,7 +50,7 @@
 	r.place.pools = r.version.PoolsFor(r.service.Name, dc)
 	if len(r.place.pools) == 0 {
 		i.refuse(now, r, Finish{
-			Status: statusServiceUnavailable, Reason: placement.ReasonNoUpstream,
+			Status: status.ServiceUnavailable, Reason: placement.ReasonNoUpstream,
 			Step: "place", RetryAfter: retryNoHome,
 		})
 		return
@@ -62,7 +63,7 @@
 	home := i.poolHomeName(now, pool)
 	if home == "" {
 		i.refuse(now, r, Finish{
-			Status: statusServiceUnavailable, Reason: ReasonNoPoolHome, Step: "place", RetryAfter: retryNoHome,
+			Status: status.ServiceUnavailable, Reason: ReasonNoPoolHome, Step: "place", RetryAfter: retryNoHome,
 		})
 		return
 	}
@@ -112,7 +113,7 @@
 	}
 	if now.Sub(r.started) > r.service.MaxWait.D()+askTimeout {
 		i.refuse(now, r, Finish{
-			Status: statusServiceUnavailable, Reason: ReasonNoPoolHome,
+			Status: status.ServiceUnavailable, Reason: ReasonNoPoolHome,
 			Step: "place", Peer: r.place.home, RetryAfter: retryNoHome,
 		})
 		return
@@ -182,11 +183,11 @@
 		i.askGrant(now, r)
 		return
 	}
-	status := statusServiceUnavailable
+	code := status.ServiceUnavailable
 	if d.Reason == placement.ReasonPoison {
-		status = statusUnprocessableEntity
+		code = status.UnprocessableEntity
 	}
-	i.refuse(now, r, Finish{Status: status, Reason: d.Reason, Step: "place", Peer: from, RetryAfter: d.RetryAfter})
+	i.refuse(now, r, Finish{Status: code, Reason: d.Reason, Step: "place", Peer: from, RetryAfter: d.RetryAfter})
 }
 
 // endGrant gives the request's grant or place in a queue back.
--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -6,6 +6,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/budget"
 	"mulberrylug.example/mulberrylug/internal/core/config"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 )
 
 const (
@@ -63,7 +64,7 @@
 	homes := i.orgHomes(now, r.org.Name)
 	if len(homes) == 0 || r.reserve.asks >= askTries {
 		i.refuse(now, r, Finish{
-			Status: statusServiceUnavailable, Reason: ReasonNoBudgetHome,
+			Status: status.ServiceUnavailable, Reason: ReasonNoBudgetHome,
 			Step: "reserve", Peer: r.reserve.home, RetryAfter: retryNoHome,
 		})
 		return
@@ -109,7 +110,7 @@
 	}
 	if !m.Answer.Granted {
 		i.refuse(now, r, Finish{
-			Status: statusTooManyRequests, Reason: m.Answer.Reason,
+			Status: status.TooManyRequests, Reason: m.Answer.Reason,
 			Step: "reserve", Peer: from, RetryAfter: m.Answer.RetryAfter,
 		})
 		return
--- a/internal/core/resume.go
+++ b/internal/core/resume.go
@@ -7,6 +7,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/core/config"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 	"mulberrylug.example/mulberrylug/internal/core/stream"
 )
 
@@ -72,7 +73,7 @@
 }
 
 func badHandle() Finish {
-	return Finish{Status: statusBadRequest, Reason: ReasonBadHandle, Step: "resume"}
+	return Finish{Status: status.BadRequest, Reason: ReasonBadHandle, Step: "resume"}
 }
 
 // adopt continues a generation that another entry, or this one, started. The
@@ -127,7 +128,7 @@
 	r.reserve.held = false
 	r.place.home = ""
 	i.finish(now, r, Finish{
-		Outcome: Partial, Status: statusConflict, Reason: ReasonElsewhere, Step: "stream", Tokens: r.seq.Next(),
+		Outcome: Partial, Status: status.Conflict, Reason: ReasonElsewhere, Step: "stream", Tokens: r.seq.Next(),
 	})
 }
 
@@ -198,7 +199,7 @@
 	if r.mayHaveRun() {
 		outcome = Unknown
 	}
-	i.finish(now, r, Finish{Outcome: outcome, Status: statusServiceUnavailable, Reason: ReasonCallerGone, Step: fmt.Sprint(r.phase)})
+	i.finish(now, r, Finish{Outcome: outcome, Status: status.ServiceUnavailable, Reason: ReasonCallerGone, Step: fmt.Sprint(r.phase)})
 }
 
 // abandonAfter is how long the entry follows a generation without a caller.
@@ -213,6 +214,6 @@
 	i.emit(CloseUpstream{Attempt: r.attempt})
 	r.place.home = "" // the home finds out by itself that nobody follows this
 	i.finish(now, r, Finish{
-		Outcome: Partial, Status: statusGone, Reason: ReasonCallerGone, Step: "stream", Tokens: r.seq.Next(),
+		Outcome: Partial, Status: status.Gone, Reason: ReasonCallerGone, Step: "stream", Tokens: r.seq.Next(),
 	})
 }
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/status"
 	"mulberrylug.example/mulberrylug/internal/core/stream"
 )
 
@@ -147,7 +148,7 @@
 func (i *Instance) done(now time.Time, r *request, reason string) {
 	i.retries.Success(r.org.Name)
 	i.finish(now, r, Finish{
-		Outcome: Done, Status: statusOK, Text: string(r.text), Tokens: r.seq.Next(), FinishReason: reason,
+		Outcome: Done, Status: status.OK, Text: string(r.text), Tokens: r.seq.Next(), FinishReason: reason,
 	})
 }
 
@@ -162,7 +163,7 @@
 		return
 	}
 	i.finish(now, r, Finish{
-		Outcome: Partial, Status: statusBadGateway, Reason: ReasonCancelled, Step: "stream",
+		Outcome: Partial, Status: status.BadGateway, Reason: ReasonCancelled, Step: "stream",
 		Peer: r.run.upstream, Tokens: r.seq.Next(), RetryAfter: retryNoHome,
 	})
 }
--- /dev/null
+++ b/internal/core/status/status.go
@@ -0,0 +1,22 @@
+// Package status names the HTTP statuses that decisions lead to. The core imports
+// nothing that does I/O, not even for the names of statuses.
+package status
+
+// Statuses, as in RFC 9110.
+const (
+	OK                  = 200
+	BadRequest          = 400
+	Unauthorized        = 401
+	Forbidden           = 403
+	NotFound            = 404
+	RequestTimeout      = 408
+	Conflict            = 409
+	Gone                = 410
+	ContentTooLarge     = 413
+	MisdirectedRequest  = 421
+	UnprocessableEntity = 422
+	TooManyRequests     = 429
+	BadGateway          = 502
+	ServiceUnavailable  = 503
+	GatewayTimeout      = 504
+)
