A failed reading of the whole list is counted once

store_failures_total{list} counted such a failure twice: where it happened and in the function that notes the outage. Failed questions for changes count as before.

--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -152,11 +152,12 @@
 		began := time.Now()
 		whole := f.listAt == 0
 		if err := f.readList(ctx, whole); err != nil {
-			f.metrics.Count("store_failures_total", "list")
 			f.listAt = 0
 			if whole {
 				f.failed(ctx, "list", err)
 				pause(ctx, retryPause)
+			} else {
+				f.metrics.Count("store_failures_total", "list")
 			}
 			return
 		}
