One table in memory for the stand-in and the worlds of tests

Five places ran transactions on rows in memory, with small differences: one ignored deletions, one gave a row that came again an old version, two counted versions for deletions. standin/memtable is now the one copy, with the strictest of these rules: versions never come again. Assertions are unchanged.

--- a/internal/core/bookings_test.go
+++ b/internal/core/bookings_test.go
@@ -34,7 +34,7 @@
 		w.advance(time.Duration(arg%40) * 50 * time.Millisecond)
 	case 7:
 		if len(w.late) > 0 {
-			w.apply(w.late[0])
+			w.table.Apply(w.late[0])
 			w.late = w.late[1:]
 		}
 	case 8:
--- a/internal/core/bookworld_test.go
+++ b/internal/core/bookworld_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/standin/memtable"
+
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/booking"
 	"mulberrylug.example/mulberrylug/internal/core/config"
@@ -50,9 +52,8 @@
 	hash   string
 	object []byte
 	// trace takes a line for each action.
-	trace   io.Writer
-	rows    map[string]table.Row
-	version int64
+	trace io.Writer
+	table *memtable.Table
 	// down makes every table call fail without effect.
 	down bool
 	// slowDebits holds debits, as it always does bookings, until decided.
@@ -100,7 +101,7 @@
 func newBookWorld(nodes int, spend string) *bookWorld {
 	w := &bookWorld{
 		trace: io.Discard,
-		now:   time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC), rows: map[string]table.Row{}, requests: map[string]core.CallerRequest{},
+		now:   time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC), table: memtable.New(), requests: map[string]core.CallerRequest{},
 		asked: map[string]time.Time{}, finishes: map[string][]core.Finish{}, ended: map[string]time.Time{},
 	}
 	for n := range nodes {
@@ -116,7 +117,7 @@
 		panic(err)
 	}
 	pointer, _ := json.Marshal(core.ConfigPointer{Number: 1, Hash: hash})
-	w.apply(table.Tx{Writes: []table.Write{{Key: core.ConfigRow, Value: pointer}}})
+	w.table.Write(table.Write{Key: core.ConfigRow, Value: pointer})
 	w.hash, w.object = hash, object
 	for _, n := range w.nodes {
 		w.start(n)
@@ -212,54 +213,22 @@
 	w.commits++
 	res := table.Result{Status: table.Unknown}
 	if !w.down {
-		res = w.apply(a.Tx)
+		res = w.table.Apply(a.Tx)
 	}
 	w.give(n, core.CommitResult{Op: a.Op, Result: res})
 }
 
-func (w *bookWorld) apply(tx table.Tx) table.Result {
-	res := table.Result{Status: table.Committed}
-	for _, c := range tx.Conds {
-		if w.rows[c.Key].Version != c.Version {
-			res.Status = table.Conflict
-		}
-	}
-	if res.Status == table.Committed {
-		for _, wr := range tx.Writes {
-			w.version++
-			w.rows[wr.Key] = table.Row{Key: wr.Key, Version: w.version, Value: wr.Value}
-			if wr.Delete {
-				delete(w.rows, wr.Key)
-			}
-		}
-	}
-	for _, c := range tx.Conds {
-		row := w.rows[c.Key]
-		row.Key = c.Key
-		res.Rows = append(res.Rows, row)
-	}
-	return res
-}
-
 func (w *bookWorld) read(n *node, a core.Read) {
 	w.reads++
 	if w.down {
 		w.give(n, core.ReadResult{Op: a.Op})
 		return
 	}
-	row := w.rows[a.Keys[0]]
-	row.Key = a.Keys[0]
-	w.give(n, core.ReadResult{Op: a.Op, OK: true, Rows: []table.Row{row}})
+	w.give(n, core.ReadResult{Op: a.Op, OK: true, Rows: []table.Row{w.table.Row(a.Keys[0])}})
 }
 
 func (w *bookWorld) scan(a core.Scan) []table.Row {
-	var rows []table.Row
-	for key, row := range w.rows {
-		if strings.HasPrefix(key, a.Prefix) && key > a.After {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(x, y table.Row) int { return strings.Compare(x.Key, y.Key) })
+	rows := slices.DeleteFunc(w.table.Scan(a.Prefix), func(row table.Row) bool { return row.Key <= a.After })
 	return rows[:min(a.Limit, len(rows))]
 }
 
@@ -336,9 +305,9 @@
 	res := table.Result{Status: table.Unknown}
 	switch way {
 	case wayGood:
-		res = w.apply(h.commit.Tx)
+		res = w.table.Apply(h.commit.Tx)
 	case wayLostAnswer:
-		w.apply(h.commit.Tx)
+		w.table.Apply(h.commit.Tx)
 	case wayLate:
 		w.late = append(w.late, h.commit.Tx)
 	}
@@ -363,7 +332,7 @@
 // settleAll lets everything go well until nothing is held any more.
 func (w *bookWorld) settleAll() {
 	for _, tx := range w.late {
-		w.apply(tx)
+		w.table.Apply(tx)
 	}
 	w.late = nil
 	for _, n := range w.nodes {
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -38,7 +38,7 @@
 }
 
 func (l *ledger) debited() string {
-	for _, row := range l.rows {
+	for _, row := range l.table.Rows {
 		return string(row.Value)
 	}
 	return ""
--- a/internal/core/budget/ledger_test.go
+++ b/internal/core/budget/ledger_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/standin/memtable"
+
 	"mulberrylug.example/mulberrylug/internal/core/budget"
 	"mulberrylug.example/mulberrylug/internal/core/config"
 	"mulberrylug.example/mulberrylug/internal/core/table"
@@ -20,8 +22,7 @@
 	homes  []*budget.Home
 	born   int
 	asks   int
-	rows   map[string]table.Row
-	last   int64
+	table  *memtable.Table
 	held   []heldOut
 	late   []table.Tx
 
@@ -47,7 +48,7 @@
 
 func newLedger(homes int) *ledger {
 	l := &ledger{
-		now: time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC), rows: map[string]table.Row{},
+		now: time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC), table: memtable.New(),
 		limits:  config.Limits{Spend: spend, Period: "hour", RequestsPerSecond: 1e6, TokensPerSecond: 1e6, Concurrent: 1000},
 		amounts: map[string]config.Money{}, spent: map[int64]config.Money{}, answers: map[string]budget.Answer{},
 	}
@@ -115,9 +116,7 @@
 	h := l.held[at]
 	l.held = append(l.held[:at:at], l.held[at+1:]...)
 	if r := h.out.Reread; r != nil {
-		row := l.rows[r.Key]
-		row.Key = r.Key
-		l.do(h.home, h.home.Reread(l.now, r.Org, r.ID, row, way == good))
+		l.do(h.home, h.home.Reread(l.now, r.Org, r.ID, l.table.Row(r.Key), way == good))
 		return
 	}
 	d := h.out.Debit
@@ -125,29 +124,15 @@
 	res := table.Result{Status: table.Unknown}
 	switch way {
 	case good:
-		res = l.apply(d.Tx)
+		res = l.table.Apply(d.Tx)
 	case lostAnswer:
-		l.apply(d.Tx)
+		l.table.Apply(d.Tx)
 	case landsLate:
 		l.late = append(l.late, d.Tx)
 	}
 	l.do(h.home, h.home.Debited(l.now, d.Org, d.ID, res))
 }
 
-func (l *ledger) apply(tx table.Tx) table.Result {
-	key := tx.Conds[0].Key
-	res := table.Result{Status: table.Conflict}
-	if l.rows[key].Version == tx.Conds[0].Version {
-		l.last++
-		l.rows[key] = table.Row{Key: key, Version: l.last, Value: tx.Writes[0].Value}
-		res.Status = table.Committed
-	}
-	row := l.rows[key]
-	row.Key = key
-	res.Rows = []table.Row{row}
-	return res
-}
-
 func (l *ledger) settleAll() {
 	for len(l.held) > 0 {
 		l.decide(0, good)
@@ -177,7 +162,7 @@
 		l.do(l.homes[n], l.homes[n].Tick(l.now, always, func(string) bool { return arg%2 == 0 }))
 	case 10:
 		if len(l.late) > 0 {
-			l.apply(l.late[0])
+			l.table.Apply(l.late[0])
 			l.late = l.late[1:]
 		}
 	default:
--- a/internal/core/outage_test.go
+++ b/internal/core/outage_test.go
@@ -164,7 +164,7 @@
 	w.warm()
 	w.decideAll()
 	row := func() string {
-		for key, row := range w.rows {
+		for key, row := range w.table.Rows {
 			if strings.HasPrefix(key, "budget/") {
 				return string(row.Value)
 			}
@@ -214,7 +214,7 @@
 		w.decideAll()
 	}
 	count := func() (rows int) {
-		for key := range w.rows {
+		for key := range w.table.Rows {
 			if len(key) > len(booking.Prefix) && key[:len(booking.Prefix)] == booking.Prefix {
 				rows++
 			}
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -116,6 +116,15 @@
 	}
 }
 
+// fill asks for drafts one after the other, named d-00 and on: prompts of 3,000
+// tokens with 900 to come.
+func (s *sim) fill(drafts int, every time.Duration) {
+	for k := range drafts {
+		s.ask(fmt.Sprintf("d-%02d", k), 3000, 900)
+		s.pass(every)
+	}
+}
+
 func (s *sim) ask(attempt string, prompt, output int) {
 	ask := placement.Ask{
 		Attempt: attempt, Org: "org", Prompt: prompt, MaxOutput: output, Expected: output, MaxWait: 3 * time.Second,
@@ -169,10 +178,7 @@
 // copy takes half the time, and the others to upstreams that take no other copy.
 func TestEvacuationIsOrderedOneAtATime(t *testing.T) {
 	s := newSim(t, 12)
-	for k := range 60 {
-		s.ask(fmt.Sprintf("d-%02d", k), 3000, 900)
-		s.pass(200 * time.Millisecond)
-	}
+	s.fill(60, 200*time.Millisecond)
 	before := s.on("u03")
 	s.find("u03").LeavingSince = s.now
 	s.sync()
@@ -201,10 +207,7 @@
 // link is shared: both must not copy to the same one.
 func TestTwoEvacuationsHaveTwoDestinations(t *testing.T) {
 	s := newSim(t, 6)
-	for k := range 24 {
-		s.ask(fmt.Sprintf("d-%02d", k), 3000, 900)
-		s.pass(200 * time.Millisecond)
-	}
+	s.fill(24, 200*time.Millisecond)
 	s.find("u01").LeavingSince, s.find("u02").LeavingSince = s.now, s.now
 	s.sync()
 	if len(s.orders) != 2 || s.orders[0].To == s.orders[1].To {
@@ -221,10 +224,7 @@
 // do; it serves on for a while. Its work is moved like that of any other.
 func TestAVanishedUpstreamIsEvacuated(t *testing.T) {
 	s := newSim(t, 4)
-	for k := range 12 {
-		s.ask(fmt.Sprintf("d-%02d", k), 3000, 900)
-		s.pass(200 * time.Millisecond)
-	}
+	s.fill(12, 200*time.Millisecond)
 	s.list = s.list[1:]
 	s.sync()
 	if len(s.orders) != 1 || s.orders[0].From != "u00" {
@@ -237,10 +237,7 @@
 // has gone as well.
 func TestALostOrderIsGivenUp(t *testing.T) {
 	s := newSim(t, 4)
-	for k := range 12 {
-		s.ask(fmt.Sprintf("d-%02d", k), 3000, 900)
-		s.pass(200 * time.Millisecond)
-	}
+	s.fill(12, 200*time.Millisecond)
 	s.find("u01").LeavingSince = s.now
 	s.sync()
 	s.pass(1200 * time.Millisecond)
@@ -288,10 +285,7 @@
 // is left without an answer.
 func TestHalfThePoolIsLost(t *testing.T) {
 	s := newSim(t, 8)
-	for k := range 60 {
-		s.ask(fmt.Sprintf("d-%02d", k), 3000, 900)
-		s.pass(100 * time.Millisecond)
-	}
+	s.fill(60, 100*time.Millisecond)
 	s.list = s.list[4:]
 	s.sync()
 	for k := range 40 {
@@ -315,10 +309,7 @@
 // the upstreams themselves, and moves what runs on those that leave.
 func TestLeavingIsNoticedWithoutTheStore(t *testing.T) {
 	s := newSim(t, 4)
-	for k := range 8 {
-		s.ask(fmt.Sprintf("d-%02d", k), 3000, 900)
-		s.pass(200 * time.Millisecond)
-	}
+	s.fill(8, 200*time.Millisecond)
 	s.home.Looks()
 	s.pass(time.Second)
 	if looks := s.home.Looks(); len(looks) != 0 {
--- a/internal/prooftest/members/leavefleet.go
+++ b/internal/prooftest/members/leavefleet.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/standin/memtable"
+
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/config"
 	"mulberrylug.example/mulberrylug/internal/core/membership"
@@ -50,9 +52,8 @@
 	queue   events
 	nodes   []*leaveNode
 	workers []*worker
-	rows    map[string]table.Row
+	table   *memtable.Table
 	objects map[string][]byte
-	version int64
 	slow    time.Time
 	// list is what the lagging instance list says; it is refreshed unless
 	// it lags.
@@ -82,7 +83,7 @@
 `
 
 func newFleet() *fleet {
-	f := &fleet{now: time.Unix(1000, 0), rows: map[string]table.Row{}, objects: map[string][]byte{}, asks: map[string]core.Send{}}
+	f := &fleet{now: time.Unix(1000, 0), table: memtable.New(), objects: map[string][]byte{}, asks: map[string]core.Send{}}
 	cfg, err := config.Parse([]config.File{{Name: "f.yaml", Data: fmt.Appendf(nil, leaveConfig, config.HashKey("k"))}})
 	if err != nil {
 		panic(err)
@@ -93,7 +94,7 @@
 	}
 	pointer, _ := json.Marshal(core.ConfigPointer{Number: 1, Hash: hash})
 	f.objects[hash] = object
-	f.write(table.Write{Key: core.ConfigRow, Value: pointer})
+	f.table.Write(table.Write{Key: core.ConfigRow, Value: pointer})
 	for _, up := range cfg.Upstreams {
 		f.workers = append(f.workers, &worker{member: membership.Member{
 			Name: up.Name, Role: up.Service, DataCentre: "a", Address: up.Name, State: membership.Live,
@@ -193,13 +194,13 @@
 		case core.Read:
 			var rows []table.Row
 			for _, k := range a.Keys {
-				rows = append(rows, f.row(k))
+				rows = append(rows, f.table.Row(k))
 			}
 			reply(2*linkTime, core.ReadResult{Op: a.Op, OK: true, Rows: rows})
 		case core.Fetch:
 			reply(2*linkTime, core.ObjectResult{Hash: a.Hash, OK: true, Data: f.objects[a.Hash]})
 		case core.Commit:
-			reply(2*linkTime, core.CommitResult{Op: a.Op, Result: f.commit(a.Tx)})
+			reply(2*linkTime, core.CommitResult{Op: a.Op, Result: f.table.Apply(a.Tx)})
 		case core.Poll:
 			f.poll(a, reply)
 		case core.Dispatch:
@@ -231,38 +232,6 @@
 	}
 }
 
-func (f *fleet) row(key string) table.Row {
-	row := f.rows[key]
-	row.Key = key
-	return row
-}
-
-func (f *fleet) commit(tx table.Tx) table.Result {
-	res := table.Result{Status: table.Committed}
-	for _, c := range tx.Conds {
-		if f.rows[c.Key].Version != c.Version {
-			res.Status = table.Conflict
-		}
-	}
-	if res.Status == table.Committed {
-		for _, w := range tx.Writes {
-			f.write(w)
-		}
-	}
-	for _, c := range tx.Conds {
-		res.Rows = append(res.Rows, f.row(c.Key))
-	}
-	return res
-}
-
-func (f *fleet) write(w table.Write) {
-	f.version++
-	f.rows[w.Key] = table.Row{Key: w.Key, Version: f.version, Value: w.Value}
-	if w.Delete {
-		delete(f.rows, w.Key)
-	}
-}
-
 func (f *fleet) worker(name string) *worker {
 	for _, w := range f.workers {
 		if w.member.Name == name {
--- a/internal/prooftest/streams/world.go
+++ b/internal/prooftest/streams/world.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/standin/memtable"
+
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/config"
 	"mulberrylug.example/mulberrylug/internal/core/membership"
@@ -40,7 +42,7 @@
 	names     []string
 	engines   map[string]*fakeEngine
 	channels  map[string][]func()
-	rows      map[string]table.Row
+	table     *memtable.Table
 	objects   map[string][]byte
 	callers   map[string]*caller // by request id
 	all       []*caller
@@ -81,7 +83,7 @@
 func newWorld(instances, engines int, spend string) *world {
 	w := &world{
 		now: time.Unix(1_800_000_000, 0), instances: map[string]*core.Instance{}, engines: map[string]*fakeEngine{},
-		channels: map[string][]func(){}, rows: map[string]table.Row{}, objects: map[string][]byte{},
+		channels: map[string][]func(){}, table: memtable.New(), objects: map[string][]byte{},
 		callers: map[string]*caller{}, counts: map[string]int{},
 	}
 	text := fmt.Sprintf(worldConfig, config.HashKey("depot-key"), spend, config.HashKey("press-key"))
@@ -120,7 +122,7 @@
 		panic(err)
 	}
 	w.objects[hash] = object
-	w.rows[core.ConfigRow] = table.Row{Key: core.ConfigRow, Version: 1, Value: fmt.Appendf(nil, `{"number":1,"hash":%q}`, hash)}
+	w.table.Write(table.Write{Key: core.ConfigRow, Value: fmt.Appendf(nil, `{"number":1,"hash":%q}`, hash)})
 }
 
 func (w *world) member(name string) membership.Member {
@@ -183,12 +185,12 @@
 		}
 		w.later("peer "+name+" "+a.To, func() { w.handle(a.To, core.PeerMessage{From: name, Msg: a.Msg}) })
 	case core.Commit:
-		res := w.commit(a.Tx)
+		res := w.table.Apply(a.Tx)
 		w.later("table "+name, func() { w.handle(name, core.CommitResult{Op: a.Op, Result: res}) })
 	case core.Read:
 		var rows []table.Row
 		for _, k := range a.Keys {
-			rows = append(rows, w.row(k))
+			rows = append(rows, w.table.Row(k))
 		}
 		w.later("table "+name, func() { w.handle(name, core.ReadResult{Op: a.Op, OK: true, Rows: rows}) })
 	case core.Fetch:
@@ -210,31 +212,6 @@
 	}
 }
 
-func (w *world) row(key string) table.Row {
-	if row, ok := w.rows[key]; ok {
-		return row
-	}
-	return table.Row{Key: key}
-}
-
-func (w *world) commit(tx table.Tx) table.Result {
-	res := table.Result{Status: table.Committed}
-	for _, c := range tx.Conds {
-		if w.row(c.Key).Version != c.Version {
-			res.Status = table.Conflict
-		}
-	}
-	for _, wr := range tx.Writes {
-		if res.Status == table.Committed {
-			w.rows[wr.Key] = table.Row{Key: wr.Key, Version: w.row(wr.Key).Version + 1, Value: wr.Value}
-		}
-	}
-	for _, c := range tx.Conds {
-		res.Rows = append(res.Rows, w.row(c.Key))
-	}
-	return res
-}
-
 // open lists the channels that have something, in a fixed order.
 func (w *world) open(prefix string) []string {
 	var out []string
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/standin/memtable"
+
 	"mulberrylug.example/mulberrylug/internal/core/membership"
 	"mulberrylug.example/mulberrylug/internal/core/table"
 	"mulberrylug.example/mulberrylug/internal/platform"
@@ -54,8 +56,7 @@
 	mux *http.ServeMux
 
 	mu       sync.Mutex
-	rows     map[string]table.Row
-	version  int64
+	table    *memtable.Table
 	objects  map[string][]byte
 	members  map[string]announced
 	history  []snapshot
@@ -84,7 +85,7 @@
 // New returns an empty platform.
 func New() *Platform {
 	p := &Platform{
-		mux: http.NewServeMux(), rows: map[string]table.Row{},
+		mux: http.NewServeMux(), table: memtable.New(),
 		objects: map[string][]byte{}, members: map[string]announced{},
 	}
 	p.mux.HandleFunc("POST /table/commit", p.commit)
@@ -143,14 +144,7 @@
 func (p *Platform) Rows(prefix string) []table.Row {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var rows []table.Row
-	for key, row := range p.rows {
-		if strings.HasPrefix(key, prefix) {
-			rows = append(rows, row)
-		}
-	}
-	slices.SortFunc(rows, func(a, b table.Row) int { return strings.Compare(a.Key, b.Key) })
-	return rows
+	return p.table.Scan(prefix)
 }
 
 // hold applies the outage and delay switches. It reports false if the caller
@@ -195,32 +189,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Commits++
-	res.Status = table.Committed
-	for _, c := range tx.Conds {
-		if p.rows[c.Key].Version != c.Version {
-			res.Status = table.Conflict
-		}
-	}
-	if res.Status == table.Committed {
-		p.write(tx.Writes)
-	}
-	for _, c := range tx.Conds {
-		row := p.rows[c.Key]
-		row.Key = c.Key
-		res.Rows = append(res.Rows, row)
-	}
-	return res, p.loses(tx)
-}
-
-func (p *Platform) write(writes []table.Write) {
-	for _, w := range writes {
-		if w.Delete {
-			delete(p.rows, w.Key)
-			continue
-		}
-		p.version++
-		p.rows[w.Key] = table.Row{Key: w.Key, Version: p.version, Value: w.Value}
-	}
+	return p.table.Apply(tx), p.loses(tx)
 }
 
 func (p *Platform) loses(tx table.Tx) bool {
@@ -254,9 +223,7 @@
 	p.counts.Reads++
 	rows := make([]table.Row, 0, len(keys))
 	for _, k := range keys {
-		row := p.rows[k]
-		row.Key = k
-		rows = append(rows, row)
+		rows = append(rows, p.table.Row(k))
 	}
 	p.mu.Unlock()
 	reply(w, rows)
