One prompt cache for the engine stand-in and the trials

Both had the same blocks, hits and eviction under one name. standin/prefixcache holds them; each keeps its own log of late and gappy events, which differ.

--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -1,46 +1,13 @@
 package engine
 
-// blockTokens is the number of prompt tokens in one cached block.
-const blockTokens = 64
-
-// prefixCache holds the hashes of cached prompt blocks, oldest out first.
-type prefixCache struct {
-	max    int
-	blocks map[uint64]bool
-	order  []uint64
-}
-
-func newPrefixCache(tokens int) *prefixCache {
-	return &prefixCache{max: max(1, tokens/blockTokens), blocks: map[uint64]bool{}}
-}
-
-// hit returns how many tokens of a prompt with these blocks are cached.
-func (c *prefixCache) hit(blocks []uint64) int {
-	n := 0
-	for _, b := range blocks {
-		if !c.blocks[b] {
-			break
-		}
-		n++
-	}
-	return n * blockTokens
-}
-
-// store adds blocks and returns the events of it.
-func (c *prefixCache) store(blocks []uint64) []CacheEvent {
+// cacheEvents tells what a change of the cache stored and evicted.
+func cacheEvents(stored, evicted []uint64) []CacheEvent {
 	var events []CacheEvent
-	for _, b := range blocks {
-		if c.blocks[b] {
-			continue
-		}
-		c.blocks[b] = true
-		c.order = append(c.order, b)
+	for _, b := range stored {
 		events = append(events, CacheEvent{Block: b, Stored: true})
 	}
-	for len(c.order) > c.max {
-		delete(c.blocks, c.order[0])
-		events = append(events, CacheEvent{Block: c.order[0]})
-		c.order = c.order[1:]
+	for _, b := range evicted {
+		events = append(events, CacheEvent{Block: b})
 	}
 	return events
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/standin/prefixcache"
+
 	"mulberrylug.example/mulberrylug/internal/core/placement"
 )
 
@@ -124,7 +126,7 @@
 	order   []*generation // waiting and running, by arrival
 	records []*generation // everything ever accepted, over all boots
 	reports []lagged
-	cache   *prefixCache
+	cache   *prefixcache.Cache
 	events  eventLog
 	orders  orderBook
 
@@ -140,7 +142,7 @@
 // New returns an engine that has just started.
 func New(s Settings) *Engine {
 	s.setDefaults()
-	e := &Engine{settings: s, gens: map[string]*generation{}, cache: newPrefixCache(s.Capacity / 4)}
+	e := &Engine{settings: s, gens: map[string]*generation{}, cache: prefixcache.New(s.Capacity / 4)}
 	e.changed = sync.NewCond(&e.mu)
 	e.boot = newBoot()
 	return e
@@ -176,7 +178,7 @@
 	e.gens = map[string]*generation{}
 	e.order = nil
 	e.reports = nil
-	e.cache = newPrefixCache(e.settings.Capacity / 4)
+	e.cache = prefixcache.New(e.settings.Capacity / 4)
 	e.changed.Broadcast()
 }
 
@@ -236,7 +238,7 @@
 		id:   id, prompt: prompt, want: e.length(body, maxTokens), priority: priority,
 		arrival: e.arrivals, blocks: blocks, body: body,
 	}
-	g.prefill = prompt - e.cache.hit(blocks)
+	g.prefill = prompt - e.cache.Hit(blocks)
 	e.gens[id] = g
 	e.order = append(e.order, g)
 	e.records = append(e.records, g)
@@ -307,7 +309,7 @@
 		g.tokens++
 		if g.tokens >= g.want {
 			g.state = finished
-			e.events.add(e.cache.store(g.blocks))
+			e.events.add(cacheEvents(e.cache.Store(g.blocks)))
 		}
 	}
 }
--- a/internal/trial/engine.go
+++ b/internal/trial/engine.go
@@ -73,7 +73,7 @@
 func (e *engine) submit(g *generation) {
 	e.arrivals++
 	g.arrival = e.arrivals
-	g.prefill = max(1, g.req.Prompt-e.cache.hit(g.req.Prefix))
+	g.prefill = max(1, g.req.Prompt-e.cache.Hit(g.req.Prefix))
 	e.waiting = append(e.waiting, g)
 	if !e.busy {
 		e.step()
--- a/internal/trial/workload.go
+++ b/internal/trial/workload.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/standin/prefixcache"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -232,7 +234,7 @@
 	if w.HintSigma > 0 {
 		r.Expected = logNormal(rng, float64(r.Output), w.HintSigma, w.MaxOutput)
 	}
-	for i := range o.Shared / blockTokens {
+	for i := range o.Shared / prefixcache.BlockTokens {
 		r.Prefix = append(r.Prefix, xxhash.Sum64String(fmt.Sprintf("%s/%d", o.Name, i)))
 	}
 	return r
