--- a/internal/core/placement/move.go
+++ b/internal/core/placement/move.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -28,20 +29,10 @@
 			Ask: g.ask, Tokens: tokens, Left: h.left(g, tokens), TokenTime: seconds(u.timePerToken()),
 		})
 	}
-	slices.SortFunc(out, func(a, b Placed) int { return cmpString(a.Ask.Attempt, b.Ask.Attempt) })
+	slices.SortFunc(out, func(a, b Placed) int { return cmp.Compare(a.Ask.Attempt, b.Ask.Attempt) })
 	return out
 }
 
-func cmpString(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // left returns how many tokens are expected to follow. A caller's own estimate
 // counts until it is passed; what was learnt of lengths counts from then on.
 func (h *Home) left(g *grant, tokens int) float64 {
--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -4,6 +4,7 @@
 package suspect
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -147,17 +148,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b Strike) int {
-		if c := b.At.Compare(a.At); c != 0 {
-			return c
-		}
-		switch {
-		case a.Fingerprint < b.Fingerprint:
-			return -1
-		case a.Fingerprint > b.Fingerprint:
-			return 1
-		default:
-			return 0
-		}
+		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
 	return out[:min(n, len(out))]
 }
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -184,6 +184,10 @@
 }
 
 func (f *follower) takeList(asked time.Time, read ListRead, whole bool) {
+	for _, err := range read.Unreadable {
+		f.metrics.Count("list_entries_total", "unreadable")
+		f.log.Warn("upstream_entry_unreadable", "version", read.Version, "error", err)
+	}
 	f.change("list", func(now time.Time, r *roster.Roster) (left []*roster.Upstream) {
 		r.StoreUp(now)
 		r.Confirm(asked)
--- a/internal/resident/ports.go
+++ b/internal/resident/ports.go
@@ -28,6 +28,8 @@
 type ListRead struct {
 	Version int64
 	Changes []roster.Change
+	// Unreadable tells why entries among the changes can't be used.
+	Unreadable []error
 }
 
 // Store is what an instance needs of the platform's store. ListSince waits for
