Streams that fall silent: the upstream is asked, and the run goes on elsewhere

Cause: something between entry and upstream can lose track of a connection, which then stays open and brings nothing while new ones work. Probes noticed it after two seconds, or never behind a middle box that answers them; a draft was lost though its engine went on making it. A brief whose answer was lost inside an engine was not tried again before its caller left, seven seconds later.

Change: an entry asks the upstream of a stream that has been silent for twice the pause that its route allows (0.6 of the target before the first event), over a new connection, one question for all silent streams there. If the run has made events that did not arrive, it is stopped over that connection and picked up where its copy lies; if the upstream lacks it twice in a row, the attempt ends at once.

--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -232,14 +232,14 @@
 	g := gate(t, 3)
 	c := admit(t, g, request("/draft/1"))
 	source := g.Start(start, c).Send
-	c.Progress("1")
+	c.Progress(start, "1")
 	other := g.Roster().Find("u2")
 	g.Redirect(c, other, "u0:80/copy", &Attempt{Upstream: source.Upstream, CopyAt: "u0:80/copy"})
 	s := g.Ended(start, c, Cut, true)
 	if s.Send == nil || s.Send.Upstream != other || s.Send.CopyAt == "" {
 		t.Fatalf("%+v, want to go on from the copy", s)
 	}
-	c.Progress("2")
+	c.Progress(start, "2")
 	if s := g.Ended(start, c, Cut, true); !s.Abort {
 		t.Errorf("%+v, want the answer broken off", s)
 	}
@@ -251,7 +251,7 @@
 	g := gate(t, 3)
 	c := admit(t, g, request("/draft/1"))
 	source := g.Start(start, c).Send
-	c.Progress("1")
+	c.Progress(start, "1")
 	g.Redirect(c, g.Roster().Find("u2"), "u0:80/copy", &Attempt{Upstream: source.Upstream, CopyAt: "u0:80/copy"})
 	g.Ended(start, c, Cut, true)
 	back := g.Ended(start, c, Rejected, true)
--- a/internal/core/forward/property_test.go
+++ b/internal/core/forward/property_test.go
@@ -42,7 +42,7 @@
 		}
 		o := outcomes[d%len(outcomes)]
 		if c.Route.Kind == route.Stream && d&8 != 0 && (o == Cut || o == Done) {
-			c.Progress("1")
+			c.Progress(now, "1")
 			begun = true
 		}
 		if o == Cut && d&16 != 0 {
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -140,6 +140,7 @@
 	LastEvent string
 
 	current *Attempt
+	silence silence
 	// redirect lists where the run can be picked up, best first.
 	redirect []*Attempt
 	// resumed is set while an attempt that goes on from a copy has shown no
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -48,8 +48,9 @@
 // Progress tells that an event of the call's stream was passed on. An attempt
 // that went on from a copy has used it up by then: what is left of an earlier
 // move must not be tried once more when this attempt ends.
-func (c *Call) Progress(id string) {
+func (c *Call) Progress(now time.Time, id string) {
 	c.Events++
+	c.silence.note(now, c.Route)
 	if id != "" {
 		c.LastEvent = id
 	}
@@ -80,6 +81,7 @@
 // upstream; settle takes that back.
 func (g *Gate) begin(c *Call, a *Attempt) {
 	c.current = a
+	c.silence.begin(a.Sent, c.Route)
 	l := g.load(a.Upstream)
 	l.calls++
 	l.tokens += a.tokens
--- a/internal/resident/events.go
+++ b/internal/resident/events.go
@@ -86,7 +86,7 @@
 			return forward.Cut, fmt.Errorf("pass event on: %w", err)
 		}
 		id := eventID(event)
-		x.server.decide(func(time.Time, *forward.Gate) { x.call.Progress(id) })
+		x.server.decide(func(now time.Time, _ *forward.Gate) { x.call.Progress(now, id) })
 	}
 }
 
--- a/internal/resident/exchange.go
+++ b/internal/resident/exchange.go
@@ -56,6 +56,9 @@
 	// mover makes a move of the run; nil if none is in progress. The server's
 	// lock guards it.
 	mover *mover
+	// conn carries the attempt in progress; nil between attempts. The server's
+	// lock guards it.
+	conn *conn.Conn
 }
 
 // held is an answer that was read whole.
@@ -131,7 +134,9 @@
 	// work: it stops when the connection closes.
 	stop := context.AfterFunc(x.ctx, func() { c.Close() })
 	defer stop()
+	x.setConn(c)
 	outcome, err := x.converse(c, a)
+	x.setConn(nil)
 	if err != nil {
 		x.lastErr = err
 	}
@@ -141,6 +146,19 @@
 	return outcome
 }
 
+func (x *exchange) setConn(c *conn.Conn) {
+	x.server.decide(func(time.Time, *forward.Gate) { x.conn = c })
+}
+
+// hangUp closes the connection of an attempt, if that is still in progress.
+func (x *exchange) hangUp(a *forward.Attempt) {
+	x.server.decide(func(time.Time, *forward.Gate) {
+		if x.conn != nil && x.call.Current() == a {
+			x.conn.Close()
+		}
+	})
+}
+
 // converse makes one exchange on a connection, which it then keeps or closes.
 func (x *exchange) converse(c *conn.Conn, a *forward.Attempt) (forward.Outcome, error) {
 	kept := false
--- a/internal/resident/move.go
+++ b/internal/resident/move.go
@@ -35,56 +35,75 @@
 
 // orderMove starts a move that the pool's home has ordered.
 func (s *server) orderMove(from string, m msg.MoveOrder) {
-	x := s.find(requestOf(m.Attempt))
 	reply := func(o msg.MoveOutcome) {
 		s.homes.send(from, msg.Moved{Pool: m.Pool, Attempt: m.Attempt, Number: m.Number, Outcome: o})
 	}
+	x := s.find(requestOf(m.Attempt))
 	if x == nil {
 		reply(msg.MoveNoRun)
 		return
 	}
-	mv := &mover{order: m, done: make(chan struct{})}
-	var source *forward.Attempt
-	s.decide(func(time.Time, *forward.Gate) {
+	mv, source := x.beginMove(m)
+	if source == nil {
+		reply(msg.MoveNoRun)
+		return
+	}
+	go func() { reply(x.runMove(mv, source, x.move)) }()
+}
+
+// beginMove makes a move the one in progress. It returns no source if there is
+// one already, or the run is not at the order's source.
+func (x *exchange) beginMove(m msg.MoveOrder) (mv *mover, source *forward.Attempt) {
+	mv = &mover{order: m, done: make(chan struct{})}
+	x.server.decide(func(time.Time, *forward.Gate) {
 		if a := x.call.Current(); x.mover == nil && a != nil && a.Entry.ID == m.From && x.body.whole() {
 			source = a
 			x.mover = mv
 		}
 	})
-	if source == nil {
-		reply(msg.MoveNoRun)
-		return
-	}
-	go func() {
-		outcome, err := x.move(mv, source)
-		events := 0
-		s.decide(func(time.Time, *forward.Gate) { x.mover, events = nil, x.call.Events })
-		close(mv.done)
-		s.metrics.Count("moves_total", string(outcome))
-		s.log.Info("move", "request", x.call.ID, "from", m.From, "to", m.To, "number", m.Number,
-			"outcome", outcome, "events", events, "error", err)
-		reply(outcome)
-	}()
+	return mv, source
+}
+
+// runMove makes a move that has begun, by the steps given.
+func (x *exchange) runMove(mv *mover, source *forward.Attempt, steps func(*mover, *forward.Attempt) (msg.MoveOutcome, error)) msg.MoveOutcome {
+	s := x.server
+	outcome, err := steps(mv, source)
+	events := 0
+	s.decide(func(time.Time, *forward.Gate) { x.mover, events = nil, x.call.Events })
+	close(mv.done)
+	s.metrics.Count("moves_total", string(outcome))
+	s.log.Info("move", "request", x.call.ID, "from", mv.order.From, "to", mv.order.To, "number", mv.order.Number,
+		"outcome", outcome, "events", events, "error", err)
+	return outcome
 }
 
 // move copies the run's memory while it goes on, then stops it and copies what
 // is new: the caller waits for the second, short copy only.
 func (x *exchange) move(mv *mover, source *forward.Attempt) (msg.MoveOutcome, error) {
-	s := x.server
-	first, err := s.copyRun(x.ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, false)
+	first, err := x.server.copyRun(x.ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, false)
 	if err != nil || first.Outcome != msg.MoveDone {
 		return first.Outcome, err
 	}
+	return x.stopAndCopy(mv, source, first.Handle)
+}
+
+// stopAndCopy stops the run, copies what an earlier copy lacks, and makes the call
+// go on from there.
+func (x *exchange) stopAndCopy(mv *mover, source *forward.Attempt, earlier string) (msg.MoveOutcome, error) {
+	s := x.server
 	ctx, cancel := context.WithTimeout(x.ctx, lastTimeout)
 	defer cancel()
 	last, err := s.copyRun(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
 	if last.Outcome == msg.MoveNoRun {
-		s.dropCopy(source.Entry.Address, first.Handle)
+		s.dropCopy(source.Entry.Address, earlier)
 		return msg.MoveNoRun, err
 	}
 	handle := last.Handle
 	if handle == "" {
-		handle = first.Handle
+		handle = earlier
+	}
+	if handle == "" {
+		return last.Outcome, err // nothing to go on from
 	}
 	x.redirect(mv, source, handle, last.Outcome)
 	return last.Outcome, err
--- a/internal/resident/ports.go
+++ b/internal/resident/ports.go
@@ -76,12 +76,17 @@
 	Outcome msg.MoveOutcome
 }
 
-// Report is what an upstream says of its own end.
+// Report is what an upstream says of itself, as of some hundred milliseconds ago.
 type Report struct {
 	Leaving bool
 	// LeavesIn is when it ends, if Known.
 	LeavesIn time.Duration
 	Known    bool
+	// Waiting counts the requests that it holds and does not run.
+	Waiting int
+	// Events counts, by request, the events that its runs have made; nil if it
+	// does not tell.
+	Events map[string]int
 }
 
 // Wire translates between the platform's HTTP and the core's types.
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -27,7 +27,8 @@
 	Fails Fault = "fails"
 	// LostAnswer runs the request and closes the connection.
 	LostAnswer Fault = "lost_answer"
-	// Mute runs the request and says nothing.
+	// Mute runs the request and says nothing; what an engine runs does not
+	// show it.
 	Mute Fault = "mute"
 	// Cuts breaks off in the middle of the answer.
 	Cuts Fault = "cuts"
@@ -363,6 +364,11 @@
 	if last := r.Header.Get("Last-Event-Id"); last != "" {
 		first, _ = strconv.Atoi(last)
 	}
+	if fault == Mute {
+		<-r.Context().Done()
+		w.mark(a, func() { a.CallerLeft = true })
+		return
+	}
 	run := &run{id: a.ID, events: first, stopped: make(chan struct{})}
 	w.mark(a, func() { w.runs[a.ID] = run })
 	defer w.mark(a, func() {
@@ -397,6 +403,9 @@
 	}
 }
 
+// runTokens is the memory that a run's prompt takes, in tokens.
+const runTokens = 1000
+
 type moveCall struct {
 	ID   string `json:"id"`
 	To   string `json:"to"`
@@ -441,5 +450,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	rw.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(rw).Encode(map[string]any{"running": len(w.runs), "state": w.state}) // the caller left
+	runs := [][]any{}
+	for _, r := range w.runs {
+		runs = append(runs, []any{r.id, runTokens + r.events, r.events, 5})
+	}
+	_ = json.NewEncoder(rw).Encode(map[string]any{
+		"running": len(w.runs), "waiting": 0, "state": w.state, "runs": runs,
+	}) // the caller left
 }
