A pool's home counts what its upstreams fail

Cause: an engine that fails requests with good health is freed by each of them at once and looks idle; only entries kept a record of failures, for their own choice, which the home overrules. Ruled out: slow detection (mute requests are given up after 1.3 to 1.5 s), connections that are reset (those drafts' callers lose theirs too).

Change: the home notes how upstreams that do not leave ended what they were given; the record of failures has a package of its own, which entries use too. Penalty of three times the memory for one that fails everything.

--- a/internal/core/forward/choose.go
+++ b/internal/core/forward/choose.go
@@ -73,7 +73,7 @@
 	if now.Sub(l.reported) < reportFresh {
 		score = max(score, float64(l.report.Running)) + float64(l.report.Waiting)
 	}
-	score += failurePenalty * l.rate(now)
+	score += failurePenalty * l.Rate(now)
 	if u.DataCentre != g.options.DataCentre {
 		score += farPenalty
 	}
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -280,7 +280,7 @@
 		}
 	}
 	later := start.Add(20 * time.Second)
-	if rate := g.load(g.Roster().Find("u1")).rate(later); rate > 0.02 {
+	if rate := g.load(g.Roster().Find("u1")).Rate(later); rate > 0.02 {
 		t.Errorf("failure rate %v after 20 s: it must be tried again", rate)
 	}
 }
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -5,8 +5,8 @@
 //
 // One file holds one concern: admit.go lets requests in, choose.go picks the
 // upstream, retry.go decides after a failed attempt, budget.go bounds the
-// retries of the fleet, load.go remembers what runs where, health.go remembers
-// which upstreams fail.
+// retries of the fleet, load.go remembers what runs where, health.go
+// which upstreams are passed over, silence.go judges streams that say nothing.
 package forward
 
 import (
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/health"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
@@ -20,9 +21,10 @@
 	calls  int
 	tokens int
 	// report is the newest count that an answer carried.
-	report   Report
-	reported time.Time
-	health
+	report    Report
+	reported  time.Time
+	restUntil time.Time
+	health.Record
 }
 
 func (g *Gate) load(u *roster.Upstream) *load {
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -122,12 +122,12 @@
 	l.tokens -= a.tokens
 	switch o {
 	case Done:
-		l.note(now, false)
+		l.Note(now, false)
 	case NotSent, Misdirected:
 		// Nobody is there, or somebody else: the entry is out of date.
 		l.rest(now)
 	case Lost, Failed, Cut, Rejected:
-		l.note(now, true)
+		l.Note(now, true)
 	}
 	g.forget()
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -26,8 +26,9 @@
 	slots    int
 	grants   int
 	suspects int
-	// dataCentre is where the upstream stands.
+	// dataCentre is where the upstream stands, penalty what speaks against it.
 	dataCentre string
+	penalty    float64
 }
 
 // summarize brings an upstream's summary up to date.
@@ -39,7 +40,7 @@
 	if u.report.Leaving {
 		s.freshUntil = 0
 	}
-	s.dataCentre = u.report.DataCentre
+	s.dataCentre, s.penalty = u.report.DataCentre, u.report.Penalty
 	s.grants = len(u.grants)
 	s.slots = u.report.MaxBatch - s.grants
 	s.suspects = u.suspects
@@ -114,7 +115,7 @@
 	}
 	rate := h.settings.PromptRate
 	left := s.prompts - float64(at-s.promptsAt)*(rate/1e9)
-	score := s.free - max(left, 0)/(rate/h.settings.PromptWeight)
+	score := s.free - s.penalty - max(left, 0)/(rate/h.settings.PromptWeight)
 	if ask.DataCentre != "" && ask.DataCentre != s.dataCentre {
 		score -= h.settings.FarWeight
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -68,6 +68,9 @@
 	Leaving bool   `json:"leaving"`
 	// DataCentre is where the upstream stands, if its home was told.
 	DataCentre string `json:"data_centre,omitempty"`
+	// Penalty is what speaks against the upstream beside its load, as a part
+	// of its memory; its home sets it.
+	Penalty float64 `json:"-" msgpack:"-"`
 	// Capacity and Used are in tokens of engine memory; a plain service
 	// reports calls at once instead.
 	Capacity int `json:"capacity"`
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/config"
+	"mulberrylug.example/mulberrylug/internal/core/health"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
@@ -41,6 +42,13 @@
 	// calm days nothing changed. At 0.3 and 0.6 calm days got worse: drafts that
 	// crowd together are moved too late when their upstream leaves.
 	farWeight = 0.2
+	// failurePenalty is how much it counts against an upstream if it fails all
+	// that it is given, as a part of its memory: one failure of the last ten
+	// outweighs a third of the memory. An engine that fails is freed at once,
+	// looks idle, and would draw work. On eight days on which two of twelve
+	// engines at a time failed two in five requests, with good health, 90 drafts
+	// were lost without it, 50 with it and 46 with twice as much.
+	failurePenalty = 3.0
 	// avoidFor is how long an upstream gets no new work that could not be
 	// reached. A dead one stays listed for three of its heartbeats, and while
 	// the store is away for as long as that lasts.
@@ -74,6 +82,8 @@
 	// unreachable holds when an upstream was last found so, looked when it
 	// was last asked for its state.
 	unreachable map[string]time.Time
+	// failures holds how upstreams have ended what they were given.
+	failures map[string]*health.Record
 	// own holds the upstreams that have said themselves that they leave.
 	own    map[string]time.Time
 	looked map[string]time.Time
@@ -100,7 +110,7 @@
 	return &Home{
 		service: service, engine: engine, upstreams: map[string]*roster.Upstream{},
 		entries: map[string]string{}, evacuations: map[string]*evacuation{},
-		unreachable: map[string]time.Time{}, own: map[string]time.Time{}, looked: map[string]time.Time{},
+		unreachable: map[string]time.Time{}, own: map[string]time.Time{}, looked: map[string]time.Time{}, failures: map[string]*health.Record{},
 		placement: placement.NewHome(placement.Settings{
 			Weights: config.Weights{Stall: 1, Preemptions: 1, Tail: 1}, Engine: true, Service: service,
 			PromptRate: promptRate, PromptWeight: promptWeight, FarWeight: farWeight,
@@ -204,6 +214,7 @@
 	}
 	h.decide(h.placement.Report(now, now, placement.Report{
 		Upstream: u.ID, DataCentre: u.DataCentre, Leaving: !u.TakesWork() || now.Sub(h.unreachable[u.ID]) < avoidFor, Capacity: h.engine.MemoryToken, MaxBatch: slots,
+		Penalty: failurePenalty * h.failureRate(now, u.ID),
 	}))
 	if !u.TakesWork() && h.evacuations[u.ID] == nil {
 		h.evacuations[u.ID] = newEvacuation(u, now)
@@ -231,6 +242,7 @@
 	delete(h.upstreams, id)
 	delete(h.evacuations, id)
 	delete(h.unreachable, id)
+	delete(h.failures, id)
 	delete(h.looked, id)
 	delete(h.own, id)
 }
@@ -264,11 +276,39 @@
 // End releases what an attempt held.
 func (h *Home) End(now time.Time, m msg.GrantEnd) {
 	delete(h.entries, m.Attempt)
+	h.ran(now, m)
+	h.decide(h.placement.End(now, m.Attempt, m.Tokens, !m.Failed && !m.Cut))
+	h.ended(now, m.Attempt)
+}
+
+// ran notes how an upstream ended what it was given. One that leaves cuts off
+// what it runs, which says nothing about it.
+func (h *Home) ran(now time.Time, m msg.GrantEnd) {
+	u := h.upstreams[m.Upstream]
 	if m.Unreachable {
 		h.Unreachable(now, m.Upstream)
 	}
-	h.decide(h.placement.End(now, m.Attempt, m.Tokens, !m.Failed && !m.Cut))
-	h.ended(now, m.Attempt)
+	if u == nil || m.Cut || m.Unreachable || !u.TakesWork() {
+		return
+	}
+	r := h.failures[m.Upstream]
+	if r == nil {
+		r = &health.Record{}
+		h.failures[m.Upstream] = r
+	}
+	r.Note(now, m.Failed)
+	if m.Failed {
+		h.note("upstream_failed", "request", m.Attempt, "upstream", m.Upstream, "failure_rate", r.Rate(now))
+		h.report(now, u)
+	}
+}
+
+// failureRate is the share of failures among what an upstream ended of late.
+func (h *Home) failureRate(now time.Time, id string) float64 {
+	if r := h.failures[id]; r != nil {
+		return r.Rate(now)
+	}
+	return 0
 }
 
 // Announce takes an entry's word of what it runs.
