A killed instance is noticed at once; each way in which a move can fail has a test

Cause: the test of a home that dies in mid-move lost two drafts beside those entered there: by its silence a dead home is noticed after 1.3 s, and the next hears what runs up to half a second later, when the notice of a leaving engine is over.

Change: when a connection from an instance ends, it is looked whether its address refuses a new one; if so it counts as dead, is no longer named to callers, and entries tell what they run at once. One function tells what a try to connect shows, for instances and upstreams.

Tests, with real processes: home freezes, home dies, entry freezes, destination crashes, copies lapse, answers of moves are lost.

--- a/internal/conn/dial.go
+++ b/internal/conn/dial.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"syscall"
@@ -57,6 +58,40 @@
 	return nil
 }
 
+// Presence is what a try to connect tells of a process.
+type Presence int
+
+// Presences.
+const (
+	// Listens: a connection could be made.
+	Listens Presence = iota + 1
+	// Refuses: the machine answers, and nothing listens there: the process has
+	// ended.
+	Refuses
+	// Silent: no answer in time; the machine or the way to it is down.
+	Silent
+	// Unknown: the try failed here.
+	Unknown
+)
+
+// Look tries to connect to an address within a time.
+func Look(address string, within time.Duration) Presence {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	c, err := Dialer().DialContext(ctx, "tcp", address)
+	var timeout net.Error
+	switch {
+	case err == nil:
+		c.Close()
+		return Listens
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refuses
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return Silent
+	}
+	return Unknown
+}
+
 func dial(ctx context.Context, address string) (net.Conn, error) {
 	c, err := Dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -118,6 +118,19 @@
 	return m != nil && f.alive(now, m)
 }
 
+// Gone notes that nobody listened at an instance's address when it was tried at a
+// moment: its process has ended. A beat that came since counts more. It reports
+// whether that is news.
+func (f *Fleet) Gone(now, tried time.Time, name string) bool {
+	m := f.members[name]
+	if m == nil || !f.alive(now, m) || m.Heard.After(tried) {
+		return false
+	}
+	m.Heard = time.Time{}
+	f.refresh(now)
+	return true
+}
+
 // Learn takes in an instance that is known from the store only.
 func (f *Fleet) Learn(now time.Time, b msg.Beat) {
 	if b.Name == f.self.Name || f.members[b.Name] != nil {
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -145,3 +145,22 @@
 		}
 	}
 }
+
+// A process is killed; its machine refuses new connections at once. Until it were
+// noticed by silence, 1.3 s later, callers would be sent there and homes asked. A
+// beat that came after the look was begun is from the next process: it lives.
+func TestAnInstanceThatRefusesConnectionsIsGone(t *testing.T) {
+	f := fleetOf(0, 3)
+	tried := start.Add(50 * time.Millisecond)
+	if !f.Gone(tried, tried, "i01") || slices.Contains(f.Live(), "i01") || len(f.Addresses(Place{}, 64)) != 2 {
+		t.Errorf("live %v, named %v", f.Live(), f.Addresses(Place{}, 64))
+	}
+	if f.Gone(tried, tried, "i01") || f.Gone(tried, tried, "i99") {
+		t.Error("one that is gone already, or unknown, is no news")
+	}
+	again := beat(1)
+	again.Boot = "c"
+	if !f.Heard(tried.Add(time.Millisecond), again) || f.Gone(tried.Add(2*time.Millisecond), tried, "i01") {
+		t.Error("the next process lives")
+	}
+}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -39,6 +39,9 @@
 	// Dropped is called with the number of frames that were lost with a
 	// broken connection. Set it before the first Send.
 	Dropped func(to string, frames int)
+	// Ended is called when a connection from another instance has ended. Set
+	// it before Serve.
+	Ended func(from string)
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -59,7 +62,7 @@
 	}
 	return &Transport{
 		self: self, listener: ln, handle: handle, log: log, links: map[string]*link{},
-		Dropped: func(string, int) {},
+		Dropped: func(string, int) {}, Ended: func(string) {},
 	}, nil
 }
 
@@ -101,6 +104,7 @@
 	defer stop()
 	defer conn.Close()
 	r := bufio.NewReader(conn)
+	sender := ""
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(silentAfter)); err != nil {
 			return // the connection has ended
@@ -108,8 +112,12 @@
 		from, m, err := Decode(r)
 		if err != nil {
 			t.ended(conn, err)
+			if ctx.Err() == nil && sender != "" {
+				t.Ended(sender)
+			}
 			return
 		}
+		sender = from
 		t.handle(from, m)
 	}
 }
--- /dev/null
+++ b/internal/proctest/resident_move_test.go
@@ -0,0 +1,203 @@
+package proctest
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+)
+
+// slowDrafts is the time between the events of drafts in the tests of moves: a
+// draft then takes two and a half seconds, and is in mid-stream while the test
+// breaks something.
+const slowDrafts = 60 * time.Millisecond
+
+// moving is a world whose drafts are in mid-stream when one engine leaves.
+type moving struct {
+	*world
+	results []result
+	wg      sync.WaitGroup
+}
+
+// drafts starts drafts at all instances and waits until they run.
+func drafts(t *testing.T, n int) *moving {
+	t.Helper()
+	m := &moving{world: settle(t), results: make([]result, n)}
+	for _, k := range m.pool {
+		k.EventEvery = slowDrafts
+	}
+	for k := range n {
+		m.wg.Go(func() { m.results[k] = m.do(m.machines[k%len(m.machines)], draft(m.id(k))) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	return m
+}
+
+func (m *moving) id(k int) string { return fmt.Sprintf("m%d", k) }
+
+// home returns the index of the instance that is the pool's home.
+func (m *moving) home(t *testing.T) int {
+	t.Helper()
+	for k, p := range m.procs {
+		if strings.Contains(p.output(), "event=home_began") {
+			return k
+		}
+	}
+	t.Fatal("no instance is the pool's home")
+	return 0
+}
+
+// check waits for all drafts: each ran once, and its caller got every event once
+// and in order, up to the end or to an honest break. It returns how many are whole.
+func (m *moving) check(t *testing.T) (whole int) {
+	t.Helper()
+	m.wg.Wait()
+	time.Sleep(draftSteps * slowDrafts) // what nobody stopped makes its last events
+	arrivals := m.Arrivals()
+	for k, r := range m.results {
+		id := m.id(k)
+		if n := runs(arrivals[id]); n != 1 {
+			t.Errorf("%s was begun %d times, want once", id, n)
+		}
+		if !strings.HasPrefix(events(id), r.body) {
+			t.Errorf("%s: events are missing, double or out of order: %q", id, r.body)
+		}
+		made := 0
+		for _, a := range arrivals[id] {
+			made += a.Events
+		}
+		if made > draftSteps+lostMost {
+			t.Errorf("%s: %d events were made of %d: it ran on at two engines", id, made, draftSteps)
+		}
+		switch {
+		case r.status == http.StatusOK && !r.cut && r.body == events(id):
+			whole++
+		case r.status == http.StatusOK && !r.cut:
+			t.Errorf("%s looks whole and is not", id)
+		}
+	}
+	return whole
+}
+
+// lostMost is how many events of a draft may be made twice at most: those that the
+// source had made and that had not reached the entry when its connection ended.
+const lostMost = 2
+
+// An engine announces that it leaves, and the home freezes for longer than the
+// notice just as it gives its orders. Another instance takes the role over, learns
+// from the entries what runs there, and moves it; when the first wakes, two give
+// orders. No draft runs twice, and most are whole.
+func TestResidentHomeFreezesInMidMove(t *testing.T) {
+	t.Parallel()
+	m := drafts(t, 12)
+	home := m.home(t)
+	m.pool[0].Leave()
+	time.Sleep(20 * time.Millisecond)
+	if err := m.procs[home].signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(1800*time.Millisecond, func() {
+		if err := m.procs[home].signal(syscall.SIGCONT); err != nil {
+			t.Error(err)
+		}
+	})
+	if whole := m.check(t); whole < 9 {
+		t.Errorf("%d of 12 drafts are whole, want 9 or more", whole)
+	}
+}
+
+// The home dies with orders in hand. The others go on with what it has begun, and
+// its successor moves the rest. Only the drafts that were entered there are lost.
+func TestResidentHomeDiesInMidMove(t *testing.T) {
+	t.Parallel()
+	m := drafts(t, 12)
+	home := m.home(t)
+	m.pool[0].Leave()
+	time.Sleep(40 * time.Millisecond)
+	m.procs[home].kill()
+	time.AfterFunc(1900*time.Millisecond, m.pool[0].Crash)
+	if whole := m.check(t); whole < 7 {
+		t.Errorf("%d of 12 drafts are whole, want 7 or more: 4 were entered at the home", whole)
+	}
+}
+
+// An entry freezes while it makes a move: the run has been copied, perhaps stopped,
+// and its caller sees nothing for a while. When the entry wakes the engine is gone.
+// What was copied goes on; what was not ends honestly; nothing runs twice.
+func TestResidentEntryFreezesInMidMove(t *testing.T) {
+	t.Parallel()
+	m := drafts(t, 12)
+	entry := (m.home(t) + 1) % len(m.procs)
+	m.pool[0].Leave()
+	time.Sleep(50 * time.Millisecond)
+	time.AfterFunc(900*time.Millisecond, m.pool[0].Crash)
+	m.procs[entry].freeze(t, 1200*time.Millisecond)
+	if whole := m.check(t); whole < 8 {
+		t.Errorf("%d of 12 drafts are whole, want 8 or more: 4 were entered at the frozen instance", whole)
+	}
+}
+
+// Every engine but two leaves; one of the two takes the copies and crashes before
+// they are picked up. The source has stopped and kept what it had, so the drafts go
+// on there, or are moved once more.
+func TestResidentDestinationCrashesInMidMove(t *testing.T) {
+	t.Parallel()
+	m := drafts(t, 8)
+	m.pool[1].SetFault(hosting.NoCopies)
+	m.pool[0].Leave()
+	time.Sleep(40 * time.Millisecond)
+	m.pool[1].Crash()
+	m.pool[1].Vanish()
+	m.check(t)
+}
+
+// Copies lapse at their destinations before they are used. The upstream answers
+// that it has not run the request, and the run goes on at its source, which keeps
+// the memory of what it stopped.
+func TestResidentCopiesLapse(t *testing.T) {
+	t.Parallel()
+	m := drafts(t, 12)
+	for _, k := range m.pool[1:] {
+		k.SetFault(hosting.NoCopies)
+	}
+	m.pool[0].Leave()
+	if whole := m.check(t); whole != 12 {
+		t.Errorf("%d of 12 drafts are whole", whole)
+	}
+}
+
+// The engine that leaves stops the runs that it is told to move, copies them, and
+// its answers are lost. The entries know the copies from their first, running copy,
+// and go on from there.
+func TestResidentAnswersOfMovesAreLost(t *testing.T) {
+	t.Parallel()
+	m := drafts(t, 12)
+	m.pool[0].SetFault(hosting.LostMove)
+	m.pool[0].Leave()
+	time.AfterFunc(2*time.Second, m.pool[0].Crash)
+	if whole := m.check(t); whole != 12 {
+		t.Errorf("%d of 12 drafts are whole", whole)
+	}
+}
+
+// A process is killed. Callers who ask where to connect are sent to it until the
+// others notice; by its silence that takes 1.3 s. Its connections end at once, and
+// new ones are refused, so that it is noticed within a fraction of that.
+func TestResidentKilledInstanceIsNoLongerNamed(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	w.procs[0].kill()
+	killed := time.Now()
+	for slices.Contains(w.named(w.machines[1]), w.machines[0].Callers) {
+		if time.Since(killed) > 900*time.Millisecond {
+			t.Fatal("still named 0.9 s after it was killed")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/resident/crash.go
+++ b/internal/resident/crash.go
@@ -1,11 +1,7 @@
 package resident
 
 import (
-	"context"
-	"errors"
-	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/conn"
@@ -26,7 +22,7 @@
 		return
 	}
 	go func() {
-		if !refused(a.Entry.Address) {
+		if p := conn.Look(a.Entry.Address, crashLook); p != conn.Refuses && p != conn.Silent {
 			return
 		}
 		crash := suspect.Crash{Upstream: a.Entry.ID, Boot: strconv.FormatInt(a.Entry.Born, 10)}
@@ -66,19 +62,6 @@
 	s.log.Info("upstream_failing", "upstream", m.Upstream, "source", from)
 }
 
-// refused reports whether nothing listens at an address.
-func refused(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), crashLook)
-	defer cancel()
-	c, err := conn.Dialer().DialContext(ctx, "tcp", address)
-	if err != nil {
-		var timeout net.Error
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &timeout) && timeout.Timeout()
-	}
-	c.Close()
-	return false
-}
-
 // struck takes another instance's strike.
 func (s *server) struck(m msg.Strike) {
 	s.decide(func(now time.Time, g *forward.Gate) {
--- a/internal/resident/fleet.go
+++ b/internal/resident/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"mulberrylug.example/mulberrylug/internal/boottime"
+	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/metrics"
@@ -17,6 +18,9 @@
 // joinPause is the pause between two tries to join the table of instances.
 const joinPause = 500 * time.Millisecond
 
+// linkLook bounds the look at an instance whose connection has ended.
+const linkLook = 300 * time.Millisecond
+
 // fellows keeps in touch with the other instances.
 type fellows struct {
 	store   Store
@@ -26,6 +30,9 @@
 	// state tells whether this instance is ready, whether it leaves, and
 	// whether the store answers it.
 	state func() (ready, leaving, reads bool)
+	// gone is called when an instance has died: whoever takes its place as a
+	// home must hear at once what runs.
+	gone func()
 
 	// mu guards the view, and when the last regular beats were sent.
 	mu     sync.Mutex
@@ -157,6 +164,29 @@
 	}
 }
 
+// linkEnded looks whether an instance whose connection has ended is gone. A killed
+// process is told from a broken connection by the refusal of a new one, a second
+// sooner than by its silence: until then callers are sent to it, and work that it
+// was home of waits.
+func (f *fellows) linkEnded(name string) {
+	var address string
+	var tried time.Time
+	f.with(func(now time.Time, v *fleet.Fleet) {
+		if m := v.Find(name); m != nil {
+			address, tried = m.PeerAddress, now
+		}
+	})
+	if address == "" || conn.Look(address, linkLook) != conn.Refuses {
+		return
+	}
+	gone := false
+	f.with(func(now time.Time, v *fleet.Fleet) { gone = v.Gone(now, tried, name) })
+	if gone {
+		f.log.Info("dependency_lost", "dependency", "instance", "peer", name, "why", "refuses_connections")
+		f.gone()
+	}
+}
+
 func (f *fellows) lose() {
 	var lost []string
 	f.with(func(now time.Time, v *fleet.Fleet) { lost = v.Tick(now) })
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -91,7 +91,7 @@
 		settings: s, wire: wire, log: log, metrics: m, server: srv,
 		drained: make(chan struct{}),
 	}
-	r.fellows = &fellows{store: store, metrics: m, log: log, state: r.state, fleet: fleet.New(r.beat(), s.Regions)}
+	r.fellows = &fellows{store: store, metrics: m, log: log, state: r.state, gone: srv.announce, fleet: fleet.New(r.beat(), s.Regions)}
 	r.relay = &relay{server: srv, send: r.fellows.sendTo, hold: min(watch.PeerHold, holdFor(keys)), waiting: map[string]waitingAsk{}}
 	r.follower = &follower{
 		store: store, server: srv, metrics: m, log: log, left: func() { r.homes.sync() },
@@ -250,6 +250,7 @@
 		return err
 	}
 	peers.Dropped = func(to string, frames int) { r.metrics.Add("peer_lost_messages_total", to, int64(frames)) }
+	peers.Ended = r.fellows.linkEnded
 	r.fellows.peers = peers
 	tree.Add(peers)
 	for _, t := range r.tasks() {
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -44,6 +44,11 @@
 	// FalsePromise runs the request and answers 503 without saying that it
 	// has not run it.
 	FalsePromise Fault = "false_promise"
+	// LostMove makes the moves that it is told to make and loses the answers
+	// of those that stop a run.
+	LostMove Fault = "lost_move"
+	// NoCopies forgets the copies that others send it.
+	NoCopies Fault = "no_copies"
 )
 
 // Arrival is a request as it reached a worker.
@@ -438,14 +443,29 @@
 		time.Sleep(w.CopyTime)
 	}
 	handle := "copy-" + m.ID
-	to.mark(nil, func() { to.copies[handle] = run })
+	to.keep(handle, run)
 	w.mu.Lock()
-	events := run.events
+	events, fault := run.events, w.fault
+	if m.Last {
+		w.copies[handle] = run // a run that was stopped can go on here, too
+	}
 	w.mu.Unlock()
+	if m.Last && fault == LostMove {
+		panic(http.ErrAbortHandler)
+	}
 	rw.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(rw).Encode(map[string]any{"handle": handle, "created_rev": events}) // the caller left
 }
 
+// keep stores a copy of a run, unless the worker forgets such.
+func (w *Worker) keep(handle string, r *run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.fault != NoCopies {
+		w.copies[handle] = r
+	}
+}
+
 func (w *Worker) report(rw http.ResponseWriter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
