The look at an instance whose connection ended is repeated

A killed process's sockets close one after another: the connection had ended while the listener still took new ones, and the one look found it alive. Ruled out: a slow machine (the log shows the connection's end within a millisecond and no refusal).

--- a/internal/resident/fleet.go
+++ b/internal/resident/fleet.go
@@ -18,9 +18,12 @@
 // joinPause is the pause between two tries to join the table of instances.
 const joinPause = 500 * time.Millisecond
 
-// linkLook bounds the look at an instance whose connection has ended.
+// linkLook bounds a look at an instance whose connection has ended.
 const linkLook = 300 * time.Millisecond
 
+// linkLooks are the pauses before each of these looks.
+var linkLooks = []time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond}
+
 // fellows keeps in touch with the other instances.
 type fellows struct {
 	store   Store
@@ -167,18 +170,30 @@
 // linkEnded looks whether an instance whose connection has ended is gone. A killed
 // process is told from a broken connection by the refusal of a new one, a second
 // sooner than by its silence: until then callers are sent to it, and work that it
-// was home of waits.
+// was home of waits. Its sockets close one after the other, so that its address may
+// still take a connection at first.
 func (f *fellows) linkEnded(name string) {
-	var address string
-	var tried time.Time
-	f.with(func(now time.Time, v *fleet.Fleet) {
-		if m := v.Find(name); m != nil {
-			address, tried = m.PeerAddress, now
+	for _, wait := range linkLooks {
+		time.Sleep(wait)
+		var address string
+		var tried time.Time
+		f.with(func(now time.Time, v *fleet.Fleet) {
+			if m := v.Find(name); m != nil && v.Hears(now, name) {
+				address, tried = m.PeerAddress, now
+			}
+		})
+		if address == "" {
+			return // it is known to be gone
+		}
+		if conn.Look(address, linkLook) == conn.Refuses {
+			f.takeOut(tried, name)
+			return
 		}
-	})
-	if address == "" || conn.Look(address, linkLook) != conn.Refuses {
-		return
 	}
+}
+
+// takeOut counts an instance as dead that refused a connection.
+func (f *fellows) takeOut(tried time.Time, name string) {
 	gone := false
 	f.with(func(now time.Time, v *fleet.Fleet) { gone = v.Gone(now, tried, name) })
 	if gone {
