--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -29,11 +29,6 @@
 	// frozen or cut off comes back under the same name; one that was replaced
 	// does not.
 	ForgetAfter = 30 * time.Second
-	// readers is how many instances read the store: one, and one more whose
-	// answers are at hand when the first falls silent.
-	readers = 2
-	// readersKey orders the instances by rendezvous hashing for that role.
-	readersKey = "store-readers"
 )
 
 // Member is what an instance last told of itself.
@@ -218,31 +213,16 @@
 // Size is how many instances are known, this one included.
 func (f *Fleet) Size() int { return len(f.members) + 1 }
 
-// Readers lists the instances that read the store for the others: the first in
-// rendezvous order among those that the store answers. One that is cut off from
-// the store says so, and the next takes its place; if all say so, each of them
-// asks the store itself.
-func (f *Fleet) Readers(now time.Time) []string {
-	var out []string
-	for _, name := range f.view.Homes(now, readersKey, f.Size(), func(string) int { return 0 }) {
-		if len(out) < readers && f.reads(name) {
-			out = append(out, name)
+// Home returns the instance that decides for a key, if there is one in a data centre
+// that is named.
+func (f *Fleet) Home(now time.Time, key, dataCentre string) string {
+	rank := func(dc string) int {
+		if dataCentre == "" || dc == dataCentre {
+			return 0
 		}
+		return 1
 	}
-	return out
-}
-
-func (f *Fleet) reads(name string) bool {
-	if name == f.self.Name {
-		return f.self.Reads && !f.self.Leaving
-	}
-	m := f.members[name]
-	return m != nil && m.Reads && !m.Leaving
-}
-
-// Home returns the instance that decides for a key.
-func (f *Fleet) Home(now time.Time, key string) string {
-	if homes := f.view.Homes(now, key, 1, func(string) int { return 0 }); len(homes) > 0 {
+	if homes := f.view.Homes(now, key, 1, rank); len(homes) > 0 {
 		return homes[0]
 	}
 	return f.self.Name
--- /dev/null
+++ b/internal/core/fleet/sources_test.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+)
+
+// sized returns the view of one of n instances in three data centres; every
+// twentieth stands on a large machine.
+func sized(self, n int) *Fleet {
+	one := func(k int) msg.Beat {
+		b := beat(k)
+		b.Name, b.DataCentre, b.Class = fmt.Sprintf("i%03d", k), fmt.Sprintf("dc%d", k%3), 4
+		if k%20 == 7 {
+			b.Class = 8
+		}
+		return b
+	}
+	f := New(one(self), nil)
+	f.SetSelf(true, false, true)
+	for k := range n {
+		f.Heard(start, one(k))
+	}
+	return f
+}
+
+// Hundreds of instances want news. Two readers that answered all of them would do
+// little else, and the list of a few thousand upstreams does not fit through a small
+// machine's link: large machines read, two in each data centre relay, and everybody
+// asks one beside it.
+func TestLargeFleetsAskRelaysInTheirDataCentre(t *testing.T) {
+	const n, sample = 300, 12
+	asked := map[string]int{}
+	for k := 0; k < n; k += sample - 1 { // through all data centres
+		f := sized(k, n)
+		s := f.Sources(start)
+		if len(s.Ask) == 0 {
+			t.Fatalf("instance %d asks nobody", k)
+		}
+		first, _ := f.beatOf(s.Ask[0])
+		switch {
+		case s.Reads:
+			if f.self.Class != 8 {
+				t.Errorf("%s reads on a small machine", f.self.Name)
+			}
+		case s.Relays:
+			if !slices.Contains(f.Readers(start), s.Ask[0]) || f.self.Class != 8 || s.Relayed {
+				t.Errorf("relay %s asks %s", f.self.Name, s.Ask[0])
+			}
+		default:
+			if first.DataCentre != f.self.DataCentre || !s.Relayed {
+				t.Errorf("%s in %s asks %s in %s", f.self.Name, f.self.DataCentre, first.Name, first.DataCentre)
+			}
+		}
+		if !s.Reads {
+			asked[s.Ask[0]]++
+		}
+	}
+	for name, by := range asked {
+		if by > 70/sample+3 {
+			t.Errorf("%s is asked by %d of the %d instances", name, by, n/(sample-1))
+		}
+	}
+	if len(asked) < 5 {
+		t.Errorf("%d instances are asked by all others", len(asked))
+	}
+}
+
+// In a small fleet the readers answer everybody, as before; each instance begins with
+// one of the two, so that the loss of one is noticed by half.
+func TestSmallFleetsAskTheReaders(t *testing.T) {
+	first := map[string]bool{}
+	for k := range 13 {
+		s := sized(k, 13).Sources(start)
+		if s.Relayed || s.Relays != s.Reads || len(s.Ask) == 0 {
+			t.Errorf("instance %d: %+v", k, s)
+		}
+		if !s.Reads {
+			first[s.Ask[0]] = true
+		}
+	}
+	if len(first) != readers {
+		t.Errorf("asked first: %v", first)
+	}
+}
+
+// The home of a pool that stands in one data centre is there, so that a cut between
+// data centres takes no placement with it; without instances there, elsewhere.
+func TestHomesStandInTheirPoolsDataCentre(t *testing.T) {
+	f := sized(0, 30)
+	for k := range 20 {
+		home, _ := f.beatOf(f.Home(start, fmt.Sprint("pool/", k), "dc2"))
+		if home.DataCentre != "dc2" {
+			t.Errorf("home %s stands in %s", home.Name, home.DataCentre)
+		}
+	}
+	if f.Home(start, "pool", "nowhere") == "" {
+		t.Error("a pool without instances beside it has no home")
+	}
+}
--- a/internal/core/forward/choose.go
+++ b/internal/core/forward/choose.go
@@ -35,11 +35,26 @@
 	outputWeight = 3
 )
 
+// candidates lists the upstreams that this instance chooses from by itself. Of a
+// service with hundreds, each instance uses some in its data centre: fewer
+// connections, fewer bytes of the list, and a choice that costs the same.
+func (g *Gate) candidates(service string) []*roster.Upstream {
+	layout, _ := g.roster.Layout()
+	if layout[service] == nil {
+		return g.roster.Of(service)
+	}
+	var out []*roster.Upstream
+	for _, group := range layout.Own(service, g.options.DataCentre, g.options.Name) {
+		out = append(out, g.roster.In(group)...)
+	}
+	return out
+}
+
 // choose returns the upstream with the least work for a call, or nil.
 func (g *Gate) choose(now time.Time, c *Call) *roster.Upstream {
 	var best *roster.Upstream
 	least := 0.0
-	for _, u := range g.roster.Of(c.Service) {
+	for _, u := range g.candidates(c.Service) {
 		if !u.TakesWork() || g.load(u).resting(now) {
 			continue
 		}
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -26,6 +26,8 @@
 
 // Options describe an instance at its start.
 type Options struct {
+	// Name and DataCentre are the instance's own.
+	Name       string
 	DataCentre string
 	// KeysGoodFor is how long after the last confirmation of the
 	// configuration keys are accepted; 0 accepts them for ever.
@@ -48,6 +50,9 @@
 	confirmed time.Time
 	roster    *roster.Roster
 	loads     map[*roster.Upstream]*load
+	// strangers holds the upstreams that only homes know of, while work of
+	// this instance runs there.
+	strangers map[string]*roster.Upstream
 	budgets   map[string]*budget
 	suspects  *suspect.List
 	instances int
@@ -60,7 +65,7 @@
 // New returns a gate that knows no configuration yet.
 func New(o Options) *Gate {
 	return &Gate{
-		options: o, roster: roster.New(), loads: map[*roster.Upstream]*load{},
+		options: o, roster: roster.New(), loads: map[*roster.Upstream]*load{}, strangers: map[string]*roster.Upstream{},
 		budgets: map[string]*budget{}, suspects: suspect.NewList(crashMemory),
 		instances: 1, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)),
 	}
@@ -111,7 +116,7 @@
 
 // Configure takes new bounds.
 func (g *Gate) Configure(o Options) {
-	o.Seed, o.DataCentre, o.NoHomes = g.options.Seed, g.options.DataCentre, g.options.NoHomes
+	o.Seed, o.Name, o.DataCentre, o.NoHomes = g.options.Seed, g.options.Name, g.options.DataCentre, g.options.NoHomes
 	g.options = o
 	g.budgets = map[string]*budget{}
 }
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -32,7 +32,38 @@
 	for _, u := range c.tried {
 		ask.Exclude = append(ask.Exclude, u.ID)
 	}
-	return msg.GrantAsk{Pool: c.Service, Ask: ask}
+	return msg.GrantAsk{Pool: c.Pool, Ask: ask}
+}
+
+// poolsMost is how many pools of a divided service a call is offered to. The pools
+// of a data centre fill up alike; one that has lost its upstreams does not speak for
+// the others.
+const poolsMost = 2
+
+// nextPool chooses the pool that is asked for a call: the whole service, or one of
+// its parts in this data centre, or else in another. It reports false if the call
+// has been offered to enough of them.
+func (g *Gate) nextPool(c *Call) bool {
+	layout, _ := g.roster.Layout()
+	pools := layout.Groups(c.Service, g.options.DataCentre)
+	if len(pools) == 0 {
+		pools = layout.Groups(c.Service, "")
+	}
+	if len(pools) == 0 {
+		again := c.Pool == c.Service
+		c.Pool = c.Service
+		return !again
+	}
+	if c.offers >= poolsMost {
+		return false
+	}
+	c.offers++
+	pick := g.rng.IntN(len(pools))
+	if pools[pick].Name() == c.Pool {
+		pick = (pick + 1) % len(pools)
+	}
+	c.Pool = pools[pick].Name()
+	return true
 }
 
 // Grant names the attempt that is next or in progress, towards the home.
@@ -63,15 +94,37 @@
 		return Step{AskHome: true, Why: GrantLapsed}
 	}
 	u := g.roster.Find(a.Decision.Upstream)
+	if u == nil && a.Entry != nil {
+		u = g.foreign(now, *a.Entry)
+	}
 	if u == nil || !u.TakesWork() {
 		return g.send(now, c)
 	}
 	return g.sendTo(now, c, u)
 }
 
+// foreign returns an upstream that only its pool's home knows of. It is remembered
+// while work of this instance runs there.
+func (g *Gate) foreign(now time.Time, e roster.Entry) *roster.Upstream {
+	u := g.strangers[e.ID]
+	if u == nil || u.Born != e.Born || u.Address != e.Address {
+		u = &roster.Upstream{Entry: e, Seen: now}
+		g.strangers[e.ID] = u
+	}
+	return u
+}
+
+// Leaves notes the word of a pool's home that the upstream of an attempt leaves: what
+// breaks off there then is no crash.
+func (g *Gate) Leaves(now time.Time, a *Attempt) { g.roster.MarkLeaving(now, a.Upstream) }
+
 // HomeRefused takes a home's refusal: the pool is full, and will be for as long
 // as the answer says.
 func (g *Gate) HomeRefused(c *Call, reason string, after time.Duration) Step {
+	if g.nextPool(c) {
+		c.grants++
+		return Step{AskHome: true}
+	}
 	if reason == placement.ReasonNoUpstream {
 		return g.giveUp(c, NoUpstream, after)
 	}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -45,7 +45,14 @@
 // forget drops what is known of upstreams that are gone and have no work left.
 func (g *Gate) forget() {
 	for u, l := range g.loads {
-		if u.Gone && l.calls == 0 {
+		if l.calls > 0 {
+			continue
+		}
+		stranger := g.strangers[u.ID] == u
+		if stranger {
+			delete(g.strangers, u.ID)
+		}
+		if stranger || u.Gone {
 			delete(g.loads, u)
 		}
 	}
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -125,6 +125,8 @@
 	Request
 	Route   *route.Route
 	Service string
+	// Pool names the pool whose home was last asked where the call goes.
+	Pool string
 	// Organisation is the key's owner, "" on public routes.
 	Organisation string
 	Rank         int
@@ -146,6 +148,8 @@
 	// resumed is set while an attempt that goes on from a copy has shown no
 	// event yet: redirect then holds the other places to try.
 	resumed bool
+	// offers counts the pools of a divided service that were asked.
+	offers int
 	// grants counts the asks for a new attempt after the first.
 	grants int
 	sends  int
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -27,6 +27,9 @@
 // next asks the pool's home where the call goes, or makes the next attempt.
 func (g *Gate) next(now time.Time, c *Call) Step {
 	if g.wantsHome(c) {
+		if c.Pool == "" {
+			g.nextPool(c)
+		}
 		return Step{AskHome: true}
 	}
 	return g.send(now, c)
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -35,6 +35,9 @@
 	// Hears is set if the sender has heard the receiver lately. If not, the
 	// receiver's connection to the sender may swallow all that is sent.
 	Hears bool
+	// Class is the capacity of the sender's machine: how often its link in
+	// Mbit/s can be halved. The work that one does for all goes to the largest.
+	Class uint8
 	// Answer asks the receiver for a beat of its own: the sender has just
 	// started and must learn who lives.
 	Answer bool
@@ -46,7 +49,7 @@
 type SyncAsk struct {
 	Number int64
 	Config int64
-	List   int64
+	List   roster.Question
 }
 
 // SyncAnswer answers a SyncAsk.
@@ -56,14 +59,13 @@
 	// ConfigAge is how long ago the sender asked the question whose answer
 	// last confirmed its configuration. Negative if it has none.
 	ConfigAge time.Duration
-	// ListAge is the same for the list of upstreams.
+	// ListAge is the same for the list of upstreams; negative if the sender
+	// knows too little of it to answer.
 	ListAge time.Duration
 	// Config is nil if the asker's version is the newest known.
 	Config *route.Config
-	// ListVersion is the version of the whole list in List; 0 if it has
-	// nothing that the asker lacks.
-	ListVersion int64
-	List        []roster.Change
+	// List is nil if the sender has nothing that the asker lacks.
+	List *roster.Share
 }
 
 // MoveOrder tells an entry to move a running generation to another upstream.
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -7,6 +7,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/core/budget"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
 // Message is one of the types below.
@@ -60,6 +61,8 @@
 	Decision placement.Decision
 	// Address is where the upstream takes calls, if granted.
 	Address string
+	// Entry is the upstream, for an entry that need not know it; nil if it does.
+	Entry *roster.Entry
 	// Boot is the upstream's run, as of its last report.
 	Boot string
 	// TTL is how long after the ask was sent the grant may be used, and
--- a/internal/core/placement/move.go
+++ b/internal/core/placement/move.go
@@ -33,6 +33,12 @@
 	return out
 }
 
+// Runs reports whether anything runs on an upstream, as the home believes.
+func (h *Home) Runs(name string) bool {
+	u := h.byName[name]
+	return u != nil && len(u.grants) > 0
+}
+
 // left returns how many tokens are expected to follow. A caller's own estimate
 // counts until it is passed; what was learnt of lengths counts from then on.
 func (h *Home) left(g *grant, tokens int) float64 {
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -72,8 +72,11 @@
 
 // Home decides for one pool. It is not safe for concurrent use.
 type Home struct {
-	service   string
-	engine    route.Engine
+	service string
+	engine  route.Engine
+	// part is set if the pool is a part of a divided service: entries do not
+	// know its upstreams.
+	part      bool
 	placement *placement.Home
 	upstreams map[string]*roster.Upstream
 	// entries maps attempts to the instances that asked for them.
@@ -105,10 +108,10 @@
 	Pairs []any
 }
 
-// NewHome returns the home of a service's pool.
+// NewHome returns the home of a pool, which is a service or a group of its upstreams.
 func NewHome(service string, engine route.Engine) *Home {
 	return &Home{
-		service: service, engine: engine, upstreams: map[string]*roster.Upstream{},
+		service: service, engine: engine, part: roster.ParseGroup(service).Of > 0, upstreams: map[string]*roster.Upstream{},
 		entries: map[string]string{}, evacuations: map[string]*evacuation{},
 		unreachable: map[string]time.Time{}, own: map[string]time.Time{}, looked: map[string]time.Time{}, failures: map[string]*health.Record{},
 		placement: placement.NewHome(placement.Settings{
@@ -169,11 +172,12 @@
 	h.evacuate(now)
 }
 
-// look asks the upstreams themselves whether they leave. While the store is away
-// their announcements do not arrive, and what runs on them would be cut.
+// look asks the upstreams on which something runs themselves whether they leave.
+// While the store is away their announcements do not arrive, and what runs on them
+// would be cut.
 func (h *Home) look(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(h.upstreams)) {
-		if u := h.upstreams[id]; u.LeavingSince.IsZero() && now.Sub(h.looked[id]) >= lookEvery {
+		if u := h.upstreams[id]; h.placement.Runs(id) && u.LeavingSince.IsZero() && now.Sub(h.looked[id]) >= lookEvery {
 			h.looked[id] = now
 			h.looks = append(h.looks, Look{ID: id, Address: u.Address})
 		}
@@ -265,6 +269,9 @@
 		m := msg.GrantAnswer{Pool: h.service, Decision: d, TTL: grantTTL}
 		if u := h.upstreams[d.Upstream]; u != nil {
 			m.Address = u.Address
+			if h.part {
+				m.Entry = &u.Entry
+			}
 		}
 		h.send(h.entries[d.Attempt], m)
 		if d.Kind == placement.Refused {
--- /dev/null
+++ b/internal/core/roster/group_test.go
@@ -0,0 +1,186 @@
+package roster
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// spread lists n upstreams of a service in each of three data centres.
+func spread(service string, n int) (out []Change) {
+	for _, dc := range []string{"a", "b", "c"} {
+		for k := range n {
+			id := fmt.Sprintf("%s-%s-%d", service, dc, k)
+			out = append(out, Change{ID: id, Version: int64(len(out) + 1), Valid: true, Entry: Entry{
+				ID: id, Service: service, DataCentre: dc, Address: id + ":80", Born: 1,
+			}})
+		}
+	}
+	return out
+}
+
+func reader(t *testing.T, changes ...Change) *Roster {
+	t.Helper()
+	r := New()
+	for k := range changes {
+		changes[k].Version = int64(k + 1)
+	}
+	if _, ok := r.Replace(start, changes, int64(len(changes))); !ok {
+		t.Fatal("the list was not taken")
+	}
+	r.Divide()
+	return r
+}
+
+// follow makes an instance's list follow a reader's, as its questions do.
+func follow(r, reader *Roster, instance, dataCentre string) {
+	layout, divided := reader.Layout()
+	var own []Group
+	for service := range layout {
+		own = append(own, layout.Own(service, dataCentre, instance)...)
+	}
+	groups := append(reader.Since(r.Newest(), own), reader.Copies(own)...)
+	r.Adopt(start, Share{Version: reader.Newest(), Layout: layout, Divided: divided, Groups: groups})
+	r.Keep(own)
+}
+
+// Today's services are known whole to everybody. One of hundreds of upstreams is
+// divided into parts of one data centre each, which together are the service.
+func TestLargeServicesAreDivided(t *testing.T) {
+	r := reader(t, append(spread("small", 15), spread("large", 200)...)...)
+	layout, _ := r.Layout()
+	if layout["small"] != nil || layout["large"] == nil {
+		t.Fatalf("layout %v", layout)
+	}
+	seen := map[string]bool{}
+	for _, g := range layout.Groups("large", "") {
+		list := r.In(g)
+		if len(list) < 8 || len(list) > 48 {
+			t.Errorf("%s has %d upstreams", g.Name(), len(list))
+		}
+		for _, u := range list {
+			if u.DataCentre != g.DataCentre || seen[u.ID] {
+				t.Errorf("%s holds %s of %s", g.Name(), u.ID, u.DataCentre)
+			}
+			seen[u.ID] = true
+		}
+		if ParseGroup(g.Name()) != g {
+			t.Errorf("name %s is read as %+v", g.Name(), ParseGroup(g.Name()))
+		}
+	}
+	if len(seen) != 600 {
+		t.Errorf("%d of 600 upstreams are in a group", len(seen))
+	}
+	for _, name := range []string{"small", "a/b", "s/dc/2/2", "s/dc/-1/4", "s/dc/x/4"} {
+		if ParseGroup(name) != Whole(name) {
+			t.Errorf("%q is read as a part", name)
+		}
+	}
+}
+
+// A service's upstreams come and go around the border of its division. Each new
+// division makes new pools, whose homes know nothing, so that the border must be
+// wide.
+func TestSmallChangesDoNotDivideAnew(t *testing.T) {
+	count := func(n int) map[string]map[string]int { return map[string]map[string]int{"s": {"a": n}} }
+	var l Layout
+	for _, c := range []struct{ n, want int }{{64, 0}, {65, 4}, {60, 4}, {49, 4}, {48, 0}, {64, 0}, {200, 8}, {260, 8}, {380, 8}, {400, 16}, {300, 16}, {150, 8}} {
+		l = divide(l, count(c.n))
+		if got := l["s"]["a"]; got != c.want {
+			t.Errorf("%d upstreams: %d parts, want %d", c.n, got, c.want)
+		}
+	}
+}
+
+// An instance that uses two parts of a large service hears of these only, of what
+// joins and what goes there, and forgets them when it uses others.
+func TestAnInstanceKnowsItsGroupsOnly(t *testing.T) {
+	all := append(spread("small", 2), spread("large", 200)...)
+	r := reader(t, all...)
+	mine := New()
+	follow(mine, r, "i1", "b")
+	if n := len(mine.Of("large")); n < 16 || n > 96 {
+		t.Fatalf("%d upstreams of the large service are known", n)
+	}
+	if len(mine.Of("small")) != 6 {
+		t.Errorf("%d upstreams of the small service are known, want 6", len(mine.Of("small")))
+	}
+	layout, _ := r.Layout()
+	own := layout.Own("large", "b", "i1")
+	for _, g := range own {
+		if !mine.Knows(g) || len(mine.In(g)) != len(r.In(g)) || g.DataCentre != "b" {
+			t.Errorf("%s: %d known of %d", g.Name(), len(mine.In(g)), len(r.In(g)))
+		}
+	}
+	gone := mine.In(own[0])[0]
+	v := r.Newest()
+	r.Update(at(time.Second), []Change{{ID: gone.ID, Version: v + 1, Removed: true}}, v+1)
+	if told := r.Since(v, own); len(told) != 1 || told[0].Group != own[0] {
+		t.Errorf("%d groups are told of, want the one that changed", len(told))
+	}
+	if other := r.Since(v, nil); len(other) != 1 {
+		t.Errorf("%d groups changed, want one", len(other))
+	}
+	follow(mine, r, "i1", "b")
+	if mine.Find(gone.ID) != nil || !gone.Gone {
+		t.Error("what went from its group must go here, too")
+	}
+	mine.Keep(nil)
+	if len(mine.Of("large")) != 0 || len(mine.Of("small")) != 6 || mine.Knows(own[0]) {
+		t.Error("groups that are not used must be forgotten, whole services kept")
+	}
+}
+
+// A service grows past the border while an instance follows it: it is told of the
+// division with its groups, and keeps those that it uses.
+func TestADivisionIsFollowed(t *testing.T) {
+	all := spread("s", 20)
+	r := reader(t, all...)
+	mine := New()
+	follow(mine, r, "i1", "a")
+	if len(mine.Of("s")) != 60 {
+		t.Fatalf("%d known", len(mine.Of("s")))
+	}
+	var more []Change
+	v := r.Newest()
+	for k, c := range spread("s", 60) {
+		c.Version = v + int64(k) + 1
+		more = append(more, c)
+	}
+	r.Update(at(time.Second), more, v+int64(len(more)))
+	if !r.Divide() {
+		t.Fatal("180 upstreams are not divided")
+	}
+	follow(mine, r, "i1", "a")
+	layout, _ := r.Layout()
+	for _, g := range layout.Own("s", "a", "i1") {
+		if !slices.Equal(names(mine.In(g)), names(r.In(g))) {
+			t.Errorf("%s: %v, want %v", g.Name(), names(mine.In(g)), names(r.In(g)))
+		}
+	}
+	for _, u := range mine.Of("s") {
+		if u.DataCentre != "a" {
+			t.Errorf("%s is still known", u.ID)
+		}
+	}
+}
+
+// Ids of upstreams are new each time. Versions of those that went long ago must not
+// pile up, but old news of one that has just gone must not bring it back.
+func TestVersionsOfTheGoneAreForgotten(t *testing.T) {
+	r := New()
+	for k := range 1000 {
+		id, v := fmt.Sprint("u", k), int64(2*k+1)
+		r.Update(at(time.Duration(k)*time.Second), []Change{listed(id, v)}, v)
+		r.Update(at(time.Duration(k)*time.Second), []Change{{ID: id, Version: v + 1, Removed: true}}, v+1)
+		r.Tick(at(time.Duration(k) * time.Second))
+	}
+	if len(r.versions) > 62 || len(r.gone) > 62 {
+		t.Errorf("%d versions and %d gone upstreams are remembered", len(r.versions), len(r.gone))
+	}
+	r.Update(at(1001*time.Second), []Change{listed("u999", 1999)}, 1999)
+	if r.Find("u999") != nil {
+		t.Error("old news brought an upstream back")
+	}
+}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -37,6 +37,11 @@
 // that it reports.
 const outageMemory = 1500 * time.Millisecond
 
+// goneMemory is how long old news of an upstream that went is told from new. Answers
+// of the store come a few seconds late at most; stale reads of the store are
+// several seconds behind.
+const goneMemory = time.Minute
+
 // Upstream is one run of an upstream.
 type Upstream struct {
 	Entry
@@ -66,16 +71,27 @@
 	Entry Entry
 }
 
-// Roster is the list as known here. It is not safe for concurrent use.
+// Roster is the list as known here: all of it, or the groups that this instance
+// uses. It is not safe for concurrent use.
 type Roster struct {
-	byID      map[string]*Upstream
-	versions  map[string]int64
+	byID     map[string]*Upstream
+	versions map[string]int64
+	// gone holds when upstreams were dropped whose versions are remembered.
+	gone      map[string]time.Time
 	byService map[string][]*Upstream
+	byGroup   map[Group][]*Upstream
+	// layout tells how services are divided, divided is its version.
+	layout  Layout
+	divided int64
+	// known holds the divided groups of which every upstream is known; whole
+	// is set if that is so of all.
+	known map[Group]bool
+	whole bool
 	// newest is the newest version of the list that was seen.
 	newest int64
-	// changed is the version of the newest change that was more than a
-	// heartbeat.
-	changed int64
+	// changed holds, by group, the version of the newest change that was more
+	// than a heartbeat.
+	changed map[Group]int64
 	// down is set while the store does not answer, since returned.
 	down     bool
 	returned time.Time
@@ -87,7 +103,10 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{byID: map[string]*Upstream{}, versions: map[string]int64{}, byService: map[string][]*Upstream{}}
+	return &Roster{
+		byID: map[string]*Upstream{}, versions: map[string]int64{}, gone: map[string]time.Time{}, byService: map[string][]*Upstream{},
+		byGroup: map[Group][]*Upstream{}, known: map[Group]bool{}, changed: map[Group]int64{},
+	}
 }
 
 // Confirm tells that the list was the newest at a moment: that of the question
@@ -112,19 +131,6 @@
 // configuration but no list yet would refuse everything.
 func (r *Roster) Known() bool { return r.newest > 0 }
 
-// Changed returns the version of the newest change that was more than a
-// heartbeat.
-func (r *Roster) Changed() int64 { return r.changed }
-
-// Snapshot returns the whole list as changes, for another instance.
-func (r *Roster) Snapshot() []Change {
-	out := make([]Change, 0, len(r.byID))
-	for _, u := range r.All() {
-		out = append(out, Change{ID: u.ID, Version: u.Version, Valid: true, Entry: u.Entry})
-	}
-	return out
-}
-
 // Newest returns the newest version of the list that was seen.
 func (r *Roster) Newest() int64 { return r.newest }
 
@@ -143,49 +149,63 @@
 // their id are passed over: answers may come late or from a stale copy.
 func (r *Roster) Update(now time.Time, changes []Change, upTo int64) []*Upstream {
 	var left []*Upstream
+	meant := false
 	for _, c := range changes {
 		if c.Version <= r.versions[c.ID] {
 			continue
 		}
 		r.versions[c.ID] = c.Version
 		if r.means(c) {
-			r.changed = max(r.changed, c.Version)
+			r.touch(c)
+			meant = true
 		}
 		if u := r.apply(now, c); u != nil {
 			left = append(left, u)
 		}
 	}
 	r.newest = max(r.newest, upTo)
-	r.index()
+	if meant {
+		r.index()
+	}
 	return left
 }
 
+// touch notes that a change concerns the groups of what was and of what is.
+func (r *Roster) touch(c Change) {
+	if u := r.byID[c.ID]; u != nil {
+		r.mark(r.layout.Of(u.Entry), c.Version)
+	}
+	if c.Valid && !c.Removed {
+		r.mark(r.layout.Of(c.Entry), c.Version)
+	}
+}
+
+func (r *Roster) mark(g Group, version int64) { r.changed[g] = max(r.changed[g], version) }
+
 // Replace applies a whole copy of the list: what it lacks is removed. A copy
 // that is older than what was seen is passed over; it reports false then.
 func (r *Roster) Replace(now time.Time, all []Change, version int64) (left []*Upstream, ok bool) {
 	if version < r.newest {
 		return nil, false
 	}
-	listed := map[string]bool{}
+	r.whole = true
+	left = r.Update(now, append(all, r.missing(all, version, r.All())...), version)
+	return left, true
+}
+
+// missing returns removals for those of some upstreams that a copy lacks.
+func (r *Roster) missing(all []Change, version int64, of []*Upstream) []Change {
+	listed := make(map[string]bool, len(all))
 	for _, c := range all {
 		listed[c.ID] = true
 	}
-	for id, u := range r.byID {
-		if !listed[id] && u.Lapses.IsZero() {
-			all = append(all, Change{ID: id, Version: version, Removed: true})
+	var out []Change
+	for _, u := range of {
+		if !listed[u.ID] && u.Lapses.IsZero() {
+			out = append(out, Change{ID: u.ID, Version: version, Removed: true})
 		}
 	}
-	return r.Update(now, all, version), true
-}
-
-// Adopt applies a whole copy of another instance's list. What that lacks is gone:
-// the other has held lapsed entries for as long as they are worth it.
-func (r *Roster) Adopt(now time.Time, all []Change, version int64) (left []*Upstream, ok bool) {
-	r.down, r.returned = false, time.Time{}
-	for _, u := range r.byID {
-		u.Lapses = time.Time{}
-	}
-	return r.Replace(now, all, version)
+	return out
 }
 
 // apply takes one change in and returns the upstream that left by it, if any.
@@ -222,7 +242,8 @@
 	if c.Removed || !c.Valid {
 		return u != nil
 	}
-	return u == nil || !sameRun(u.Entry, c.Entry) || u.Entry.Leaving != c.Entry.Leaving || !u.Lapses.IsZero()
+	return u == nil || !sameRun(u.Entry, c.Entry) || u.Entry.Leaving != c.Entry.Leaving ||
+		u.DataCentre != c.Entry.DataCentre || !u.Lapses.IsZero()
 }
 
 // sameRun reports whether two entries under one id are of the same run.
@@ -247,8 +268,9 @@
 }
 
 func (r *Roster) drop(now time.Time, u *Upstream) *Upstream {
-	r.changed = max(r.changed, r.newest)
+	r.mark(r.layout.Of(u.Entry), r.newest)
 	delete(r.byID, u.ID)
+	r.gone[u.ID] = now
 	if u.LeavingSince.IsZero() {
 		u.LeavingSince = now
 	}
@@ -267,9 +289,24 @@
 	if left != nil {
 		r.index()
 	}
+	r.forget(now)
 	return left
 }
 
+// forget drops the versions of upstreams that went long ago. Ids are new each time,
+// so that what is kept of them would grow for ever.
+func (r *Roster) forget(now time.Time) {
+	for id, at := range r.gone {
+		switch {
+		case r.byID[id] != nil:
+			delete(r.gone, id)
+		case now.Sub(at) > goneMemory:
+			delete(r.gone, id)
+			delete(r.versions, id)
+		}
+	}
+}
+
 // MarkLeaving notes another sign that an upstream leaves; it reports whether
 // that was news.
 func (r *Roster) MarkLeaving(now time.Time, u *Upstream) bool {
@@ -280,14 +317,13 @@
 	return true
 }
 
-// index lists the upstreams by service, in the order of their ids.
+// index lists the upstreams by service and by group, in the order of their ids.
 func (r *Roster) index() {
-	r.byService = map[string][]*Upstream{}
-	for _, u := range r.byID {
+	r.byService, r.byGroup = map[string][]*Upstream{}, map[Group][]*Upstream{}
+	for _, u := range r.All() {
 		r.byService[u.Service] = append(r.byService[u.Service], u)
-	}
-	for _, list := range r.byService {
-		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		g := r.layout.Of(u.Entry)
+		r.byGroup[g] = append(r.byGroup[g], u)
 	}
 }
 
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -117,13 +117,13 @@
 	r := New()
 	r.Update(start, []Change{listed("a", 1)}, 1)
 	r.Update(start, []Change{listed("a", 2)}, 2)
-	if r.Changed() != 1 || r.Newest() != 2 {
-		t.Errorf("changed %d newest %d, want 1 and 2", r.Changed(), r.Newest())
+	if len(r.Since(0, nil)) != 1 || len(r.Since(1, nil)) != 0 || r.Newest() != 2 {
+		t.Errorf("changed since 0: %v, since 1: %v; newest %d", r.Since(0, nil), r.Since(1, nil), r.Newest())
 	}
 	copied := New()
-	copied.Replace(start, r.Snapshot(), r.Newest())
+	copied.Adopt(start, Share{Version: r.Newest(), Groups: r.Since(0, nil)})
 	if copied.Find("a") == nil || copied.Newest() != 2 {
-		t.Error("a snapshot must carry the list to another instance")
+		t.Error("a copy must carry the list to another instance")
 	}
 }
 
@@ -135,8 +135,8 @@
 	r := New()
 	r.Update(start, []Change{listed("a", 1), listed("b", 2)}, 2)
 	r.StoreDown()
-	left, ok := r.Adopt(at(time.Second), []Change{listed("b", 3)}, 4)
-	if !ok || len(left) != 1 || left[0].ID != "a" || r.Find("a") != nil {
+	left := r.Adopt(at(time.Second), Share{Version: 4, Groups: []GroupCopy{{Group: Whole("pool"), List: []Change{listed("b", 3)}}}})
+	if len(left) != 1 || left[0].ID != "a" || r.Find("a") != nil {
 		t.Errorf("left = %v, want a", names(left))
 	}
 }
--- /dev/null
+++ b/internal/core/roster/share.go
@@ -0,0 +1,238 @@
+package roster
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// GroupCopy is all of a group, for another instance.
+type GroupCopy struct {
+	Group Group
+	List  []Change
+}
+
+// Layout returns how services are divided, and the version of that.
+func (r *Roster) Layout() (Layout, int64) { return r.layout, r.divided }
+
+// Whole reports whether every upstream is known.
+func (r *Roster) Whole() bool { return r.whole }
+
+// In lists the upstreams of a group, those that leave included.
+func (r *Roster) In(g Group) []*Upstream { return r.byGroup[g] }
+
+// Knows reports whether every upstream of a group is known.
+func (r *Roster) Knows(g Group) bool { return r.whole || g.Of == 0 || r.known[g] }
+
+// Divide works out anew how services are divided, as a reader of the whole list
+// does for all. It reports whether that has changed.
+func (r *Roster) Divide() bool {
+	count := map[string]map[string]int{}
+	for _, u := range r.byID {
+		if count[u.Service] == nil {
+			count[u.Service] = map[string]int{}
+		}
+		count[u.Service][u.DataCentre]++
+	}
+	layout := divide(r.layout, count)
+	if layout.equal(r.layout) {
+		return false
+	}
+	r.adoptLayout(layout, r.newest)
+	return true
+}
+
+// adoptLayout divides what is known as told. Groups that are new by it count as
+// changed, so that all who use them hear of them.
+func (r *Roster) adoptLayout(l Layout, version int64) {
+	r.layout, r.divided = l, version
+	r.index()
+	for g := range r.byGroup {
+		r.mark(g, version)
+	}
+	for g := range r.known {
+		if l[g.Service][g.DataCentre] != g.Of {
+			delete(r.known, g)
+		}
+	}
+	for g := range r.changed {
+		if g.Of > 0 && l[g.Service][g.DataCentre] != g.Of {
+			delete(r.changed, g)
+		}
+	}
+}
+
+// Since returns the copies of those groups that changed after a version: of all if
+// want is nil, else of the whole services and those that want names.
+func (r *Roster) Since(version int64, want []Group) []GroupCopy {
+	var out []GroupCopy
+	for _, g := range slices.SortedFunc(maps.Keys(r.changed), compareGroups) {
+		if r.changed[g] > version && (want == nil || g.Of == 0 || slices.Contains(want, g)) {
+			out = append(out, r.copy(g))
+		}
+	}
+	return out
+}
+
+// Copies returns copies of groups, whether they changed or not. Groups that are not
+// known here are left out.
+func (r *Roster) Copies(groups []Group) []GroupCopy {
+	var out []GroupCopy
+	for _, g := range groups {
+		if r.Knows(g) {
+			out = append(out, r.copy(g))
+		}
+	}
+	return out
+}
+
+func (r *Roster) copy(g Group) GroupCopy {
+	c := GroupCopy{Group: g, List: make([]Change, 0, len(r.byGroup[g]))}
+	for _, u := range r.byGroup[g] {
+		c.List = append(c.List, Change{ID: u.ID, Version: u.Version, Valid: true, Entry: u.Entry})
+	}
+	return c
+}
+
+func compareGroups(a, b Group) int { return strings.Compare(a.Name(), b.Name()) }
+
+// Share is what another instance tells of its list.
+type Share struct {
+	// Version is that of the list it has.
+	Version int64
+	// Layout is nil if the asker knows it; Divided is its version.
+	Layout  Layout
+	Divided int64
+	Groups  []GroupCopy
+	// All is set if the asker asked for every group.
+	All bool
+}
+
+// Question is what another instance asks of the list.
+type Question struct {
+	// Version is that of the list it has, Divided that of its layout.
+	Version int64
+	Divided int64
+	// Groups are the divided groups that it uses, New those among them that it
+	// does not know. All asks for every group.
+	Groups []Group
+	New    []Group
+	All    bool
+}
+
+// Answer tells what a question lacks: nil if nothing. It reports false if too little
+// is known here to answer it.
+func (r *Roster) Answer(q Question) (s *Share, ok bool) {
+	if !r.Known() || q.All && !r.whole {
+		return nil, false
+	}
+	s = &Share{Version: r.newest, Divided: r.divided, All: q.All}
+	if q.Divided != r.divided {
+		s.Layout = r.layout
+	}
+	if q.All {
+		s.Groups = r.Since(q.Version, nil)
+	} else {
+		groups, fresh := r.current(q.Groups), r.current(q.New)
+		for _, g := range groups {
+			if !r.Knows(g) {
+				return nil, false
+			}
+		}
+		s.Groups = r.Copies(fresh)
+		for _, c := range r.Since(q.Version, groups) {
+			if !slices.Contains(fresh, c.Group) {
+				s.Groups = append(s.Groups, c)
+			}
+		}
+	}
+	if s.Layout == nil && len(s.Groups) == 0 {
+		return nil, true
+	}
+	return s, true
+}
+
+// current returns those of some groups that the layout has.
+func (r *Roster) current(groups []Group) []Group {
+	out := make([]Group, 0, len(groups))
+	for _, g := range groups {
+		if r.layout[g.Service][g.DataCentre] == g.Of {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// Ask returns the question of an instance that uses some groups, or all. anew asks
+// for everything, as from another source than before: what that one has held back,
+// or let go, may carry versions that this instance has passed.
+func (r *Roster) Ask(use []Group, all, anew bool) Question {
+	q := Question{Version: r.newest, Divided: r.divided, All: all}
+	if anew || all && !r.whole {
+		q.Version = 0
+	}
+	if all {
+		return q
+	}
+	q.Groups = use
+	for _, g := range use {
+		if anew || !r.Knows(g) {
+			q.New = append(q.New, g)
+		}
+	}
+	return q
+}
+
+// Adopt applies another instance's copies. What a copy lacks is gone: the other has
+// held lapsed entries for as long as they are worth it.
+func (r *Roster) Adopt(now time.Time, s Share) (left []*Upstream) {
+	r.down, r.returned = false, time.Time{}
+	for _, u := range r.byID {
+		u.Lapses = time.Time{}
+	}
+	if s.Layout != nil && s.Divided != r.divided {
+		r.adoptLayout(s.Layout, s.Divided)
+	}
+	if s.Version < r.newest {
+		return nil
+	}
+	for _, c := range s.Groups {
+		changes := append(slices.Clip(c.List), r.missing(c.List, s.Version, r.byGroup[c.Group])...)
+		left = append(left, r.Update(now, changes, s.Version)...)
+		r.mark(c.Group, s.Version)
+		if c.Group.Of > 0 {
+			r.known[c.Group] = true
+		}
+	}
+	r.newest = max(r.newest, s.Version)
+	r.whole = s.All
+	return left
+}
+
+// Keep forgets the divided groups that are not among some. It reports whether there
+// were others.
+func (r *Roster) Keep(groups []Group) bool {
+	dropped := false
+	for g := range r.byGroup {
+		if g.Of == 0 || slices.Contains(groups, g) {
+			continue
+		}
+		for _, u := range r.byGroup[g] {
+			u.Gone = true // from here: whoever holds it must not choose it
+			delete(r.byID, u.ID)
+			delete(r.versions, u.ID)
+		}
+		dropped = true
+	}
+	for g := range r.known {
+		if !slices.Contains(groups, g) {
+			delete(r.known, g)
+		}
+	}
+	if dropped {
+		r.whole = false
+		r.index()
+	}
+	return dropped
+}
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -9,7 +9,6 @@
 package watch
 
 import (
-	"slices"
 	"time"
 )
 
@@ -30,6 +29,9 @@
 	// source is asked. A reader's questions to the store take a second each at
 	// most, so its knowledge is up to two seconds old when all is well.
 	staleLeast = 2200 * time.Millisecond
+	// relayMore is added to it where a relay stands between: it holds its own
+	// questions to the readers for as long as PeerHold.
+	relayMore = PeerHold + 200*time.Millisecond
 	// staleShare is the same as a part of the time for which keys are
 	// accepted after a confirmation, where that is shorter.
 	staleShare = 0.6
@@ -37,25 +39,24 @@
 
 // Watch chooses among sources. It is not safe for concurrent use.
 type Watch struct {
-	self  string
 	stale time.Duration
 	bad   map[string]time.Time
 }
 
-// New returns a watch of an instance. keys is how long keys are accepted after
-// a confirmation; 0 is for ever.
-func New(self string, keys time.Duration) *Watch {
-	w := &Watch{self: self, stale: staleLeast, bad: map[string]time.Time{}}
+// New returns a watch. keys is how long keys are accepted after a confirmation; 0
+// is for ever.
+func New(keys time.Duration) *Watch {
+	w := &Watch{stale: staleLeast, bad: map[string]time.Time{}}
 	if keys > 0 {
 		w.stale = min(staleLeast, time.Duration(staleShare*float64(keys)))
 	}
 	return w
 }
 
-// Source returns whom to ask now. readers are those that read the store for
-// the others, live all other instances that live.
-func (w *Watch) Source(now time.Time, readers, live []string) string {
-	order := w.order(readers, live)
+// Source returns whom to ask now. reads is set if this instance reads the store for
+// the others, ask lists the instances that it should ask, live all others that live.
+func (w *Watch) Source(now time.Time, reads bool, ask, live []string) string {
+	order := order(reads, ask, live)
 	best, until := Store, time.Time{}
 	for k, source := range order {
 		at, bad := w.bad[source]
@@ -70,19 +71,14 @@
 }
 
 // order lists the sources, the preferred first: a reader asks the store, others
-// the readers. When those fail the store comes next, then any instance that
+// whom they should. When those fail the store comes next, then any instance that
 // lives: one may have a path to the store where this one has none.
-func (w *Watch) order(readers, live []string) []string {
+func order(reads bool, ask, live []string) []string {
 	var order []string
-	reads := slices.Contains(readers, w.self)
-	if reads || len(readers) == 0 {
+	if reads || len(ask) == 0 {
 		order = append(order, Store)
 	}
-	for _, r := range readers {
-		if r != w.self {
-			order = append(order, r)
-		}
-	}
+	order = append(order, ask...)
 	if !reads {
 		order = append(order, Store)
 	}
@@ -95,9 +91,14 @@
 // Failed notes that a source did not answer.
 func (w *Watch) Failed(now time.Time, source string) { w.bad[source] = now.Add(badFor) }
 
-// Answered notes an answer with the age of what it confirms.
-func (w *Watch) Answered(now time.Time, source string, age time.Duration) {
-	if age < 0 || age > w.stale {
+// Answered notes an answer with the age of what it confirms; relayed is set if a
+// relay gave it.
+func (w *Watch) Answered(now time.Time, source string, age time.Duration, relayed bool) {
+	stale := w.stale
+	if relayed {
+		stale += relayMore
+	}
+	if age < 0 || age > stale {
 		w.bad[source] = now.Add(badFor)
 		return
 	}
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -9,13 +9,13 @@
 
 func TestReadersAskTheStoreOthersTheReaders(t *testing.T) {
 	live := []string{"b", "c", "d"}
-	if got := New("a", 0).Source(start, []string{"a", "b"}, live); got != Store {
+	if got := New(0).Source(start, true, []string{"b"}, live); got != Store {
 		t.Errorf("a reader asks %q", got)
 	}
-	if got := New("d", 0).Source(start, []string{"a", "b"}, []string{"a", "b", "c"}); got != "a" {
+	if got := New(0).Source(start, false, []string{"a", "b"}, []string{"a", "b", "c"}); got != "a" {
 		t.Errorf("another asks %q, want the first reader", got)
 	}
-	if got := New("a", 0).Source(start, nil, nil); got != Store {
+	if got := New(0).Source(start, false, nil, nil); got != Store {
 		t.Errorf("alone, it asks %q", got)
 	}
 }
@@ -24,19 +24,19 @@
 // the next source each time, and comes back to the first when that has had time
 // to recover. Its callers notice nothing as long as one source answers.
 func TestFailedSourcesArePassedOver(t *testing.T) {
-	w, live := New("d", 0), []string{"a", "b", "c"}
+	w, live := New(0), []string{"a", "b", "c"}
 	want := []string{"a", "b", Store, "c"}
 	for _, source := range want {
-		if got := w.Source(start, []string{"a", "b"}, live); got != source {
+		if got := w.Source(start, false, []string{"a", "b"}, live); got != source {
 			t.Fatalf("asks %q, want %q", got, source)
 		}
 		w.Failed(start, source)
 		start = start.Add(time.Millisecond)
 	}
-	if got := w.Source(start, []string{"a", "b"}, live); got != "a" {
+	if got := w.Source(start, false, []string{"a", "b"}, live); got != "a" {
 		t.Errorf("with all of them bad it asks %q, want the one that failed first", got)
 	}
-	if got := w.Source(start.Add(badFor), []string{"a", "b"}, live); got != "a" {
+	if got := w.Source(start.Add(badFor), false, []string{"a", "b"}, live); got != "a" {
 		t.Errorf("after the pause it asks %q", got)
 	}
 }
@@ -45,13 +45,27 @@
 // what it knows gets old, and keys may have been taken away meanwhile: another
 // source is asked before that matters.
 func TestAReaderWithOldKnowledgeIsPassedOver(t *testing.T) {
-	w := New("d", 0)
-	w.Answered(start, "a", staleLeast+time.Millisecond)
-	if got := w.Source(start, []string{"a", "b"}, []string{"a", "b"}); got != "b" {
+	w := New(0)
+	w.Answered(start, "a", staleLeast+time.Millisecond, false)
+	if got := w.Source(start, false, []string{"a", "b"}, []string{"a", "b"}); got != "b" {
 		t.Errorf("asks %q, want the other reader", got)
 	}
-	w.Answered(start, "b", time.Second)
-	if got := w.Source(start, []string{"a", "b"}, []string{"a", "b"}); got != "b" {
+	w.Answered(start, "b", time.Second, false)
+	if got := w.Source(start, false, []string{"a", "b"}, []string{"a", "b"}); got != "b" {
 		t.Errorf("asks %q", got)
 	}
 }
+
+// A relay's knowledge is older than a reader's by its own wait, and no less sound:
+// held for old, it would send every instance of its data centre to the store.
+func TestARelaysKnowledgeMayBeOlder(t *testing.T) {
+	w := New(0)
+	w.Answered(start, "a", staleLeast+PeerHold, true)
+	if got := w.Source(start, false, []string{"a", "b"}, nil); got != "a" {
+		t.Errorf("asks %q, want the relay", got)
+	}
+	w.Answered(start, "a", staleLeast+relayMore+time.Millisecond, true)
+	if got := w.Source(start, false, []string{"a", "b"}, nil); got != "b" {
+		t.Errorf("asks %q, want another than the relay that knows nothing new", got)
+	}
+}
--- a/internal/peer/size_test.go
+++ b/internal/peer/size_test.go
@@ -68,12 +68,15 @@
 			Name: "entry-123", DataCentre: "dc-a", CallerAddress: "127.100.100.100:8000",
 			PeerAddress: "127.100.100.100:7200", Boot: "0123abcd", Ready: true,
 		}, 90},
-		{"sync_ask", msg.SyncAsk{Number: 100_000, Config: 100_000, List: 100_000}, 40},
+		{"sync_ask", msg.SyncAsk{Number: 100_000, Config: 100_000, List: roster.Question{Version: 100_000}}, 40},
 		{"sync_answer_empty", msg.SyncAnswer{Number: 100_000, ConfigAge: time.Second}, 40},
 		{"sync_answer", msg.SyncAnswer{
-			Number: 100_000, ConfigAge: time.Second, Config: &route.Config{Version: 7}, ListVersion: 100_000,
-			List: []roster.Change{{ID: "engine-123", Version: 100_000, Valid: true, Entry: roster.Entry{
-				ID: "engine-123", Service: "assistant-12", Address: "127.100.100.100:8000", DataCentre: "dc-a", Slots: 64,
+			Number: 100_000, ConfigAge: time.Second, Config: &route.Config{Version: 7},
+			List: &roster.Share{Version: 100_000, Groups: []roster.GroupCopy{{
+				Group: roster.Whole("assistant-12"),
+				List: []roster.Change{{ID: "engine-123", Version: 100_000, Valid: true, Entry: roster.Entry{
+					ID: "engine-123", Service: "assistant-12", Address: "127.100.100.100:8000", DataCentre: "dc-a", Slots: 64,
+				}}},
 			}}},
 		}, 150},
 		{"move_order", msg.MoveOrder{
--- /dev/null
+++ b/internal/proctest/resident_large_test.go
@@ -0,0 +1,71 @@
+package proctest
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
+)
+
+// A service grows to more upstreams than every instance can know. It is divided into
+// parts with a home each, and an entry that knows nothing of an upstream takes the
+// home's word for it. Meanwhile drafts run, and some upstreams leave under them: each
+// draft runs once, and its caller sees every event.
+func TestResidentAServiceIsDivided(t *testing.T) {
+	t.Parallel()
+	w := settle(t)
+	w.machine(t, "entry-3")
+	w.waitReady(t)
+	const more, drafts = 90, 48
+	results := make([]result, drafts)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for k := range more {
+			w.pool = append(w.pool, w.worker(t, fmt.Sprintf("grown-%d", k), hosting.Pool, func(k *hosting.Worker) {
+				k.EventEvery, k.EventCount, k.CopyTime = 25*time.Millisecond, draftSteps, 30*time.Millisecond
+			}))
+		}
+	})
+	for k := range drafts {
+		wg.Go(func() {
+			time.Sleep(time.Duration(k) * 60 * time.Millisecond)
+			results[k] = w.do(w.machines[k%len(w.machines)], draft(fmt.Sprintf("g%d", k)))
+		})
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for _, k := range w.pool[:poolSize] {
+		k.Leave()
+		time.AfterFunc(1500*time.Millisecond, k.Crash)
+	}
+	wg.Wait()
+	arrivals := w.Arrivals()
+	for k, r := range results {
+		id := fmt.Sprintf("g%d", k)
+		if r.status != http.StatusOK || r.cut || r.body != events(id) {
+			t.Errorf("%s: status %d cut %v error %v, %d events of %d", id, r.status, r.cut, r.err, strings.Count(r.body, "\n\n"), draftSteps)
+		}
+		if n := runs(arrivals[id]); n != 1 {
+			t.Errorf("%s was begun %d times, want once", id, n)
+		}
+	}
+	homes := 0
+	for _, p := range w.procs {
+		homes += strings.Count(p.output(), "event=home_began pool="+hosting.Pool+"/")
+	}
+	if homes < 2 {
+		t.Errorf("%d homes of parts have begun", homes)
+	}
+	testkit.Eventually(t, startWithin, "an instance forgets what it does not use", func() bool {
+		for _, p := range w.procs {
+			if strings.Contains(p.output(), "event=groups_kept") {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/internal/resident/crash.go
+++ b/internal/resident/crash.go
@@ -46,9 +46,10 @@
 }
 
 // tellFailing tells the other instances of an upstream that took a request and
-// gave no usable answer.
-func (s *server) tellFailing(a *forward.Attempt, o forward.Outcome) {
-	if o != forward.Lost || s.isLeavingUpstream(a) {
+// gave no usable answer. Where a home places the work, the home is told of each end,
+// and nobody else needs to know.
+func (s *server) tellFailing(c *forward.Call, a *forward.Attempt, o forward.Outcome) {
+	if o != forward.Lost || c.Pool != "" || s.isLeavingUpstream(a) {
 		return
 	}
 	s.metrics.Count("upstreams_failing_total", "told")
--- a/internal/resident/exchange.go
+++ b/internal/resident/exchange.go
@@ -92,7 +92,7 @@
 		}
 		x.logAttempt(a, outcome, step)
 		s.suspectCrash(x.call, a, outcome)
-		s.tellFailing(a, outcome)
+		s.tellFailing(x.call, a, outcome)
 		if step.Send == nil || step.Send.CopyAt == "" {
 			x.endGrant(grant, a, outcome)
 		}
--- a/internal/resident/fleet.go
+++ b/internal/resident/fleet.go
@@ -210,8 +210,8 @@
 	}
 }
 
-// readers returns who reads the store for the others, and who lives.
-func (f *fellows) readers() (readers, live []string) {
-	f.with(func(now time.Time, v *fleet.Fleet) { readers, live = v.Readers(now), v.Live() })
-	return readers, live
+// sources returns where this instance gets its news from, and who lives.
+func (f *fellows) sources() (s fleet.Sources, live []string) {
+	f.with(func(now time.Time, v *fleet.Fleet) { s, live = v.Sources(now), v.Live() })
+	return s, live
 }
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"mulberrylug.example/mulberrylug/internal/boottime"
+	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
@@ -37,6 +38,15 @@
 	listPause = 100 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 150 * time.Millisecond
+	// sourcesEvery is how often it is worked out whom to ask. Instances come and
+	// go; one that does not answer is passed over at once all the same.
+	sourcesEvery = 200 * time.Millisecond
+	// listPerEntry is added to listPause for each entry of a long list: each is
+	// renewed every second or so, and what is asked for sooner is read twice.
+	listPerEntry = 200 * time.Microsecond
+	// changeLines bounds the lines on upstreams that join, and on those that
+	// leave, by one answer: the first answer of a large service names thousands.
+	changeLines = 32
 	// sourcePause is how often it is looked whether another source is to be
 	// asked.
 	sourcePause = 100 * time.Millisecond
@@ -57,11 +67,15 @@
 	// wait is the time between two readings of the configuration.
 	wait time.Duration
 
-	// mu guards watch, last and up.
+	// mu guards what follows, up to last.
 	mu    sync.Mutex
 	watch *watch.Watch
 	// up is set while the store answers.
 	up bool
+	// sources and live are whom this instance may ask, as of sourcesAt.
+	sources   fleet.Sources
+	live      []string
+	sourcesAt time.Time
 	// last is the source that was asked last.
 	last string
 
@@ -150,7 +164,7 @@
 func (f *follower) followList(ctx context.Context) error {
 	return f.whileReading(ctx, func() {
 		began := time.Now()
-		whole := f.listAt == 0
+		whole := f.listAt == 0 || !f.knowsAll()
 		if err := f.readList(ctx, whole); err != nil {
 			f.listAt = 0
 			if whole {
@@ -161,10 +175,25 @@
 			}
 			return
 		}
-		pause(ctx, listPause-time.Since(began))
+		pause(ctx, f.listPause()-time.Since(began))
 	})
 }
 
+// knowsAll reports whether every upstream is known. An instance that asked others
+// for a while knows what it uses.
+func (f *follower) knowsAll() (all bool) {
+	f.server.decide(func(_ time.Time, g *forward.Gate) { all = g.Roster().Whole() })
+	return all
+}
+
+// listPause is the least time between two questions for the list.
+func (f *follower) listPause() (d time.Duration) {
+	f.server.decide(func(_ time.Time, g *forward.Gate) {
+		d = listPause + time.Duration(g.Roster().Len())*listPerEntry
+	})
+	return d
+}
+
 // readList reads the whole list, or what has changed. A feed that fails or is
 // cut is no sign that the store is away: the whole list is read then.
 func (f *follower) readList(ctx context.Context, whole bool) error {
@@ -191,10 +220,15 @@
 	f.change("list", func(now time.Time, r *roster.Roster) (left []*roster.Upstream) {
 		r.StoreUp(now)
 		r.Confirm(asked)
-		if !whole {
-			return r.Update(now, read.Changes, read.Version)
+		if whole {
+			left, _ = r.Replace(now, read.Changes, read.Version)
+		} else {
+			left = r.Update(now, read.Changes, read.Version)
+		}
+		if r.Divide() {
+			layout, version := r.Layout()
+			f.log.Info("services_divided", "layout", layout, "version", version, "listed", r.Len())
 		}
-		left, _ = r.Replace(now, read.Changes, read.Version)
 		return left
 	})
 	if f.setUp(true) {
@@ -212,14 +246,17 @@
 		left = copies(do(now, g.Roster()))
 		joined, listed = copies(g.Roster().Joined()), g.Roster().Len()
 	})
-	for _, u := range joined {
+	for _, u := range joined[:min(len(joined), changeLines)] {
 		f.log.Info("upstream_joined", "upstream", u.ID, "service", u.Service, "address", u.Address, "data_centre", u.DataCentre,
 			"born", u.Born, "leaving", u.Leaving, "source", source, "version", u.Version, "listed", listed)
 	}
-	for _, u := range left {
+	for _, u := range left[:min(len(left), changeLines)] {
 		f.log.Info("upstream_leaving", "upstream", u.ID, "service", u.Service, "address", u.Address,
 			"gone", u.Gone, "source", source, "version", u.Version)
 	}
+	if more := max(len(joined), len(left)) - changeLines; more > 0 {
+		f.log.Info("upstreams_changed", "joined", len(joined), "left", len(left), "source", source, "listed", listed)
+	}
 	if len(left) > 0 {
 		f.left()
 	}
@@ -274,17 +311,28 @@
 
 // source returns whom to ask for news: the store, or an instance by name.
 func (f *follower) source() string {
-	readers, live := f.fellows.readers()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	source := f.watch.Source(boottime.Now(), readers, live)
+	now := boottime.Now()
+	if now.Sub(f.sourcesAt) >= sourcesEvery {
+		f.sources, f.live = f.fellows.sources()
+		f.sourcesAt = now
+	}
+	source := f.watch.Source(now, f.sources.Reads, f.sources.Ask, f.live)
 	if source != f.last {
-		f.log.Info("source_changed", "from", sourceName(f.last), "to", sourceName(source))
+		f.log.Info("source_changed", "from", sourceName(f.last), "to", sourceName(source), "reads", f.sources.Reads, "relays", f.sources.Relays)
 		f.last = source
 	}
 	return source
 }
 
+// relays reports whether others get their news from this instance.
+func (f *follower) relays() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sources.Relays
+}
+
 func sourceName(source string) string {
 	if source == watch.Store {
 		return "store"
@@ -314,5 +362,5 @@
 func (f *follower) sourceAnswered(source string, age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.watch.Answered(boottime.Now(), source, age)
+	f.watch.Answered(boottime.Now(), source, age, f.sources.Relayed)
 }
--- a/internal/resident/home.go
+++ b/internal/resident/home.go
@@ -28,6 +28,8 @@
 	send    func(to string, m msg.Message)
 	// standsIn returns an instance's data centre, "" if it is not known.
 	standsIn func(instance string) string
+	// begun is called when a home has begun.
+	begun func()
 	// noMoves leaves generations on upstreams that leave.
 	noMoves bool
 	// local takes messages for this instance itself.
@@ -55,6 +57,7 @@
 	if service == nil || service.Engine == nil {
 		return // not known here yet: the entry chooses by itself
 	}
+	began := false
 	h.mu.Lock()
 	p := h.pools[name]
 	if p == nil {
@@ -62,6 +65,7 @@
 		engine.Moves = engine.Moves && !h.noMoves
 		p = pool.NewHome(name, engine)
 		h.pools[name] = p
+		began = true
 		p.Sync(now, confirmed, listed)
 		h.log.Info("home_began", "pool", name, "upstreams", len(listed))
 	}
@@ -70,6 +74,20 @@
 	done := h.collect(name, p)
 	h.mu.Unlock()
 	h.deliver(done)
+	if began {
+		h.begun() // it may know too few of the pool's upstreams
+	}
+}
+
+// groups lists the groups of upstreams that the homes use.
+func (h *homes) groups() []roster.Group {
+	var out []roster.Group
+	for _, name := range h.names() {
+		if g := roster.ParseGroup(name); g.Of > 0 {
+			out = append(out, g)
+		}
+	}
+	return out
 }
 
 // collected is what a home wants done.
@@ -88,12 +106,13 @@
 // for which that holds. Upstreams are copied: the list may change while the home
 // looks at them.
 func (h *homes) listed(name string) (service *route.Service, list []*roster.Upstream, confirmed time.Time) {
+	group := roster.ParseGroup(name)
 	h.server.decide(func(_ time.Time, g *forward.Gate) {
 		if g.Table() == nil {
 			return
 		}
-		service, confirmed = g.Table().Service(name), g.Roster().Confirmed()
-		for _, u := range g.Roster().Of(name) {
+		service, confirmed = g.Table().Service(group.Service), g.Roster().Confirmed()
+		for _, u := range g.Roster().In(group) {
 			c := *u
 			list = append(list, &c)
 		}
--- a/internal/resident/move.go
+++ b/internal/resident/move.go
@@ -48,6 +48,7 @@
 		reply(msg.MoveNoRun)
 		return
 	}
+	s.decide(func(now time.Time, g *forward.Gate) { g.Leaves(now, source) })
 	go func() { reply(x.runMove(mv, source, x.move)) }()
 }
 
--- a/internal/resident/place.go
+++ b/internal/resident/place.go
@@ -36,7 +36,7 @@
 func (x *exchange) askHome() forward.Step {
 	s := x.server
 	now := boottime.Now()
-	q := &question{home: s.homes.name(x.call.Service), began: now, asked: now}
+	q := &question{home: s.homes.name(x.call.Pool), began: now, asked: now}
 	s.decide(func(now time.Time, _ *forward.Gate) { q.ask = x.call.Ask(now) })
 	s.homes.send(q.home, q.ask)
 	silence, again := time.NewTimer(forward.HomePatience), time.NewTimer(time.Hour)
@@ -45,7 +45,7 @@
 	for {
 		select {
 		case <-x.ctx.Done():
-			s.homes.send(q.home, msg.GrantEnd{Pool: x.call.Service, Attempt: q.ask.Ask.Attempt, Cut: true})
+			s.homes.send(q.home, msg.GrantEnd{Pool: x.call.Pool, Attempt: q.ask.Ask.Attempt, Cut: true})
 			return x.stopped()
 		case <-silence.C:
 			return x.homeSilent(q.home)
@@ -77,7 +77,7 @@
 	x.home = q.home
 	waited := boottime.Now().Sub(q.began)
 	s.metrics.Observe("placement_milliseconds", x.call.Service, waited)
-	s.log.Info("placed", "request", x.call.ID, "home", q.home, "upstream", a.Decision.Upstream,
+	s.log.Info("placed", "request", x.call.ID, "home", q.home, "pool", x.call.Pool, "upstream", a.Decision.Upstream,
 		"prompt", q.ask.Ask.Prompt, "hint", q.ask.Ask.Expected, "waited", waited.Round(time.Millisecond))
 	return x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.Granted(now, q.asked, x.call, a) })
 }
@@ -88,7 +88,7 @@
 	s := x.server
 	s.homes.silent(home)
 	s.metrics.Count("homes_silent_total", x.call.Service)
-	s.log.Info("home_silent", "request", x.call.ID, "home", home, "pool", x.call.Service)
+	s.log.Info("home_silent", "request", x.call.ID, "home", home, "pool", x.call.Pool)
 	return x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.HomeSilent(now, x.call) })
 }
 
@@ -106,7 +106,7 @@
 		return
 	}
 	x.server.homes.send(x.home, msg.GrantEnd{
-		Pool: x.call.Service, Attempt: attempt, Tokens: x.tokens(),
+		Pool: x.call.Pool, Attempt: attempt, Tokens: x.tokens(),
 		Failed: o != forward.Done && o != forward.Cancelled, Cut: o == forward.Cancelled,
 		Upstream: a.Entry.ID, Unreachable: o == forward.NotSent,
 	})
@@ -121,12 +121,12 @@
 	s.decide(func(now time.Time, _ *forward.Gate) {
 		for _, x := range s.running {
 			a := x.call.Current()
-			if a == nil || !x.call.Route.Generation {
+			if a == nil || x.call.Pool == "" {
 				continue
 			}
 			ask := x.call.Ask(now).Ask
 			ask.Exclude = nil
-			running[x.call.Service] = append(running[x.call.Service], msg.RunningAttempt{
+			running[x.call.Pool] = append(running[x.call.Pool], msg.RunningAttempt{
 				Ask: ask, Upstream: a.Entry.ID, Tokens: x.tokens(),
 			})
 		}
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		r.mu.Lock()
-		if r.waiting[name] == w {
+		if r.waiting[name].ask.Number == w.ask.Number {
 			delete(r.waiting, name)
 		}
 		r.mu.Unlock()
@@ -72,13 +72,16 @@
 			return
 		}
 		a.ConfigAge = max(now.Sub(g.Confirmed()), 0)
-		a.ListAge = max(now.Sub(g.Roster().Confirmed()), 0)
 		if g.Table().Version > m.Config && r.config != nil {
 			a.Config, news = r.config, true
 		}
-		if g.Roster().Changed() > m.List {
-			a.ListVersion, a.List, news = g.Roster().Newest(), g.Roster().Snapshot(), true
+		share, ok := g.Roster().Answer(m.List)
+		if !ok {
+			a.ListAge = -1
+			return
 		}
+		a.ListAge, a.List = max(now.Sub(g.Roster().Confirmed()), 0), share
+		news = news || share != nil
 	})
 	return a, news
 }
@@ -87,7 +90,13 @@
 type asker struct {
 	follower *follower
 	answers  chan syncAnswer
-	number   int64
+	// uses returns the groups of divided services that this instance uses.
+	uses func(roster.Layout) []roster.Group
+	// wake ends the wait for an answer: the instance uses another group now.
+	wake   chan struct{}
+	number int64
+	// last is the source of the last answer.
+	last string
 }
 
 type syncAnswer struct {
@@ -100,6 +109,7 @@
 	for ctx.Err() == nil {
 		source := a.follower.source()
 		if source == watch.Store {
+			a.last = watch.Store
 			pause(ctx, sourcePause)
 			continue
 		}
@@ -108,13 +118,24 @@
 	return ctx.Err()
 }
 
+// wakeUp makes the next question go out at once.
+func (a *asker) wakeUp() {
+	select {
+	case a.wake <- struct{}{}:
+	default: // it is woken already
+	}
+}
+
 // ask asks one instance and takes its answer in. The answer counts from the
 // moment of the question: what happened since, it may not know.
 func (a *asker) ask(ctx context.Context, source string) {
 	a.number++
+	all := a.follower.relays()
 	q := msg.SyncAsk{Number: a.number}
 	a.follower.server.decide(func(_ time.Time, g *forward.Gate) {
-		q.List = g.Roster().Newest()
+		r := g.Roster()
+		layout, _ := r.Layout()
+		q.List = r.Ask(a.uses(layout), all, source != a.last)
 		if g.Table() != nil {
 			q.Config = g.Table().Version
 		}
@@ -127,6 +148,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-a.wake:
+			return
 		case <-timeout.C:
 			a.follower.sourceFailed(source, "no answer")
 			return
@@ -134,25 +157,37 @@
 			if got.from != source || got.Number != q.Number {
 				continue // late
 			}
-			a.take(source, asked, got.SyncAnswer)
+			a.take(source, asked, got.SyncAnswer, all)
 			return
 		}
 	}
 }
 
-func (a *asker) take(source string, asked time.Time, m msg.SyncAnswer) {
+func (a *asker) take(source string, asked time.Time, m msg.SyncAnswer, all bool) {
 	f := a.follower
 	f.sourceAnswered(source, m.ConfigAge)
 	if m.ConfigAge < 0 {
 		return
 	}
 	f.adopt(asked.Add(-m.ConfigAge), m.Config, source)
+	if m.ListAge < 0 {
+		return
+	}
+	a.last = source
 	f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(asked.Add(-m.ListAge)) })
-	if m.ListVersion == 0 {
+	if m.List == nil {
 		return
 	}
 	f.change(source, func(now time.Time, r *roster.Roster) []*roster.Upstream {
-		left, _ := r.Adopt(now, m.List, m.ListVersion)
+		left := r.Adopt(now, *m.List)
+		if all {
+			return left
+		}
+		layout, version := r.Layout()
+		before := r.Len()
+		if use := a.uses(layout); r.Keep(use) {
+			f.log.Info("groups_kept", "groups", len(use), "upstreams_before", before, "upstreams", r.Len(), "division", version)
+		}
 		return left
 	})
 }
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"reflect"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +21,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/pool"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/watch"
 	"mulberrylug.example/mulberrylug/internal/metrics"
@@ -95,21 +97,22 @@
 	r.relay = &relay{server: srv, send: r.fellows.sendTo, hold: min(watch.PeerHold, holdFor(keys)), waiting: map[string]waitingAsk{}}
 	r.follower = &follower{
 		store: store, server: srv, metrics: m, log: log, left: func() { r.homes.sync() },
-		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(s.Name, keys), wait: holdFor(keys),
+		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(keys), wait: holdFor(keys),
 	}
 	r.homes = &homes{
 		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer, standsIn: r.fellows.standsIn, noMoves: s.NoMoves || s.NoHomes,
 		pools: map[string]*pool.Home{}, used: map[string]time.Time{},
 	}
 	srv.homes = homeLink{name: r.homeOf, send: r.sendAny, silent: r.homeSilent, broadcast: r.broadcast}
-	r.asker = &asker{follower: r.follower, answers: make(chan syncAnswer, 16)}
+	r.asker = &asker{follower: r.follower, answers: make(chan syncAnswer, 16), wake: make(chan struct{}, 1), uses: r.uses}
+	r.homes.begun = r.asker.wakeUp
 	return r
 }
 
 // options returns what the gate needs of the settings.
 func options(s Settings) forward.Options {
 	o := forward.Options{
-		DataCentre: s.DataCentre, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
+		Name: s.Name, DataCentre: s.DataCentre, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
 		NoHomes: s.NoHomes,
 	}
 	if s.StrictRevocation {
@@ -148,7 +151,7 @@
 	return msg.Beat{
 		Name: r.settings.Name, DataCentre: r.settings.DataCentre, CallerAddress: r.settings.CallerAddress,
 		PeerAddress: net.JoinHostPort(r.settings.IP, strconv.Itoa(r.settings.PeerPort)),
-		Boot:        fmt.Sprintf("%08x", rand.Uint32()),
+		Boot:        fmt.Sprintf("%08x", rand.Uint32()), Class: r.settings.Class,
 	}
 }
 
@@ -163,9 +166,25 @@
 	r.relay.tick()
 }
 
-// homeOf returns the present home of a pool.
+// uses returns the groups of divided services that this instance uses: those that it
+// chooses from by itself, and the pools that it is home of.
+func (r *Resident) uses(layout roster.Layout) []roster.Group {
+	out := r.homes.groups()
+	for service := range layout {
+		for _, g := range layout.Own(service, r.settings.DataCentre, r.settings.Name) {
+			if !slices.Contains(out, g) {
+				out = append(out, g)
+			}
+		}
+	}
+	return out
+}
+
+// homeOf returns the present home of a pool, in the pool's data centre if that has
+// instances.
 func (r *Resident) homeOf(name string) (home string) {
-	r.fellows.with(func(now time.Time, v *fleet.Fleet) { home = v.Home(now, "pool/"+name) })
+	dataCentre := roster.ParseGroup(name).DataCentre
+	r.fellows.with(func(now time.Time, v *fleet.Fleet) { home = v.Home(now, "pool/"+name, dataCentre) })
 	return home
 }
 
--- a/internal/resident/settings.go
+++ b/internal/resident/settings.go
@@ -27,6 +27,9 @@
 	// MetricsPort serves counters; 0 serves none.
 	MetricsPort int
 	MemoryBytes int64
+	// Class is the capacity of the machine: how often its link in Mbit/s can be
+	// halved; 0 if that is not known.
+	Class uint8
 	// MaxDescriptors is the most that this process may have open.
 	MaxDescriptors int
 	// DrainWithin is how soon a leaving upstream must get no more work.
--- a/internal/resident/silence.go
+++ b/internal/resident/silence.go
@@ -84,7 +84,7 @@
 // stopped over a new connection, so that it never runs twice, and picked up where
 // its copy lies.
 func (x *exchange) rescue(a *forward.Attempt) {
-	order := msg.MoveOrder{Pool: x.call.Service, Attempt: x.call.ID, From: a.Entry.ID}
+	order := msg.MoveOrder{Pool: x.call.Pool, Attempt: x.call.ID, From: a.Entry.ID}
 	x.server.decide(func(now time.Time, g *forward.Gate) {
 		if u := g.Refuge(now, x.call); u != nil {
 			order.To, order.ToAddress = u.ID, u.Address
