A destination without room is passed over for a moment; the draft moves elsewhere

Change: a destination without room gets no copies for 0.4 s, and the refusal counts as no try, as the run goes on and may move elsewhere or later.

--- a/internal/core/pool/evacuate.go
+++ b/internal/core/pool/evacuate.go
@@ -22,6 +22,10 @@
 	orderSlack = 400 * time.Millisecond
 	// triesMax is how often the move of one generation is tried that failed.
 	triesMax = 2
+	// fullFor is how long a destination gets no copies that had no room for one,
+	// whatever the forecast says: copies that were not picked up hold memory
+	// there, too. A notice takes two seconds.
+	fullFor = 400 * time.Millisecond
 	// beginsSoon is when a move is tried again that found no run yet: a
 	// prompt of 3,000 tokens is read in 0.2 s, and can't be moved before.
 	beginsSoon = 100 * time.Millisecond
@@ -94,7 +98,7 @@
 	for _, p := range h.candidates(now, e) {
 		to := h.placement.Destination(now, p.Ask.Attempt,
 			func(name string) bool { return h.near(e.upstream.ID, name) },
-			func(name string) bool { return h.receiving(name) })
+			func(name string) bool { return h.receiving(name) || now.Before(h.full[name]) })
 		if to == "" {
 			continue
 		}
@@ -192,6 +196,10 @@
 		case msg.MoveNoRun:
 			e.tries[m.Attempt]--
 			e.later[m.Attempt] = now.Add(beginsSoon)
+		case msg.MoveNoRoom:
+			// The run goes on, and may move elsewhere or later.
+			e.tries[m.Attempt]--
+			h.full[e.order.to] = now.Add(fullFor)
 		}
 		e.order = nil
 	}
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -82,6 +82,8 @@
 	// entries maps attempts to the instances that asked for them.
 	entries     map[string]string
 	evacuations map[string]*evacuation
+	// full holds until when destinations are passed over that had no room.
+	full map[string]time.Time
 	// unreachable holds when an upstream was last found so, looked when it
 	// was last asked for its state.
 	unreachable map[string]time.Time
@@ -112,7 +114,7 @@
 func NewHome(service string, engine route.Engine) *Home {
 	return &Home{
 		service: service, engine: engine, part: roster.ParseGroup(service).Of > 0, upstreams: map[string]*roster.Upstream{},
-		entries: map[string]string{}, evacuations: map[string]*evacuation{},
+		entries: map[string]string{}, evacuations: map[string]*evacuation{}, full: map[string]time.Time{},
 		unreachable: map[string]time.Time{}, own: map[string]time.Time{}, looked: map[string]time.Time{}, failures: map[string]*health.Record{},
 		placement: placement.NewHome(placement.Settings{
 			Weights: config.Weights{Stall: 1, Preemptions: 1, Tail: 1}, Engine: true, Service: service,
@@ -247,6 +249,7 @@
 	delete(h.evacuations, id)
 	delete(h.unreachable, id)
 	delete(h.failures, id)
+	delete(h.full, id)
 	delete(h.looked, id)
 	delete(h.own, id)
 }
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -355,3 +355,33 @@
 		t.Error("it must be tried again after a while")
 	}
 }
+
+// The forecast sees room at a destination that has none: copies that nobody picked up
+// hold its memory. Asked again at once it refuses again, and after two refusals the
+// draft would be left behind with most of the notice to go. Other destinations are
+// asked at once, and the same one a moment later.
+func TestADestinationWithoutRoomIsPassedOver(t *testing.T) {
+	s := newSim(t, 4)
+	s.ask("d", 3000, 900)
+	from := s.granted["d"]
+	s.pass(time.Second)
+	s.find(from).LeavingSince = s.now
+	s.sync()
+	asked := map[string]bool{}
+	for k := 0; k < len(s.orders) && k < 10; k++ {
+		o := s.orders[k]
+		if asked[o.To] {
+			t.Fatalf("%s is asked again at once", o.To)
+		}
+		asked[o.To] = true
+		s.answer(o, msg.MoveNoRoom)
+	}
+	if len(asked) != 3 {
+		t.Fatalf("%d of 3 destinations were asked", len(asked))
+	}
+	n := len(s.orders)
+	s.pass(fullFor + 200*time.Millisecond)
+	if len(s.orders) == n {
+		t.Error("nothing is asked again later: the draft is left behind")
+	}
+}
