Old sources of news are asked one after the other, not all at once

Change: a pause of 150 ms after an answer that confirms too little, six other instances at most, each instance beginning with others; no whole copies on a change of source: what they were for, entries that one reader has given up and another not yet, is told again for three seconds. The first contact with an instance is counted, not logged as regained (127 lines at each start).

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Heard time.Time
 	// Known is when it was first known.
 	Known time.Time
+	// met is set once it was heard, and stays so when it falls silent.
+	met bool
 	// reset is when the connection to it was last given up.
 	reset time.Time
 }
@@ -86,24 +88,46 @@
 	f.self.Ready, f.self.Leaving, f.self.Reads = ready, leaving, reads
 }
 
-// Heard takes a beat of another instance. It reports whether the instance was
-// not known to live before.
-func (f *Fleet) Heard(now time.Time, b msg.Beat) bool {
+// Contact says what a beat tells of the instance that sent it.
+type Contact int
+
+// Contacts.
+const (
+	// Known: it lived before.
+	Known Contact = iota
+	// First: it was never heard before.
+	First
+	// Regained: it was silent, or it is another process under the same name.
+	Regained
+)
+
+// Heard takes a beat of another instance.
+func (f *Fleet) Heard(now time.Time, b msg.Beat) Contact {
 	if b.Name == f.self.Name {
-		return false
+		return Known
 	}
 	m := f.members[b.Name]
-	fresh := m == nil || m.Boot != b.Boot || now.Sub(m.Heard) > f.silentAfter(m.DataCentre)
 	if m == nil {
 		m = &Member{Known: now, Beat: b}
 		f.members[b.Name] = m
 		f.count()
 	}
-	m.Beat, m.Heard = b, now
-	if fresh {
+	contact := m.contact(b.Boot, f.alive(now, m))
+	m.Beat, m.Heard, m.met = b, now, true
+	if contact != Known {
 		f.refresh(now)
 	}
-	return fresh
+	return contact
+}
+
+func (m *Member) contact(boot string, alive bool) Contact {
+	switch {
+	case !m.met:
+		return First
+	case m.Boot != boot || !alive:
+		return Regained
+	}
+	return Known
 }
 
 // Unheard reports whether a live instance says that it does not hear this one,
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -50,7 +50,7 @@
 	if !slices.Equal(lost, []string{"i01", "i02"}) || f.Size() != 3 {
 		t.Errorf("lost %v, size %d", lost, f.Size())
 	}
-	if !f.Heard(start.Add(2*f.silentAfter("dc")), beat(1)) {
+	if f.Heard(start.Add(2*f.silentAfter("dc")), beat(1)) != Regained {
 		t.Error("its return must be news")
 	}
 	f.Tick(start.Add(ForgetAfter + 3*f.silentAfter("dc")))
@@ -78,7 +78,7 @@
 	f := fleetOf(0, 2)
 	again := beat(1)
 	again.Boot = "c"
-	if f.Heard(start, beat(1)) || !f.Heard(start, again) {
+	if f.Heard(start, beat(1)) != Known || f.Heard(start, again) != Regained {
 		t.Error("a beat of the same run is no news, one of another run is")
 	}
 }
@@ -160,7 +160,7 @@
 	}
 	again := beat(1)
 	again.Boot = "c"
-	if !f.Heard(tried.Add(time.Millisecond), again) || f.Gone(tried.Add(2*time.Millisecond), tried, "i01") {
+	if f.Heard(tried.Add(time.Millisecond), again) != Regained || f.Gone(tried.Add(2*time.Millisecond), tried, "i01") {
 		t.Error("the next process lives")
 	}
 }
--- a/internal/core/fleet/sources.go
+++ b/internal/core/fleet/sources.go
@@ -36,6 +36,8 @@
 	Relayed bool
 	// Ask lists the instances to ask, the preferred first.
 	Ask []string
+	// Others lists all that live, beginning with another one at each instance.
+	Others []string
 }
 
 // Sources returns where this instance gets its news from: a reader from the store, a
@@ -44,7 +46,7 @@
 // is spread.
 func (f *Fleet) Sources(now time.Time) Sources {
 	readers := f.Readers(now)
-	s := Sources{Reads: slices.Contains(readers, f.self.Name)}
+	s := Sources{Reads: slices.Contains(readers, f.self.Name), Others: f.turned(f.live)}
 	if s.Reads || f.Size() < relaysFrom {
 		s.Relays = s.Reads
 		s.Ask = f.turned(readers)
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -37,6 +37,13 @@
 // that it reports.
 const outageMemory = 1500 * time.Millisecond
 
+// retellFor is for how long, and retellEvery how often, a group is told again in which
+// a lapsed entry was given up. Readers are less than a second apart.
+const (
+	retellFor   = 3 * time.Second
+	retellEvery = time.Second
+)
+
 // goneMemory is how long old news of an upstream that went is told from new. Answers
 // of the store come a few seconds late at most; stale reads of the store are
 // several seconds behind.
@@ -98,6 +105,9 @@
 	returned time.Time
 	// confirmed is the moment for which the list was last confirmed.
 	confirmed time.Time
+	// lapsed holds, by group, when an entry that had lapsed was last given up,
+	// and retold when that was last told again.
+	lapsed, retold map[Group]time.Time
 	// joined holds the runs that were listed since Joined was last called.
 	joined []*Upstream
 }
@@ -106,6 +116,7 @@
 func New() *Roster {
 	return &Roster{
 		byID: map[string]*Upstream{}, versions: map[string]int64{}, gone: map[string]time.Time{}, byService: map[string][]*Upstream{},
+		lapsed: map[Group]time.Time{}, retold: map[Group]time.Time{},
 		byGroup: map[Group][]*Upstream{}, known: map[Group]bool{}, changed: map[Group]int64{},
 	}
 }
@@ -287,9 +298,12 @@
 	var left []*Upstream
 	for _, u := range r.byID {
 		if !u.Lapses.IsZero() && !r.down && !now.Before(u.Lapses) {
+			g := r.layout.Of(u.Entry)
+			r.lapsed[g], r.retold[g] = now, now
 			left = append(left, r.drop(now, u))
 		}
 	}
+	r.retell(now)
 	if left != nil {
 		r.index()
 	}
@@ -297,6 +311,22 @@
 	return left
 }
 
+// retell makes groups count as changed again in which an entry was given up that had
+// lapsed. No change of the store says so, and an instance that followed another reader
+// until now may know a newer version than this one did when it gave the entry up.
+func (r *Roster) retell(now time.Time) {
+	for g, at := range r.lapsed {
+		switch {
+		case now.Sub(at) > retellFor:
+			delete(r.lapsed, g)
+			delete(r.retold, g)
+		case now.Sub(r.retold[g]) >= retellEvery:
+			r.retold[g] = now
+			r.mark(g, r.newest)
+		}
+	}
+}
+
 // forget drops the versions of upstreams that went long ago. Ids are new each time,
 // so that what is kept of them would grow for ever.
 func (r *Roster) forget(now time.Time) {
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -140,3 +140,35 @@
 		t.Errorf("left = %v, want a", names(left))
 	}
 }
+
+// The store was away and an entry lapsed. One reader gives it up; another, which has
+// seen newer versions, has told an instance of those before. That instance asks the
+// first reader from now on for what is newer than it knows: the removal, which is no
+// change in the store, must still reach it.
+func TestGivenUpEntriesAreToldAgain(t *testing.T) {
+	r := New()
+	r.Replace(start, []Change{listed("a", 1), listed("b", 2)}, 2)
+	r.StoreDown()
+	r.StoreUp(start)
+	r.Update(start, []Change{{ID: "a", Version: 3, Removed: true}}, 3)
+	if left := r.Tick(at(lapseHold)); len(left) != 1 {
+		t.Fatalf("left %v", names(left))
+	}
+	const known = 5 // of the instance, from the other reader
+	if len(r.Since(known, nil)) != 0 {
+		t.Fatal("told at once: the test shows nothing")
+	}
+	told := 0
+	for d := time.Duration(0); d < 10*time.Second; d += 100 * time.Millisecond {
+		v := int64(4 + d/(100*time.Millisecond))
+		r.Update(at(lapseHold+d), []Change{listed("b", v)}, v)
+		before := r.lastChange
+		r.Tick(at(lapseHold + d))
+		if r.lastChange != before {
+			told++
+		}
+	}
+	if len(r.Since(known, nil)) != 1 || told != 3 {
+		t.Errorf("%d groups are newer than the instance's version, told %d times", len(r.Since(known, nil)), told)
+	}
+}
--- a/internal/core/roster/share.go
+++ b/internal/core/roster/share.go
@@ -178,20 +178,18 @@
 	return out
 }
 
-// Ask returns the question of an instance that uses some groups, or all. anew asks
-// for everything, as from another source than before: what that one has held back,
-// or let go, may carry versions that this instance has passed.
-func (r *Roster) Ask(use []Group, all, anew bool) Question {
+// Ask returns the question of an instance that uses some groups, or all.
+func (r *Roster) Ask(use []Group, all bool) Question {
 	q := Question{Version: r.newest, Divided: r.divided, All: all}
-	if anew || all && !r.whole {
-		q.Version = 0
-	}
 	if all {
+		if !r.whole {
+			q.Version = 0
+		}
 		return q
 	}
 	q.Groups = use
 	for _, g := range use {
-		if anew || !r.Knows(g) {
+		if !r.Knows(g) {
 			q.New = append(q.New, g)
 		}
 	}
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -25,6 +25,9 @@
 	// badFor is how long a source is passed over that did not answer, or
 	// whose knowledge is old.
 	badFor = 2 * time.Second
+	// othersMost is how many other instances are asked when those that should
+	// be asked and the store fail: one that is well knows as much as all.
+	othersMost = 6
 	// staleLeast is the least age of a confirmation from which on another
 	// source is asked. A reader's questions to the store take a second each at
 	// most, so its knowledge is up to two seconds old when all is well.
@@ -82,7 +85,7 @@
 	if !reads {
 		order = append(order, Store)
 	}
-	return append(order, live...)
+	return append(order, live[:min(len(live), othersMost)]...)
 }
 
 // Bad reports whether a source is passed over at present.
@@ -92,15 +95,16 @@
 func (w *Watch) Failed(now time.Time, source string) { w.bad[source] = now.Add(badFor) }
 
 // Answered notes an answer with the age of what it confirms; relayed is set if a
-// relay gave it.
-func (w *Watch) Answered(now time.Time, source string, age time.Duration, relayed bool) {
+// relay gave it. It reports whether that is young enough.
+func (w *Watch) Answered(now time.Time, source string, age time.Duration, relayed bool) bool {
 	stale := w.stale
 	if relayed {
 		stale += relayMore
 	}
 	if age < 0 || age > stale {
 		w.bad[source] = now.Add(badFor)
-		return
+		return false
 	}
 	delete(w.bad, source)
+	return true
 }
--- a/internal/resident/fleet.go
+++ b/internal/resident/fleet.go
@@ -266,13 +266,17 @@
 
 // heard takes another instance's beat.
 func (f *fellows) heard(b msg.Beat) {
-	fresh, unheard := false, false
-	f.with(func(now time.Time, v *fleet.Fleet) { fresh, unheard = v.Heard(now, b), v.Unheard(now, b) })
+	var contact fleet.Contact
+	unheard := false
+	f.with(func(now time.Time, v *fleet.Fleet) { contact, unheard = v.Heard(now, b), v.Unheard(now, b) })
 	if unheard {
 		f.log.Info("peer_link_reset", "peer", b.Name, "why", "peer_does_not_hear")
 		f.peers.Reset(b.Name)
 	}
-	if fresh {
+	switch contact {
+	case fleet.First:
+		f.metrics.Count("instances_met_total", b.DataCentre) // hundreds in a second after a start
+	case fleet.Regained:
 		f.log.Info("dependency_regained", "dependency", "instance", "peer", b.Name, "boot", b.Boot, "ready", b.Ready)
 	}
 	if b.Answer {
@@ -325,8 +329,8 @@
 	}
 }
 
-// sources returns where this instance gets its news from, and who lives.
-func (f *fellows) sources() (s fleet.Sources, live []string) {
-	f.with(func(now time.Time, v *fleet.Fleet) { s, live = v.Sources(now), v.Live() })
-	return s, live
+// sources returns where this instance gets its news from.
+func (f *fellows) sources() (s fleet.Sources) {
+	f.with(func(now time.Time, v *fleet.Fleet) { s = v.Sources(now) })
+	return s
 }
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -36,6 +36,10 @@
 	// listPause is the least time between two questions for the list: many
 	// changes at once must not cost a call each.
 	listPause = 100 * time.Millisecond
+	// stalePause is the pause after an answer that confirms too little: long
+	// enough that hundreds of instances that all ask each other do not keep
+	// their machines busy, short against the time for which keys are accepted.
+	stalePause = 150 * time.Millisecond
 	// retryPause is the pause after a call to the store that failed.
 	retryPause = 150 * time.Millisecond
 	// sourcesEvery is how often it is worked out whom to ask. Instances come and
@@ -46,7 +50,7 @@
 	listPerEntry = 200 * time.Microsecond
 	// changeLines bounds the lines on upstreams that join, and on those that
 	// leave, by one answer: the first answer of a large service names thousands.
-	changeLines = 32
+	changeLines = 16
 	// sourcePause is how often it is looked whether another source is to be
 	// asked.
 	sourcePause = 100 * time.Millisecond
@@ -72,9 +76,8 @@
 	watch *watch.Watch
 	// up is set while the store answers.
 	up bool
-	// sources and live are whom this instance may ask, as of sourcesAt.
+	// sources are whom this instance may ask, as of sourcesAt.
 	sources   fleet.Sources
-	live      []string
 	sourcesAt time.Time
 	// last is the source that was asked last.
 	last string
@@ -318,10 +321,10 @@
 	defer f.mu.Unlock()
 	now := boottime.Now()
 	if now.Sub(f.sourcesAt) >= sourcesEvery {
-		f.sources, f.live = f.fellows.sources()
+		f.sources = f.fellows.sources()
 		f.sourcesAt = now
 	}
-	source := f.watch.Source(now, f.sources.Reads, f.sources.Ask, f.live)
+	source := f.watch.Source(now, f.sources.Reads, f.sources.Ask, f.sources.Others)
 	if source != f.last {
 		f.log.Info("source_changed", "from", sourceName(f.last), "to", sourceName(source), "reads", f.sources.Reads, "relays", f.sources.Relays)
 		f.last = source
@@ -362,8 +365,10 @@
 	return !f.watch.Bad(boottime.Now(), watch.Store)
 }
 
-func (f *follower) sourceAnswered(source string, age time.Duration) {
+// sourceAnswered takes the age of what a source confirms, and reports whether it is
+// young enough.
+func (f *follower) sourceAnswered(source string, age time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.watch.Answered(boottime.Now(), source, age, f.sources.Relayed)
+	return f.watch.Answered(boottime.Now(), source, age, f.sources.Relayed)
 }
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -95,8 +95,6 @@
 	// wake ends the wait for an answer: the instance uses another group now.
 	wake   chan struct{}
 	number int64
-	// last is the source of the last answer.
-	last string
 }
 
 type syncAnswer struct {
@@ -109,7 +107,6 @@
 	for ctx.Err() == nil {
 		source := a.follower.source()
 		if source == watch.Store {
-			a.last = watch.Store
 			pause(ctx, sourcePause)
 			continue
 		}
@@ -135,7 +132,7 @@
 	a.follower.server.decide(func(_ time.Time, g *forward.Gate) {
 		r := g.Roster()
 		layout, _ := r.Layout()
-		q.List = r.Ask(a.uses(layout), all, source != a.last)
+		q.List = r.Ask(a.uses(layout), all)
 		if g.Table() != nil {
 			q.Config = g.Table().Version
 		}
@@ -157,15 +154,19 @@
 			if got.from != source || got.Number != q.Number {
 				continue // late
 			}
-			a.take(source, asked, got.SyncAnswer, all)
+			a.take(ctx, source, asked, got.SyncAnswer, all)
 			return
 		}
 	}
 }
 
-func (a *asker) take(source string, asked time.Time, m msg.SyncAnswer, all bool) {
+func (a *asker) take(ctx context.Context, source string, asked time.Time, m msg.SyncAnswer, all bool) {
 	f := a.follower
-	f.sourceAnswered(source, m.ConfigAge)
+	if !f.sourceAnswered(source, m.ConfigAge) {
+		// While the store is away everybody's knowledge is old. Each other
+		// instance may be asked, but not one right after the other.
+		defer pause(ctx, stalePause)
+	}
 	if m.ConfigAge < 0 {
 		return
 	}
@@ -173,7 +174,6 @@
 	if m.ListAge < 0 {
 		return
 	}
-	a.last = source
 	f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(asked.Add(-m.ListAge)) })
 	if m.List == nil {
 		return
