A large fleet that starts at once agrees on who reads the store from the rows alone

Cause: after a loss of all processes, 302 instances before 2,998 upstreams served again only after 30 s. Each that starts has heard nobody and takes itself for the only one: it read the whole list from the store, 900 KB in pages that must come within half a second each, over a link of 10 Mbit/s that 300 beats and their answers use, too, and began anew when one page was late. Ruled out: rows (written only if missing since), with 990 upstreams the same start takes two seconds.

Change: for 1.5 s after an instance of a large fleet has learnt of the others, they count as live where readers and relays are chosen; rows tell the size of each machine; nobody chooses before it has looked who the others are. In a large fleet the store is asked last, after relays, readers and six others.

Tests agree on two readers of 300 from the rows alone, and on the order of sources.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -61,6 +61,8 @@
 	// near and far count the known instances in this data centre, this one
 	// included, and in others.
 	near, far int
+	// learned is when others were first learnt of from the store.
+	learned time.Time
 	// regions maps each data centre to its region.
 	regions map[string]string
 	// turn is where the next directory answer begins that can't name all.
@@ -167,6 +169,9 @@
 	if b.Name == f.self.Name || f.members[b.Name] != nil {
 		return false
 	}
+	if f.learned.IsZero() {
+		f.learned = now
+	}
 	f.members[b.Name] = &Member{Beat: b, Known: now}
 	f.count()
 	return true
--- a/internal/core/fleet/sources.go
+++ b/internal/core/fleet/sources.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"mulberrylug.example/mulberrylug/internal/core/membership"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
@@ -22,6 +23,11 @@
 	relaysFrom = 64
 	// relays is how many instances of a data centre relay what the readers tell.
 	relays = 2
+	// startGrace is how long after an instance has learnt of the others those
+	// count as live that it has not heard yet, where it is decided who reads the
+	// store: 300 instances that start at once would else all read the whole
+	// list, 900 KB each, for most of a second on a small machine's link.
+	startGrace = 1500 * time.Millisecond
 	// relaysKey orders the instances of a data centre for that role.
 	relaysKey = "list-relays"
 )
@@ -34,6 +40,8 @@
 	Relays bool
 	// Relayed is set if it asks relays.
 	Relayed bool
+	// Large is set in a fleet so large that the store must be asked by few.
+	Large bool
 	// Ask lists the instances to ask, the preferred first.
 	Ask []string
 	// Others lists all that live, beginning with another one at each instance.
@@ -46,8 +54,10 @@
 // is spread.
 func (f *Fleet) Sources(now time.Time) Sources {
 	readers := f.Readers(now)
-	s := Sources{Reads: slices.Contains(readers, f.self.Name), Others: f.turned(f.live)}
-	if s.Reads || f.Size() < relaysFrom {
+	s := Sources{
+		Reads: slices.Contains(readers, f.self.Name), Large: f.Size() >= relaysFrom, Others: f.turned(f.live),
+	}
+	if s.Reads || !s.Large {
 		s.Relays = s.Reads
 		s.Ask = f.turned(readers)
 		return s
@@ -78,12 +88,12 @@
 // the store says so, and the next takes its place; if all say so, each of them
 // asks the store itself.
 func (f *Fleet) Readers(now time.Time) []string {
-	return f.largest(now, readersKey, readers, func(b msg.Beat) bool { return b.Reads && !b.Leaving })
+	return f.largest(now, readersKey, readers, func(b msg.Beat) bool { return b.Reads })
 }
 
 // relays lists the instances of a data centre that relay the readers' news.
 func (f *Fleet) relays(now time.Time, dataCentre string) []string {
-	return f.largest(now, relaysKey, relays, func(b msg.Beat) bool { return b.DataCentre == dataCentre && !b.Leaving })
+	return f.largest(now, relaysKey, relays, func(b msg.Beat) bool { return b.DataCentre == dataCentre })
 }
 
 // largest lists n instances for a key that fit: those of the largest machines first,
@@ -91,8 +101,8 @@
 // 3,000 upstreams are 6 Mbit/s, more than half of what a small machine's link takes.
 func (f *Fleet) largest(now time.Time, key string, n int, fits func(msg.Beat) bool) []string {
 	var out []msg.Beat
-	for _, name := range f.view.Homes(now, key, f.Size(), func(string) int { return 0 }) {
-		if b, ok := f.beatOf(name); ok && fits(b) {
+	for _, name := range f.candidates(now, key) {
+		if b := f.beatOf(name); !b.Leaving && fits(b) {
 			out = append(out, b)
 		}
 	}
@@ -104,13 +114,32 @@
 	return names
 }
 
-// beatOf returns what an instance last told of itself.
-func (f *Fleet) beatOf(name string) (msg.Beat, bool) {
+// candidates lists the instances that live, in rendezvous order; right after the start
+// of a large fleet's instance all that it knows of.
+func (f *Fleet) candidates(now time.Time, key string) []string {
+	view := f.view
+	if f.Size() >= relaysFrom && now.Sub(f.learned) < startGrace {
+		view = membership.NewView(listed(f.self))
+		list := make([]membership.Member, 0, len(f.members))
+		for _, m := range f.members {
+			list = append(list, listed(m.Beat))
+		}
+		view.Update(now, list)
+	}
+	return view.Homes(now, key, f.Size(), func(string) int { return 0 })
+}
+
+// beatOf returns what an instance last told of itself. One that has not told anything
+// yet is believed to reach the store.
+func (f *Fleet) beatOf(name string) msg.Beat {
 	if name == f.self.Name {
-		return f.self, true
+		return f.self
 	}
-	if m := f.members[name]; m != nil {
-		return m.Beat, true
+	m := f.members[name]
+	if m == nil {
+		return msg.Beat{Leaving: true}
 	}
-	return msg.Beat{}, false
+	b := m.Beat
+	b.Reads = b.Reads || !m.met
+	return b
 }
--- a/internal/core/fleet/sources_test.go
+++ b/internal/core/fleet/sources_test.go
@@ -41,7 +41,7 @@
 		if len(s.Ask) == 0 {
 			t.Fatalf("instance %d asks nobody", k)
 		}
-		first, _ := f.beatOf(s.Ask[0])
+		first := f.beatOf(s.Ask[0])
 		switch {
 		case s.Reads:
 			if f.self.Class != 8 {
@@ -93,7 +93,7 @@
 func TestHomesStandInTheirPoolsDataCentre(t *testing.T) {
 	f := sized(0, 30)
 	for k := range 20 {
-		home, _ := f.beatOf(f.Home(start, fmt.Sprint("pool/", k), "dc2"))
+		home := f.beatOf(f.Home(start, fmt.Sprint("pool/", k), "dc2"))
 		if home.DataCentre != "dc2" {
 			t.Errorf("home %s stands in %s", home.Name, home.DataCentre)
 		}
@@ -120,3 +120,39 @@
 		f.Heard(now, again)
 	}
 }
+
+// Three hundred instances lose power and start at once. Each reads who the others are,
+// and has heard none of them yet; if it took itself for the only one, it would read
+// the whole list, as all the others would. They agree on who reads from the rows alone.
+func TestAStartOfHundredsAgreesOnTheReaders(t *testing.T) {
+	const n = 300
+	reads := 0
+	for k := 0; k < n; k += 9 {
+		whole := sized(k, n)
+		f := New(whole.self, nil)
+		f.SetSelf(false, false, true)
+		for _, m := range whole.members {
+			row := m.Beat
+			row.Ready, row.Reads = false, false
+			f.Learn(start, row)
+		}
+		s := f.Sources(start.Add(time.Millisecond))
+		if s.Reads {
+			reads++
+		} else if len(s.Ask) == 0 {
+			t.Errorf("%s asks nobody", f.self.Name)
+		}
+		if late := f.Sources(start.Add(startGrace)); !late.Reads {
+			t.Errorf("%s does not read though it has heard nobody for so long", f.self.Name)
+		}
+	}
+	if reads > readers {
+		t.Errorf("%d of the instances looked at read the store", reads)
+	}
+	small := New(beat(0), nil)
+	small.SetSelf(false, false, true)
+	small.Learn(start, beat(1))
+	if !small.Sources(start).Reads {
+		t.Error("a small fleet's instance must not wait for the others")
+	}
+}
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -56,10 +56,19 @@
 	return w
 }
 
-// Source returns whom to ask now. reads is set if this instance reads the store for
-// the others, ask lists the instances that it should ask, live all others that live.
-func (w *Watch) Source(now time.Time, reads bool, ask, live []string) string {
-	order := order(reads, ask, live)
+// Choice is whom an instance may ask.
+type Choice struct {
+	// Reads is set if it reads the store for the others.
+	Reads bool
+	// Large is set in a fleet so large that the store must be asked by few.
+	Large bool
+	// Ask lists the instances that it should ask, Others all that live.
+	Ask, Others []string
+}
+
+// Source returns whom to ask now.
+func (w *Watch) Source(now time.Time, c Choice) string {
+	order := order(c)
 	best, until := Store, time.Time{}
 	for k, source := range order {
 		at, bad := w.bad[source]
@@ -74,18 +83,23 @@
 }
 
 // order lists the sources, the preferred first: a reader asks the store, others
-// whom they should. When those fail the store comes next, then any instance that
-// lives: one may have a path to the store where this one has none.
-func order(reads bool, ask, live []string) []string {
+// whom they should. When those fail the store comes next, then others that live: one
+// may have a path to the store where this one has none. In a large fleet the store
+// comes last: if a few relays fail, hundreds would read all of it at once.
+func order(c Choice) []string {
 	var order []string
-	if reads || len(ask) == 0 {
+	if c.Reads || len(c.Ask) == 0 {
+		order = append(order, Store)
+	}
+	order = append(order, c.Ask...)
+	if !c.Reads && !c.Large {
 		order = append(order, Store)
 	}
-	order = append(order, ask...)
-	if !reads {
+	order = append(order, c.Others[:min(len(c.Others), othersMost)]...)
+	if !c.Reads && c.Large {
 		order = append(order, Store)
 	}
-	return append(order, live[:min(len(live), othersMost)]...)
+	return order
 }
 
 // Bad reports whether a source is passed over at present.
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -9,13 +9,13 @@
 
 func TestReadersAskTheStoreOthersTheReaders(t *testing.T) {
 	live := []string{"b", "c", "d"}
-	if got := New(0).Source(start, true, []string{"b"}, live); got != Store {
+	if got := New(0).Source(start, Choice{Reads: true, Ask: []string{"b"}, Others: live}); got != Store {
 		t.Errorf("a reader asks %q", got)
 	}
-	if got := New(0).Source(start, false, []string{"a", "b"}, []string{"a", "b", "c"}); got != "a" {
+	if got := New(0).Source(start, Choice{Ask: []string{"a", "b"}, Others: []string{"a", "b", "c"}}); got != "a" {
 		t.Errorf("another asks %q, want the first reader", got)
 	}
-	if got := New(0).Source(start, false, nil, nil); got != Store {
+	if got := New(0).Source(start, Choice{}); got != Store {
 		t.Errorf("alone, it asks %q", got)
 	}
 }
@@ -27,16 +27,16 @@
 	w, live := New(0), []string{"a", "b", "c"}
 	want := []string{"a", "b", Store, "c"}
 	for _, source := range want {
-		if got := w.Source(start, false, []string{"a", "b"}, live); got != source {
+		if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: live}); got != source {
 			t.Fatalf("asks %q, want %q", got, source)
 		}
 		w.Failed(start, source)
 		start = start.Add(time.Millisecond)
 	}
-	if got := w.Source(start, false, []string{"a", "b"}, live); got != "a" {
+	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: live}); got != "a" {
 		t.Errorf("with all of them bad it asks %q, want the one that failed first", got)
 	}
-	if got := w.Source(start.Add(badFor), false, []string{"a", "b"}, live); got != "a" {
+	if got := w.Source(start.Add(badFor), Choice{Ask: []string{"a", "b"}, Others: live}); got != "a" {
 		t.Errorf("after the pause it asks %q", got)
 	}
 }
@@ -47,11 +47,11 @@
 func TestAReaderWithOldKnowledgeIsPassedOver(t *testing.T) {
 	w := New(0)
 	w.Answered(start, "a", staleLeast+time.Millisecond, false)
-	if got := w.Source(start, false, []string{"a", "b"}, []string{"a", "b"}); got != "b" {
+	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: []string{"a", "b"}}); got != "b" {
 		t.Errorf("asks %q, want the other reader", got)
 	}
 	w.Answered(start, "b", time.Second, false)
-	if got := w.Source(start, false, []string{"a", "b"}, []string{"a", "b"}); got != "b" {
+	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: []string{"a", "b"}}); got != "b" {
 		t.Errorf("asks %q", got)
 	}
 }
@@ -61,11 +61,24 @@
 func TestARelaysKnowledgeMayBeOlder(t *testing.T) {
 	w := New(0)
 	w.Answered(start, "a", staleLeast+PeerHold, true)
-	if got := w.Source(start, false, []string{"a", "b"}, nil); got != "a" {
+	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: nil}); got != "a" {
 		t.Errorf("asks %q, want the relay", got)
 	}
 	w.Answered(start, "a", staleLeast+relayMore+time.Millisecond, true)
-	if got := w.Source(start, false, []string{"a", "b"}, nil); got != "b" {
+	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: nil}); got != "b" {
 		t.Errorf("asks %q, want another than the relay that knows nothing new", got)
 	}
 }
+
+// The relays of a data centre fail together. Its hundred instances ask the readers and
+// then some others; the store, which each would have to read whole, is the last.
+func TestLargeFleetsAskTheStoreLast(t *testing.T) {
+	w := New(0)
+	c := Choice{Large: true, Ask: []string{"a"}, Others: []string{"a", "b", "c", "d", "e", "f", "g", "h"}}
+	for _, want := range []string{"a", "b", "c", "d", "e", "f", Store} {
+		if got := w.Source(start, c); got != want {
+			t.Fatalf("asks %q, want %q", got, want)
+		}
+		w.Failed(start, want)
+	}
+}
--- a/internal/resident/fleet.go
+++ b/internal/resident/fleet.go
@@ -49,6 +49,11 @@
 	// home must hear at once what runs.
 	gone func()
 
+	// looked is closed once the store was asked who the others are, whether it
+	// answered or not; learned does that once.
+	looked  chan struct{}
+	learned sync.Once
+
 	// mu guards the view, and when the last regular beats were sent to each
 	// data centre.
 	mu     sync.Mutex
@@ -71,6 +76,7 @@
 func (f *fellows) join(ctx context.Context) error {
 	for tries := 0; ctx.Err() == nil; tries++ {
 		err := f.tryJoin(ctx)
+		f.learned.Do(func() { close(f.looked) })
 		if err == nil {
 			return f.relearn(ctx)
 		}
@@ -104,12 +110,22 @@
 	return ctx.Err()
 }
 
+// awaitLearned waits until this instance knows of the others, if the store tells: who
+// reads the store for all depends on who they are.
+func (f *fellows) awaitLearned(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.looked:
+	}
+}
+
 func (f *fellows) tryJoin(ctx context.Context) error {
 	known, err := f.store.Members(ctx)
 	if err != nil {
 		return err
 	}
 	f.learn(known)
+	f.learned.Do(func() { close(f.looked) })
 	self := f.self()
 	if slices.ContainsFunc(known, func(r fleet.Row) bool { return sameRow(r.Beat, self) }) {
 		return nil
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -118,6 +118,7 @@
 // whileReading repeats a step as long as the store is whom this instance asks
 // for news, until the context ends.
 func (f *follower) whileReading(ctx context.Context, step func()) error {
+	f.fellows.awaitLearned(ctx)
 	for ctx.Err() == nil {
 		if f.source() == watch.Store {
 			step()
@@ -324,7 +325,9 @@
 		f.sources = f.fellows.sources()
 		f.sourcesAt = now
 	}
-	source := f.watch.Source(now, f.sources.Reads, f.sources.Ask, f.sources.Others)
+	source := f.watch.Source(now, watch.Choice{
+		Reads: f.sources.Reads, Large: f.sources.Large, Ask: f.sources.Ask, Others: f.sources.Others,
+	})
 	if source != f.last {
 		f.log.Info("source_changed", "from", sourceName(f.last), "to", sourceName(source), "reads", f.sources.Reads, "relays", f.sources.Relays)
 		f.last = source
--- a/internal/resident/relay.go
+++ b/internal/resident/relay.go
@@ -104,6 +104,7 @@
 
 // run asks until the context ends.
 func (a *asker) run(ctx context.Context) error {
+	a.follower.fellows.awaitLearned(ctx)
 	for ctx.Err() == nil {
 		source := a.follower.source()
 		if source == watch.Store {
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -93,7 +93,7 @@
 		settings: s, wire: wire, log: log, metrics: m, server: srv,
 		drained: make(chan struct{}),
 	}
-	r.fellows = &fellows{store: store, metrics: m, log: log, state: r.state, gone: srv.announce, beaten: map[string]time.Time{}, fleet: fleet.New(r.beat(), s.Regions)}
+	r.fellows = &fellows{store: store, metrics: m, log: log, state: r.state, gone: srv.announce, beaten: map[string]time.Time{}, looked: make(chan struct{}), fleet: fleet.New(r.beat(), s.Regions)}
 	r.relay = &relay{server: srv, send: r.fellows.sendTo, hold: min(watch.PeerHold, holdFor(keys)), waiting: map[string]waitingAsk{}}
 	r.follower = &follower{
 		store: store, server: srv, metrics: m, log: log, left: func() { r.homes.sync() },
