A home asks no upstream for its state only because a relay stands between it and the list

5,220 questions in 16 calm seconds of 102 instances before 996 upstreams: the list is up to 0.6 s older behind a relay, and homes took it for out of date at 1.8 s. The bound counts from what a relay adds now.

--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -32,9 +32,9 @@
 	// source is asked. A reader's questions to the store take a second each at
 	// most, so its knowledge is up to two seconds old when all is well.
 	staleLeast = 2200 * time.Millisecond
-	// relayMore is added to it where a relay stands between: it holds its own
+	// RelayMore is added to it where a relay stands between: it holds its own
 	// questions to the readers for as long as PeerHold.
-	relayMore = PeerHold + 200*time.Millisecond
+	RelayMore = PeerHold + 200*time.Millisecond
 	// staleShare is the same as a part of the time for which keys are
 	// accepted after a confirmation, where that is shorter.
 	staleShare = 0.6
@@ -113,7 +113,7 @@
 func (w *Watch) Answered(now time.Time, source string, age time.Duration, relayed bool) bool {
 	stale := w.stale
 	if relayed {
-		stale += relayMore
+		stale += RelayMore
 	}
 	if age < 0 || age > stale {
 		w.bad[source] = now.Add(badFor)
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -64,7 +64,7 @@
 	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: nil}); got != "a" {
 		t.Errorf("asks %q, want the relay", got)
 	}
-	w.Answered(start, "a", staleLeast+relayMore+time.Millisecond, true)
+	w.Answered(start, "a", staleLeast+RelayMore+time.Millisecond, true)
 	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: nil}); got != "b" {
 		t.Errorf("asks %q, want another than the relay that knows nothing new", got)
 	}
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -342,6 +342,17 @@
 	return f.sources.Relays
 }
 
+// lag is how much older what this instance knows is than what a reader tells: a relay
+// may stand between.
+func (f *follower) lag() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.sources.Relayed {
+		return watch.RelayMore
+	}
+	return 0
+}
+
 func sourceName(source string) string {
 	if source == watch.Store {
 		return "store"
--- a/internal/resident/home.go
+++ b/internal/resident/home.go
@@ -28,6 +28,9 @@
 	send    func(to string, m msg.Message)
 	// standsIn returns an instance's data centre, "" if it is not known.
 	standsIn func(instance string) string
+	// lag is how much older the list is here than where it is read, though all
+	// is well.
+	lag func() time.Duration
 	// begun is called when a home has begun.
 	begun func()
 	// noMoves leaves generations on upstreams that leave.
@@ -106,12 +109,12 @@
 // for which that holds. Upstreams are copied: the list may change while the home
 // looks at them.
 func (h *homes) listed(name string) (service *route.Service, list []*roster.Upstream, confirmed time.Time) {
-	group := roster.ParseGroup(name)
+	group, lag := roster.ParseGroup(name), h.lag()
 	h.server.decide(func(_ time.Time, g *forward.Gate) {
 		if g.Table() == nil {
 			return
 		}
-		service, confirmed = g.Table().Service(group.Service), g.Roster().Confirmed()
+		service, confirmed = g.Table().Service(group.Service), g.Roster().Confirmed().Add(lag)
 		for _, u := range g.Roster().In(group) {
 			c := *u
 			list = append(list, &c)
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -100,7 +100,7 @@
 		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(keys), wait: holdFor(keys),
 	}
 	r.homes = &homes{
-		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer, standsIn: r.fellows.standsIn, noMoves: s.NoMoves || s.NoHomes,
+		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer, standsIn: r.fellows.standsIn, lag: r.follower.lag, noMoves: s.NoMoves || s.NoHomes,
 		pools: map[string]*pool.Home{}, used: map[string]time.Time{},
 	}
 	srv.homes = homeLink{name: r.homeOf, send: r.sendAny, silent: r.homeSilent, broadcast: r.broadcast}
