--- a/internal/core/fleet/sources.go
+++ b/internal/core/fleet/sources.go
@@ -9,6 +9,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/core/membership"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/watch"
 )
 
 const (
@@ -34,18 +35,12 @@
 
 // Sources tells where an instance gets its news from.
 type Sources struct {
-	// Reads is set if it reads the store for the others.
-	Reads bool
+	// Choice is whom it asks.
+	watch.Choice
 	// Relays is set if others get theirs from it: it must know everything.
 	Relays bool
 	// Relayed is set if it asks relays.
 	Relayed bool
-	// Large is set in a fleet so large that the store must be asked by few.
-	Large bool
-	// Ask lists the instances to ask, the preferred first.
-	Ask []string
-	// Others lists all that live, beginning with another one at each instance.
-	Others []string
 }
 
 // Sources returns where this instance gets its news from: a reader from the store, a
@@ -54,9 +49,9 @@
 // is spread.
 func (f *Fleet) Sources(now time.Time) Sources {
 	readers := f.Readers(now)
-	s := Sources{
+	s := Sources{Choice: watch.Choice{
 		Reads: slices.Contains(readers, f.self.Name), Large: f.Size() >= relaysFrom, Others: f.turned(f.live),
-	}
+	}}
 	if s.Reads || !s.Large {
 		s.Relays = s.Reads
 		s.Ask = f.turned(readers)
--- a/internal/core/roster/group.go
+++ b/internal/core/roster/group.go
@@ -11,14 +11,14 @@
 
 const (
 	// wholeMost is the most upstreams of a service that every instance knows.
-	// Sixty entries are 5 KB, and one home places work on them.
+	// Sixty entries are 5 KB.
 	wholeMost = 64
 	// wholeAgain is the number below which a divided service is whole again: a
 	// few upstreams that come and go must not divide it anew each time.
 	wholeAgain = 48
 	// groupMost is the most upstreams of a part when a service is divided. One
-	// home places their work and asks them for their state; a home of 64 takes
-	// a thirtieth of a small instance's processor at four requests a second.
+	// home places their work and asks them for their state: pools of 12 and of
+	// 45 upstreams were run with one home, larger ones were not measured.
 	groupMost = 32
 	// groupFull and groupThin are how full a part gets, and how empty, before
 	// the service is divided anew, as parts of groupMost.
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -62,7 +62,8 @@
 	Reads bool
 	// Large is set in a fleet so large that the store must be asked by few.
 	Large bool
-	// Ask lists the instances that it should ask, Others all that live.
+	// Ask lists the instances that it should ask, the preferred first, and
+	// Others all that live, beginning with another one at each instance.
 	Ask, Others []string
 }
 
--- a/internal/resident/follow.go
+++ b/internal/resident/follow.go
@@ -325,9 +325,7 @@
 		f.sources = f.fellows.sources()
 		f.sourcesAt = now
 	}
-	source := f.watch.Source(now, watch.Choice{
-		Reads: f.sources.Reads, Large: f.sources.Large, Ask: f.sources.Ask, Others: f.sources.Others,
-	})
+	source := f.watch.Source(now, f.sources.Choice)
 	if source != f.last {
 		f.log.Info("source_changed", "from", sourceName(f.last), "to", sourceName(source), "reads", f.sources.Reads, "relays", f.sources.Relays)
 		f.last = source
