Only engines are asked about silent streams; what can't move is given up if it may be resumed

Found while reading: the question went to the upstream of any streaming route with affinity, also where the service is no engine and would take it for a request. Where runs can't be moved a rescue could only fail.

--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -47,7 +47,7 @@
 	FindingWaits Finding = "waits"
 	// FindingLinkSilent: the upstream makes events, and none of them arrives.
 	FindingLinkSilent Finding = "link_silent"
-	// FindingGone: the upstream has no such run.
+	// FindingGone: the upstream has no such run, or makes it for nobody.
 	FindingGone Finding = "gone"
 )
 
@@ -75,14 +75,17 @@
 	*s = silence{heard: now, begun: true, next: now.Add(max(silentTimes*r.MaxGap, silentLeast))}
 }
 
-// QuestionDue reports whether the upstream of the attempt in progress is to be
-// asked what has become of it, as its stream has been silent for long, and sets
-// the time of the next question. Something between the two may have lost track of
-// the connection, which then stays open and brings nothing.
-func (c *Call) QuestionDue(now time.Time) bool {
+// QuestionDue reports whether the upstream of a call's attempt is to be asked what
+// has become of it, as its stream has been silent for long, and sets the time of the
+// next question. Something between the two may have lost track of the connection,
+// which then stays open and brings nothing. Engines only tell what they run.
+func (g *Gate) QuestionDue(now time.Time, c *Call) bool {
 	if c.current == nil || !c.Route.Generation || c.Route.Kind != route.Stream || now.Before(c.silence.next) {
 		return false
 	}
+	if s := g.table.Service(c.Service); s == nil || s.Engine == nil {
+		return false
+	}
 	pause := min(questionEvery<<min(c.silence.questions, 8), questionMost)
 	c.silence.questions++
 	c.silence.next = now.Add(pause)
@@ -90,13 +93,16 @@
 }
 
 // Judge takes an upstream's word about an attempt. An upstream that only waits is
-// no reason to give a stream up.
+// no reason to give a stream up. Where runs can't be moved, one that goes on for
+// nobody is given up if it may be resumed elsewhere, and else left to its caller.
 func (g *Gate) Judge(c *Call, a *Attempt, asked time.Time, r RunReport) Finding {
 	switch {
 	case c.current != a || c.silence.heard.After(asked):
 		return FindingWaits // it has spoken meanwhile, or ended
-	case r.Listed && r.Events > c.Events:
+	case r.Listed && r.Events > c.Events && g.moves(c):
 		return FindingLinkSilent
+	case r.Listed && r.Events > c.Events && c.Route.Repeatable():
+		return FindingGone
 	case r.Listed || r.Waiting > 0:
 		c.silence.missing = 0
 		return FindingWaits
@@ -108,6 +114,12 @@
 	return FindingGone
 }
 
+// moves reports whether a call's run can go on at another upstream.
+func (g *Gate) moves(c *Call) bool {
+	s := g.table.Service(c.Service)
+	return s != nil && s.Engine != nil && s.Engine.Moves
+}
+
 // Refuge returns the upstream where the run of an attempt should go on whose
 // connection has fallen silent, or nil.
 func (g *Gate) Refuge(now time.Time, c *Call) *roster.Upstream { return g.choose(now, c) }
--- a/internal/core/forward/silence_test.go
+++ b/internal/core/forward/silence_test.go
@@ -3,15 +3,19 @@
 import (
 	"testing"
 	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
-// silentDraft returns a draft that has shown five events, the last at start, and
+// silentStream returns a stream that has shown five events, the last at start, and
 // its attempt.
-func silentDraft(t *testing.T) (*Gate, *Call, *Attempt) {
+func silentStream(t *testing.T, path string) (*Gate, *Call, *Attempt) {
 	t.Helper()
 	g := gate(t, 3)
 	g.table.Find("h", "/draft/").Generation = true
-	c := admit(t, g, request("/draft/1"))
+	g.table.Find("h", "/brief/").Generation = true
+	g.table.Service("desk").Engine = &route.Engine{Moves: true}
+	c := admit(t, g, request(path))
 	s := g.send(start, c)
 	for range 5 {
 		c.Progress(start, "x")
@@ -34,7 +38,7 @@
 		{"missing once: the report lags", []RunReport{{}, {Listed: true, Events: 5}, {}}, FindingWaits},
 		{"missing twice in a row", []RunReport{{}, {}}, FindingGone},
 	} {
-		g, call, a := silentDraft(t)
+		g, call, a := silentStream(t, "/draft/1")
 		now, got := start, FindingWaits
 		for _, r := range c.reports {
 			now = now.Add(time.Second)
@@ -49,7 +53,7 @@
 // An answer to a question is old news if the stream has spoken since, or if the
 // run goes on at another upstream by now: acting on it would stop a sound run.
 func TestAnOldAnswerAboutASilentStreamIsPassedOver(t *testing.T) {
-	g, c, a := silentDraft(t)
+	g, c, a := silentStream(t, "/draft/1")
 	asked := start.Add(400 * time.Millisecond)
 	c.Progress(start.Add(500*time.Millisecond), "x")
 	if f := g.Judge(c, a, asked, RunReport{Listed: true, Events: 9}); f != FindingWaits {
@@ -63,10 +67,10 @@
 // Questions have a price and an engine under load may be silent for seconds, so
 // they get rarer; an event starts the count anew.
 func TestQuestionsGetRarer(t *testing.T) {
-	_, c, _ := silentDraft(t)
+	g, c, _ := silentStream(t, "/draft/1")
 	var at []time.Duration
 	for d := time.Duration(0); d < 12*time.Second; d += 50 * time.Millisecond {
-		if c.QuestionDue(start.Add(d)) {
+		if g.QuestionDue(start.Add(d), c) {
 			at = append(at, d)
 		}
 	}
@@ -77,7 +81,25 @@
 		t.Errorf("asked after %v, want %v between the last two", at, questionMost)
 	}
 	c.Progress(start.Add(12*time.Second), "x")
-	if c.QuestionDue(start.Add(12*time.Second + silentLeast - 1)) {
+	if g.QuestionDue(start.Add(12*time.Second+silentLeast-1), c) {
 		t.Error("asked right after an event")
 	}
 }
+
+// An engine can't move its runs. A draft whose connection is silent may not run again,
+// and stays as it is; a brief may, and is given up so that it goes on elsewhere. A
+// service that is no engine is never asked: to it the question is a request.
+func TestSilentStreamsWhereNothingMoves(t *testing.T) {
+	made := RunReport{Listed: true, Events: 8}
+	for path, want := range map[string]Finding{"/draft/1": FindingWaits, "/brief/1": FindingGone} {
+		g, c, a := silentStream(t, path)
+		g.table.Service("desk").Engine.Moves = false
+		if got := g.Judge(c, a, start.Add(time.Second), made); got != want {
+			t.Errorf("%s: %s, want %s", path, got, want)
+		}
+		g.table.Service("desk").Engine = nil
+		if g.QuestionDue(start.Add(time.Minute), c) {
+			t.Errorf("%s: a plain service is asked", path)
+		}
+	}
+}
--- a/internal/resident/silence.go
+++ b/internal/resident/silence.go
@@ -23,9 +23,9 @@
 // work, so that one question tells that from an engine that is merely slow.
 func (s *server) askAboutSilent(ctx context.Context) {
 	due := map[string][]silentRun{}
-	s.decide(func(now time.Time, _ *forward.Gate) {
+	s.decide(func(now time.Time, g *forward.Gate) {
 		for _, x := range s.running {
-			if x.mover == nil && x.call.QuestionDue(now) {
+			if x.mover == nil && g.QuestionDue(now, x.call) {
 				a := x.call.Current()
 				due[a.Entry.Address] = append(due[a.Entry.Address], silentRun{x: x, a: a})
 			}
