--- a/internal/core/roster/group_test.go
+++ b/internal/core/roster/group_test.go
@@ -199,3 +199,35 @@
 		t.Errorf("%.0f allocations", allocs)
 	}
 }
+
+// The relays have failed, and an instance asks another one that knows only the groups
+// that it uses itself. Its answer would carry a newer version and lack the asker's
+// groups: the asker would take itself for up to date, and send work to upstreams that
+// have left.
+func TestWhoKnowsTooLittleDoesNotAnswer(t *testing.T) {
+	r := reader(t, spread("large", 200)...)
+	layout, divided := r.Layout()
+	mine := New()
+	follow(mine, r, "i1", "b")
+	own := layout.Own("large", "b", "i1")
+	other := layout.Groups("large", "c")[:1]
+	for _, c := range []struct {
+		name string
+		q    Question
+		ok   bool
+	}{
+		{"its own groups", Question{Divided: divided, Groups: own}, true},
+		{"a group that it does not know", Question{Divided: divided, Groups: other, New: other}, false},
+		{"everything", Question{Divided: divided, All: true}, false},
+	} {
+		if _, ok := mine.Answer(c.q); ok != c.ok {
+			t.Errorf("%s: answered %v, want %v", c.name, ok, c.ok)
+		}
+		if _, ok := r.Answer(c.q); !ok {
+			t.Errorf("%s: a reader does not answer", c.name)
+		}
+	}
+	if _, ok := New().Answer(Question{}); ok {
+		t.Error("an instance that knows nothing answers")
+	}
+}
--- a/internal/core/roster/share.go
+++ b/internal/core/roster/share.go
@@ -149,10 +149,8 @@
 		s.Groups = r.Since(q.Version, nil)
 	} else {
 		groups, fresh := r.current(q.Groups), r.current(q.New)
-		for _, g := range groups {
-			if !r.Knows(g) {
-				return nil, false
-			}
+		if !r.knowsAll(groups) {
+			return nil, false
 		}
 		s.Groups = r.Copies(fresh)
 		for _, c := range r.Since(q.Version, groups) {
@@ -167,6 +165,10 @@
 	return s, true
 }
 
+func (r *Roster) knowsAll(groups []Group) bool {
+	return !slices.ContainsFunc(groups, func(g Group) bool { return !r.Knows(g) })
+}
+
 // current returns those of some groups that the layout has.
 func (r *Roster) current(groups []Group) []Group {
 	out := make([]Group, 0, len(groups))
