--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -50,19 +51,14 @@
 		pools = layout.Groups(c.Service, "")
 	}
 	if len(pools) == 0 {
-		again := c.Pool == c.Service
-		c.Pool = c.Service
-		return !again
+		pools = []roster.Group{roster.Whole(c.Service)}
 	}
-	if c.offers >= poolsMost {
+	pools = slices.DeleteFunc(pools, func(p roster.Group) bool { return p.Name() == c.Pool })
+	if len(pools) == 0 || c.offers >= poolsMost {
 		return false
 	}
 	c.offers++
-	pick := g.rng.IntN(len(pools))
-	if pools[pick].Name() == c.Pool {
-		pick = (pick + 1) % len(pools)
-	}
-	c.Pool = pools[pick].Name()
+	c.Pool = pools[g.rng.IntN(len(pools))].Name()
 	return true
 }
 
--- a/internal/core/roster/group_test.go
+++ b/internal/core/roster/group_test.go
@@ -152,6 +152,9 @@
 		more = append(more, c)
 	}
 	r.Update(at(time.Second), more, v+int64(len(more)))
+	if !mine.Whole() {
+		t.Error("an instance that was told all of undivided services does not know all")
+	}
 	if !r.Divide() {
 		t.Fatal("180 upstreams are not divided")
 	}
--- a/internal/core/roster/share.go
+++ b/internal/core/roster/share.go
@@ -49,7 +49,11 @@
 // adoptLayout divides what is known as told. Groups that are new by it count as
 // changed, so that all who use them hear of them.
 func (r *Roster) adoptLayout(l Layout, version int64) {
-	r.layout, r.divided = l, version
+	r.divided = version
+	if l.equal(r.layout) {
+		return // two readers came to the same at different versions
+	}
+	r.layout = l
 	r.index()
 	for g := range r.byGroup {
 		r.mark(g, version)
@@ -220,7 +224,8 @@
 		}
 	}
 	r.newest = max(r.newest, s.Version)
-	r.whole = s.All
+	// Services that are not divided are told whole to everybody.
+	r.whole = s.All || len(r.layout) == 0
 	return left
 }
 
