--- a/internal/resident/fleet.go
+++ b/internal/resident/fleet.go
@@ -1,9 +1,6 @@
 package resident
 
 import (
-	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,19 +14,6 @@
 	"mulberrylug.example/mulberrylug/internal/peer"
 )
 
-const (
-	// joinPause is the mean pause after the first failed try to join the table of
-	// instances. It doubles joinDoubles times at most, and is drawn anew each
-	// time, so that instances that started together do not try together.
-	joinPause   = 500 * time.Millisecond
-	joinDoubles = 3
-	// relearnEvery is how often the table of instances is read again: 390
-	// instances read 100 KB each that often, 0.8 KB/s. relearnAlone is the mean
-	// pause before an instance does so that hears no other.
-	relearnEvery = 2 * time.Minute
-	relearnAlone = 8 * time.Second
-)
-
 // linkLook bounds a look at an instance whose connection has ended.
 const linkLook = 300 * time.Millisecond
 
@@ -68,106 +52,11 @@
 	do(boottime.Now(), f.fleet)
 }
 
-// join makes this instance known in the store and learns who else is. It writes and
-// reads after that, so that of two instances that start at once at least one sees the
-// other. One that starts again finds its row and writes nothing: when hundreds start
-// at once, their writes take the store seconds, and those that are tried again make
-// the others wait longer.
-func (f *fellows) join(ctx context.Context) error {
-	for tries := 0; ctx.Err() == nil; tries++ {
-		err := f.tryJoin(ctx)
-		f.learned.Do(func() { close(f.looked) })
-		if err == nil {
-			return f.relearn(ctx)
-		}
-		f.metrics.Count("store_failures_total", "join")
-		f.log.Warn("join_failed", "step", "join", "try", tries+1, "error", err)
-		wait := joinPause << min(tries, joinDoubles)
-		pause(ctx, wait/2+rand.N(wait))
-	}
-	return ctx.Err()
-}
-
-// relearn reads the rows again now and then. Instances that do not hear each other for
-// long forget each other: after a cut between data centres that lasted minutes, or a
-// suspension, nobody would ever send the first beat. An instance that hears nobody
-// looks sooner, and one whose row was removed meanwhile writes it again.
-func (f *fellows) relearn(ctx context.Context) error {
-	last := boottime.Now()
-	for ctx.Err() == nil {
-		pause(ctx, relearnAlone/2+rand.N(relearnAlone))
-		alone := false
-		f.with(func(_ time.Time, v *fleet.Fleet) { alone = len(v.Live()) == 0 })
-		if !alone && boottime.Now().Sub(last) < relearnEvery {
-			continue
-		}
-		last = boottime.Now()
-		if err := f.tryJoin(ctx); err != nil && ctx.Err() == nil {
-			f.metrics.Count("store_failures_total", "relearn")
-			f.log.Info("relearn_failed", "error", err)
-		}
-	}
-	return ctx.Err()
-}
-
-// awaitLearned waits until this instance knows of the others, if the store tells: who
-// reads the store for all depends on who they are.
-func (f *fellows) awaitLearned(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-f.looked:
-	}
-}
-
-func (f *fellows) tryJoin(ctx context.Context) error {
-	known, err := f.store.Members(ctx)
-	if err != nil {
-		return err
-	}
-	f.learn(known)
-	f.learned.Do(func() { close(f.looked) })
-	self := f.self()
-	if slices.ContainsFunc(known, func(r fleet.Row) bool { return sameRow(r.Beat, self) }) {
-		return nil
-	}
-	if err := f.store.Join(ctx, self); err != nil {
-		return err
-	}
-	if known, err = f.store.Members(ctx); err != nil {
-		return err
-	}
-	f.learn(known)
-	return nil
-}
-
-// sameRow reports whether a row says of an instance what it would write of itself.
-func sameRow(row, self msg.Beat) bool {
-	return row.Name == self.Name && row.DataCentre == self.DataCentre &&
-		row.CallerAddress == self.CallerAddress && row.PeerAddress == self.PeerAddress
-}
-
 func (f *fellows) self() (self msg.Beat) {
 	f.with(func(_ time.Time, v *fleet.Fleet) { self = v.Self() })
 	return self
 }
 
-// learn takes in the instances of rows, and asks those that were not known for a beat.
-func (f *fellows) learn(known []fleet.Row) {
-	fresh := 0
-	f.with(func(now time.Time, v *fleet.Fleet) {
-		for _, r := range known {
-			if v.Learn(now, r.Beat) {
-				fresh++
-			}
-		}
-	})
-	if fresh == 0 {
-		return
-	}
-	f.log.Info("instances_learned", "source", "store", "count", len(known), "new", fresh)
-	f.beat(true)
-}
-
 // beatDue tells the others that this instance lives, those of each data centre when
 // that is due.
 func (f *fellows) beatDue() {
@@ -236,44 +125,6 @@
 	}
 }
 
-// sweep removes the rows of instances that are gone for good, now and then. The first
-// reader does it for all.
-func (f *fellows) sweep(ctx context.Context) error {
-	var s fleet.Sweep
-	for pause(ctx, fleet.SweepEvery); ctx.Err() == nil; pause(ctx, fleet.SweepEvery) {
-		if err := f.sweepOnce(ctx, &s); err != nil {
-			f.metrics.Count("store_failures_total", "sweep")
-			f.log.Warn("sweep_failed", "error", err)
-		}
-	}
-	return ctx.Err()
-}
-
-func (f *fellows) sweepOnce(ctx context.Context, s *fleet.Sweep) error {
-	first := false
-	f.with(func(now time.Time, v *fleet.Fleet) {
-		readers := v.Readers(now)
-		first = len(readers) > 0 && readers[0] == v.Self().Name
-	})
-	if !first {
-		*s = fleet.Sweep{}
-		return nil
-	}
-	rows, err := f.store.Members(ctx)
-	if err != nil {
-		return err
-	}
-	var dead []fleet.Row
-	f.with(func(now time.Time, v *fleet.Fleet) {
-		dead = s.Look(now, rows, func(name string) bool { return name == v.Self().Name || v.Hears(now, name) })
-	})
-	if len(dead) == 0 {
-		return nil
-	}
-	f.log.Info("instances_swept", "rows", len(rows), "dead", len(dead), "first", dead[0].Name)
-	return f.store.Remove(ctx, dead)
-}
-
 // standsIn returns an instance's data centre, "" if the instance is not known.
 func (f *fellows) standsIn(name string) (dataCentre string) {
 	f.with(func(_ time.Time, v *fleet.Fleet) { dataCentre = v.DataCentre(name) })
