experiment: engines that fail with good health, and crashes without notice

The emulator plays what the pool's home gained on the platform: two of twelve engines at a time that fail two in five requests.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -36,6 +36,8 @@
 	Requests  []Requests    `yaml:"requests" validate:"required,min=1,dive"`
 	Leaving   Leaving       `yaml:"leaving"`
 	Links     Links         `yaml:"links"`
+	Failing   Failing       `yaml:"failing"`
+	Crashes   Crashes       `yaml:"crashes"`
 }
 
 // Engines describes the engines; times are those of an engine of speed 1.
@@ -73,6 +75,25 @@
 	NewsLag time.Duration `yaml:"news_lag"`
 }
 
+// Failing makes engines fail a part of their requests with good health; Every 0 means
+// that none does.
+type Failing struct {
+	First time.Duration `yaml:"first"`
+	Every time.Duration `yaml:"every"`
+	For   time.Duration `yaml:"for"`
+	Count int           `yaml:"count"`
+	Share float64       `yaml:"share" validate:"gte=0,lte=1"`
+	After time.Duration `yaml:"after"`
+}
+
+// Crashes make engines end without notice; Every 0 means that none does.
+type Crashes struct {
+	First   time.Duration `yaml:"first"`
+	Every   time.Duration `yaml:"every"`
+	Count   int           `yaml:"count"`
+	Replace time.Duration `yaml:"replace"`
+}
+
 // Links carry copies of running generations between engines.
 type Links struct {
 	TokenBytes  float64       `yaml:"token_bytes"`
@@ -134,6 +155,7 @@
 		Name: f.Name, Entries: f.Entries, Rate: f.Rate, Length: f.Length, MaxOutput: f.MaxOutput,
 		MaxWait: f.MaxWait, HintSigma: f.HintSigma, ReportLag: reportLag, Return: true,
 		Leaving: trial.Leaving(f.Leaving), Links: trial.Links(f.Links),
+		Failing: trial.Failing(f.Failing), Crashes: trial.Crashes(f.Crashes),
 	}
 	e := f.Engines
 	for k := range e.Count {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -5,17 +5,20 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 const example = "../../examples/experiments/leaving-workers.yaml"
 
-func load(t *testing.T) *File {
+func load(t *testing.T) *File { return loadFile(t, example) }
+
+func loadFile(t *testing.T, name string) *File {
 	t.Helper()
-	data, err := os.ReadFile(example)
+	data, err := os.ReadFile(name)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f, err := Parse(example, data)
+	f, err := Parse(name, data)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -55,6 +58,43 @@
 	}
 }
 
+// Pattern: two of twelve engines at a time fail two in five requests half a second after
+// they took them, with good health; each failed request frees them, so that they look
+// idle. Who goes by what runs sends them more than their share, a sixth, and loses
+// about 0.06 of all; a home that counts what they fail loses half of that.
+func TestAHomeAvoidsEnginesThatFail(t *testing.T) {
+	rows, err := loadFile(t, "../../examples/experiments/failing-engines.yaml").Run(3, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	by := map[string]Row{}
+	for _, r := range rows {
+		by[r.Policy] = r
+		t.Logf("%-18s in time %.3f lost %.3f", r.Policy, r.InTime, r.Lost)
+	}
+	if alone := by["alone_stay"].Lost; alone < 0.05 || by["home"].Lost > 0.65*alone {
+		t.Errorf("entries alone lose %.3f, the home %.3f; want at least 0.05, and at most 0.65 of that", alone, by["home"].Lost)
+	}
+}
+
+// Pattern: an engine crashes every three seconds, without notice. What ran there is
+// lost under every policy, and none of the rest: each request has an end.
+func TestCrashesLoseWhatRan(t *testing.T) {
+	f := load(t)
+	f.Leaving, f.Policies = Leaving{}, []string{"alone_stay", "home"}
+	f.Crashes = Crashes{First: 2 * time.Second, Every: 3 * time.Second, Count: 1, Replace: 4 * time.Second}
+	rows, err := f.Run(3, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range rows {
+		t.Logf("%-18s in time %.3f lost %.3f", r.Policy, r.InTime, r.Lost)
+		if r.Lost < 0.01 || r.Lost > 0.15 || r.Result.Unanswered != 0 {
+			t.Errorf("%s: %.3f lost, %d without an end", r.Policy, r.Lost, r.Result.Unanswered)
+		}
+	}
+}
+
 func TestMistakesAreNamed(t *testing.T) {
 	data, err := os.ReadFile(example)
 	if err != nil {
--- a/internal/trial/engine.go
+++ b/internal/trial/engine.go
@@ -56,6 +56,8 @@
 	used    int
 	busy    bool
 	leaving bool
+	// failing is set while the engine fails a part of its requests.
+	failing bool
 	dead    bool
 	// link is until when the engine's link is taken by copies.
 	link time.Duration
--- a/internal/trial/evacuations.go
+++ b/internal/trial/evacuations.go
@@ -215,9 +215,10 @@
 func (p *poolHome) Report(int, placement.Report) {}
 
 // Ended implements Policy.
-func (p *poolHome) Ended(_ *Request, id string, _, tokens int, whole bool) {
+func (p *poolHome) Ended(_ *Request, id string, engine, tokens int, whole bool) {
+	upstream := p.run.engines[engine].name
 	p.run.after(hop, func() {
-		p.home.End(p.now(), msg.GrantEnd{Pool: "pool", Attempt: id, Tokens: tokens, Failed: !whole})
+		p.home.End(p.now(), msg.GrantEnd{Pool: "pool", Attempt: id, Upstream: upstream, Tokens: tokens, Failed: !whole})
 		p.act()
 	})
 }
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -130,6 +130,12 @@
 	if r.work.Leaving.Every > 0 {
 		r.at(r.work.Leaving.First, r.depart)
 	}
+	if r.work.Failing.Every > 0 {
+		r.at(r.work.Failing.First, r.turnFailing)
+	}
+	if r.work.Crashes.Every > 0 {
+		r.at(r.work.Crashes.First, r.crash)
+	}
 	if r.work.ReclaimAt > 0 {
 		r.at(r.work.ReclaimAt, func() { r.engines[0].leaving = true })
 		r.at(r.work.ReclaimAt+reclaimNotice, r.engines[0].reclaim)
@@ -173,11 +179,12 @@
 	g := &generation{req: q, id: id, engine: engine, priority: priority}
 	r.live[id] = g
 	r.after(hop, func() {
-		if e := r.engines[engine]; !e.dead {
+		switch e := r.engines[engine]; {
+		case e.dead:
+			r.lost(g)
+		case !r.fails(g):
 			e.submit(g)
-			return
 		}
-		r.lost(g)
 	})
 }
 
--- a/internal/trial/workload.go
+++ b/internal/trial/workload.go
@@ -72,6 +72,9 @@
 	// Leaving makes engines leave and join, Links carry what runs on them.
 	Leaving Leaving
 	Links   Links
+	// Failing and Crashes are what engines do besides.
+	Failing Failing
+	Crashes Crashes
 	// HintSigma spreads the callers' estimates of their outputs around the
 	// truth; 0 means that they give none.
 	HintSigma float64
