experiment: worth, time in flight and verdicts; instances that die, slow engines

It now weighs each answer by its size, says by which cause worth was lost, how long a piece of work is in flight (what a loss of all instances takes), and plays shutdowns, instances that lose power with the crowd that comes back, and engines that turn slow. `mulberrylug experiment` plays variants (a policy, with mechanisms left out) on all processors and compares each with the first, seed by seed, with a confidence interval and a verdict.

-no-moves and -no-homes become -without moves,homes: one typed set of mechanisms.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -19,12 +19,14 @@
 }
 
 func (*experimentCmd) Name() string     { return "experiment" }
-func (*experimentCmd) Synopsis() string { return "compare placement policies in virtual time" }
+func (*experimentCmd) Synopsis() string { return "compare variants of placement in virtual time" }
 func (*experimentCmd) Usage() string {
 	return `experiment -f FILE [-seeds N] [-plots DIR]:
-  Play placement policies side by side on the workload that a YAML file
-  describes, in virtual time, and print a table: each figure is the median over
-  the seeds. With -plots, write a bar chart for each figure.
+  Play variants of placement side by side on the workload that a YAML file
+  describes, in virtual time, on all processors, and print a table: worth and
+  time in flight are means over the seeds, the other figures medians. Each
+  variant is then compared with the first, seed by seed, with a confidence
+  interval of 95 %. With -plots, write a bar chart for each figure.
 
 `
 }
@@ -50,13 +52,17 @@
 	if err != nil {
 		return fail(exitUsage, err)
 	}
-	rows, err := e.Run(c.seeds, func(policy string) { fmt.Fprintf(os.Stderr, "played %s\n", policy) })
+	rows, err := e.Run(c.seeds, func(done, all int) { fmt.Fprintf(os.Stderr, "\r%d of %d runs", done, all) })
+	fmt.Fprintln(os.Stderr)
 	if err != nil {
 		return fail(exitFailed, err)
 	}
 	if err := experiment.Table(os.Stdout, rows); err != nil {
 		return fail(exitFailed, err)
 	}
+	if err := experiment.Verdicts(os.Stdout, rows); err != nil {
+		return fail(exitFailed, err)
+	}
 	if c.plots == "" {
 		return exitOK
 	}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
 	"github.com/hashicorp/go-hclog"
 
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/daemon"
 	internalplatform "mulberrylug.example/mulberrylug/internal/platform"
 	"mulberrylug.example/mulberrylug/internal/resident"
@@ -22,8 +24,7 @@
 type serveCmd struct {
 	settings    string
 	metricsPort int
-	noHomes     bool
-	noMoves     bool
+	without     string
 }
 
 func (*serveCmd) Name() string     { return "serve" }
@@ -43,8 +44,7 @@
 func (c *serveCmd) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "settings.yaml", "settings file")
 	f.IntVar(&c.metricsPort, "metrics-port", 0, "port of the metrics on a hosting platform; 0 serves none")
-	f.BoolVar(&c.noHomes, "no-homes", false, "on a hosting platform: each entry places generations by itself, for comparison")
-	f.BoolVar(&c.noMoves, "no-moves", false, "on a hosting platform: leave generations on upstreams that leave, for comparison")
+	f.StringVar(&c.without, "without", "", "on a hosting platform: mechanisms to leave out, separated by commas, for comparison")
 }
 
 func (c *serveCmd) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -100,7 +100,12 @@
 	if err != nil {
 		return fail(exitUsage, err)
 	}
-	s.MetricsPort, s.NoHomes, s.NoMoves = c.metricsPort, c.noHomes, c.noMoves
+	s.MetricsPort = c.metricsPort
+	if c.without != "" {
+		if s.Without, err = mechanism.Parse(strings.Split(c.without, ",")); err != nil {
+			return fail(exitUsage, fmt.Errorf("serve: -without: %w", err))
+		}
+	}
 	log, flush := newLogger(os.Stdout, "info")
 	defer flush()
 	store := platform.NewStore(s.StoreAddress)
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -13,6 +13,7 @@
 	"math/rand/v2"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
@@ -37,8 +38,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// NoHomes makes each entry choose by itself, for comparison.
-	NoHomes bool
+	// Without lists the mechanisms that are left out, for comparison.
+	Without mechanism.Set
 	// Seed feeds the choice among equals.
 	Seed uint64
 }
@@ -116,7 +117,7 @@
 
 // Configure takes new bounds.
 func (g *Gate) Configure(o Options) {
-	o.Seed, o.Name, o.DataCentre, o.NoHomes = g.options.Seed, g.options.Name, g.options.DataCentre, g.options.NoHomes
+	o.Seed, o.Name, o.DataCentre, o.Without = g.options.Seed, g.options.Name, g.options.DataCentre, g.options.Without
 	g.options = o
 	g.budgets = map[string]*budget{}
 }
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
@@ -77,7 +78,7 @@
 // wantsHome reports whether a pool's home decides where the call goes.
 func (g *Gate) wantsHome(c *Call) bool {
 	s := g.table.Service(c.Service)
-	return c.Route.Generation && s != nil && s.Engine != nil && !g.options.NoHomes
+	return c.Route.Generation && s != nil && s.Engine != nil && !g.options.Without.Has(mechanism.Homes)
 }
 
 // Granted takes a home's grant that was asked for at a moment. A grant for an
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -13,6 +13,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/core/config"
 	"mulberrylug.example/mulberrylug/internal/core/health"
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
@@ -122,7 +123,9 @@
 }
 
 // NewHome returns the home of a pool, which is a service or a group of its upstreams.
-func NewHome(service string, engine route.Engine) *Home {
+// without lists the mechanisms that it does without.
+func NewHome(service string, engine route.Engine, without mechanism.Set) *Home {
+	engine.Moves = engine.Moves && !without.Has(mechanism.Moves)
 	return &Home{
 		service: service, engine: engine, part: roster.ParseGroup(service).Of > 0, upstreams: map[string]*roster.Upstream{},
 		entries: map[string]string{}, evacuations: map[string]*evacuation{}, full: map[string]time.Time{},
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -4,24 +4,24 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
-	"io"
 	"slices"
-	"text/tabwriter"
 	"time"
 
 	"github.com/go-playground/validator/v10"
 	"go.yaml.in/yaml/v3"
 
 	"mulberrylug.example/mulberrylug/internal/core/config"
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/trial"
 )
 
 // File is an experiment as it is written down.
 type File struct {
 	Name string `yaml:"name" validate:"required"`
-	// Policies are played side by side; see Policies for their names.
-	Policies []string `yaml:"policies" validate:"required,min=1"`
+	// Variants are played side by side, each against the first.
+	Variants []Variant `yaml:"variants" validate:"required,min=1,dive"`
 	// Length is how long requests arrive, Rate how many a second.
 	Length time.Duration `yaml:"length" validate:"gt=0"`
 	Rate   float64       `yaml:"rate" validate:"gt=0"`
@@ -38,6 +38,17 @@
 	Links     Links         `yaml:"links"`
 	Failing   Failing       `yaml:"failing"`
 	Crashes   Crashes       `yaml:"crashes"`
+	Slowing   Slowing       `yaml:"slowing"`
+	Shutdown  Shutdown      `yaml:"shutdown"`
+	EntryLoss EntryLoss     `yaml:"entry_loss"`
+}
+
+// Variant is a policy, with mechanisms left out if its home is the project's own.
+type Variant struct {
+	// Name is the policy's by default.
+	Name    string   `yaml:"name"`
+	Policy  string   `yaml:"policy" validate:"required"`
+	Without []string `yaml:"without"`
 }
 
 // Engines describes the engines; times are those of an engine of speed 1.
@@ -63,6 +74,38 @@
 	PromptSigma  float64 `yaml:"prompt_sigma"`
 	OutputMedian float64 `yaml:"output_median" validate:"gt=0"`
 	OutputSigma  float64 `yaml:"output_sigma"`
+	// PromptMost and OutputMost bound them in tokens; 0 takes 4,000 and max_output.
+	PromptMost int `yaml:"prompt_most"`
+	OutputMost int `yaml:"output_most"`
+	// Worth is that of an answer of mean size, 1 by default; a late one keeps
+	// LateShare of it. The first token is due after FirstTarget, 1.8s by default.
+	Worth       float64       `yaml:"worth"`
+	LateShare   float64       `yaml:"late_share" validate:"gte=0,lte=1"`
+	FirstTarget time.Duration `yaml:"first_target"`
+	// Repeatable requests are sent once more if they are lost.
+	Repeatable bool `yaml:"repeatable"`
+}
+
+// Slowing makes engines slow for a while; Every 0 means that none does.
+type Slowing struct {
+	First  time.Duration `yaml:"first"`
+	Every  time.Duration `yaml:"every"`
+	For    time.Duration `yaml:"for"`
+	Count  int           `yaml:"count"`
+	Factor float64       `yaml:"factor"`
+}
+
+// Shutdown ends all instances at a moment, for Down; At 0 means never.
+type Shutdown struct {
+	At   time.Duration `yaml:"at"`
+	Down time.Duration `yaml:"down"`
+}
+
+// EntryLoss makes a share of the instances lose power for Down; At 0 means never.
+type EntryLoss struct {
+	At    time.Duration `yaml:"at"`
+	Share float64       `yaml:"share" validate:"gte=0,lt=1"`
+	Down  time.Duration `yaml:"down"`
 }
 
 // Leaving makes engines leave at short notice; Every 0 means that none does.
@@ -102,13 +145,37 @@
 	DataCentres int           `yaml:"data_centres"`
 }
 
-// Policies lists the policies by name.
-func Policies() []trial.Maker {
+// policies lists the policies by name, besides the home of a pool.
+func policies() []trial.Maker {
 	even := config.Weights{Stall: 1, Preemptions: 1, Tail: 1}
 	return []trial.Maker{
 		trial.Alone(trial.Stay), trial.Alone(trial.AllAtOnce), trial.Herd(trial.Stay), trial.Herd(trial.AllAtOnce),
-		trial.PoolHome(false), trial.PoolHome(true), trial.Homes("placement", even),
+		trial.Homes("placement", even),
+	}
+}
+
+// homePolicy names the project's own home of a pool.
+const homePolicy = "home"
+
+// maker returns the policy of a variant.
+func (v Variant) maker() (trial.Maker, error) {
+	name := cmp.Or(v.Name, v.Policy)
+	if v.Policy == homePolicy {
+		without, err := mechanism.Parse(v.Without)
+		return trial.PoolHome(name, without), err
+	}
+	if len(v.Without) > 0 {
+		return trial.Maker{}, fmt.Errorf("variant %q: only the policy %q can do without mechanisms", name, homePolicy)
+	}
+	known := homePolicy
+	for _, m := range policies() {
+		if m.Name == v.Policy {
+			m.Name = name
+			return m, nil
+		}
+		known += ", " + m.Name
 	}
+	return trial.Maker{}, fmt.Errorf("policy %q is unknown; there are %s", v.Policy, known)
 }
 
 // Parse reads an experiment. Unknown fields are errors, which name the file.
@@ -131,18 +198,16 @@
 	return f, nil
 }
 
+// makers returns the variants' policies; their names must differ.
 func (f *File) makers() ([]trial.Maker, error) {
-	known := map[string]trial.Maker{}
-	names := ""
-	for _, m := range Policies() {
-		known[m.Name] = m
-		names += " " + m.Name
-	}
 	var out []trial.Maker
-	for _, name := range f.Policies {
-		m, ok := known[name]
-		if !ok {
-			return nil, fmt.Errorf("policy %q is unknown; there are%s", name, names)
+	for _, v := range f.Variants {
+		m, err := v.maker()
+		if err != nil {
+			return nil, err
+		}
+		if slices.ContainsFunc(out, func(o trial.Maker) bool { return o.Name == m.Name }) {
+			return nil, fmt.Errorf("two variants are named %q", m.Name)
 		}
 		out = append(out, m)
 	}
@@ -155,7 +220,8 @@
 		Name: f.Name, Entries: f.Entries, Rate: f.Rate, Length: f.Length, MaxOutput: f.MaxOutput,
 		MaxWait: f.MaxWait, HintSigma: f.HintSigma, ReportLag: reportLag, Return: true,
 		Leaving: trial.Leaving(f.Leaving), Links: trial.Links(f.Links),
-		Failing: trial.Failing(f.Failing), Crashes: trial.Crashes(f.Crashes),
+		Failing: trial.Failing(f.Failing), Crashes: trial.Crashes(f.Crashes), Slowing: trial.Slowing(f.Slowing),
+		Shutdown: trial.Shutdown(f.Shutdown), EntryLoss: trial.EntryLoss(f.EntryLoss),
 	}
 	e := f.Engines
 	for k := range e.Count {
@@ -172,7 +238,8 @@
 	for _, r := range f.Requests {
 		w.Orgs = append(w.Orgs, trial.Org{
 			Name: r.Name, Share: r.Share, PromptMedian: r.PromptMedian, PromptSigma: r.PromptSigma,
-			Median: r.OutputMedian, Sigma: r.OutputSigma,
+			Median: r.OutputMedian, Sigma: r.OutputSigma, MaxPrompt: r.PromptMost, MaxOutput: r.OutputMost,
+			Worth: r.Worth, LateShare: r.LateShare, FirstTarget: r.FirstTarget, Repeatable: r.Repeatable,
 		})
 	}
 	return w
@@ -180,66 +247,3 @@
 
 // reportLag is the age of the load in an engine's report, as the users state it.
 const reportLag = 500 * time.Millisecond
-
-// Row holds the figures of one policy, each the median over the seeds.
-type Row struct {
-	Policy string
-	// Sent is the number of requests, InTime the part of them that was
-	// answered whole and on time, Lost the part that broke off.
-	Sent   int
-	InTime float64
-	Lost   float64
-	Result trial.Result
-}
-
-// Run plays the policies for seeds 1 to n. told hears of each that is done.
-func (f *File) Run(seeds int, told func(policy string)) ([]Row, error) {
-	makers, err := f.makers()
-	if err != nil {
-		return nil, err
-	}
-	w := f.Workload()
-	list := make([]uint64, seeds)
-	for k := range list {
-		list[k] = uint64(k + 1)
-	}
-	var rows []Row
-	for _, m := range makers {
-		results := trial.Seeds(w, m, list)
-		r := trial.Median(results)
-		rows = append(rows, Row{
-			Policy: m.Name, Sent: sent(r), Result: r,
-			InTime: share(results, func(r trial.Result) int { return r.InTime }),
-			Lost:   share(results, func(r trial.Result) int { return r.Partial }),
-		})
-		told(m.Name)
-	}
-	return rows, nil
-}
-
-func sent(r trial.Result) int { return r.Done + r.Partial + r.Unanswered }
-
-// share returns the median over runs of a count's part of all requests.
-func share(results []trial.Result, count func(trial.Result) int) float64 {
-	var parts []float64
-	for _, r := range results {
-		parts = append(parts, float64(count(r))/float64(max(sent(r), 1)))
-	}
-	slices.Sort(parts)
-	return parts[len(parts)/2]
-}
-
-// Table writes the rows.
-func Table(out io.Writer, rows []Row) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "policy\tsent\tin time %\tlost %\tmoved\tpreempted\tfirst p95 ms\tlongest gap p99 ms\trefused\t")
-	for _, r := range rows {
-		x := r.Result
-		fmt.Fprintf(w, "%s\t%d\t%.1f\t%.1f\t%d\t%d\t%d\t%d\t%d\t\n", r.Policy, r.Sent, 100*r.InTime, 100*r.Lost,
-			x.Moved, x.Preemptions, x.FirstP95.Milliseconds(), x.LongestP99.Milliseconds(), x.Refused)
-	}
-	if err := w.Flush(); err != nil {
-		return fmt.Errorf("write table: %w", err)
-	}
-	return nil
-}
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -31,14 +31,14 @@
 // links, and streams pause for seconds. One home that orders them saves nearly
 // all, with pauses that no reader notices. Bounds leave room for the seeds.
 func TestOrderedMovesSaveWhatLeavingWorkersRun(t *testing.T) {
-	rows, err := load(t).Run(3, func(string) {})
+	rows, err := load(t).Run(3, func(int, int) {})
 	if err != nil {
 		t.Fatal(err)
 	}
 	by := map[string]Row{}
 	for _, r := range rows {
-		by[r.Policy] = r
-		t.Logf("%-18s in time %.3f lost %.3f longest gap p99 %v", r.Policy, r.InTime, r.Lost, r.Result.LongestP99)
+		by[r.Variant] = r
+		t.Logf("%-18s in time %.3f lost %.3f longest gap p99 %v", r.Variant, r.InTime, r.Lost, r.Result.LongestP99)
 	}
 	stay, atOnce, home, homeStay := by["alone_stay"], by["alone_all_at_once"], by["home"], by["home_stay"]
 	if stay.Lost < 0.08 || homeStay.Lost < 0.08 {
@@ -63,14 +63,14 @@
 // idle. Who goes by what runs sends them more than their share, a sixth, and loses
 // about 0.06 of all; a home that counts what they fail loses half of that.
 func TestAHomeAvoidsEnginesThatFail(t *testing.T) {
-	rows, err := loadFile(t, "../../examples/experiments/failing-engines.yaml").Run(3, func(string) {})
+	rows, err := loadFile(t, "../../examples/experiments/failing-engines.yaml").Run(3, func(int, int) {})
 	if err != nil {
 		t.Fatal(err)
 	}
 	by := map[string]Row{}
 	for _, r := range rows {
-		by[r.Policy] = r
-		t.Logf("%-18s in time %.3f lost %.3f", r.Policy, r.InTime, r.Lost)
+		by[r.Variant] = r
+		t.Logf("%-18s in time %.3f lost %.3f", r.Variant, r.InTime, r.Lost)
 	}
 	if alone := by["alone_stay"].Lost; alone < 0.05 || by["home"].Lost > 0.65*alone {
 		t.Errorf("entries alone lose %.3f, the home %.3f; want at least 0.05, and at most 0.65 of that", alone, by["home"].Lost)
@@ -81,16 +81,16 @@
 // lost under every policy, and none of the rest: each request has an end.
 func TestCrashesLoseWhatRan(t *testing.T) {
 	f := load(t)
-	f.Leaving, f.Policies = Leaving{}, []string{"alone_stay", "home"}
+	f.Leaving, f.Variants = Leaving{}, []Variant{{Policy: "alone_stay"}, {Policy: "home"}}
 	f.Crashes = Crashes{First: 2 * time.Second, Every: 3 * time.Second, Count: 1, Replace: 4 * time.Second}
-	rows, err := f.Run(3, func(string) {})
+	rows, err := f.Run(3, func(int, int) {})
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, r := range rows {
-		t.Logf("%-18s in time %.3f lost %.3f", r.Policy, r.InTime, r.Lost)
+		t.Logf("%-18s in time %.3f lost %.3f", r.Variant, r.InTime, r.Lost)
 		if r.Lost < 0.01 || r.Lost > 0.15 || r.Result.Unanswered != 0 {
-			t.Errorf("%s: %.3f lost, %d without an end", r.Policy, r.Lost, r.Result.Unanswered)
+			t.Errorf("%s: %.3f lost, %d without an end", r.Variant, r.Lost, r.Result.Unanswered)
 		}
 	}
 }
@@ -103,7 +103,9 @@
 	for _, c := range []struct{ old, new, want string }{
 		{"rate: 11.1", "rate: 0", "Rate"},
 		{"rate: 11.1", "rat: 11.1", "rat"},
-		{"home]", "homes]", `"homes" is unknown`},
+		{"- {policy: home}", "- {policy: homes}", `"homes" is unknown`},
+		{"without: [moves]", "without: [move]", `"move" is unknown`},
+		{"- {policy: home}", "- {policy: alone_stay}", `two variants are named "alone_stay"`},
 		{"mbps: 2700", "mbps: 0", "links with mbps"},
 	} {
 		_, err := Parse("x.yaml", []byte(strings.Replace(string(data), c.old, c.new, 1)))
@@ -115,13 +117,13 @@
 
 func TestPlotsAndTable(t *testing.T) {
 	f := load(t)
-	f.Policies, f.Length = f.Policies[:2], f.Length/10
-	rows, err := f.Run(1, func(string) {})
+	f.Variants, f.Length = f.Variants[:2], f.Length/10
+	rows, err := f.Run(1, func(int, int) {})
 	if err != nil {
 		t.Fatal(err)
 	}
 	files, err := Plots(filepath.Join(t.TempDir(), "plots"), f.Name, rows)
-	if err != nil || len(files) != 3 {
+	if err != nil || len(files) != 5 {
 		t.Fatalf("%v, %v", files, err)
 	}
 	for _, file := range files {
@@ -130,7 +132,7 @@
 		}
 	}
 	var b strings.Builder
-	if err := Table(&b, rows); err != nil || strings.Count(b.String(), "\n") != 3 {
+	if err := Table(&b, rows); err != nil || strings.Count(b.String(), "\n") != 7 {
 		t.Errorf("table %q, %v", b.String(), err)
 	}
 }
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -27,6 +27,8 @@
 		value       func(Row) float64
 	}{
 		{"in-time", "answers whole and on time, %", func(r Row) float64 { return 100 * r.InTime }},
+		{"worth", "worth that callers got, %", func(r Row) float64 { return 100 * r.Earned }},
+		{"in-flight", "time in flight, weighted by worth, s", func(r Row) float64 { return r.Exposure.Mean }},
 		{"lost", "answers that broke off, %", func(r Row) float64 { return 100 * r.Lost }},
 		{"longest-gap", "p99 of each answer's longest gap, ms", func(r Row) float64 { return float64(r.Result.LongestP99.Milliseconds()) }},
 	} {
@@ -47,7 +49,7 @@
 	}
 	for _, r := range rows {
 		v := value(r)
-		c.Bars = append(c.Bars, chart.Value{Label: r.Policy, Value: v})
+		c.Bars = append(c.Bars, chart.Value{Label: r.Variant, Value: v})
 		c.YAxis.Range.SetMax(max(c.YAxis.Range.GetMax(), v*1.05))
 	}
 	out, err := os.Create(file)
--- a/internal/resident/home.go
+++ b/internal/resident/home.go
@@ -10,6 +10,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/pool"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
@@ -33,8 +34,8 @@
 	lag func() time.Duration
 	// begun is called when a home has begun.
 	begun func()
-	// noMoves leaves generations on upstreams that leave.
-	noMoves bool
+	// without lists the mechanisms that the homes do without.
+	without mechanism.Set
 	// local takes messages for this instance itself.
 	local func(from string, m msg.Message)
 
@@ -64,9 +65,7 @@
 	h.mu.Lock()
 	p := h.pools[name]
 	if p == nil {
-		engine := *service.Engine
-		engine.Moves = engine.Moves && !h.noMoves
-		p = pool.NewHome(name, engine)
+		p = pool.NewHome(name, *service.Engine, h.without)
 		h.pools[name] = p
 		began = true
 		p.Sync(now, confirmed, listed)
--- a/internal/resident/resident.go
+++ b/internal/resident/resident.go
@@ -100,7 +100,7 @@
 		adopted: r.adopted, fellows: r.fellows, relay: r.relay, watch: watch.New(keys), wait: holdFor(keys),
 	}
 	r.homes = &homes{
-		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer, standsIn: r.fellows.standsIn, lag: r.follower.lag, noMoves: s.NoMoves || s.NoHomes,
+		server: srv, metrics: m, log: log, self: s.Name, send: r.fellows.sendTo, local: r.onPeer, standsIn: r.fellows.standsIn, lag: r.follower.lag, without: s.Without,
 		pools: map[string]*pool.Home{}, used: map[string]time.Time{},
 	}
 	srv.homes = homeLink{name: r.homeOf, send: r.sendAny, silent: r.homeSilent, broadcast: r.broadcast}
@@ -113,7 +113,7 @@
 func options(s Settings) forward.Options {
 	o := forward.Options{
 		Name: s.Name, DataCentre: s.DataCentre, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		NoHomes: s.NoHomes,
+		Without: s.Without,
 	}
 	if s.StrictRevocation {
 		o.KeysGoodFor = max(s.RevokeWithin-keyMargin, time.Millisecond)
@@ -125,7 +125,7 @@
 // names belong to the process and need a new one, which the log then says.
 func (r *Resident) Reload(s Settings) {
 	old := r.current()
-	s.MetricsPort, s.NoHomes, s.NoMoves = old.MetricsPort, old.NoHomes, old.NoMoves
+	s.MetricsPort, s.Without = old.MetricsPort, old.Without
 	if reflect.DeepEqual(s, old) {
 		r.log.Info("reloaded", "changed", false)
 		return
--- a/internal/resident/settings.go
+++ b/internal/resident/settings.go
@@ -5,7 +5,11 @@
 // them. The platform's wire is behind the ports in ports.go.
 package resident
 
-import "time"
+import (
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
+)
 
 // Settings are what a process must know at its start.
 type Settings struct {
@@ -47,10 +51,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-	// NoHomes makes each entry place generations by itself, and NoMoves leaves
-	// them on upstreams that leave. Both are for comparison.
-	NoHomes bool
-	NoMoves bool
+	// Without lists the mechanisms that are left out, for comparison.
+	Without mechanism.Set
 	// MaxEntries is how many addresses a directory answer may name.
 	MaxEntries int
 	// MaxEntryTTL is the longest that callers keep a directory answer.
--- a/internal/trial/engine.go
+++ b/internal/trial/engine.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"slices"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/placement"
@@ -34,8 +35,12 @@
 	// last is when the latest token came out, 0 before the first.
 	last    time.Duration
 	longest time.Duration
-	// first is how long its caller waited for the first token.
-	first time.Duration
+	// first is how long its caller waited for the first token, firstAt when it
+	// came out.
+	first   time.Duration
+	firstAt time.Duration
+	// abandoned is set once its instance has died: the engine goes on for nobody.
+	abandoned bool
 	// copied is how many tokens of it lie at the engine copyAt.
 	copied int
 	copyAt int
@@ -56,8 +61,10 @@
 	used    int
 	busy    bool
 	leaving bool
-	// failing is set while the engine fails a part of its requests.
+	// failing is set while the engine fails a part of its requests, slow is what
+	// its times are multiplied with, 0 for 1.
 	failing bool
+	slow    float64
 	dead    bool
 	// link is until when the engine's link is taken by copies.
 	link time.Duration
@@ -95,7 +102,11 @@
 	e.busy = true
 	start := e.run.now
 	decodes, prompt := e.compute()
-	end := start + e.spec.Base + time.Duration(decodes)*e.spec.PerDecode + time.Duration(prompt)*e.spec.PerPrompt
+	step := e.spec.Base + time.Duration(decodes)*e.spec.PerDecode + time.Duration(prompt)*e.spec.PerPrompt
+	if e.slow > 0 {
+		step = time.Duration(float64(step) * e.slow)
+	}
+	end := start + step
 	e.emit(start, end)
 	e.run.at(end, e.step)
 }
@@ -204,13 +215,21 @@
 }
 
 // reclaim kills the engine: what it held is lost.
-func (e *engine) reclaim() {
+func (e *engine) reclaim(f Fate) {
 	e.dead = true
 	lost := append(e.running, e.waiting...)
 	e.running, e.waiting, e.used = nil, nil, 0
 	for _, g := range lost {
 		e.run.dropCopy(g)
-		e.run.lost(g)
+		e.run.lost(g, f)
+	}
+}
+
+// discard drops a generation whose connection has closed.
+func (e *engine) discard(g *generation) {
+	e.remove(g)
+	if i := slices.Index(e.waiting, g); i >= 0 {
+		e.waiting = slices.Delete(e.waiting, i, i+1)
 	}
 }
 
--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -51,10 +51,13 @@
 		return false
 	}
 	r.after(f.After, func() {
+		if r.live[g.id] != g {
+			return
+		}
 		delete(r.live, g.id)
-		r.open--
 		r.measure.result.Partial++
 		r.policy.Ended(g.req, g.id, g.engine, 0, false)
+		r.end(g.req, LostFailing)
 	})
 	return true
 }
@@ -68,7 +71,7 @@
 			break
 		}
 		e.leaving = true
-		e.reclaim()
+		e.reclaim(LostCrash)
 		if p, ok := r.policy.(leaver); ok {
 			p.Leaves(e.index)
 		}
--- a/internal/trial/leave.go
+++ b/internal/trial/leave.go
@@ -56,7 +56,7 @@
 				p.Leaves(e.index)
 			}
 		})
-		r.after(l.Notice, e.reclaim)
+		r.after(l.Notice, func() { e.reclaim(LostLeaving) })
 		r.after(l.Replace, func() { r.join(e.spec) })
 	}
 	if r.now+l.Every < r.work.Length {
@@ -122,7 +122,7 @@
 	dst.used += size
 	g.copied, g.copyAt = size, to
 	r.at(r.transfer(src, dst, size), func() {
-		ok := !src.dead && !dst.dead && src.runs(g)
+		ok := !src.dead && !dst.dead && src.runs(g) && !g.abandoned
 		if !ok {
 			r.dropCopy(g)
 		}
@@ -142,7 +142,7 @@
 // on at the copy's place.
 func (r *Run) finishMove(g *generation, done func(ok bool)) {
 	src, dst := r.engines[g.engine], r.engines[g.copyAt]
-	if !src.runs(g) || src.dead || dst.dead {
+	if !src.runs(g) || src.dead || dst.dead || g.abandoned {
 		r.dropCopy(g)
 		done(false)
 		return
@@ -153,7 +153,7 @@
 		dst.used -= g.copied
 		g.copied = 0
 		if dst.dead {
-			r.lost(g)
+			r.lost(g, LostLeaving)
 			done(false)
 			return
 		}
--- a/internal/trial/measure.go
+++ b/internal/trial/measure.go
@@ -63,8 +63,21 @@
 	Drained time.Duration
 	// ByOrg sums the stall of each organisation.
 	ByOrg map[string]time.Duration
+	// Worth is what callers were owed and lost.
+	Worth Worth
+	// FirstP50 and FirstP99 are over the waits for the first token.
+	FirstP50, FirstP99 time.Duration
+	// TokenTime is the mean time between the tokens of long answers.
+	TokenTime time.Duration
+	// NoRun counts orders to move a generation that could not be moved yet, or
+	// no longer.
+	NoRun int
 }
 
+// longAnswer is the number of tokens from which on an answer's pace counts in
+// TokenTime.
+const longAnswer = 100
+
 // measure collects a run's figures.
 type measure struct {
 	result  Result
@@ -74,11 +87,15 @@
 	good    int
 	// lastFirst is when the latest first token came out.
 	lastFirst time.Duration
+	// decoding is the time between the first and last tokens of long answers,
+	// decoded how many tokens followed the first.
+	decoding time.Duration
+	decoded  int
 }
 
 func newMeasure(policy string) *measure {
 	return &measure{
-		result: Result{Policy: policy, ByOrg: map[string]time.Duration{}},
+		result: Result{Policy: policy, ByOrg: map[string]time.Duration{}, Worth: Worth{Lost: map[Fate]float64{}}},
 		gaps:   hdrhistogram.New(gapLowest, gapHighest, gapDigits),
 		firsts: hdrhistogram.New(gapLowest, gapHighest, gapDigits),
 	}
@@ -106,7 +123,7 @@
 
 func (m *measure) first(g *generation, end time.Duration) {
 	wait := end - g.req.asked
-	g.first = wait
+	g.first, g.firstAt = wait, end
 	_ = m.firsts.RecordValue(wait.Microseconds())
 	m.stall(g.req, wait-FirstTokenTarget)
 	m.lastFirst = max(m.lastFirst, end)
@@ -123,8 +140,13 @@
 	m.result.ByOrg[r.Org] += over
 }
 
-func (m *measure) done(g *generation) {
+func (m *measure) done(now time.Duration, g *generation) {
 	m.result.Done++
+	m.result.Worth.end(now, g.req, g.fate())
+	if g.tokens >= longAnswer {
+		m.decoding += g.last - g.firstAt
+		m.decoded += g.tokens - 1
+	}
 	m.longest = append(m.longest, g.longest)
 	if g.first <= FirstTokenTarget && g.longest <= SteadyGap {
 		m.result.InTime++
@@ -142,7 +164,8 @@
 		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
 	}
 	r.P95, r.P99, r.P999 = at(m.gaps, 95), at(m.gaps, 99), at(m.gaps, 99.9)
-	r.FirstP95 = at(m.firsts, 95)
+	r.FirstP50, r.FirstP95, r.FirstP99 = at(m.firsts, 50), at(m.firsts, 95), at(m.firsts, 99)
+	r.TokenTime = m.decoding / time.Duration(max(m.decoded, 1))
 	slices.Sort(m.longest)
 	if n := len(m.longest); n > 0 {
 		r.LongestP99 = m.longest[min(n-1, n*99/100)]
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -7,7 +7,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/placement"
@@ -60,6 +62,8 @@
 	live map[string]*generation
 	// lagged holds each engine's reports that are not out yet.
 	lagged [][]placement.Report
+	// unended holds the requests that have no outcome yet.
+	unended map[*Request]bool
 }
 
 type event struct {
@@ -97,6 +101,7 @@
 	r := &Run{
 		work: w, byName: map[string]int{}, rng: rand.New(rand.NewPCG(seed, 1)),
 		measure: newMeasure(m.Name), live: map[string]*generation{}, lagged: make([][]placement.Report, len(w.Engines)),
+		unended: map[*Request]bool{},
 	}
 	for i, spec := range w.Engines {
 		name := fmt.Sprintf("engine-%02d", i)
@@ -114,6 +119,7 @@
 		r.measure.result.Preemptions += e.preemptions
 	}
 	r.measure.result.Unanswered = r.open
+	r.endRest()
 	return r.measure.finish(w.Length)
 }
 
@@ -124,7 +130,8 @@
 	}
 	r.at(tickEvery, r.tick)
 	for _, q := range requests {
-		r.at(q.At+hop, func() { r.policy.Arrive(q) })
+		r.unended[q] = true
+		r.at(q.At+hop, func() { r.arrive(q) })
 	}
 	r.at(r.work.Length, r.countBacklog)
 	if r.work.Leaving.Every > 0 {
@@ -136,10 +143,37 @@
 	if r.work.Crashes.Every > 0 {
 		r.at(r.work.Crashes.First, r.crash)
 	}
+	if r.work.Slowing.Every > 0 {
+		r.at(r.work.Slowing.First, r.turnSlow)
+	}
+	if r.work.Shutdown.At > 0 {
+		r.at(r.work.Shutdown.At, r.shutDown)
+	}
+	if r.work.EntryLoss.At > 0 {
+		r.at(r.work.EntryLoss.At, r.loseEntries)
+	}
 	if r.work.ReclaimAt > 0 {
 		r.at(r.work.ReclaimAt, func() { r.engines[0].leaving = true })
-		r.at(r.work.ReclaimAt+reclaimNotice, r.engines[0].reclaim)
+		r.at(r.work.ReclaimAt+reclaimNotice, func() { r.engines[0].reclaim(LostLeaving) })
+	}
+}
+
+// endRest ends the requests that have no outcome when the run is over.
+func (r *Run) endRest() {
+	byNumber := func(a, b *Request) int { return a.Number - b.Number }
+	for _, q := range slices.SortedFunc(maps.Keys(r.unended), byNumber) {
+		r.measure.result.Worth.end(r.now, q, Unended)
+	}
+}
+
+// end enters a request's fate; it has an outcome now.
+func (r *Run) end(q *Request, f Fate) {
+	if !r.unended[q] {
+		return
 	}
+	delete(r.unended, q)
+	r.open--
+	r.measure.result.Worth.end(r.now, q, f)
 }
 
 func (r *Run) countBacklog() {
@@ -180,8 +214,9 @@
 	r.live[id] = g
 	r.after(hop, func() {
 		switch e := r.engines[engine]; {
+		case r.live[id] != g: // its instance has died meanwhile
 		case e.dead:
-			r.lost(g)
+			r.lost(g, LostLeaving)
 		case !r.fails(g):
 			e.submit(g)
 		}
@@ -195,25 +230,35 @@
 }
 
 func (r *Run) finished(g *generation) {
+	if g.abandoned {
+		return
+	}
 	delete(r.live, g.id)
 	r.open--
-	r.measure.done(g)
+	delete(r.unended, g.req)
+	r.measure.done(r.now, g)
 	r.policy.Ended(g.req, g.id, g.engine, g.tokens, true)
 }
 
-// lost ends an attempt whose engine died. Without a token out, the request is
-// placed again; else its answer stays partial.
-func (r *Run) lost(g *generation) {
+// lost ends an attempt whose engine died. Without a token out, or if it may run
+// again, the request is placed again; else its answer stays partial.
+func (r *Run) lost(g *generation, f Fate) {
+	if g.abandoned {
+		return
+	}
 	delete(r.live, g.id)
 	r.policy.Ended(g.req, g.id, g.engine, g.tokens, false)
-	if g.tokens > 0 {
-		r.open--
+	if g.tokens > 0 && !r.mayRepeat(g.req) {
 		r.measure.result.Partial++
+		r.end(g.req, f)
 		return
 	}
 	r.after(hop, func() { r.policy.Arrive(g.req) })
 }
 
+// mayRepeat reports whether a request that was lost is sent again.
+func (r *Run) mayRepeat(q *Request) bool { return q.Repeatable && q.tries <= 1 }
+
 // refuse tells a caller that its request was not run and when to come back.
 func (r *Run) refuse(q *Request, retryAfter time.Duration) {
 	r.measure.result.Refused++
@@ -221,7 +266,7 @@
 		r.measure.result.Late++
 	}
 	if !r.work.Return || retryAfter <= 0 {
-		r.open--
+		r.end(q, TurnedAway)
 		return
 	}
 	if q.returns == 0 {
--- a/internal/trial/workload.go
+++ b/internal/trial/workload.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -28,6 +29,13 @@
 	Prefix   []uint64
 	// Fingerprint names the body, also when the caller comes back with it.
 	Fingerprint uint64
+	// Worth is what its caller has of a whole answer that is on time, LateShare
+	// the part of that if it is late, FirstTarget when the first token is due.
+	Worth       float64
+	LateShare   float64
+	FirstTarget time.Duration
+	// Repeatable requests are sent again if they are lost.
+	Repeatable bool
 
 	// asked is when the caller last asked, returns how often it came back.
 	asked   time.Duration
@@ -46,8 +54,33 @@
 	Sigma        float64
 	// Shared is how many prompt tokens all its requests have in common.
 	Shared int
+	// MaxPrompt and MaxOutput bound its prompts and answers in tokens; 0 takes
+	// promptMost and the workload's.
+	MaxPrompt int
+	MaxOutput int
+	// Worth is what an answer of mean size is worth; others are worth more or
+	// less as they are longer or shorter. 0 counts as 1.
+	Worth float64
+	// LateShare is the part of its worth that a late answer keeps, FirstTarget
+	// when the first token is due; 0 takes FirstTokenTarget.
+	LateShare   float64
+	FirstTarget time.Duration
+	// Repeatable requests are sent again, once, if their attempt is lost.
+	Repeatable bool
 }
 
+// outputWorth is how many prompt tokens an output token is worth: making it takes
+// an engine about ten times as long.
+const outputWorth = 10
+
+// worthOf returns what an answer with so many tokens is worth.
+func (o Org) worthOf(prompt, output int) float64 {
+	mean := logNormalMean(o.PromptMedian, o.PromptSigma) + outputWorth*logNormalMean(o.Median, o.Sigma)
+	return max(o.Worth, 1) * float64(prompt+outputWorth*output) / mean
+}
+
+func logNormalMean(median, sigma float64) float64 { return median * math.Exp(sigma*sigma/2) }
+
 // Workload describes a run: its engines, its callers and what goes wrong.
 type Workload struct {
 	Name    string
@@ -75,6 +108,10 @@
 	// Failing and Crashes are what engines do besides.
 	Failing Failing
 	Crashes Crashes
+	Slowing Slowing
+	// Shutdown and EntryLoss are what happens to the instances.
+	Shutdown  Shutdown
+	EntryLoss EntryLoss
 	// HintSigma spreads the callers' estimates of their outputs around the
 	// truth; 0 means that they give none.
 	HintSigma float64
@@ -90,6 +127,8 @@
 	reclaimNotice = 5 * time.Second
 	// patient is a MaxWait that no run reaches.
 	patient = time.Hour
+	// promptMost bounds prompts in tokens where their organisation does not.
+	promptMost = 4_000
 )
 
 // standardEngine is the engine that the figures in docs/PLACEMENT.md are for.
@@ -228,14 +267,16 @@
 	if w.ShiftAt > 0 && at >= w.ShiftAt {
 		median *= w.ShiftFactor
 	}
-	prompt := o.Shared + logNormal(rng, o.PromptMedian, o.PromptSigma, 4_000)
+	prompt := o.Shared + logNormal(rng, o.PromptMedian, o.PromptSigma, cmp.Or(o.MaxPrompt, promptMost))
+	most := cmp.Or(o.MaxOutput, w.MaxOutput)
 	r := &Request{
 		Number: n, ID: fmt.Sprintf("r%d", n), Org: o.Name, Entry: rng.IntN(w.Entries), At: at, asked: at,
-		Prompt: prompt, MaxOutput: w.MaxOutput, Output: logNormal(rng, median, o.Sigma, w.MaxOutput),
-		Fingerprint: rng.Uint64(),
+		Prompt: prompt, MaxOutput: most, Output: logNormal(rng, median, o.Sigma, most),
+		Fingerprint: rng.Uint64(), LateShare: o.LateShare, FirstTarget: cmp.Or(o.FirstTarget, FirstTokenTarget), Repeatable: o.Repeatable,
 	}
+	r.Worth = o.worthOf(r.Prompt, r.Output)
 	if w.HintSigma > 0 {
-		r.Expected = logNormal(rng, float64(r.Output), w.HintSigma, w.MaxOutput)
+		r.Expected = logNormal(rng, float64(r.Output), w.HintSigma, most)
 	}
 	for i := range o.Shared / prefixcache.BlockTokens {
 		r.Prefix = append(r.Prefix, xxhash.Sum64String(fmt.Sprintf("%s/%d", o.Name, i)))
