placement: new long answers leave room for moves; the late come back when it is their turn

Changes: (1) while upstreams leave, new long answers leave half of the memory free that the answers there need; short ones are gone before a notice has passed and don't wait. (2) A caller who can't be on time and is refused gets what those leave who can, so that it is told to come back when the late ones before it will have been served.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -82,6 +82,10 @@
 	if h.settings.Predict {
 		p = h.prospect(ask)
 	}
+	keep := h.forMoves
+	if p.output < longLeft {
+		keep = 0 // gone before a notice has passed
+	}
 	only := h.printsOn(ask.Fingerprint)
 	at := now.UnixNano()
 	best, bestScore := -1, 0.0
@@ -100,7 +104,7 @@
 		if best >= 0 && score <= bestScore {
 			continue
 		}
-		if u := h.upstreams[i]; u.allowed(ask, only) && h.hasRoom(u, &need) {
+		if u := h.upstreams[i]; u.allowed(ask, only) && h.hasRoom(u, &need, keep) {
 			best, bestScore = i, score
 		}
 	}
@@ -152,9 +156,10 @@
 // memory, when upstreams are compared: 20,000 tokens weigh as much as all of it.
 const promptWeight = promptRate / 20_000.0
 
-// hasRoom tells whether the forecast leaves room for a generation. One that is
-// alone always has room: it could wait nowhere else for more.
-func (h *Home) hasRoom(u *upstream, need *footprint) bool {
+// hasRoom tells whether the forecast leaves room for a generation, and a part of the
+// memory besides. One that is alone always has room: it could wait nowhere else for
+// more.
+func (h *Home) hasRoom(u *upstream, need *footprint, besides float64) bool {
 	if !h.settings.Engine || len(u.grants) == 0 && u.foreign == 0 {
 		return true
 	}
@@ -163,6 +168,6 @@
 		// tokens come too slowly already: new work would make both worse.
 		return false
 	}
-	limit := float64(u.report.Capacity)*(1-h.tuning.reserve) - u.foreign
+	limit := float64(u.report.Capacity)*(1-h.tuning.reserve-besides) - u.foreign
 	return u.need.fits(need, h.z, limit)
 }
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -25,6 +25,9 @@
 	// begun is when the first ask came, warm is set with the first report.
 	begun time.Time
 	warm  bool
+	// forMoves is the part of the memory that is kept free for answers that must leave
+	// their upstreams.
+	forMoves float64
 	// typical is the speed of the pool's upstreams, for those that are new.
 	typical speed
 }
@@ -68,7 +71,11 @@
 	if r.Boot != u.report.Boot && u.report.Boot != "" {
 		u.spt = 0
 	}
+	leaves := r.Leaving != u.report.Leaving
 	u.report, u.reported = r, asked
+	if leaves {
+		h.reserveForMoves(now)
+	}
 	h.warm = true
 	h.reconcile(now, u)
 	h.refresh(now, u)
@@ -157,6 +164,7 @@
 
 // Tick grants queued work that fits by now and refuses what waited too long.
 func (h *Home) Tick(now time.Time) []Decision {
+	h.reserveForMoves(now)
 	out := append(h.drainQueue(now), h.refuseCold(now)...)
 	for _, q := range h.queue.overdue(now) {
 		h.queue.remove(q)
--- a/internal/core/placement/move.go
+++ b/internal/core/placement/move.go
@@ -63,7 +63,7 @@
 	best, bestScore, bestNear := "", 0.0, false
 	for i, u := range h.upstreams {
 		s := &h.summaries[i]
-		if u == g.upstream || !u.takesWork(now) || s.slots <= 0 || skip(u.name) || !h.hasRoom(u, &need) {
+		if u == g.upstream || !u.takesWork(now) || s.slots <= 0 || skip(u.name) || !h.hasRoom(u, &need, 0) {
 			continue
 		}
 		score, near := h.score(now.UnixNano(), s, &rest), near(u.name)
@@ -85,3 +85,29 @@
 	h.hold(g)
 	return true
 }
+
+// moveReserve is the part of the memory that leaving answers need which new work leaves
+// free. The rest becomes free as others end while the notice lasts.
+const moveReserve = 0.5
+
+// reserveForMoves works out which part of the memory is kept for the answers that run on
+// leaving upstreams. One that finds no room elsewhere is lost with all that was done for
+// it, while an ask can wait for the moment that a notice lasts.
+func (h *Home) reserveForMoves(now time.Time) {
+	need, capacity := 0.0, 0.0
+	for _, u := range h.upstreams {
+		if u.takesWork(now) {
+			capacity += float64(u.report.Capacity)
+			continue
+		}
+		for _, g := range u.grants {
+			if tokens := g.tokensAt(now); g.begun && h.left(g, tokens) > longLeft {
+				need += float64(g.ask.Prompt + tokens)
+			}
+		}
+	}
+	h.forMoves = 0
+	if h.settings.Predict && capacity > 0 {
+		h.forMoves = moveReserve * need / capacity
+	}
+}
--- a/internal/core/placement/predict_test.go
+++ b/internal/core/placement/predict_test.go
@@ -60,7 +60,10 @@
 func (w *predictWorld) short(id string) { w.ask(id, "short", 2400, 50, 1500*time.Millisecond) }
 
 func (w *predictWorld) ask(id, org string, prompt, most int, target time.Duration) {
-	w.asks[id] = Ask{Attempt: id, Org: org, Prompt: prompt, MaxOutput: most, FirstTarget: target, MaxWait: 3 * target}
+	w.asks[id] = Ask{
+		Attempt: id, Org: org, Fingerprint: uint64(len(w.asks) + 1), Prompt: prompt, MaxOutput: most,
+		FirstTarget: target, MaxWait: 3 * target,
+	}
 	w.decide(w.home.Ask(w.now, w.asks[id]))
 }
 
@@ -355,3 +358,55 @@
 		t.Errorf("%d of 12 answers on it once it is well again", n)
 	}
 }
+
+// Pattern: one of four upstreams gets notice while memory is nearly full. What runs
+// there must find room within the notice or is lost, so that new long answers wait until
+// it has; short ones are gone before a notice has passed, and go on at once.
+func TestNewWorkLeavesRoomForMoves(t *testing.T) {
+	w := newPredictWorld(t, fast, fast, fast, fast)
+	ask := Ask{Attempt: "new", Org: "long", Prompt: 3000, MaxOutput: 1500, FirstTarget: 1800 * time.Millisecond, MaxWait: time.Second}
+	last := ""
+	for k := 0; w.home.choose(w.now, &ask) != nil; k++ {
+		runs := ask
+		last = fmt.Sprintf("old-%d", k)
+		runs.Attempt = last
+		w.home.Running(w.now, runs, fmt.Sprintf("u%d", k%4), Sighting{Tokens: 300})
+	}
+	w.home.End(w.now, last, 300, false) // there is room for one more
+	w.decide(w.home.Report(w.now, w.now, Report{Upstream: "u0", Capacity: 34_000, MaxBatch: 24, Leaving: true}))
+	if u := w.home.choose(w.now, &ask); u != nil {
+		t.Errorf("a new long answer takes the room on %s", u.name)
+	}
+	short := Ask{Attempt: "s", Org: "short", Prompt: 500, MaxOutput: 20, FirstTarget: 1500 * time.Millisecond, MaxWait: time.Second}
+	if w.home.choose(w.now, &short) == nil {
+		t.Error("a short answer has to wait, too")
+	}
+	near, skip := func(string) bool { return false }, func(string) bool { return false }
+	if w.home.Destination(w.now, "old-0", near, skip) == "" {
+		t.Error("what leaves finds no room")
+	}
+	for _, p := range w.home.On(w.now, "u0") {
+		w.home.End(w.now, p.Ask.Attempt, 300, false)
+	}
+	w.home.Tick(w.now)
+	if w.home.forMoves != 0 {
+		t.Errorf("%.2f of the memory is still kept once nothing runs there", w.home.forMoves)
+	}
+}
+
+// A caller that can't be on time any more and is refused gets what those leave who can:
+// it is told to come back once the late ones before it will have been served, which
+// takes longer than the whole queue would.
+func TestTheLateAreToldToComeBackLater(t *testing.T) {
+	w := newPredictWorld(t, fast)
+	for k := range 60 {
+		w.short(fmt.Sprintf("r%d", k))
+	}
+	w.pass(1200 * time.Millisecond)
+	ask := w.asks["r0"]
+	d := w.home.refuse(w.now, w.now, &ask, 0)
+	all := seconds((w.home.queue.cost + w.home.promises.cost) / w.home.drainRate(w.now))
+	if all < retryLeast || d.RetryAfter < 2*all {
+		t.Errorf("told to come back after %v, when all that was promised would be done after %v", d.RetryAfter, all)
+	}
+}
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -70,8 +70,9 @@
 	slack   float64
 	perCost float64
 	byID    map[string]*queued
-	// lates counts the late asks.
-	lates int
+	// lates counts the late asks, lateCost sums their cost.
+	lates    int
+	lateCost float64
 	// cost sums the cost of all asks.
 	cost float64
 	orgs map[string]*waitingOrg
@@ -134,6 +135,7 @@
 			}
 			item.late = true
 			q.lates++
+			q.lateCost += item.cost
 			item.key = item.key.Add(lateBehind)
 			heap.Fix(&o.asks, item.index)
 			out = append(out, item)
@@ -194,6 +196,7 @@
 	q.cost = max(q.cost-item.cost, 0)
 	if item.late {
 		q.lates--
+		q.lateCost = max(q.lateCost-item.cost, 0)
 	}
 	o := q.orgs[item.ask.Org]
 	heap.Remove(&o.asks, item.index)
--- a/internal/core/placement/wait.go
+++ b/internal/core/placement/wait.go
@@ -95,8 +95,12 @@
 // refuse turns an ask away with a time to come back: when the work that is
 // queued and the work of those who were told to come back earlier has drained.
 func (h *Home) refuse(now, since time.Time, ask *Ask, cost float64) Decision {
-	rate := h.drainRate(now)
-	after := seconds((h.queue.cost + h.promises.cost) / rate)
+	rate, ahead := h.drainRate(now), h.queue.cost
+	if h.settings.Predict && ask.FirstTarget > 0 {
+		// Those who can be on time still go first: it gets what they leave.
+		rate, ahead = h.meter.lateRate(rate), h.queue.lateCost
+	}
+	after := seconds((ahead + h.promises.cost) / rate)
 	after = min(max(after, retryLeast), retryMost)
 	h.promises.add(now, since, ask, after, cost)
 	return Decision{Attempt: ask.Attempt, Kind: Refused, Reason: ReasonQueueFull, RetryAfter: after}
