placement: lengths by what callers declare; copies take memory from the order on

Three causes, each mended: 1. Organisations ask for lines and for pages alike. One histogram for both made a draft of 800 tokens look like 120 to 220, in memory and in time. Lengths are learnt by the octave of the most tokens that the caller declares. 2. A first token that did not come counted as lost word after four prompts' time, so that a stalled engine got one prompt after another. Now only the silence of the prompt's entry counts (1.6 s; entries announce what runs every 1.5 s at the latest). 3. 24 of 41 failed moves were runs that ended while they were copied: the entry hung up on the copy call, never learnt the copy's name, and left it at its destination for five seconds. The call is now awaited and the copy freed; copies that can't be freed (their source has gone) and those under way count as memory of their destination.

--- a/internal/core/placement/backlog.go
+++ b/internal/core/placement/backlog.go
@@ -43,10 +43,19 @@
 	g.begun, b.since = true, now
 }
 
-// silentReads is how many prompts' time must have passed without a first token until
-// the word of it counts as lost, as the entry has died: nobody would be placed there
-// until the grant lapses.
-const silentReads = 3
+// entrySilent is how long an entry may say nothing of an unread prompt until that counts
+// for nothing: the entry has died, and will not tell of a first token. An entry that
+// lives announces all that it runs every 1.5 s at the latest.
+const entrySilent = 1600 * time.Millisecond
+
+// forget drops the prompts whose entries have fallen silent.
+func (b *backlog) forget(now time.Time, grants []*grant) {
+	for _, g := range grants {
+		if !g.begun && now.Sub(g.seen) > entrySilent {
+			b.read(now, g)
+		}
+	}
+}
 
 // Began takes an entry's word that the first token of an attempt has come, and grants
 // what waited for that. The wait of a prompt that an upstream had to itself tells how
@@ -67,14 +76,13 @@
 }
 
 // unreadAt is how many prompt tokens are unread at a moment in nanoseconds. The first
-// prompt is read at the known rate; others begin once that has ended.
+// prompt is read at the known rate. What comes after it is not reckoned with before its
+// first token has come: an upstream whose memory is full of what the home does not know
+// of reads nothing, and would get one prompt after another.
 func (s *summary) unreadAt(at int64) float64 {
 	if s.unread == 0 {
 		return 0
 	}
 	read := float64(at-s.unreadSince) / 1e9 * s.rate
-	if read > s.firstPrompt {
-		read = max(s.firstPrompt, read-silentReads*s.firstPrompt)
-	}
-	return max(s.unread-read, 0)
+	return s.unread - min(max(read, 0), s.firstPrompt)
 }
--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -122,7 +122,7 @@
 	l := NewLengths()
 	b.ReportAllocs()
 	for b.Loop() {
-		l.Observe("s", "o", 300, true)
+		l.Observe("s", &Ask{Org: "o", MaxOutput: 8000}, 300, true)
 	}
 }
 
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -49,7 +49,7 @@
 // summarize brings an upstream's summary up to date.
 func (h *Home) summarize(u *upstream) {
 	s := &h.summaries[u.index]
-	s.free = 1 - (u.peak+u.foreign)/float64(max(u.report.Capacity, 1))
+	s.free = 1 - (u.peak+u.foreign+u.copies)/float64(max(u.report.Capacity, 1))
 	s.prompts, s.promptsAt = u.prompts, u.promptsAt.UnixNano()
 	s.freshUntil = u.reported.Add(reportMaxAge).UnixNano()
 	if u.report.Leaving {
@@ -75,7 +75,7 @@
 func (h *Home) choose(now time.Time, ask *Ask) *upstream {
 	var need footprint
 	if h.settings.Engine {
-		c := h.lengths.curve(h.settings.Service, ask.Org)
+		c := h.lengths.curve(h.settings.Service, ask)
 		need = footprintOf(c, ask.Prompt, 0, ask.MaxOutput)
 	}
 	var p prospect
@@ -160,7 +160,7 @@
 // memory besides. One that is alone always has room: it could wait nowhere else for
 // more.
 func (h *Home) hasRoom(u *upstream, need *footprint, besides float64) bool {
-	if !h.settings.Engine || len(u.grants) == 0 && u.foreign == 0 {
+	if !h.settings.Engine || len(u.grants) == 0 && u.foreign == 0 && u.copies == 0 {
 		return true
 	}
 	if len(u.grants) > 0 && (u.report.Waiting > 0 || u.spt > h.tuning.gap) {
@@ -168,6 +168,6 @@
 		// tokens come too slowly already: new work would make both worse.
 		return false
 	}
-	limit := float64(u.report.Capacity)*(1-h.tuning.reserve-besides) - u.foreign
+	limit := float64(u.report.Capacity)*(1-h.tuning.reserve-besides) - u.foreign - u.copies
 	return u.need.fits(need, h.z, limit)
 }
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -46,7 +46,7 @@
 // prospect predicts a new answer. What was learnt of lengths counts here: callers'
 // estimates are often far off.
 func (h *Home) prospect(ask *Ask) prospect {
-	output := h.lengths.curve(h.settings.Service, ask.Org).remaining(0, ask.MaxOutput)
+	output := h.lengths.curve(h.settings.Service, ask).remaining(0, ask.MaxOutput)
 	return prospect{
 		worth: float64(ask.Prompt) + outputWorth*output, prompt: float64(ask.Prompt), output: output,
 		target: ask.FirstTarget.Seconds(), dataCentre: ask.DataCentre,
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -153,7 +153,7 @@
 		h.release(g)
 		h.ended.add(now, attempt)
 		if h.settings.Engine && tokens > 0 {
-			h.lengths.Observe(h.settings.Service, g.ask.Org, tokens, whole && tokens < g.ask.MaxOutput)
+			h.lengths.Observe(h.settings.Service, &g.ask, tokens, whole && tokens < g.ask.MaxOutput)
 		}
 	}
 	if q := h.queue.byID[attempt]; q != nil {
@@ -315,7 +315,7 @@
 	if !h.settings.Engine {
 		return 1
 	}
-	c := h.lengths.curve(h.settings.Service, ask.Org)
+	c := h.lengths.curve(h.settings.Service, ask)
 	length := c.remaining(0, ask.MaxOutput)
 	return length * (float64(ask.Prompt) + length/2)
 }
@@ -331,7 +331,7 @@
 	if !h.settings.Engine {
 		return 0
 	}
-	c := h.lengths.curve(h.settings.Service, ask.Org)
+	c := h.lengths.curve(h.settings.Service, ask)
 	class := bucketOf(int(c.remaining(0, ask.MaxOutput)))
 	return class*priorityTies + int(ask.Fingerprint%priorityTies)
 }
--- a/internal/core/placement/ledger.go
+++ b/internal/core/placement/ledger.go
@@ -20,6 +20,8 @@
 	// that the home never granted: those of another home or before a takeover.
 	need    footprint
 	foreign float64
+	// copies is the memory that copies take there from which nothing runs yet.
+	copies float64
 	// peak is the highest need over all horizons.
 	peak float64
 	// spt is the measured time between tokens in seconds, 0 if unknown.
@@ -151,6 +153,7 @@
 
 // refresh forecasts every grant of an upstream anew.
 func (h *Home) refresh(now time.Time, u *upstream) {
+	u.backlog.forget(now, u.grants)
 	u.need, u.running, u.believed = footprint{}, 0, h.speedAt(now, u)
 	for _, g := range u.grants {
 		h.forecast(now, g)
@@ -165,7 +168,7 @@
 	if !h.settings.Engine {
 		return
 	}
-	c := h.lengths.curve(h.settings.Service, g.ask.Org)
+	c := h.lengths.curve(h.settings.Service, &g.ask)
 	g.need = footprintOf(c, g.ask.Prompt, g.tokensAt(now), g.ask.MaxOutput)
 }
 
@@ -235,6 +238,20 @@
 	}
 }
 
+// HoldCopy notes that a copy of a running generation takes memory on an upstream, until
+// it is released or the generation is entered there.
+func (h *Home) HoldCopy(name string, tokens int) { h.addCopy(name, float64(tokens)) }
+
+// ReleaseCopy takes HoldCopy back.
+func (h *Home) ReleaseCopy(name string, tokens int) { h.addCopy(name, -float64(tokens)) }
+
+func (h *Home) addCopy(name string, tokens float64) {
+	if u := h.byName[name]; u != nil {
+		u.copies = max(u.copies+tokens, 0)
+		h.summarize(u)
+	}
+}
+
 // Sighting is an entry's word of an attempt that runs.
 type Sighting struct {
 	// Tokens are out by now.
--- a/internal/core/placement/lengths.go
+++ b/internal/core/placement/lengths.go
@@ -1,5 +1,7 @@
 package placement
 
+import "math/bits"
+
 const (
 	// memory is how many answers a level remembers: each new one fades the
 	// older ones by one part in memory.
@@ -21,21 +23,37 @@
 	orgLevels = 8192
 )
 
-// Lengths learns how long answers get: a decayed histogram for each service
-// and organisation, which backs off to the service's and to that of all. It
+// Lengths learns how long answers get: a decayed histogram for each kind of answer
+// and organisation, which backs off to the kind's and to that of all. It
 // holds hazards, not counts of lengths, so that answers which were cut off
 // still teach how long answers get at least.
 type Lengths struct {
-	first    [buckets]float32
-	all      *level
-	services map[string]*level
-	orgs     map[orgKey]*level
+	first [buckets]float32
+	all   *level
+	kinds map[kind]*level
+	orgs  map[orgKey]*level
 	// order holds the organisations' keys, oldest first; the oldest goes
 	// when there are too many.
 	order []orgKey
 }
 
-type orgKey struct{ service, org string }
+// kind is a kind of answer: the service's, in the octave of the most tokens that the
+// caller declares. An organisation that asks for both lines and pages declares so; the
+// mean of both would be right for neither.
+type kind struct {
+	service string
+	most    int
+}
+
+type orgKey struct {
+	kind
+	org string
+}
+
+// keyOf returns what is learnt together with an ask's answer.
+func keyOf(service string, ask *Ask) orgKey {
+	return orgKey{kind: kind{service: service, most: bits.Len(uint(max(ask.MaxOutput, 0)))}, org: ask.Org}
+}
 
 // level is one histogram. ended counts the answers that ended in each bucket,
 // reached those that got to it.
@@ -54,7 +72,7 @@
 
 // NewLengths returns an estimator that has learnt nothing.
 func NewLengths() *Lengths {
-	l := &Lengths{services: map[string]*level{}, orgs: map[orgKey]*level{}}
+	l := &Lengths{kinds: map[kind]*level{}, orgs: map[orgKey]*level{}}
 	for b := range l.first {
 		if lowerOf(b) >= firstLength {
 			l.first[b] = firstHazard
@@ -70,27 +88,26 @@
 	return v
 }
 
-// Observe learns from an answer with so many tokens. An answer that did not
+// Observe learns from an ask's answer with so many tokens. An answer that did not
 // come to its own end teaches only that it got so far.
-func (l *Lengths) Observe(service, org string, tokens int, whole bool) {
-	own := l.own(service, org)
+func (l *Lengths) Observe(service string, ask *Ask, tokens int, whole bool) {
+	own := l.own(keyOf(service, ask))
 	for v := own; v != nil; v = v.above {
 		v.observe(tokens, whole)
 	}
 }
 
 // own returns the level of an organisation, beginning it if need be.
-func (l *Lengths) own(service, org string) *level {
-	key := orgKey{service, org}
+func (l *Lengths) own(key orgKey) *level {
 	if v := l.orgs[key]; v != nil {
 		return v
 	}
-	s := l.services[service]
-	if s == nil {
-		s = l.newLevel(l.all)
-		l.services[service] = s
+	k := l.kinds[key.kind]
+	if k == nil {
+		k = l.newLevel(l.all)
+		l.kinds[key.kind] = k
 	}
-	v := l.newLevel(s)
+	v := l.newLevel(k)
 	l.orgs[key] = v
 	l.order = append(l.order, key)
 	if len(l.order) > orgLevels {
@@ -100,9 +117,9 @@
 	return v
 }
 
-// curve returns what is expected of an organisation's answers.
-func (l *Lengths) curve(service, org string) *curve {
-	v := l.own(service, org)
+// curve returns what is expected of an ask's answer.
+func (l *Lengths) curve(service string, ask *Ask) *curve {
+	v := l.own(keyOf(service, ask))
 	v.refresh(&l.first)
 	return v.curve
 }
--- a/internal/core/placement/lengths_test.go
+++ b/internal/core/placement/lengths_test.go
@@ -24,9 +24,9 @@
 	for range 4000 {
 		n := max(1, math.Exp(5.2+1.2*rng.NormFloat64()))
 		all = append(all, n)
-		l.Observe("s", "o", int(n), true)
+		l.Observe("s", &Ask{Org: "o", MaxOutput: 8000}, int(n), true)
 	}
-	c := l.curve("s", "o")
+	c := l.curve("s", &Ask{Org: "o", MaxOutput: 8000})
 	for _, so := range []int{0, 100, 400, 1000} {
 		sum, n := 0.0, 0.0
 		for _, x := range all {
@@ -46,16 +46,16 @@
 func TestLengthsBackOff(t *testing.T) {
 	l := NewLengths()
 	for range 500 {
-		l.Observe("s", "long", 1000, true)
+		l.Observe("s", &Ask{Org: "long", MaxOutput: 8000}, 1000, true)
 	}
-	fresh := l.curve("s", "fresh").remaining(0, 8000)
+	fresh := l.curve("s", &Ask{Org: "fresh", MaxOutput: 8000}).remaining(0, 8000)
 	if fresh < 700 {
 		t.Errorf("%.0f tokens expected of an organisation like the others", fresh)
 	}
 	for range 100 {
-		l.Observe("s", "short", 20, true)
+		l.Observe("s", &Ask{Org: "short", MaxOutput: 8000}, 20, true)
 	}
-	if short := l.curve("s", "short").remaining(0, 8000); short > 200 {
+	if short := l.curve("s", &Ask{Org: "short", MaxOutput: 8000}).remaining(0, 8000); short > 200 {
 		t.Errorf("%.0f tokens expected of one with answers of 20", short)
 	}
 }
@@ -65,10 +65,10 @@
 func TestCutAnswersAreNotEnds(t *testing.T) {
 	l := NewLengths()
 	for range 200 {
-		l.Observe("s", "o", 50, false)
-		l.Observe("s", "o", 1000, true)
+		l.Observe("s", &Ask{Org: "o", MaxOutput: 8000}, 50, false)
+		l.Observe("s", &Ask{Org: "o", MaxOutput: 8000}, 1000, true)
 	}
-	if got := l.curve("s", "o").remaining(0, 8000); got < 800 {
+	if got := l.curve("s", &Ask{Org: "o", MaxOutput: 8000}).remaining(0, 8000); got < 800 {
 		t.Errorf("%.0f tokens expected, whole answers had 1000", got)
 	}
 }
@@ -76,9 +76,32 @@
 func TestOrganisationsAreBounded(t *testing.T) {
 	l := NewLengths()
 	for i := range orgLevels + 100 {
-		l.Observe("s", string(rune(i)), 10, true)
+		l.Observe("s", &Ask{Org: string(rune(i)), MaxOutput: 8000}, 10, true)
 	}
 	if len(l.orgs) > orgLevels || len(l.order) > orgLevels {
 		t.Errorf("%d organisations remembered", len(l.orgs))
 	}
 }
+
+// Pattern: the organisations all ask for lines and for pages, each declaring the most
+// that it wants. With one histogram for both, a page was expected to be a few lines long,
+// its memory was forecast too small, and it was placed as if it were soon gone.
+func TestLinesTeachNothingOfPages(t *testing.T) {
+	l := NewLengths()
+	line, page := &Ask{Org: "o", MaxOutput: 50}, &Ask{Org: "o", MaxOutput: 2200}
+	for range 200 {
+		l.Observe("s", line, 12, true)
+		l.Observe("s", line, 15, true)
+		l.Observe("s", page, 800, true)
+	}
+	if got := l.curve("s", page).remaining(0, 2200); got < 600 || got > 1000 {
+		t.Errorf("%.0f tokens expected of a page, want about 800", got)
+	}
+	if got := l.curve("s", line).remaining(0, 50); got > 20 {
+		t.Errorf("%.0f tokens expected of a line, want about 14", got)
+	}
+	other := &Ask{Org: "new", MaxOutput: 2200}
+	if got := l.curve("s", other).remaining(0, 2200); got < 600 {
+		t.Errorf("%.0f tokens expected of another organisation's page", got)
+	}
+}
--- a/internal/core/placement/move.go
+++ b/internal/core/placement/move.go
@@ -47,7 +47,7 @@
 	if g.ask.Expected > tokens {
 		return float64(g.ask.Expected - tokens)
 	}
-	return h.lengths.curve(h.settings.Service, g.ask.Org).remaining(tokens, max(g.ask.MaxOutput, tokens+1))
+	return h.lengths.curve(h.settings.Service, &g.ask).remaining(tokens, max(g.ask.MaxOutput, tokens+1))
 }
 
 // Destination returns the upstream that an attempt's generation should move to,
@@ -58,7 +58,7 @@
 	if g == nil {
 		return ""
 	}
-	need := footprintOf(h.lengths.curve(h.settings.Service, g.ask.Org), g.ask.Prompt, g.tokensAt(now), g.ask.MaxOutput)
+	need := footprintOf(h.lengths.curve(h.settings.Service, &g.ask), g.ask.Prompt, g.tokensAt(now), g.ask.MaxOutput)
 	rest := h.rest(now, g)
 	best, bestScore, bestNear := "", 0.0, false
 	for i, u := range h.upstreams {
--- a/internal/core/placement/predict_test.go
+++ b/internal/core/placement/predict_test.go
@@ -111,7 +111,11 @@
 func (w *predictWorld) progress(k int) {
 	id := fmt.Sprintf("r%d", k)
 	upstream, ask := w.on[id], w.asks[id]
-	if upstream == "" || w.now.Before(w.first[id]) || w.mute {
+	if upstream == "" || w.mute {
+		return
+	}
+	if w.now.Before(w.first[id]) {
+		w.announce(id, Sighting{})
 		return
 	}
 	if !w.told[id] {
@@ -124,8 +128,13 @@
 		delete(w.on, id)
 		return
 	}
+	w.announce(id, Sighting{Tokens: tokens, Pace: w.pace[upstream]})
+}
+
+// announce tells the home every half second what runs.
+func (w *predictWorld) announce(id string, s Sighting) {
 	if w.now.Sub(start)%(500*time.Millisecond) == 0 {
-		w.home.Running(w.now, ask, upstream, Sighting{Tokens: tokens, Pace: w.pace[upstream]})
+		w.home.Running(w.now, w.asks[id], w.on[id], s)
 	}
 }
 
@@ -235,6 +244,43 @@
 	}
 }
 
+// An upstream's memory is full of what the home does not know of: generations of
+// instances that have died go on there for nobody. Its next prompt is not read. The home
+// sees that no first token comes, and sends no others after it; once it comes, it does.
+func TestAStalledUpstreamGetsNoPrompts(t *testing.T) {
+	w := newPredictWorld(t, fast, fast, fast)
+	for k := range 3 {
+		w.long(fmt.Sprintf("r%d", k))
+		w.pass(600 * time.Millisecond)
+	}
+	w.busy["u1"] = w.now.Add(4 * time.Second)
+	stalled := 0
+	for k := 3; k < 23; k++ {
+		w.short(fmt.Sprintf("r%d", k))
+		w.pass(150 * time.Millisecond)
+	}
+	for k := 3; k < 23; k++ {
+		if w.on[fmt.Sprintf("r%d", k)] == "u1" {
+			stalled++
+		}
+	}
+	if stalled == 0 || stalled > 3 {
+		t.Errorf("%d of 20 prompts wait at the stalled one of three upstreams, want few", stalled)
+	}
+	w.pass(4 * time.Second)
+	again := 0
+	for k := 23; k < 43; k++ {
+		w.short(fmt.Sprintf("r%d", k))
+		if w.on[fmt.Sprintf("r%d", k)] == "u1" {
+			again++
+		}
+		w.pass(150 * time.Millisecond)
+	}
+	if again == 0 {
+		t.Error("it gets nothing once it reads again")
+	}
+}
+
 // Pattern: a crowd returns at once, as many of its instances died: 40 prompts in a
 // moment for four upstreams, which read 12 a second, and eight a second after that. Who
 // waits in turn makes all that come after late as well. What can be on time goes first,
--- a/internal/core/pool/evacuate.go
+++ b/internal/core/pool/evacuate.go
@@ -55,8 +55,34 @@
 	attempt string
 	number  int64
 	to      string
-	due     time.Time
-	given   time.Time
+	// tokens is the size of the copy.
+	tokens int
+	due    time.Time
+	given  time.Time
+}
+
+// abandoned is a copy that nothing will go on from and that could not be freed: it takes
+// memory until it lapses.
+type abandoned struct {
+	upstream string
+	tokens   int
+	until    time.Time
+}
+
+// abandonCopy notes that what became of an order's copy is not known.
+func (h *Home) abandonCopy(now time.Time, o *order) {
+	h.abandoned = append(h.abandoned, abandoned{upstream: o.to, tokens: o.tokens, until: now.Add(h.engine.CopyLife)})
+}
+
+// lapseCopies releases the memory of abandoned copies that have lapsed.
+func (h *Home) lapseCopies(now time.Time) {
+	h.abandoned = slices.DeleteFunc(h.abandoned, func(a abandoned) bool {
+		if now.Before(a.until) {
+			return false
+		}
+		h.placement.ReleaseCopy(a.upstream, a.tokens)
+		return true
+	})
 }
 
 func newEvacuation(u *roster.Upstream, now time.Time) *evacuation {
@@ -76,6 +102,7 @@
 		e := h.evacuations[id]
 		if e.order != nil && now.After(e.order.due) {
 			h.note("move_given_up", "request", e.order.attempt, "from", id, "to", e.order.to, "after", now.Sub(e.order.given))
+			h.abandonCopy(now, e.order)
 			e.order = nil
 		}
 		if e.order == nil {
@@ -161,9 +188,10 @@
 	h.number++
 	e.tries[p.Ask.Attempt]++
 	e.order = &order{
-		attempt: p.Ask.Attempt, number: h.number, to: to, given: now,
+		attempt: p.Ask.Attempt, number: h.number, to: to, tokens: p.Ask.Prompt + p.Tokens, given: now,
 		due: now.Add(2*h.copyTime(p, e.upstream.ID, to) + orderSlack),
 	}
+	h.placement.HoldCopy(to, e.order.tokens)
 	h.send(h.entries[p.Ask.Attempt], msg.MoveOrder{
 		Pool: h.service, Attempt: p.Ask.Attempt, Number: h.number,
 		From: e.upstream.ID, To: to, ToAddress: h.upstreams[to].Address,
@@ -190,6 +218,11 @@
 			continue
 		}
 		h.note("move_ended", "request", m.Attempt, "from", id, "to", e.order.to, "outcome", m.Outcome, "after", now.Sub(e.order.given))
+		if m.Outcome == msg.MoveFailed {
+			h.abandonCopy(now, e.order)
+		} else {
+			h.placement.ReleaseCopy(e.order.to, e.order.tokens)
+		}
 		switch m.Outcome {
 		case msg.MoveDone:
 			h.placement.Move(m.Attempt, e.order.to)
@@ -205,13 +238,3 @@
 	}
 	h.evacuate(now)
 }
-
-// ended drops the order for an attempt that has ended by itself.
-func (h *Home) ended(now time.Time, attempt string) {
-	for _, e := range h.evacuations {
-		if e.order != nil && e.order.attempt == attempt {
-			e.order = nil
-		}
-	}
-	h.evacuate(now)
-}
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -79,6 +79,8 @@
 	evacuations map[string]*evacuation
 	// full holds until when destinations are passed over that had no room.
 	full map[string]time.Time
+	// abandoned holds copies that take memory until they lapse.
+	abandoned []abandoned
 	// unreachable holds when an upstream was last found so, looked when it
 	// was last asked for its state.
 	unreachable map[string]time.Time
@@ -242,6 +244,9 @@
 	for _, ask := range h.placement.Remove(id) {
 		delete(h.entries, ask.Attempt)
 	}
+	if e := h.evacuations[id]; e != nil && e.order != nil {
+		h.abandonCopy(now, e.order)
+	}
 	delete(h.upstreams, id)
 	delete(h.evacuations, id)
 	delete(h.unreachable, id)
@@ -289,7 +294,7 @@
 	delete(h.entries, m.Attempt)
 	h.ran(now, m)
 	h.decide(h.placement.End(now, m.Attempt, m.Tokens, !m.Failed && !m.Cut))
-	h.ended(now, m.Attempt)
+	h.evacuate(now)
 }
 
 // ran notes how an upstream ended what it was given. One that leaves cuts off
@@ -340,6 +345,7 @@
 
 // Tick grants what waited and drops what nobody follows any more.
 func (h *Home) Tick(now time.Time) {
+	h.lapseCopies(now)
 	h.decide(h.placement.Tick(now))
 	for _, o := range h.placement.Orphans(now, orphanAfter) {
 		delete(h.entries, o.Attempt)
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -268,6 +268,23 @@
 	}
 }
 
+// Two of three upstreams leave at once. The third takes one copy at a time: the last
+// piece of one run, for which its reader waits, must not queue behind another's copy.
+func TestOneDestinationTakesOneCopyAtATime(t *testing.T) {
+	s := newSim(t, 3)
+	s.fill(9, 200*time.Millisecond)
+	s.pass(time.Second)
+	s.find("u01").LeavingSince, s.find("u02").LeavingSince = s.now, s.now
+	s.sync()
+	if len(s.orders) != 1 || s.orders[0].To != "u00" {
+		t.Fatalf("orders %+v, want one to u00", s.orders)
+	}
+	s.answer(s.orders[0], msg.MoveDone)
+	if len(s.orders) != 2 {
+		t.Errorf("%d orders once the first has arrived, want two", len(s.orders))
+	}
+}
+
 // An upstream's entry vanishes without an announcement, as those of some workers
 // do; it serves on for a while. Its work is moved like that of any other.
 func TestAVanishedUpstreamIsEvacuated(t *testing.T) {
@@ -418,6 +435,46 @@
 	}
 }
 
+// A leaving upstream ends with a copy half made. Nothing goes on from that, and nobody can
+// free it: it takes memory at its destination until it lapses. The home reckons with it;
+// otherwise new prompts would wait inside that upstream for seconds, unread.
+func TestAbandonedCopiesTakeMemory(t *testing.T) {
+	s := newSim(t, 2)
+	for k := range 5 {
+		id := fmt.Sprintf("d-%d", k)
+		ask := placement.Ask{Attempt: id, Org: "org", Prompt: 3000, MaxOutput: 900, Expected: 900}
+		s.asks[id] = ask
+		s.home.Announce(s.now, entry, msg.Announce{Pool: "pool", Running: []msg.RunningAttempt{{Ask: ask, Upstream: "u01", Tokens: 300}}})
+	}
+	big := placement.Ask{Attempt: "big", Org: "org", Prompt: 9000, MaxOutput: 2000, Expected: 2000}
+	s.home.Announce(s.now, entry, msg.Announce{Pool: "pool", Running: []msg.RunningAttempt{{Ask: big, Upstream: "u00", Tokens: 600}}})
+	s.find("u00").LeavingSince = s.now
+	s.sync()
+	if len(s.orders) != 1 || s.orders[0].To != "u01" {
+		t.Fatalf("orders %+v, want one to u01", s.orders)
+	}
+	for k := 0; k < len(s.orders); k++ {
+		s.answer(s.orders[k], msg.MoveFailed)
+	}
+	s.find("u00").Gone = true
+	s.list = s.list[1:]
+	s.home.End(s.now, msg.GrantEnd{Pool: "pool", Attempt: "big", Upstream: "u00", Failed: true})
+	s.sync()
+	s.ask("new", 3000, 900)
+	if s.granted["new"] != "" {
+		t.Error("a prompt is placed where a copy takes the memory")
+	}
+	for range 12 {
+		s.now = s.now.Add(500 * time.Millisecond)
+		s.home.Tick(s.now)
+		s.sync()
+	}
+	s.ask("later", 3000, 900)
+	if s.granted["later"] == "" {
+		t.Error("nothing is placed there after the copy has lapsed")
+	}
+}
+
 // The forecast sees room at a destination that has none: copies that nobody picked up
 // hold its memory. Asked again at once it refuses again, and after two refusals the
 // draft would be left behind with most of the notice to go. Other destinations are
--- a/internal/proctest/resident_move_test.go
+++ b/internal/proctest/resident_move_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
 // slowDrafts is the time between the events of drafts in the tests of moves: a
@@ -201,3 +202,22 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Drafts end at their engine while it copies them to others, as it is about to leave.
+// Nobody goes on from those copies. Left behind, each takes memory at its destination
+// for seconds, where the next prompts then wait, unread.
+func TestResidentCopiesOfEndedRunsAreFreed(t *testing.T) {
+	t.Parallel()
+	m := drafts(t, 12)
+	for _, k := range m.pool {
+		k.CopyTime = 600 * time.Millisecond
+	}
+	time.Sleep(draftSteps*slowDrafts - 900*time.Millisecond)
+	m.pool[0].Leave()
+	if whole := m.check(t); whole != 12 {
+		t.Errorf("%d of 12 drafts are whole", whole)
+	}
+	for _, k := range m.pool {
+		testkit.Eventually(t, 3*time.Second, k.ID+" keeps no copies", func() bool { return k.Copies() == 0 })
+	}
+}
--- a/internal/resident/move.go
+++ b/internal/resident/move.go
@@ -79,9 +79,15 @@
 }
 
 // move copies the run's memory while it goes on, then stops it and copies what
-// is new: the caller waits for the second, short copy only.
+// is new: the caller waits for the second, short copy only. A run that ends meanwhile
+// leaves a copy behind, which would take memory at its destination for seconds: its
+// name comes with the answer alone, so that this is awaited all the same.
 func (x *exchange) move(mv *mover, source *forward.Attempt) (msg.MoveOutcome, error) {
-	first, err := x.server.copyRun(x.ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, false)
+	first, err := x.server.copyRun(context.WithoutCancel(x.ctx), source.Entry.Address, x.call.ID, mv.order.ToAddress, false)
+	if x.ctx.Err() != nil && err == nil {
+		x.server.dropCopy(source.Entry.Address, first.Handle)
+		return msg.MoveNoRun, x.ctx.Err()
+	}
 	if err != nil || first.Outcome != msg.MoveDone {
 		return first.Outcome, err
 	}
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -76,7 +76,7 @@
 func (w *World) prepare(id, service string, shape func(*Worker)) *Worker {
 	k := &Worker{
 		ID: id, Service: service, Born: time.Now().UnixMilli(), zone: "zone-a", state: "ready", table: w.Table,
-		runs: map[string]*run{}, copies: map[string]*run{}, others: w.at, stop: make(chan struct{}),
+		runs: map[string]*run{}, copies: map[string]*run{}, sent: map[string]*Worker{}, others: w.at, stop: make(chan struct{}),
 	}
 	shape(k)
 	return k
--- a/internal/trial/leave.go
+++ b/internal/trial/leave.go
@@ -130,12 +130,21 @@
 	})
 }
 
-// dropCopy frees the memory that a copy took.
+// copyLife is how long a copy takes memory at its destination whose source has died.
+const copyLife = 5 * time.Second
+
+// dropCopy frees the memory that a copy took, at once if its source can still be told.
 func (r *Run) dropCopy(g *generation) {
-	if g.copied > 0 {
-		r.engines[g.copyAt].used -= g.copied
-		g.copied = 0
+	if g.copied == 0 {
+		return
+	}
+	at, size := r.engines[g.copyAt], g.copied
+	g.copied = 0
+	if !r.engines[g.engine].dead {
+		at.used -= size
+		return
 	}
+	r.after(copyLife, func() { at.used -= size })
 }
 
 // finishMove stops a generation that was copied, sends what is new and lets it go
--- a/internal/trial/poolhome.go
+++ b/internal/trial/poolhome.go
@@ -47,7 +47,7 @@
 	p.waiting = map[string]*Request{}
 	p.home = pool.NewHome(poolName, route.Engine{
 		Slots: spec.MaxBatch, MemoryToken: spec.Capacity,
-		TokenBytes: l.TokenBytes, LinkMbps: l.Mbps, Moves: true, EventTokens: 1,
+		TokenBytes: l.TokenBytes, LinkMbps: l.Mbps, Moves: true, EventTokens: 1, CopyLife: copyLife,
 	}, p.without)
 }
 
