--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -1,7 +1,6 @@
-// Package fleet keeps which instances live, from what they tell each other, and
-// which of them read the platform's store for the others. Nobody writes
-// heartbeats to the store: each of its calls has a price, and it has outages.
-// The package does no I/O.
+// Package fleet tracks which instances are alive, from the heartbeats that they exchange, and
+// decides which of them read the platform's store on behalf of the others. Heartbeats are not
+// written to the store: calls are priced and it has outages. The package does no I/O.
 package fleet
 
 import (
@@ -14,59 +13,57 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// Member is what an instance last told of itself.
+// Member is the last known state of another instance.
 type Member struct {
 	msg.Heartbeat
-	// Heard is when; zero if it is known from the store only.
+	// Heard is when it last sent a heartbeat; zero if it is only known from the store.
 	Heard time.Time
-	// Known is when it was first known.
+	// Known is when this instance first learned of it.
 	Known time.Time
-	// met is set once it was heard, and stays so when it falls silent.
+	// met is set after its first heartbeat.
 	met bool
-	// reset is when the connection to it was last given up.
+	// reset is when the connection to it was last reset.
 	reset time.Time
 }
 
-// Fleet is one instance's view of all instances. It is not safe for concurrent
-// use.
+// Fleet is one instance's view of all instances. It is not safe for concurrent use.
 type Fleet struct {
 	started time.Time
 	self    msg.Heartbeat
 	members map[string]*Member
 	view    *membership.View
 	live    []string
-	// changed is set if what members tell of themselves has changed since live was
-	// worked out.
+	// changed is set if a member's state changed since live was computed.
 	changed bool
-	// near and far count the known instances in this data centre, this one
-	// included, and in others.
+	// near and far count the known instances in this data centre, including this one, and in
+	// others.
 	near, far int
-	// learned is when others were first learnt of from the store.
+	// learned is when the first other instance became known.
 	learned time.Time
 	// regions maps each data centre to its region.
 	regions map[string]string
 	without mechanism.Set
-	// toldSize is how large the fleet is by the word of another instance, at toldAt.
-	toldSize int
-	toldAt   time.Time
-	// presences holds what relays of other data centres have told, by relay;
-	// toldFar and toldNear what this instance has, as a relay.
+	// sizeHint is the size of the fleet as reported by another instance at sizeHintAt.
+	sizeHint   int
+	sizeHintAt time.Time
+	// presences holds the last announcement of each relay of other data centres; toldFar and
+	// toldNear hold what this instance, as a relay, last announced.
 	presences         map[string]*presence
 	toldFar, toldNear told
-	// relaysAt holds the relays of each data centre, as last chosen.
+	// relaysAt caches the relays of each data centre.
 	relaysAt map[string]chosen
-	// turn is where the next directory answer begins that can't name all.
+	// turn is the offset of the next directory answer.
 	turn int
 }
 
-// New returns the view of an instance that has started now and knows only itself, and
-// the region of each data centre. without lists the mechanisms that it does without.
+// New returns the view of an instance that just started. regions maps data centres to regions;
+// without lists disabled mechanisms.
 func New(now time.Time, self msg.Heartbeat, regions map[string]string, without mechanism.Set) *Fleet {
 	return &Fleet{started: now, self: self, without: without, members: map[string]*Member{}, presences: map[string]*presence{}, relaysAt: map[string]chosen{}, near: 1, view: membership.NewView(listed(self)), regions: regions}
 }
 
-// listed returns what a heartbeat says of an instance. One that leaves is home of nothing
-// any more: its successors must know what runs before it is gone.
+// listed converts a heartbeat to a membership entry. A leaving instance is no longer home of
+// anything, so that its successors take over while it still runs.
 func listed(b msg.Heartbeat) membership.Member {
 	m := membership.Member{
 		Name: b.Name, Role: membership.RoleEntry, DataCentre: b.DataCentre,
@@ -78,10 +75,10 @@
 	return m
 }
 
-// Self returns the instance's own heartbeat.
+// Self returns this instance's own heartbeat.
 func (f *Fleet) Self() msg.Heartbeat { return f.self }
 
-// SetSelf updates what the instance tells of itself.
+// SetSelf updates this instance's own state.
 func (f *Fleet) SetSelf(now time.Time, ready, leaving, reads bool) {
 	if leaving != f.self.Leaving {
 		f.self.Leaving = leaving
@@ -91,12 +88,12 @@
 	f.self.Settled = now.Sub(f.started) >= settledAge
 }
 
-// Contact says what a heartbeat tells of the instance that sent it.
+// Contact classifies a received heartbeat.
 type Contact int
 
 // Contacts.
 const (
-	// Known: it lived before.
+	// Known: the sender was alive already.
 	Known Contact = iota
 	// First: it was never heard before.
 	First
@@ -104,7 +101,7 @@
 	Regained
 )
 
-// Heard takes a heartbeat of another instance.
+// Heard processes a heartbeat.
 func (f *Fleet) Heard(now time.Time, b msg.Heartbeat) Contact {
 	if b.Name == f.self.Name {
 		return Known
@@ -134,8 +131,7 @@
 	return Known
 }
 
-// Learn takes in an instance that is known from the store only. It reports whether
-// it was not known.
+// Learn adds an instance known only from the store. It reports whether it was new.
 func (f *Fleet) Learn(now time.Time, b msg.Heartbeat) bool {
 	if b.Name == f.self.Name || f.members[b.Name] != nil {
 		return false
@@ -148,8 +144,8 @@
 	return true
 }
 
-// Introduce takes in an instance that another one hears. It counts as heard until its own
-// heartbeats come, or are missed. It reports whether it was not known.
+// Introduce adds an instance that another instance considers alive. It counts as alive until
+// its own heartbeats arrive or are missed. It reports whether it was new.
 func (f *Fleet) Introduce(now time.Time, b msg.Heartbeat) bool {
 	if !f.Learn(now, b) {
 		return false
@@ -160,10 +156,10 @@
 	return true
 }
 
-// Live lists the other instances that live, by name.
+// Live lists the names of the other live instances.
 func (f *Fleet) Live() []string { return f.live }
 
-// Near lists the other instances that live and that this one exchanges heartbeats with.
+// Near lists the other live instances with which heartbeats are exchanged.
 func (f *Fleet) Near() []string {
 	if !f.large() {
 		return f.live
@@ -171,7 +167,7 @@
 	return f.nearLive()
 }
 
-// Others lists every other instance that is known, live or silent.
+// Others lists all other known instances, alive or not, by name.
 func (f *Fleet) Others() []*Member {
 	out := make([]*Member, 0, len(f.members))
 	for _, m := range f.members {
@@ -184,7 +180,7 @@
 // Find returns another instance by name, or nil.
 func (f *Fleet) Find(name string) *Member { return f.members[name] }
 
-// DataCentre returns where an instance stands, "" if it is not known.
+// DataCentre returns an instance's data centre, "" if unknown.
 func (f *Fleet) DataCentre(name string) string {
 	if name == f.self.Name {
 		return f.self.DataCentre
@@ -195,11 +191,10 @@
 	return ""
 }
 
-// Size is how many instances there are, this one included, as far as is known.
-func (f *Fleet) Size() int { return max(len(f.members)+1, f.toldSize) }
+// Size is the number of known instances, including this one.
+func (f *Fleet) Size() int { return max(len(f.members)+1, f.sizeHint) }
 
-// Home returns the instance that decides for a key, if there is one in a data centre
-// that is named.
+// Home returns the home of a key, in the given data centre if that has live instances.
 func (f *Fleet) Home(now time.Time, key, dataCentre string) string {
 	rank := func(dc string) int {
 		if dataCentre == "" || dc == dataCentre {
@@ -213,10 +208,10 @@
 	return f.self.Name
 }
 
-// Suspect passes an instance over as a home for some seconds.
+// Suspect excludes an instance from being home for a few seconds.
 func (f *Fleet) Suspect(now time.Time, name string) { f.view.Suspect(now, name) }
 
-// serving lists the other instances that live and take callers.
+// serving lists the other live instances that accept callers.
 func (f *Fleet) serving() []*Member {
 	var out []*Member
 	for _, name := range f.live {
@@ -227,5 +222,5 @@
 	return out
 }
 
-// Alone reports whether no other instance is ready to serve.
+// Alone reports whether no other instance is ready.
 func (f *Fleet) Alone() bool { return len(f.serving()) == 0 }
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -111,13 +111,13 @@
 func TestASilentConnectionIsGivenUp(t *testing.T) {
 	f := fleetOf(0, 2)
 	deaf := heartbeat(1)
-	now := start.Add(f.resetEvery("dc"))
+	now := start.Add(f.resetInterval("dc"))
 	f.Heard(now, deaf)
 	if !f.Unheard(now, deaf) || f.Unheard(now.Add(f.HeartbeatInterval("dc")), deaf) {
 		t.Error("want one reset, and no other at the next heartbeat")
 	}
 	deaf.Hears = true
-	if f.Unheard(now.Add(2*f.resetEvery("dc")), deaf) {
+	if f.Unheard(now.Add(2*f.resetInterval("dc")), deaf) {
 		t.Error("an instance that hears needs no new connection")
 	}
 	if f.Unheard(start, heartbeat(1)) {
--- a/internal/core/fleet/join.go
+++ b/internal/core/fleet/join.go
@@ -12,87 +12,83 @@
 )
 
 const (
-	// seedPatience is how long an instance that starts waits for the seeds before it
-	// reads from the store who else is there.
-	seedPatience = time.Second
-	// seedRetry is the pause before the seeds are asked again that have not answered.
-	seedRetry = 100 * time.Millisecond
-	// settleMost is how long after its start an instance asks seeds again that have
-	// just started themselves, settledShare which part of the fleet an answer must
-	// name anew for another question: after a loss of all, hundreds start within a
-	// few tenths of a second, and the first answers name a handful of these. Who
-	// relays and who reads depends on who is there.
-	settleMost   = 700 * time.Millisecond
-	settledShare = 8
-	// introducedFar is how many instances of each other data centre a newcomer to a
-	// large fleet is told of.
+	// seedTimeout is how long a starting instance waits for seeds before it reads the members
+	// from the store.
+	seedTimeout = time.Second
+	// seedRetryInterval is the interval between requests to unresponsive seeds.
+	seedRetryInterval = 100 * time.Millisecond
+	// A joining instance asks seeds again, for up to settleTimeout, while answers still grow
+	// the known fleet by more than 1/settledGrowth: after a full restart hundreds of instances
+	// start within a few tenths of a second and the first answers are incomplete.
+	settleTimeout = 700 * time.Millisecond
+	settledGrowth = 8
+	// introducedFar is the number of instances of each other data centre that a joining
+	// instance of a large fleet is told about.
 	introducedFar = 4
-	// toldKept is how long another's word of the fleet's size counts.
-	toldKept = 5 * time.Second
-	// settledAge is how long an instance has run that may speak for the fleet.
+	// sizeHintTTL is how long a reported fleet size is used.
+	sizeHintTTL = 5 * time.Second
+	// settledAge is the uptime after which an instance may act on behalf of the fleet.
 	settledAge = 1500 * time.Millisecond
-	// syncEvery is how often an instance compares whom it knows with what another
-	// one does, soon after its start more often.
-	syncEvery = 15 * time.Second
-	syncFirst = 500 * time.Millisecond
-	syncEarly = 2
-	// registerAfter is how long an instance must have been one of those that others
-	// ask before it writes its row.
+	// syncInterval is the interval between member list comparisons with another instance; the
+	// first syncEarly comparisons follow sooner.
+	syncInterval = 15 * time.Second
+	syncFirst    = 500 * time.Millisecond
+	syncEarly    = 2
+	// registerAfter is the uptime after which a relay or reader writes its row.
 	registerAfter = 2 * time.Second
 )
 
-// JoinStep is what an instance that starts has to do next.
+// JoinStep is the next action of a joining instance.
 type JoinStep int
 
 // Steps of joining.
 const (
-	// JoinWait: nothing now.
+	// JoinWait: nothing to do yet.
 	JoinWait JoinStep = iota
-	// JoinAskSeeds: ask the seeds who lives.
+	// JoinAskSeeds: request the member list from the seeds.
 	JoinAskSeeds
-	// JoinByStore: the seeds do not tell; the rows in the store name others.
+	// JoinByStore: the seeds are unresponsive; read the members from the store.
 	JoinByStore
-	// JoinDone: the others are known.
+	// JoinDone: the members are known.
 	JoinDone
 )
 
-// Join is how an instance that starts becomes one of the fleet: by the seeds that its
-// settings name, or else by the store. Hundreds that start at once would each read there
-// who else does, and the store takes their writes one after another.
+// Join is the state machine of an instance joining the fleet, through the seeds in its
+// settings or else through the store. Joining through the store does not scale to hundreds of
+// simultaneous starts: writes to one table partition are serialised.
 type Join struct {
 	seeds   bool
 	started time.Time
 	asked   time.Time
-	// answers counts the answers of seeds that count, known the instances that were
-	// known after the last of them.
+	// answers counts useful answers, known the members after the last one.
 	answers int
 	known   int
-	// settled is set once the others are known.
+	// settled is set once the member list is complete.
 	settled bool
 }
 
-// NewJoin begins to join; seeds tells whether there are any to ask.
+// NewJoin starts joining; seeds tells whether there are any.
 func NewJoin(now time.Time, seeds bool) *Join { return &Join{seeds: seeds, started: now} }
 
-// Next returns what to do now.
+// Next returns the next action.
 func (j *Join) Next(now time.Time) JoinStep {
 	age := now.Sub(j.started)
 	switch {
-	case j.settled, j.answers > 0 && age >= settleMost:
+	case j.settled, j.answers > 0 && age >= settleTimeout:
 		return JoinDone
-	case !j.seeds, age >= seedPatience:
+	case !j.seeds, age >= seedTimeout:
 		return JoinByStore
-	case j.asked.IsZero() || now.Sub(j.asked) >= seedRetry:
+	case j.asked.IsZero() || now.Sub(j.asked) >= seedRetryInterval:
 		j.asked = now
 		return JoinAskSeeds
 	}
 	return JoinWait
 }
 
-// Answered takes a seed's answer, and how many instances are known by now. One that has
-// lost sight of most others itself may be on the smaller side of a cut: what it names is
-// used, and the store is read, too. One that has just started itself names those that
-// have started before: it is asked again until it names hardly any more.
+// Answered processes a seed's answer; known is the resulting number of known instances. An
+// isolated seed, which has lost contact with most instances, does not count: it may be on the
+// minority side of a partition. A seed that has just started itself is asked again until its
+// answers stop growing.
 func (j *Join) Answered(a msg.JoinAnswer, known int) {
 	if a.Isolated {
 		return
@@ -100,16 +96,15 @@
 	j.answers++
 	grown := known - j.known
 	j.known = known
-	if a.Settled || j.answers > 1 && grown*settledShare <= known {
+	if a.Settled || j.answers > 1 && grown*settledGrowth <= known {
 		j.settled = true
 	}
 }
 
-// JoinAsk is what this instance asks another one about the fleet.
+// JoinAsk returns the request for another instance's member list.
 func (f *Fleet) JoinAsk() msg.JoinAsk { return msg.JoinAsk{Sender: f.self, Known: f.digest()} }
 
-// JoinAnswer answers a question about the fleet. ready is set once this instance has
-// joined itself.
+// JoinAnswer answers a JoinAsk. ready is set once this instance has joined.
 func (f *Fleet) JoinAnswer(ask msg.JoinAsk, ready bool) msg.JoinAnswer {
 	a := msg.JoinAnswer{
 		Settled:  ready && f.self.Settled,
@@ -126,9 +121,8 @@
 	return a
 }
 
-// introduced lists whom an instance of a data centre must know to begin with: all others,
-// or in a large fleet those of its data centre, and of each other one those that may be
-// relays, which tell it of the rest.
+// introduced lists the instances that a joining instance must know: all, or in a large fleet
+// those of its data centre and a few potential relays of each other one.
 func (f *Fleet) introduced(dataCentre string) []string {
 	if !f.large() {
 		return f.live
@@ -152,15 +146,15 @@
 	return out
 }
 
-// Told takes in how large the fleet is, as another instance says: this one may know a part
-// of it so far.
+// Told records the fleet size reported by another instance; this one may still know a part
+// only.
 func (f *Fleet) Told(now time.Time, size int) {
 	if size > len(f.members)+1 {
-		f.toldSize, f.toldAt = size, now
+		f.sizeHint, f.sizeHintAt = size, now
 	}
 }
 
-// digest tells sets of live instances apart, whatever their order.
+// digest is an order-independent hash of the live instances.
 func (f *Fleet) digest() uint64 {
 	sum := xxhash.Sum64String(f.self.Name)
 	for _, name := range f.live {
@@ -169,19 +163,18 @@
 	return sum
 }
 
-// SyncAfter returns the pause before an instance compares whom it knows once more, after
-// it has done so a number of times. Cuts and lost messages leave gaps on one side only;
-// those of instances that started together are closed soon.
+// SyncAfter returns the jittered delay before the next member list comparison, given the
+// number of previous ones. Partitions and lost messages leave gaps in one instance's list.
 func SyncAfter(times int) time.Duration {
-	pause := syncEvery
+	pause := syncInterval
 	if times < syncEarly {
 		pause = min(pause, syncFirst<<(2*times))
 	}
 	return pause/2 + rand.N(pause)
 }
 
-// MustRegister reports whether this instance should have a row in the store: those that
-// others ask are found there by instances whose seeds are gone.
+// MustRegister reports whether this instance needs a row in the store: instances whose seeds
+// are gone find readers and relays there.
 func (f *Fleet) MustRegister(now time.Time, s Sources) bool {
 	return s.Relays && now.Sub(f.started) >= registerAfter
 }
--- a/internal/core/fleet/join_test.go
+++ b/internal/core/fleet/join_test.go
@@ -58,9 +58,9 @@
 		{"a replaced instance: its seeds know the fleet", true, says(msg.JoinAnswer{Settled: true}, 200), JoinDone, 0, 20 * time.Millisecond, 1},
 		{"all start at once: until all are known", true, starting(0), JoinDone, 300 * time.Millisecond, 500 * time.Millisecond, 4},
 		{"seeds start last: asked once more", true, starting(280 * time.Millisecond), JoinDone, 380 * time.Millisecond, 500 * time.Millisecond, 5},
-		{"more and more come: not for ever", true, func(d time.Duration) *answered { return &answered{known: int(100 * d.Seconds())} }, JoinDone, settleMost, settleMost, 7},
-		{"seeds are cut off from the others: the store", true, says(msg.JoinAnswer{Isolated: true, Settled: true}, 3), JoinByStore, seedPatience, seedPatience, 5},
-		{"seeds are gone: the store", true, func(time.Duration) *answered { return nil }, JoinByStore, seedPatience, seedPatience, 5},
+		{"more and more come: not for ever", true, func(d time.Duration) *answered { return &answered{known: int(100 * d.Seconds())} }, JoinDone, settleTimeout, settleTimeout, 7},
+		{"seeds are cut off from the others: the store", true, says(msg.JoinAnswer{Isolated: true, Settled: true}, 3), JoinByStore, seedTimeout, seedTimeout, 5},
+		{"seeds are gone: the store", true, func(time.Duration) *answered { return nil }, JoinByStore, seedTimeout, seedTimeout, 5},
 		{"no seeds: the store", false, nil, JoinByStore, 0, 0, 0},
 	} {
 		by, at, asks := joins(c.seeds, c.answer)
--- a/internal/core/fleet/liveness.go
+++ b/internal/core/fleet/liveness.go
@@ -10,46 +10,41 @@
 )
 
 const (
-	// minInterval is the least time between two heartbeats to each other instance: a
-	// dozen instances exchange 30 small messages a second each that way.
+	// minInterval is the minimum interval between heartbeats to the same instance.
 	minInterval = 400 * time.Millisecond
-	// intervalShare is the time between two heartbeats for each instance of a large fleet
-	// that stands in one data centre: however large it is, no more than 250
-	// heartbeats a second arrive at one, 0.6 in 100 of a core at 23 µs each.
-	intervalShare = 4 * time.Millisecond
-	// nearIntervalShare is the same for a fleet in several data centres, within one
-	// of them: 125 heartbeats a second.
-	nearIntervalShare = 8 * time.Millisecond
-	// missedHeartbeats is for how many heartbeats an instance may be silent and still
-	// count as live: one or two may be lost.
+	// intervalPerInstance lengthens the interval in large fleets of one data centre, so that
+	// at most 250 heartbeats a second arrive at each instance.
+	intervalPerInstance = 4 * time.Millisecond
+	// nearIntervalPerInstance is the same for fleets of several data centres: at most 125 a
+	// second within one.
+	nearIntervalPerInstance = 8 * time.Millisecond
+	// missedHeartbeats is the number of intervals without a heartbeat after which an instance
+	// counts as dead: one or two may be lost.
 	missedHeartbeats = 3.25
-	// ForgetAfter is how long a silent instance is remembered. One that is
-	// frozen or cut off comes back under the same name; one that was replaced
-	// does not.
+	// ForgetAfter is how long a dead instance is remembered. A frozen or partitioned instance
+	// returns under its name; a replaced one does not.
 	ForgetAfter = 30 * time.Second
 )
 
-// Unheard reports whether a live instance says that it does not hear this one,
-// though it is sent heartbeats: then the connection to it has gone silent, and a new
-// one must be made. It reports so once in a while only.
+// Unheard reports whether a live instance does not receive this one's heartbeats, in which
+// case the connection to it must be reset. Resets are rate limited.
 func (f *Fleet) Unheard(now time.Time, b msg.Heartbeat) bool {
 	m := f.members[b.Name]
-	if b.Hears || m == nil || now.Sub(m.Known) < f.resetEvery(m.DataCentre) || now.Sub(m.reset) < f.resetEvery(m.DataCentre) {
+	if b.Hears || m == nil || now.Sub(m.Known) < f.resetInterval(m.DataCentre) || now.Sub(m.reset) < f.resetInterval(m.DataCentre) {
 		return false
 	}
 	m.reset = now
 	return true
 }
 
-// Hears reports whether an instance was heard lately.
+// Hears reports whether an instance is considered alive.
 func (f *Fleet) Hears(now time.Time, name string) bool {
 	m := f.members[name]
 	return m != nil && f.alive(now, m)
 }
 
-// Gone notes that nobody listened at an instance's address when it was tried at a
-// moment: its process has ended. A heartbeat that came since counts more. It reports
-// whether that is a change.
+// Gone records that an instance's port refused a connection at the time tried: its process has
+// ended, unless a newer heartbeat arrived. It reports whether that is a change.
 func (f *Fleet) Gone(now, tried time.Time, name string) bool {
 	m := f.members[name]
 	if m == nil || !f.alive(now, m) || m.Heard.After(tried) {
@@ -60,8 +55,8 @@
 	return true
 }
 
-// HeartbeatInterval is how often this instance tells another one in a data centre that it
-// lives; 0 if relays tell of it there.
+// HeartbeatInterval is the interval of heartbeats to instances of a data centre; 0 if relays
+// announce this one there.
 func (f *Fleet) HeartbeatInterval(dataCentre string) time.Duration {
 	switch {
 	case f.large() && dataCentre != f.self.DataCentre:
@@ -69,13 +64,12 @@
 	case f.without.Has(mechanism.RareHeartbeats):
 		return minInterval
 	case f.far > 0:
-		return max(minInterval, time.Duration(f.near)*nearIntervalShare)
+		return max(minInterval, time.Duration(f.near)*nearIntervalPerInstance)
 	}
-	return max(minInterval, time.Duration(f.near)*intervalShare)
+	return max(minInterval, time.Duration(f.near)*intervalPerInstance)
 }
 
-// count counts the known instances in this data centre, this one included, and in
-// others. It is called when one comes or goes: each heartbeat asks for the numbers.
+// count recomputes near and far.
 func (f *Fleet) count() {
 	f.near, f.far = 1, 0
 	for _, m := range f.members {
@@ -87,20 +81,19 @@
 	}
 }
 
-// silentAfter is how long an instance in a data centre may be silent and still count
-// as live.
+// silentAfter is how long an instance of a data centre may be silent before it counts as dead.
 func (f *Fleet) silentAfter(dataCentre string) time.Duration {
 	if f.HeartbeatInterval(dataCentre) == 0 {
-		return presenceSilent
+		return presenceTimeout
 	}
 	return time.Duration(missedHeartbeats * float64(f.HeartbeatInterval(dataCentre)))
 }
 
-// resetEvery is the least time between two resets of the connection to an
-// instance: a new one needs some heartbeats' time to be heard on.
-func (f *Fleet) resetEvery(dataCentre string) time.Duration { return 2 * f.silentAfter(dataCentre) }
+// resetInterval is the minimum interval between resets of a connection: heartbeats need time
+// to arrive on a new one.
+func (f *Fleet) resetInterval(dataCentre string) time.Duration { return 2 * f.silentAfter(dataCentre) }
 
-// Tick notes who has fallen silent and returns their names.
+// Tick updates liveness and returns the instances that fell silent.
 func (f *Fleet) Tick(now time.Time) []string {
 	before := f.live
 	f.refresh(now)
@@ -117,13 +110,13 @@
 		}
 	}
 	f.forgetPresences(now)
-	if now.Sub(f.toldAt) > toldKept {
-		f.toldSize = 0
+	if now.Sub(f.sizeHintAt) > sizeHintTTL {
+		f.sizeHint = 0
 	}
 	return lost
 }
 
-// refresh works out anew who lives.
+// refresh recomputes the live instances.
 func (f *Fleet) refresh(now time.Time) {
 	live := make([]string, 0, len(f.live)+1)
 	told := f.toldOf()
@@ -151,8 +144,8 @@
 	return f.aliveAt(now, m, f.toldOf())
 }
 
-// aliveAt reports whether an instance counts as live; told holds when relays last told of
-// each other data centre.
+// aliveAt reports whether an instance is alive; told holds the time of the last announcement
+// for each other data centre.
 func (f *Fleet) aliveAt(now time.Time, m *Member, told map[string]time.Time) bool {
 	if m.Heard.IsZero() || now.Sub(m.Heard) > f.silentAfter(m.DataCentre) {
 		return false
--- a/internal/core/fleet/presence.go
+++ b/internal/core/fleet/presence.go
@@ -17,24 +17,24 @@
 // send each other 24,000 messages a second across the links between them.
 
 const (
-	// presenceInterval is how often a relay tells who lives, if nothing changes.
+	// presenceInterval is the interval of announcements if nothing changes.
 	presenceInterval = time.Second
-	// presenceLeast is the least time between two such messages: when hundreds start
-	// at once, each changes what is told.
-	presenceLeast = 200 * time.Millisecond
-	// presenceWhole is how often a relay names all members, also if it did before.
-	presenceWhole = 15 * time.Second
-	// presenceStale is by how much what a relay tells must be newer than what an
-	// instance was last told of by any other to count it as dead: a relay that has
-	// died itself is not named by those that replace it.
+	// presenceMinInterval is the minimum interval between announcements: when hundreds of
+	// instances start at once, every heartbeat is a change.
+	presenceMinInterval = 200 * time.Millisecond
+	// presenceFullInterval is the interval of full member lists.
+	presenceFullInterval = 15 * time.Second
+	// presenceStale is how much newer than an instance's last sighting the announcements of
+	// its data centre must be for it to count as dead. A relay that died is not listed by its
+	// successor.
 	presenceStale = 2 * presenceInterval
-	// presenceSilent is how long after it was last told of an instance of another
-	// data centre counts as live: two relays tell of each, over two hops, and a relay
-	// that dies is replaced within two seconds.
-	presenceSilent = 5 * time.Second
+	// presenceTimeout is how long an instance of another data centre counts as alive after it
+	// was last announced. Announcements take two hops, and a failed relay is replaced within
+	// two seconds.
+	presenceTimeout = 5 * time.Second
 )
 
-// presence is what a relay of another data centre last told.
+// presence is the last announcement of a relay of another data centre.
 type presence struct {
 	dataCentre string
 	digest     uint64
@@ -48,28 +48,27 @@
 	return slices.ContainsFunc(p.members, func(b msg.Heartbeat) bool { return b.Name == name })
 }
 
-// told is what this instance, as a relay, last told others of who lives, by source, and
-// when; whole is when it last named all members.
+// told records the last announcement that this instance made as a relay, by source; whole is
+// the time of the last full member list.
 type told struct {
 	at    time.Time
 	whole time.Time
 	lists map[string]msg.Presence
 }
 
-// due reports whether it is time to tell again: after a while, or sooner if a digest has
-// changed.
+// due reports whether the next announcement is due: periodically, or sooner after a change.
 func (t *told) due(now time.Time, list []msg.Presence) bool {
 	since := now.Sub(t.at)
 	if since >= presenceInterval {
 		return true
 	}
-	return since >= presenceLeast && slices.ContainsFunc(list, func(p msg.Presence) bool { return t.lists[p.Source].Digest != p.Digest })
+	return since >= presenceMinInterval && slices.ContainsFunc(list, func(p msg.Presence) bool { return t.lists[p.Source].Digest != p.Digest })
 }
 
-// tell notes that a list is told now, and returns it with the members only that have changed
-// since it was last told: in a rolling restart of hundreds all members would be megabytes a
-// second. All are named each time that every has passed, unless that is 0: one who does not
-// know this instance can't ask it for them.
+// tell records an announcement and returns it reduced to the members that changed since the
+// last one. Full lists would take megabytes a second in a rolling restart of hundreds of
+// instances. With a non-zero every, full lists are repeated at that interval: receivers that
+// do not know this instance cannot request them.
 func (t *told) tell(now time.Time, list []msg.Presence, every time.Duration) []msg.Presence {
 	whole := every > 0 && now.Sub(t.whole) >= every
 	if whole {
@@ -88,8 +87,8 @@
 	return out
 }
 
-// base returns what was last told in the name of a presence's relay, or of another one of its
-// data centre: a relay that takes another's place knows nearly the same.
+// base returns the announcement that changes refer to: the source's last one, or that of
+// another relay of its data centre, which is nearly the same.
 func (t *told) base(p msg.Presence) (before msg.Presence, known bool) {
 	if before, known = t.lists[p.Source]; known {
 		return before, true
@@ -102,7 +101,7 @@
 	return msg.Presence{}, false
 }
 
-// changes returns what a presence says that an earlier one of the same relay did not.
+// changes reduces an announcement to what differs from an earlier one.
 func changes(before, p msg.Presence) msg.Presence {
 	all := p.Members
 	p.Members = nil
@@ -124,7 +123,7 @@
 	return p
 }
 
-// changed returns all members after some changes.
+// changed applies an announcement of changes.
 func (p *presence) changed(told msg.Presence) []msg.Heartbeat {
 	next := map[string]msg.Heartbeat{}
 	for _, b := range p.members {
@@ -143,7 +142,7 @@
 	return out
 }
 
-// digestOf tells lists of members apart, whatever their order.
+// digestOf is an order-independent hash of member states.
 func digestOf(members []msg.Heartbeat) (sum uint64) {
 	for _, b := range members {
 		sum += memberDigest(b)
@@ -151,15 +150,14 @@
 	return sum
 }
 
-// Announcement is what a relay tells some instances.
+// Announcement is a message to several instances.
 type Announcement struct {
 	To   []string
 	List []msg.Presence
 }
 
-// Announcements returns what this instance has to tell as a relay now: to the relays of
-// other data centres who lives in its own, and to the instances beside it who lives
-// elsewhere. It returns nothing while neither is due, or if this instance is no relay.
+// Announcements returns the due announcements of this instance if it is a relay: the members
+// of its data centre to the relays of others, and theirs to the instances of its own.
 func (f *Fleet) Announcements(now time.Time) []Announcement {
 	if !f.IsRelay(now) {
 		return nil
@@ -167,7 +165,7 @@
 	var out []Announcement
 	own := []msg.Presence{f.ownPresence()}
 	if f.toldFar.due(now, own) {
-		out = append(out, Announcement{To: f.farRelays(now), List: f.toldFar.tell(now, own, presenceWhole)})
+		out = append(out, Announcement{To: f.farRelays(now), List: f.toldFar.tell(now, own, presenceFullInterval)})
 	}
 	others := f.onePresenceEach(now)
 	if f.toldNear.due(now, others) {
@@ -176,12 +174,12 @@
 	return out
 }
 
-// IsRelay reports whether this instance speaks for its data centre to others.
+// IsRelay reports whether this instance announces its data centre to others.
 func (f *Fleet) IsRelay(now time.Time) bool {
 	return f.large() && slices.Contains(f.relays(now, f.self.DataCentre), f.self.Name)
 }
 
-// Presences returns what is known here of some sources, members included.
+// Presences returns the full announcements of some sources.
 func (f *Fleet) Presences(now time.Time, sources []string) []msg.Presence {
 	var out []msg.Presence
 	for _, p := range append(f.otherPresences(now), f.ownPresence()) {
@@ -192,7 +190,7 @@
 	return out
 }
 
-// ownPresence tells who lives in this data centre.
+// ownPresence returns the members of this data centre.
 func (f *Fleet) ownPresence() msg.Presence {
 	p := msg.Presence{Source: f.self.Name, DataCentre: f.self.DataCentre, Members: []msg.Heartbeat{f.self}}
 	for _, name := range f.nearLive() {
@@ -206,11 +204,11 @@
 	return p
 }
 
-// otherPresences returns what the relays of other data centres have told lately.
+// otherPresences returns the recent announcements of other data centres' relays.
 func (f *Fleet) otherPresences(now time.Time) []msg.Presence {
 	var out []msg.Presence
 	for source, p := range f.presences {
-		if age := now.Sub(p.at); age < presenceSilent {
+		if age := now.Sub(p.at); age < presenceTimeout {
 			out = append(out, msg.Presence{Source: source, DataCentre: p.dataCentre, Digest: p.digest, Age: age, Members: p.members})
 		}
 	}
@@ -218,13 +216,13 @@
 	return out
 }
 
-// onePresenceEach returns the presence of one relay of each other data centre: the one that
-// told last. One that was passed on before is preferred while it tells as often as it should,
-// as each change between relays names members anew.
+// onePresenceEach returns the most recent announcement of each other data centre. It prefers
+// the source that was forwarded last as long as that is on time, since switching sources
+// repeats changes.
 func (f *Fleet) onePresenceEach(now time.Time) []msg.Presence {
 	age := func(p msg.Presence) time.Duration {
 		if _, before := f.toldNear.lists[p.Source]; before {
-			return p.Age - presenceInterval - presenceLeast
+			return p.Age - presenceInterval - presenceMinInterval
 		}
 		return p.Age
 	}
@@ -241,13 +239,13 @@
 	return out
 }
 
-// nearLive lists the other instances of this data centre that live.
+// nearLive lists the other live instances of this data centre.
 func (f *Fleet) nearLive() []string {
 	return slices.DeleteFunc(slices.Clone(f.live), func(name string) bool { return f.members[name].DataCentre != f.self.DataCentre })
 }
 
-// farRelays lists the relays of other data centres, as far as they can be told from here:
-// where nobody is heard yet, by whom is known.
+// farRelays lists the relays of the other data centres, or the likely ones if none is known to
+// be alive.
 func (f *Fleet) farRelays(now time.Time) []string {
 	var out []string
 	for _, dc := range f.otherDataCentres() {
@@ -260,8 +258,8 @@
 	return out
 }
 
-// knownRelays lists whom the relays of a data centre should be among all that are known
-// there, live or not.
+// knownRelays lists the relays that a data centre would choose among all known instances,
+// alive or not.
 func (f *Fleet) knownRelays(now time.Time, dataCentre string) []string {
 	return f.largestOf(now, f.allKnown(), relaysKey, relays, func(b msg.Heartbeat) bool { return b.DataCentre == dataCentre })
 }
@@ -281,8 +279,8 @@
 	return out
 }
 
-// HeardPresence takes a relay's word of who lives in another data centre. It reports false
-// if it refers to members that are not known here: the sender has to be asked for them.
+// HeardPresence processes an announcement. It returns false if the announcement refers to a
+// member list that is not known here and must be requested.
 func (f *Fleet) HeardPresence(now time.Time, told msg.Presence) bool {
 	if told.DataCentre == f.self.DataCentre {
 		return true // heard directly
@@ -318,7 +316,7 @@
 	return true
 }
 
-// hearMembers counts the members of a presence as heard at its moment.
+// hearMembers marks the members of an announcement as alive at its time.
 func (f *Fleet) hearMembers(now time.Time, p *presence) {
 	for _, b := range p.members {
 		m := f.members[b.Name]
@@ -335,8 +333,8 @@
 	}
 }
 
-// dropMissing counts those as dead that a relay names no more and no other one of their
-// data centre does.
+// dropMissing marks members as dead that no recent announcement of their data centre lists any
+// more.
 func (f *Fleet) dropMissing(before, after *presence) {
 	for _, b := range before.members {
 		if m := f.members[b.Name]; m != nil && !after.names(b.Name) && !f.namedBesides(after, b.Name) {
@@ -345,7 +343,7 @@
 	}
 }
 
-// namedBesides reports whether another relay than one has named an instance lately.
+// namedBesides reports whether another relay listed an instance recently.
 func (f *Fleet) namedBesides(except *presence, name string) bool {
 	for _, p := range f.presences {
 		if p != except && p.dataCentre == except.dataCentre && except.at.Sub(p.at) < presenceStale && p.names(name) {
@@ -355,7 +353,7 @@
 	return false
 }
 
-// toldOf returns, by data centre, the latest moment at which a relay told who lives there.
+// toldOf returns the time of the last announcement for each data centre.
 func (f *Fleet) toldOf() map[string]time.Time {
 	if len(f.presences) == 0 {
 		return nil
@@ -367,7 +365,7 @@
 	return out
 }
 
-// forgetPresences drops what was told long ago.
+// forgetPresences drops outdated announcements.
 func (f *Fleet) forgetPresences(now time.Time) {
 	for source, p := range f.presences {
 		if now.Sub(p.at) > ForgetAfter {
@@ -376,7 +374,7 @@
 	}
 }
 
-// memberDigest tells states of an instance apart.
+// memberDigest hashes an instance's state.
 func memberDigest(b msg.Heartbeat) uint64 {
 	flags := []byte{'-', '-', '-', '-'}
 	for k, set := range []bool{b.Ready, b.Leaving, b.Reads, b.Settled} {
--- a/internal/core/fleet/sources.go
+++ b/internal/core/fleet/sources.go
@@ -14,45 +14,40 @@
 )
 
 const (
-	// readers is how many instances are named readers: one reads the store, and
-	// one more, the standby, takes its place when it falls silent. Each call to the
-	// store has a price.
+	// readers is the number of designated readers: one reads the store, the standby takes over
+	// when it fails.
 	readers = 2
-	// readersKey orders the instances by rendezvous hashing for that role.
+	// readersKey is the rendezvous key of that role.
 	readersKey = "store-readers"
-	// relaysFrom is the number of instances from which on most ask a relay of
-	// their data centre instead of the readers: these would answer 2.5 questions
-	// a second of each of the others.
+	// relaysFrom is the fleet size from which instances ask a relay of their data centre
+	// instead of the reader.
 	relaysFrom = 64
-	// relays is how many instances of a data centre relay what the readers tell.
+	// relays is the number of relays in each data centre.
 	relays = 2
-	// startGrace is how long after an instance has learnt of the others those
-	// count as live that it has not heard yet, where it is decided who reads the
-	// store: 300 instances that start at once would else all read the whole
-	// list, 900 KB each, for most of a second on a small machine's link.
+	// startGrace is how long after joining a large fleet instances that have not sent a
+	// heartbeat yet count as candidates for readers and relays. Without it, hundreds of
+	// instances that start at once would all read the full list from the store.
 	startGrace = 1500 * time.Millisecond
-	// relaysKept is how long a choice of relays is kept: making it among hundreds
-	// takes a fifth of a millisecond, and it is asked for ten times a second.
-	relaysKept = 300 * time.Millisecond
-	// relaysKey orders the instances of a data centre for that role.
+	// relaysTTL is how long a choice of relays is cached.
+	relaysTTL = 300 * time.Millisecond
+	// relaysKey is the rendezvous key of that role.
 	relaysKey = "list-relays"
 )
 
-// Sources tells where an instance gets its updates from.
+// Sources tells where an instance gets updates from.
 type Sources struct {
 	// Choice is whom it asks.
 	watch.Choice
-	// Relays is set if others get theirs from it: it must know everything.
+	// Relays is set if others get their updates from it, so that it must know everything.
 	Relays bool
-	// Relayed is set if it asks relays.
+	// Relayed is set if it gets them from a relay.
 	Relayed bool
 }
 
-// Sources returns where this instance gets its updates from: the reader from the store,
-// the standby and the relays from the reader, and all others from the relays of their
-// data centre, or from the reader in a small fleet. Those that ask relays begin with
-// different ones, so that the work is spread. One that is home of a pool asks the reader
-// itself: what leaves must be known there first.
+// Sources returns where this instance gets updates from: the reader from the store, the
+// standby and the relays from the reader, the others from a relay of their data centre, or
+// from the reader in a small fleet. Homes of pools ask the reader directly, because they must
+// learn of leaving upstreams first.
 func (f *Fleet) Sources(now time.Time, isHome bool) Sources {
 	readers := f.Readers(now)
 	rank := slices.Index(readers, f.self.Name)
@@ -76,17 +71,16 @@
 	return s
 }
 
-// large reports whether the fleet is so large that relays stand between readers and
-// others.
+// large reports whether the fleet uses relays.
 func (f *Fleet) large() bool { return f.Size() >= relaysFrom && !f.without.Has(mechanism.Relays) }
 
-// others returns names without this instance's own.
+// others removes this instance from a list of names.
 func (f *Fleet) others(names []string) []string {
 	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == f.self.Name })
 }
 
-// turned returns names without this instance's own, beginning at one that depends on
-// it.
+// turned removes this instance from a list of names and rotates it by a hash of its name, to
+// spread load.
 func (f *Fleet) turned(names []string) []string {
 	others := f.others(names)
 	if len(others) == 0 {
@@ -96,34 +90,31 @@
 	return append(others[first:len(others):len(others)], others[:first]...)
 }
 
-// Readers lists the instances that read the store for the others, the one that does so
-// at present first: the largest, in rendezvous order, among those that the store
-// answers. One that is cut off from the store says so, and the next takes its place; if
-// all say so, each of them asks the store itself.
+// Readers lists the reader and the standby: the largest instances, in rendezvous order, among
+// those that the store answers. If it answers none, each of them asks the store itself.
 func (f *Fleet) Readers(now time.Time) []string {
 	return f.largest(now, readersKey, readers, func(b msg.Heartbeat) bool { return b.Reads })
 }
 
-// relays lists the instances of a data centre that relay the readers' updates, and tell
-// other data centres who lives there.
+// relays lists the relays of a data centre.
 func (f *Fleet) relays(now time.Time, dataCentre string) []string {
 	c := f.relaysAt[dataCentre]
-	if c.names == nil || now.Sub(c.at) >= relaysKept {
+	if c.names == nil || now.Sub(c.at) >= relaysTTL {
 		c = chosen{at: now, names: f.largest(now, relaysKey, relays, func(b msg.Heartbeat) bool { return b.DataCentre == dataCentre })}
 		f.relaysAt[dataCentre] = c
 	}
 	return c.names
 }
 
-// chosen is a choice among the instances, and when it was made.
+// chosen is a cached choice of instances.
 type chosen struct {
 	at    time.Time
 	names []string
 }
 
-// largest lists n instances for a key that fit: those of the largest machines first,
-// in rendezvous order among these. What one does for all costs bytes: the changes of
-// 3,000 upstreams are 6 Mbit/s, more than half of what a small machine's link takes.
+// largest lists up to n matching instances, those on the largest machines first and in
+// rendezvous order among equals: changes of 3,000 upstreams take 6 Mbit/s, more than half of a
+// small machine's link.
 func (f *Fleet) largest(now time.Time, key string, n int, fits func(msg.Heartbeat) bool) []string {
 	view := f.view
 	if f.large() && now.Sub(f.learned) < startGrace {
@@ -150,8 +141,8 @@
 	return names
 }
 
-// compareSettled orders those that have just started behind the others: they know little,
-// and where many start in turn, each would take the work over from the last.
+// compareSettled orders settled instances first. Otherwise a rolling restart would move every
+// role to each instance in turn.
 func compareSettled(a, b msg.Heartbeat) int {
 	switch {
 	case a.Settled == b.Settled:
@@ -162,7 +153,7 @@
 	return 1
 }
 
-// allKnown returns the view of all instances that are known, live or not.
+// allKnown returns a view of all known instances, alive or not.
 func (f *Fleet) allKnown() *membership.View {
 	view := membership.NewView(listed(f.self))
 	list := make([]membership.Member, 0, len(f.members))
@@ -173,8 +164,8 @@
 	return view
 }
 
-// heartbeatOf returns what an instance last told of itself. One that has not told anything
-// yet is believed to reach the store.
+// heartbeatOf returns the last state of an instance. One without a heartbeat so far is assumed
+// to reach the store.
 func (f *Fleet) heartbeatOf(name string) msg.Heartbeat {
 	if name == f.self.Name {
 		return f.self
--- a/internal/core/fleet/sweep.go
+++ b/internal/core/fleet/sweep.go
@@ -6,24 +6,21 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// SweepEvery is how often the rows of instances are compared with those that live.
-const SweepEvery = 5 * time.Minute
+// SweepInterval is the interval of sweeps.
+const SweepInterval = 5 * time.Minute
 
-// deadFor is how long the instance of a row must have been dead, at every look, before
-// the row is removed. Instances are replaced under new names, 130 a day in a large
-// fleet, and each that starts sends heartbeats to every row's instance. One that is only
-// suspended or cut off for a while keeps its row.
+// deadFor is how long an instance must have been dead, in every sweep, before its row is
+// removed. Frozen and partitioned instances keep theirs.
 const deadFor = 15 * time.Minute
 
 // Row is an instance's row in the store.
 type Row struct {
 	msg.Heartbeat
-	// Version is the row's own, by which it is removed only if nobody has
-	// written it since.
+	// Version makes removal conditional on the row being unchanged.
 	Version int64
 }
 
-// Sweep finds the rows of instances that are gone for good. The zero value is ready.
+// Sweep finds rows of instances that are gone for good. The zero value is ready to use.
 type Sweep struct {
 	dead map[string]deadRow
 }
@@ -33,7 +30,7 @@
 	since   time.Time
 }
 
-// Look takes all rows and returns those that are to be removed.
+// Look compares the rows with the live instances and returns those to remove.
 func (s *Sweep) Look(now time.Time, rows []Row, lives func(name string) bool) (remove []Row) {
 	before := s.dead
 	s.dead = map[string]deadRow{}
--- a/internal/core/fleet/sweep_test.go
+++ b/internal/core/fleet/sweep_test.go
@@ -25,7 +25,7 @@
 		var s Sweep
 		removed := -1
 		for look := range 8 {
-			now := start.Add(time.Duration(look) * SweepEvery)
+			now := start.Add(time.Duration(look) * SweepInterval)
 			got := s.Look(now, []Row{row(1, c.version(look)), row(2, 1)}, func(name string) bool { return name == "i02" || c.lives(look) })
 			if len(got) > 0 && removed < 0 {
 				removed = look
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -1,46 +1,42 @@
-// Package watch decides whom an instance asks for updates of the configuration and
-// the upstreams: the platform's store, or another instance that reads it. Few
-// instances read the store, as each of its calls has a price; all others ask
-// those, and the store itself once none of them answers.
+// Package watch decides where an instance gets updates of the configuration and the upstreams
+// from: the platform's store, or another instance that reads it. Calls to the store are
+// priced, so that few instances read it; the others ask those, and the store only if none of
+// them answers.
 //
-// An instance that is cut off from the store learns through the others what it
-// may still accept; what they say counts from the moment of the instance's own
-// question, so that a late or repeated answer confirms nothing.
+// An instance that is cut off from the store can still confirm its configuration through
+// others. The age of an answer counts from when the question was sent, so that late or
+// repeated answers confirm nothing.
 package watch
 
 import (
 	"time"
 )
 
-// Store is the source that is no instance.
+// Store is the source that is not an instance.
 const Store = ""
 
 const (
-	// PeerPatience is how long an instance waits for another's answer, which
-	// comes after peerHold at the latest.
-	PeerPatience = 900 * time.Millisecond
-	// PeerHold is how long an instance holds a question while it has no update,
-	// at most.
+	// PeerTimeout is how long an instance waits for another's answer, which takes PeerHold at
+	// most.
+	PeerTimeout = 900 * time.Millisecond
+	// PeerHold is the maximum time for which a question is held while there is no update.
 	PeerHold = 400 * time.Millisecond
-	// badFor is how long a source is passed over that did not answer, or
-	// whose knowledge is old.
-	badFor = 2 * time.Second
-	// startsFor is the same for a source that knows nothing yet: it has just started,
-	// as all have after a loss of all instances.
-	startsFor = 300 * time.Millisecond
-	// othersMost is how many other instances are asked when those that should
-	// be asked and the store fail: one that is well knows as much as all.
-	othersMost = 6
-	// staleLeast is the least age of a confirmation from which on another
-	// source is asked. A reader's questions to the store take a second each at
-	// most, so its knowledge is up to two seconds old when all is well.
-	staleLeast = 2200 * time.Millisecond
-	// RelayMore is added to it where a relay stands between: it holds its own
-	// questions to the readers for as long as PeerHold.
+	// backoff is how long an unresponsive or outdated source is skipped.
+	backoff = 2 * time.Second
+	// startBackoff is the same for a source that knows nothing yet, because it just started.
+	startBackoff = 300 * time.Millisecond
+	// maxOthers is the number of arbitrary instances that are tried once the designated ones
+	// and the store have failed.
+	maxOthers = 6
+	// maxAge is the age of a confirmation from which another source is tried. A reader's
+	// questions to the store take up to a second each.
+	maxAge = 2200 * time.Millisecond
+	// RelayMore is added to it behind a relay, which holds its own questions for up to
+	// PeerHold.
 	RelayMore = PeerHold + 200*time.Millisecond
-	// staleShare is the same as a part of the time for which keys are
-	// accepted after a confirmation, where that is shorter.
-	staleShare = 0.6
+	// maxAgeShare limits it to a part of the time for which keys are accepted after a
+	// confirmation.
+	maxAgeShare = 0.6
 )
 
 // Watch chooses among sources. It is not safe for concurrent use.
@@ -49,30 +45,30 @@
 	bad   map[string]time.Time
 }
 
-// New returns a watch. keys is how long keys are accepted after a confirmation; 0
-// is for ever.
+// New returns a watch. keys is how long keys are accepted after a confirmation; 0 means
+// forever.
 func New(keys time.Duration) *Watch {
-	w := &Watch{stale: staleLeast, bad: map[string]time.Time{}}
+	w := &Watch{stale: maxAge, bad: map[string]time.Time{}}
 	if keys > 0 {
-		w.stale = min(staleLeast, time.Duration(staleShare*float64(keys)))
+		w.stale = min(maxAge, time.Duration(maxAgeShare*float64(keys)))
 	}
 	return w
 }
 
-// Choice is whom an instance may ask.
+// Choice lists the sources that an instance may use.
 type Choice struct {
-	// Reads is set if it reads the store for the others, Standby if it does so
-	// once those that it should ask fail.
+	// Reads is set if it reads the store for the others, Standby if it does so when the reader
+	// fails.
 	Reads   bool
 	Standby bool
-	// Large is set in a fleet so large that the store must be asked by few.
+	// Large is set in a large fleet, where few instances may read the store.
 	Large bool
-	// Ask lists the instances that it should ask, the preferred first, and
-	// Others all that live, beginning with another one at each instance.
+	// Ask lists the designated instances in order of preference, Others all live instances,
+	// rotated by instance.
 	Ask, Others []string
 }
 
-// Source returns whom to ask now.
+// Source returns the source to ask next.
 func (w *Watch) Source(now time.Time, c Choice) string {
 	order := order(c)
 	best, until := Store, time.Time{}
@@ -88,11 +84,11 @@
 	return best
 }
 
-// order lists the sources, the preferred first: a reader asks the store, others
-// whom they should. When those fail the store comes next, then others that live: one
-// may have a path to the store where this one has none. In a large fleet the store
-// comes last: if a few relays fail, hundreds would read all of it at once. The standby
-// comes before all others there.
+// order lists the sources in order of preference: the store for a reader, the designated
+// instances for the others. If these fail the store comes next, then arbitrary instances: one
+// of them may reach the store when this one does not. In a large fleet the store comes last,
+// except for the standby, because hundreds of instances would read the full list at once if a
+// few relays failed.
 func order(c Choice) []string {
 	var order []string
 	first := c.Reads || len(c.Ask) == 0
@@ -104,21 +100,21 @@
 	if next {
 		order = append(order, Store)
 	}
-	order = append(order, c.Others[:min(len(c.Others), othersMost)]...)
+	order = append(order, c.Others[:min(len(c.Others), maxOthers)]...)
 	if !first && !next {
 		order = append(order, Store)
 	}
 	return order
 }
 
-// Bad reports whether a source is passed over at present.
+// Bad reports whether a source is being skipped.
 func (w *Watch) Bad(now time.Time, source string) bool { return now.Before(w.bad[source]) }
 
-// Failed notes that a source did not answer.
-func (w *Watch) Failed(now time.Time, source string) { w.bad[source] = now.Add(badFor) }
+// Failed records that a source did not answer.
+func (w *Watch) Failed(now time.Time, source string) { w.bad[source] = now.Add(backoff) }
 
-// Answered notes an answer with the age of what it confirms; relayed is set if a
-// relay gave it. It reports whether that is young enough.
+// Answered records the age of the confirmation in an answer; relayed is set if a relay gave
+// it. It reports whether the age is acceptable.
 func (w *Watch) Answered(now time.Time, source string, age time.Duration, relayed bool) bool {
 	stale := w.stale
 	if relayed {
@@ -126,10 +122,10 @@
 	}
 	switch {
 	case age < 0:
-		w.bad[source] = now.Add(startsFor)
+		w.bad[source] = now.Add(startBackoff)
 		return false
 	case age > stale:
-		w.bad[source] = now.Add(badFor)
+		w.bad[source] = now.Add(backoff)
 		return false
 	}
 	delete(w.bad, source)
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -36,7 +36,7 @@
 	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: live}); got != "a" {
 		t.Errorf("with all of them bad it asks %q, want the one that failed first", got)
 	}
-	if got := w.Source(start.Add(badFor), Choice{Ask: []string{"a", "b"}, Others: live}); got != "a" {
+	if got := w.Source(start.Add(backoff), Choice{Ask: []string{"a", "b"}, Others: live}); got != "a" {
 		t.Errorf("after the pause it asks %q", got)
 	}
 }
@@ -46,7 +46,7 @@
 // source is asked before that matters.
 func TestAReaderWithOldKnowledgeIsPassedOver(t *testing.T) {
 	w := New(0)
-	w.Answered(start, "a", staleLeast+time.Millisecond, false)
+	w.Answered(start, "a", maxAge+time.Millisecond, false)
 	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: []string{"a", "b"}}); got != "b" {
 		t.Errorf("asks %q, want the other reader", got)
 	}
@@ -60,11 +60,11 @@
 // held for old, it would send every instance of its data centre to the store.
 func TestARelaysKnowledgeMayBeOlder(t *testing.T) {
 	w := New(0)
-	w.Answered(start, "a", staleLeast+PeerHold, true)
+	w.Answered(start, "a", maxAge+PeerHold, true)
 	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: nil}); got != "a" {
 		t.Errorf("asks %q, want the relay", got)
 	}
-	w.Answered(start, "a", staleLeast+RelayMore+time.Millisecond, true)
+	w.Answered(start, "a", maxAge+RelayMore+time.Millisecond, true)
 	if got := w.Source(start, Choice{Ask: []string{"a", "b"}, Others: nil}); got != "b" {
 		t.Errorf("asks %q, want another than the relay that knows nothing new", got)
 	}
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -166,7 +166,7 @@
 	})
 	asked := boottime.Now()
 	a.follower.peers.sendTo(source, q)
-	timeout := time.NewTimer(watch.PeerPatience)
+	timeout := time.NewTimer(watch.PeerTimeout)
 	defer timeout.Stop()
 	for {
 		select {
--- a/internal/hosted/rows.go
+++ b/internal/hosted/rows.go
@@ -121,7 +121,7 @@
 // reader does it for all.
 func (f *peers) sweep(ctx context.Context) error {
 	var s fleet.Sweep
-	for pause(ctx, fleet.SweepEvery); ctx.Err() == nil; pause(ctx, fleet.SweepEvery) {
+	for pause(ctx, fleet.SweepInterval); ctx.Err() == nil; pause(ctx, fleet.SweepInterval) {
 		if err := f.sweepOnce(ctx, &s); err != nil {
 			f.metrics.Count("store_failures_total", "sweep")
 			f.log.Warn("sweep_failed", "error", err)
