core: a grant for a cordoned upstream is given back and its home told, once

Cause: an entry that knew of a cordon gave the grant back, excluded the upstream and asked again at once. The home, which did not know yet, passes over exclusions once all upstreams are excluded, and granted again: messages went back and forth without a pause until the home heard of the cordon. Change: the entry tells the home the version that it holds, in front of its second ask, and refuses the caller if that is granted there again.

--- a/internal/core/forward/cordon_test.go
+++ b/internal/core/forward/cordon_test.go
@@ -89,6 +89,11 @@
 			t.Errorf("%s: step %+v", path, s)
 		}
 	}
+	parts := largeGate(t)
+	parts.SetCordons(start, cordon.NewSet(2, []string{"dc-a", "dc-b", "dc-c"}))
+	if s := parts.Start(start, admit(t, parts, request("/draft/1"))); s.Refuse == nil || s.Refuse.Reason != Cordoned {
+		t.Errorf("step %+v: a pool's home is asked, though all is cordoned", s)
+	}
 	g.SetCordons(start, cordon.NewSet(3, []string{"dc-a", "dc-b"}))
 	if s := g.Start(start, admit(t, g, request("/safe/1"))); s.Send == nil || s.Send.Entry.DataCentre != "dc-c" {
 		t.Errorf("step %+v after dc-c is back", s)
@@ -182,3 +187,19 @@
 	))
 	props.TestingRun(t)
 }
+
+// The upstreams of a data centre may have become cold while it was cordoned, and say so a
+// heartbeat late. They must count as cold from the moment at which the cordon is lifted.
+func TestLiftedCordonsLeaveColdUpstreams(t *testing.T) {
+	g := spreadGate(t, 1, nil, func(c *route.Config) { c.Services[0].ColdFor, c.Services[0].ColdRate = time.Second, 4 })
+	g.SetPeers([]Peer{{Name: "i0", DataCentre: "dc-a"}})
+	u := g.Roster().Find("u01")
+	g.SetCordons(start, cordon.NewSet(2, []string{u.DataCentre}))
+	g.SetCordons(start.Add(time.Second), cordon.NewSet(3, nil))
+	if until := g.ColdUntil(u); !until.Equal(start.Add(2 * time.Second)) {
+		t.Errorf("cold until %v after the lifted cordon, want a second", until.Sub(start))
+	}
+	if until := g.ColdUntil(g.Roster().Find("u00")); !until.IsZero() {
+		t.Errorf("an upstream that was not cordoned is cold until %v", until.Sub(start))
+	}
+}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -171,11 +171,7 @@
 		return
 	}
 	if i.cordoned(m.Decision.Upstream) {
-		// The home has not heard of the cordon yet.
-		i.count("retries_total", "grant_cordoned")
-		i.send(r.place.home, msg.GrantEnd{Pool: m.Pool, Attempt: r.attempt})
-		r.exclude = append(r.exclude, m.Decision.Upstream)
-		i.askGrant(now, r)
+		i.returnCordoned(now, r, m)
 		return
 	}
 	r.run = runState{
@@ -190,6 +186,24 @@
 	i.dispatch(now, r)
 }
 
+// returnCordoned gives back a grant for a cordoned upstream. Its home has not heard of the
+// cordon yet: it is told and asked once more. One that grants the like again may take a
+// while to learn, and asking on would send messages back and forth for all that time.
+func (i *Instance) returnCordoned(now time.Time, r *request, m msg.GrantAnswer) {
+	i.count("retries_total", "grant_cordoned")
+	i.send(r.place.home, msg.GrantEnd{Pool: m.Pool, Attempt: r.attempt})
+	if r.place.toldCordons {
+		r.place.home = ""
+		i.refuse(now, r, Finish{
+			Status: status.ServiceUnavailable, Reason: placement.ReasonCordoned, Step: "place", RetryAfter: retryNoHome,
+		})
+		return
+	}
+	r.place.toldCordons = true
+	i.send(r.place.home, i.configTold(now, 0))
+	i.askGrant(now, r)
+}
+
 // placeElsewhere asks the next pool of the service, or passes the refusal on.
 func (i *Instance) placeElsewhere(now time.Time, r *request, d placement.Decision, from string) {
 	if r.place.pool+1 < len(r.place.pools) && d.Reason != placement.ReasonPoison {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -75,6 +75,8 @@
 	// failed and failedBoot say where the attempt before this one failed.
 	failed     string
 	failedBoot string
+	// toldCordons is set once the home was told that what it grants is cordoned.
+	toldCordons bool
 }
 
 // runState is the attempt that runs.
--- a/internal/proctest/hosted_cordon_test.go
+++ b/internal/proctest/hosted_cordon_test.go
@@ -213,8 +213,13 @@
 		return len(linesWith(w.procs, "cordoned=nowhere,zone-a")) == len(w.machines)
 	})
 	time.Sleep(time.Second)
-	if n := len(linesWith(w.procs, "event=cordon_unreadable")); n < 1 || n > 2 {
-		t.Errorf("%d lines on rows that can't be read in full, want one of each reader", n)
+	if n := len(linesWith(w.procs, "event=cordon_unreadable")); n < 1 {
+		t.Error("no line on the rows that can't be read in full")
+	}
+	for _, p := range w.procs {
+		if n := len(linesWith([]*process{p}, "event=cordon_unreadable")); n > 1 {
+			t.Errorf("%s says so %d times, want once while it reads the store", p.name, n)
+		}
 	}
 	if n := len(linesWith(w.procs, "event=cordon_of_unknown_data_centre")); n < 1 {
 		t.Error("no line on the data centre that does not exist")
