Decisions in other ways, beside the mechanisms that can be left out

Each decision that can be made in several ways has a name and a default; -ways of serve, ways of an experiment's variants and experiment -ways play another: cold=shares, lengths=apart, read_ahead=target, cordoned=move, moves=cheapest, retry=elsewhere, connections=warm, feed=sparing, directory=mixed. Unknown ones are refused with those that there are. The emulator plays cordons.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -18,12 +18,14 @@
 	plots string
 	// ablate plays the home without each mechanism in place of the file's variants.
 	ablate bool
+	// ways plays the home in each other way of its decisions in their place.
+	ways bool
 }
 
 func (*experimentCmd) Name() string     { return "experiment" }
 func (*experimentCmd) Synopsis() string { return "compare variants of placement in virtual time" }
 func (*experimentCmd) Usage() string {
-	return `experiment -f FILE [-seeds N] [-ablate] [-plots DIR]:
+	return `experiment -f FILE [-seeds N] [-ablate | -ways] [-plots DIR]:
   Play variants of placement side by side on the workload that a YAML file
   describes, in virtual time, on all processors, and print a table: worth and
   time in flight are means over the seeds, the other figures medians. Each
@@ -37,6 +39,7 @@
 	f.StringVar(&c.file, "f", "", "experiment file")
 	f.IntVar(&c.seeds, "seeds", 5, "number of seeds")
 	f.BoolVar(&c.ablate, "ablate", false, "play the home, and it without each of its mechanisms, in place of the file's variants")
+	f.BoolVar(&c.ways, "ways", false, "play the home, and it in each other way of its decisions, in place of the file's variants")
 	f.StringVar(&c.plots, "plots", "", "directory for plots; none if empty")
 }
 
@@ -55,8 +58,13 @@
 	if err != nil {
 		return fail(exitUsage, err)
 	}
-	if c.ablate {
+	switch {
+	case c.ablate && c.ways:
+		return fail(exitUsage, errors.New("experiment: set one of -ablate and -ways"))
+	case c.ablate:
 		e.Ablate()
+	case c.ways:
+		e.OtherWays()
 	}
 	rows, err := e.Run(c.seeds, func(done, all int) { fmt.Fprintf(os.Stderr, "\r%d of %d runs", done, all) })
 	fmt.Fprintln(os.Stderr)
--- a/internal/core/fleet/directory_test.go
+++ b/internal/core/fleet/directory_test.go
@@ -108,3 +108,41 @@
 		}
 	}
 }
+
+// A data centre loses power, and with it the instances that its callers ask where to connect.
+// A caller must come to a live instance within a few tries by the answer that it has; while
+// all is well nearly all of its requests stay near, at the same instances each time.
+func TestACallerOutlivesItsDataCentre(t *testing.T) {
+	f := spread(map[string]int{"a": 40, "b": 30})
+	used := map[string]int{}
+	for k := range 200 {
+		near := Place{DataCentre: "a", Region: "west", Caller: fmt.Sprintf("100.64.0.%d", k)}
+		answer := f.Addresses(near, 64)
+		if !slices.Equal(answer, f.Addresses(near, 64)) {
+			t.Fatal("another answer to the same caller")
+		}
+		far, addresses := 0, map[string]bool{}
+		for _, a := range answer {
+			if a[0] != 'a' {
+				far++
+			} else {
+				addresses[a] = true
+				used[a]++
+			}
+		}
+		if far == 0 || 10*far > len(answer) {
+			t.Errorf("%d of %d addresses are far, want some, and at most a tenth", far, len(answer))
+		}
+		if len(addresses) > 4 {
+			t.Errorf("%d near addresses must fail before a far one is sure", len(addresses))
+		}
+	}
+	for a, n := range used {
+		if most := 4 * nearWeight * nearWeighted * 200 / 40; n > most {
+			t.Errorf("%s is named %d times, over four times an even share", a, n)
+		}
+	}
+	if len(used) < 38 {
+		t.Errorf("%d of 40 instances are used", len(used))
+	}
+}
--- a/internal/core/forward/choose.go
+++ b/internal/core/forward/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
@@ -26,6 +27,10 @@
 	// coldPenalty keeps work from an upstream that is still slow, while others
 	// have fewer than this many calls in progress.
 	coldPenalty = 2.0
+	// sameSitePenalty keeps a retry away from the data centre where the call has failed,
+	// and dialPenalty a call from upstreams to which no connection is open.
+	sameSitePenalty = 1.0
+	dialPenalty     = 0.2
 	// generationUnit is the number of tokens that weighs like one plain call
 	// in progress, so that one scale serves both kinds of upstream.
 	generationUnit = 1000.0
@@ -131,6 +136,12 @@
 	if slices.Contains(c.tried, u) {
 		score += repeatPenalty
 	}
+	if g.options.Ways.Has(mechanism.RetryElsewhere) && slices.ContainsFunc(c.tried, func(t *roster.Upstream) bool { return t.DataCentre == u.DataCentre }) {
+		score += sameSitePenalty
+	}
+	if g.options.Ways.Has(mechanism.ConnectionsWarm) && !g.options.Open(u.Address) {
+		score += dialPenalty
+	}
 	return score + g.rng.Float64()/10
 }
 
--- a/internal/core/forward/cold.go
+++ b/internal/core/forward/cold.go
@@ -108,7 +108,7 @@
 		part = coldBesideHome
 	}
 	rate := part * s.ColdRate
-	if g.options.Ways.Cold == mechanism.ColdShares {
+	if g.options.Ways.Has(mechanism.ColdShares) {
 		each := rate / float64(max(len(g.peers), 1))
 		if each >= 1 {
 			return &coldShare{Starts: pace.Starts{Limit: int(each)}}
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -45,6 +45,8 @@
 	// made, for comparison.
 	Without mechanism.Set
 	Ways    mechanism.Ways
+	// Open reports whether a connection to an address is open and idle.
+	Open func(address string) bool
 	// Seed feeds the choice among equals.
 	Seed uint64
 }
@@ -136,7 +138,8 @@
 
 // Configure takes new bounds.
 func (g *Gate) Configure(o Options) {
-	o.Seed, o.Name, o.DataCentre, o.Without, o.Ways = g.options.Seed, g.options.Name, g.options.DataCentre, g.options.Without, g.options.Ways
+	o.Seed, o.Name, o.DataCentre = g.options.Seed, g.options.Name, g.options.DataCentre
+	o.Without, o.Ways, o.Open = g.options.Without, g.options.Ways, g.options.Open
 	g.options = o
 	g.budgets = map[string]*budget{}
 }
--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -6,87 +6,130 @@
 	"strings"
 )
 
-// Ways chooses, for each decision that can be made in several ways, one of them. The zero
-// value has the default of each. None of them keeps a promise: what must always hold holds
-// in every way.
-type Ways struct {
-	// Cold is how instances share what a cold upstream bears.
-	Cold ColdWay
-}
-
-// ColdWay is how instances that choose by themselves share the requests a second that a
-// cold upstream bears.
-type ColdWay uint8
+// Way is another way of making a decision than the default. None of them keeps a promise:
+// what must always hold holds in every way.
+type Way uint8
 
-// Ways for cold upstreams.
+// The ways that are no defaults, by decision.
 const (
-	// ColdHolders: a few instances send to it, and each of them several.
-	ColdHolders ColdWay = iota
-	// ColdShares: each instance has an equal share.
-	ColdShares
+	// ColdShares: each instance has an equal share of what a cold upstream bears. By
+	// default a few instances hold it.
+	ColdShares Way = iota
+	// LengthsApart: a part of the upstreams, as large as the load takes, reads the prompts of
+	// short answers. By default each answer goes where it costs least, whatever its length.
+	LengthsApart
+	// ReadAheadTarget: an upstream may have as many unread prompts as leave the next one a
+	// part of its target. By default a tenth of a second of them.
+	ReadAheadTarget
+	// CordonedMove: generations are moved off cordoned upstreams. By default they run on.
+	CordonedMove
+	// MoveCheapest: a generation that leaves its upstream moves to where it costs least. By
+	// default to one in the same data centre, if that has room.
+	MoveCheapest
+	// RetryElsewhere: a second try prefers another data centre than the first. By default the
+	// upstream with the least work.
+	RetryElsewhere
+	// ConnectionsWarm: plain calls prefer upstreams to which a connection is open. By default
+	// the upstream with the least work.
+	ConnectionsWarm
+	// FeedSparing: the list's changes are asked for three times a second. By default ten
+	// times.
+	FeedSparing
+	// DirectoryMixed: callers are named some near instances and a few far ones. By default
+	// all near ones and no other.
+	DirectoryMixed
+	ways
 )
 
-// decision is one field of Ways in settings and logs.
+// decision is what can be made in several ways.
 type decision struct {
 	name string
-	// ways are the names of the ways, the default first.
-	ways []string
-	get  func(*Ways) uint8
-	set  func(*Ways, uint8)
+	// otherwise names the default way.
+	otherwise string
+	ways      map[string]Way
 }
 
 var decisions = []decision{
-	{
-		"cold",
-		[]string{"holders", "shares"},
-		func(w *Ways) uint8 { return uint8(w.Cold) }, func(w *Ways, v uint8) { w.Cold = ColdWay(v) },
-	},
+	{"cold", "holders", map[string]Way{"shares": ColdShares}},
+	{"lengths", "mixed", map[string]Way{"apart": LengthsApart}},
+	{"read_ahead", "fixed", map[string]Way{"target": ReadAheadTarget}},
+	{"cordoned", "stay", map[string]Way{"move": CordonedMove}},
+	{"moves", "near", map[string]Way{"cheapest": MoveCheapest}},
+	{"retry", "least", map[string]Way{"elsewhere": RetryElsewhere}},
+	{"connections", "any", map[string]Way{"warm": ConnectionsWarm}},
+	{"feed", "prompt", map[string]Way{"sparing": FeedSparing}},
+	{"directory", "near", map[string]Way{"mixed": DirectoryMixed}},
 }
 
-// String lists the ways that are not the defaults, as ParseWays takes them.
+// String returns the way as decision=way.
+func (w Way) String() string { return Ways(1 << w).String() }
+
+// Ways holds the ways that are no defaults; the zero value has the default of each decision.
+type Ways uint64
+
+// Has reports whether a decision is made in a way.
+func (w Ways) Has(way Way) bool { return w&(1<<way) != 0 }
+
+// String lists the ways that are no defaults, as ParseWays takes them.
 func (w Ways) String() string {
 	var out []string
 	for _, d := range decisions {
-		if v := d.get(&w); v != 0 {
-			out = append(out, d.name+"="+d.ways[v])
+		for _, name := range d.names()[1:] {
+			if w.Has(d.ways[name]) {
+				out = append(out, d.name+"="+name)
+			}
 		}
 	}
 	return strings.Join(out, ",")
 }
 
-// ParseWays returns the ways of a list of decision=way; an unknown one is an error that
-// lists those that there are.
+// names lists the ways of a decision, the default first.
+func (d decision) names() []string {
+	out := []string{d.otherwise}
+	for name := range d.ways {
+		out = append(out, name)
+	}
+	slices.Sort(out[1:])
+	return out
+}
+
+// ParseWays returns the ways of a list of decision=way; an unknown one is an error that lists
+// those that there are.
 func ParseWays(list []string) (w Ways, err error) {
 	for _, item := range list {
-		if err := w.choose(item); err != nil {
-			return Ways{}, err
+		if w, err = w.with(item); err != nil {
+			return 0, err
 		}
 	}
 	return w, nil
 }
 
-func (w *Ways) choose(item string) error {
+func (w Ways) with(item string) (Ways, error) {
 	name, way, _ := strings.Cut(item, "=")
-	for _, d := range decisions {
-		if d.name != name {
-			continue
-		}
-		k := slices.Index(d.ways, way)
-		if k < 0 {
-			return fmt.Errorf("decision %q has no way %q; there are %s", name, way, strings.Join(d.ways, ", "))
-		}
-		d.set(w, uint8(k))
-		return nil
+	k := slices.IndexFunc(decisions, func(d decision) bool { return d.name == name })
+	if k < 0 {
+		return 0, fmt.Errorf("decision %q is unknown; there are %s", name, strings.Join(Decisions(), ", "))
+	}
+	d := decisions[k]
+	for _, other := range d.ways {
+		w &^= 1 << other
+	}
+	if way == d.otherwise {
+		return w, nil
+	}
+	chosen, ok := d.ways[way]
+	if !ok {
+		return 0, fmt.Errorf("decision %q has no way %q; there are %s", name, way, strings.Join(d.names(), ", "))
 	}
-	return fmt.Errorf("decision %q is unknown; there are %s", name, strings.Join(Decisions(), ", "))
+	return w | 1<<chosen, nil
 }
 
 // Decisions lists every decision=way that there is, the default of each decision first.
 func Decisions() []string {
 	var out []string
 	for _, d := range decisions {
-		for _, way := range d.ways {
-			out = append(out, d.name+"="+way)
+		for _, name := range d.names() {
+			out = append(out, d.name+"="+name)
 		}
 	}
 	return out
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -27,6 +27,18 @@
 	return readAhead
 }
 
+// readAheadTarget is the part of its target that an ask may spend behind unread prompts.
+const readAheadTarget = 0.2
+
+// readAheadFor returns how many seconds of prompts an upstream may have to read when it gets
+// an ask that has waited for some time.
+func (h *Home) readAheadFor(p *prospect, waited time.Duration) float64 {
+	if !h.settings.Ways.Has(mechanism.ReadAheadTarget) {
+		return h.readAhead
+	}
+	return max(h.readAhead, readAheadTarget*p.target-waited.Seconds())
+}
+
 // summary is what the choice among many upstreams looks at. The summaries lie
 // side by side in memory, in the upstreams' order: with 870 upstreams, reading
 // each one's full record for every decision would take most of its time.
@@ -39,6 +51,8 @@
 	// freshUntil is when the last report is too old for new work; it lies in
 	// the past for an upstream that is leaving. In nanoseconds, as promptsAt.
 	freshUntil int64
+	// reader is set if the upstream reads the prompts of short answers.
+	reader bool
 	// openAt is when the upstream may be given more work, in nanoseconds.
 	openAt int64
 	// slots is how many more generations its batch takes.
@@ -68,7 +82,7 @@
 	if u.report.Leaving || u.cordoned {
 		s.freshUntil = 0
 	}
-	s.openAt = 0
+	s.openAt, s.reader = 0, u.reader
 	if at := u.starts.OpenAt(); !at.IsZero() {
 		s.openAt = at.UnixNano()
 	}
@@ -89,7 +103,8 @@
 }
 
 // choose returns the upstream that an ask should run on now, or nil.
-func (h *Home) choose(now time.Time, ask *Ask) *upstream {
+// waited is for how long the ask has.
+func (h *Home) choose(now time.Time, ask *Ask, waited time.Duration) *upstream {
 	var need footprint
 	if h.settings.Engine {
 		c := h.lengths.curve(h.settings.Service, ask)
@@ -114,7 +129,10 @@
 		if h.settings.Engine && s.grants > 0 && s.free <= h.tuning.reserve {
 			continue // full already, whatever the ask needs
 		}
-		if unread := s.unreadAt(at); unread > 0 && unread > h.readAhead*s.rate {
+		if unread := s.unreadAt(at); unread > 0 && unread > h.readAheadFor(&p, waited)*s.rate {
+			continue
+		}
+		if h.apart.keepsFrom(s, &p, waited) {
 			continue
 		}
 		score := h.score(at, s, &p)
--- a/internal/core/placement/ledger.go
+++ b/internal/core/placement/ledger.go
@@ -39,6 +39,8 @@
 	starts   pace.Starts
 	// cordoned is set while its data centre is.
 	cordoned bool
+	// reader is set if it reads the prompts of short answers.
+	reader bool
 	// running is the worth of the long answers that run there, in prompt tokens.
 	running float64
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -159,6 +159,8 @@
 	Predict bool
 	// Without lists the mechanisms that are left out, for comparison.
 	Without mechanism.Set
+	// Ways are the ways in which decisions are made.
+	Ways mechanism.Ways
 	// Lengths is what has been learnt of answers' lengths; homes of one
 	// instance share it. Nil gives the home its own.
 	Lengths *Lengths
--- a/internal/core/pool/cordon_test.go
+++ b/internal/core/pool/cordon_test.go
@@ -104,7 +104,7 @@
 	props.Property("no cold upstream is run over", prop.ForAll(
 		func(draws []int) string {
 			now := start
-			homes := []*Home{NewHome("pool", engine, 0), NewHome("pool", engine, 0)}
+			homes := []*Home{NewHome("pool", engine, 0, 0), NewHome("pool", engine, 0, 0)}
 			cold := []*roster.Upstream{}
 			for k := range 3 {
 				cold = append(cold, &roster.Upstream{Entry: roster.Entry{ID: fmt.Sprint("u", k), DataCentre: "dc", Slots: 24}, Seen: now})
@@ -145,3 +145,40 @@
 	))
 	props.TestingRun(t)
 }
+
+// Generations are confined to two of six data centres. Neither a grant nor a move may take them
+// elsewhere, and when both have lost their upstreams they are refused at once.
+func TestConfinedGenerationsStayInTheirDataCentres(t *testing.T) {
+	s := newSim(t, 6)
+	allowed := []string{s.find("u01").DataCentre, s.find("u04").DataCentre}
+	ask := func(attempt string) {
+		a := placement.Ask{Attempt: attempt, Org: "org", Prompt: 1000, MaxOutput: 900, Expected: 900, MaxWait: 3 * time.Second, DataCentres: allowed}
+		s.asks[attempt] = a
+		s.home.Ask(s.now, entry, msg.GrantAsk{Pool: "pool", Ask: a})
+		s.drain()
+	}
+	for k := range 8 {
+		ask(fmt.Sprint("a-", k))
+		s.pass(200 * time.Millisecond)
+	}
+	if s.on("u01")+s.on("u04") != 8 {
+		t.Fatalf("granted %v", s.granted)
+	}
+	s.find("u01").LeavingSince = s.now
+	s.sync()
+	for k := 0; k < len(s.orders) && k < 20; k++ {
+		if s.orders[k].To != "u04" {
+			t.Errorf("order %+v", s.orders[k])
+		}
+		s.answer(s.orders[k], msg.MoveDone)
+	}
+	if len(s.orders) == 0 {
+		t.Error("nothing was moved: the test shows nothing")
+	}
+	s.find("u04").LeavingSince = s.now
+	s.sync()
+	ask("late")
+	if _, refused := s.refused["late"]; !refused {
+		t.Error("it waits for upstreams where it may not run")
+	}
+}
--- a/internal/core/pool/evacuate.go
+++ b/internal/core/pool/evacuate.go
@@ -49,6 +49,27 @@
 	// later holds the generations that can't be moved yet, with the moment
 	// of the next try.
 	later map[string]time.Time
+	// cordoned is set if the upstream does not leave, but is cordoned: there is no hurry.
+	cordoned bool
+}
+
+// cordonLasts is how long a cordon is assumed to last.
+const cordonLasts = time.Minute
+
+// clears reports whether generations are moved off an upstream only because it is cordoned.
+func (h *Home) clears(u *roster.Upstream) bool {
+	return h.ways.Has(mechanism.CordonedMove) && u.TakesWork() && h.cordons.Has(u.DataCentre)
+}
+
+// clear moves the generations off a cordoned upstream, after those that leave.
+func (h *Home) clear(now time.Time, u *roster.Upstream) {
+	if h.evacuations[u.ID] != nil {
+		return
+	}
+	e := newEvacuation(u, now)
+	e.cordoned, e.ends = true, now.Add(cordonLasts)
+	h.evacuations[u.ID] = e
+	h.note("evacuation_began", "upstream", u.ID, "running", len(h.placement.On(now, u.ID)), "why", "cordoned")
 }
 
 // order is a move that an entry was told to make.
@@ -101,6 +122,10 @@
 	}
 	for _, id := range h.leaving() {
 		e := h.evacuations[id]
+		if e.cordoned && e.order == nil && !h.clears(e.upstream) {
+			delete(h.evacuations, id) // the cordon was lifted
+			continue
+		}
 		if e.order != nil && now.After(e.order.due) {
 			h.note("move_given_up", "request", e.order.attempt, "from", id, "to", e.order.to, "after", now.Sub(e.order.given))
 			h.abandonCopy(now, e.order)
@@ -117,15 +142,25 @@
 	for id := range h.evacuations {
 		ids = append(ids, id)
 	}
-	slices.Sort(ids)
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(rank(h.evacuations[a])-rank(h.evacuations[b]), cmp.Compare(a, b))
+	})
 	return ids
 }
 
+// rank orders the evacuations of upstreams that leave before those of cordoned ones.
+func rank(e *evacuation) int {
+	if e.cordoned {
+		return 1
+	}
+	return 0
+}
+
 // next orders the move of the generation that has most to lose.
 func (h *Home) next(now time.Time, e *evacuation) {
 	for _, p := range h.candidates(now, e) {
 		to := h.placement.Destination(now, p.Ask.Attempt,
-			func(name string) bool { return h.near(e.upstream.ID, name) },
+			func(name string) bool { return !h.ways.Has(mechanism.MoveCheapest) && h.near(e.upstream.ID, name) },
 			func(name string) bool { return h.receiving(name) || now.Before(h.full[name]) })
 		if to == "" {
 			continue
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/config"
+	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/health"
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
@@ -72,6 +73,7 @@
 	service string
 	engine  route.Engine
 	without mechanism.Set
+	ways    mechanism.Ways
 	// part is set if the pool is a part of a divided service: entries do not
 	// know its upstreams.
 	part      bool
@@ -80,6 +82,7 @@
 	// entries maps attempts to the instances that asked for them.
 	entries     map[string]string
 	evacuations map[string]*evacuation
+	cordons     cordon.Set
 	// coldRate is how many requests a second a cold upstream bears; 0 is no bound.
 	coldRate float64
 	// full holds until when destinations are passed over that had no room.
@@ -113,16 +116,16 @@
 }
 
 // NewHome returns the home of a pool, which is a service or a group of its upstreams.
-// without lists the mechanisms that it does without.
-func NewHome(service string, engine route.Engine, without mechanism.Set) *Home {
+// without lists the mechanisms that it does without, ways are those in which it decides.
+func NewHome(service string, engine route.Engine, without mechanism.Set, ways mechanism.Ways) *Home {
 	engine.Moves = engine.Moves && !without.Has(mechanism.Moves)
 	return &Home{
-		service: service, engine: engine, without: without, part: roster.ParseGroup(service).Of > 0, upstreams: map[string]*roster.Upstream{},
+		service: service, engine: engine, without: without, ways: ways, part: roster.ParseGroup(service).Of > 0, upstreams: map[string]*roster.Upstream{},
 		entries: map[string]string{}, evacuations: map[string]*evacuation{}, full: map[string]time.Time{},
 		unreachable: map[string]time.Time{}, own: map[string]time.Time{}, probedAt: map[string]time.Time{}, failures: map[string]*health.Record{},
 		placement: placement.NewHome(placement.Settings{
 			Weights: config.Weights{Stall: 1, Preemptions: 1, Tail: 1}, Engine: true, Service: service,
-			PromptRate: firstPromptRate, Predict: true, Without: without,
+			PromptRate: firstPromptRate, Predict: true, Without: without, Ways: ways,
 		}),
 	}
 }
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -52,7 +52,7 @@
 }
 
 func newSim(t *testing.T, upstreams int) *sim {
-	s := &sim{t: t, now: start, home: NewHome("pool", engine, 0), granted: map[string]string{}, refused: map[string]time.Duration{}, asks: map[string]placement.Ask{}, began: map[string]time.Time{}, told: map[string]bool{}, busy: map[string]time.Time{}}
+	s := &sim{t: t, now: start, home: NewHome("pool", engine, 0, 0), granted: map[string]string{}, refused: map[string]time.Duration{}, asks: map[string]placement.Ask{}, began: map[string]time.Time{}, told: map[string]bool{}, busy: map[string]time.Time{}}
 	for k := range upstreams {
 		s.join(fmt.Sprintf("u%02d", k))
 	}
--- a/internal/core/pool/upstreams.go
+++ b/internal/core/pool/upstreams.go
@@ -27,7 +27,7 @@
 
 // Sync takes the pool as it is listed now.
 func (h *Home) Sync(now time.Time, l Listing) {
-	h.coldRate = l.ColdRate
+	h.coldRate, h.cordons = l.ColdRate, l.Cordons
 	h.decide(now, h.placement.SetCordons(now, l.Cordons))
 	seen := map[string]bool{}
 	for _, u := range l.Upstreams {
@@ -101,8 +101,16 @@
 		Upstream: u.ID, DataCentre: u.DataCentre, Leaving: !u.TakesWork() || now.Sub(h.unreachable[u.ID]) < avoidFor, Capacity: h.engine.MemoryToken, MaxBatch: slots,
 		Penalty: failurePenalty * h.failureRate(now, u.ID), MaxStarts: h.maxStarts(now, u),
 	}))
-	if !u.TakesWork() && h.evacuations[u.ID] == nil {
-		h.evacuations[u.ID] = newEvacuation(u, now)
+	if h.clears(u) {
+		h.clear(now, u)
+		return
+	}
+	if e := h.evacuations[u.ID]; !u.TakesWork() && (e == nil || e.cordoned) {
+		next := newEvacuation(u, now)
+		if e != nil {
+			next.order = e.order
+		}
+		h.evacuations[u.ID] = next
 		h.probes = append(h.probes, Probe{ID: u.ID, Address: u.Address})
 		h.note("evacuation_began", "upstream", u.ID, "running", len(h.placement.On(now, u.ID)))
 	}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -44,6 +44,7 @@
 	Slowing   Slowing       `yaml:"slowing"`
 	Shutdown  Shutdown      `yaml:"shutdown"`
 	EntryLoss EntryLoss     `yaml:"entry_loss"`
+	Cordoning Cordoning     `yaml:"cordoning"`
 }
 
 // Variant is a policy, with mechanisms left out if its home is the project's own.
@@ -52,6 +53,9 @@
 	Name    string   `yaml:"name"`
 	Policy  string   `yaml:"policy" validate:"required"`
 	Without []string `yaml:"without"`
+	// Ways lists decision=way for decisions that the home makes in another way than by
+	// default.
+	Ways []string `yaml:"ways"`
 }
 
 // Engines describes the engines; times are those of an engine of speed 1.
@@ -111,6 +115,14 @@
 	Down  time.Duration `yaml:"down"`
 }
 
+// Cordoning takes the first data centre out of service for a while; For 0 means never. With
+// Restart its engines start anew as it comes back, and what runs there is lost.
+type Cordoning struct {
+	First   time.Duration `yaml:"first"`
+	For     time.Duration `yaml:"for"`
+	Restart bool          `yaml:"restart"`
+}
+
 // Leaving makes engines leave at short notice; Every 0 means that none does.
 type Leaving struct {
 	First   time.Duration `yaml:"first"`
@@ -165,10 +177,14 @@
 	name := cmp.Or(v.Name, v.Policy)
 	if v.Policy == homePolicy {
 		without, err := mechanism.Parse(v.Without)
-		return trial.PoolHome(name, without), err
+		if err != nil {
+			return trial.Maker{}, err
+		}
+		ways, err := mechanism.ParseWays(v.Ways)
+		return trial.PoolHome(name, without, ways), err
 	}
-	if len(v.Without) > 0 {
-		return trial.Maker{}, fmt.Errorf("variant %q: only the policy %q can do without mechanisms", name, homePolicy)
+	if len(v.Without) > 0 || len(v.Ways) > 0 {
+		return trial.Maker{}, fmt.Errorf("variant %q: only the policy %q can do without mechanisms or in other ways", name, homePolicy)
 	}
 	known := homePolicy
 	for _, m := range policies() {
@@ -234,6 +250,20 @@
 	}
 }
 
+// placingWays lists the ways of deciding of a pool's home that the emulator plays.
+var placingWays = []mechanism.Way{
+	mechanism.LengthsApart, mechanism.ReadAheadTarget, mechanism.CordonedMove, mechanism.MoveCheapest,
+}
+
+// OtherWays replaces the variants by the project's own home, and by it in each other way of
+// its decisions.
+func (f *File) OtherWays() {
+	f.Variants = []Variant{{Policy: homePolicy}}
+	for _, w := range placingWays {
+		f.Variants = append(f.Variants, Variant{Name: w.String(), Policy: homePolicy, Ways: []string{w.String()}})
+	}
+}
+
 // Workload returns what is played.
 func (f *File) Workload() trial.Workload {
 	w := trial.Workload{
@@ -242,6 +272,7 @@
 		Leaving: trial.Leaving(f.Leaving), Links: trial.Links(f.Links),
 		Failing: trial.Failing(f.Failing), Crashes: trial.Crashes(f.Crashes), Slowing: trial.Slowing(f.Slowing),
 		Shutdown: trial.Shutdown(f.Shutdown), EntryLoss: trial.EntryLoss(f.EntryLoss),
+		Cordoning: trial.Cordoning(f.Cordoning),
 	}
 	e := f.Engines
 	for k := range e.Count {
--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -13,6 +13,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 )
 
 // callersListener names the listener for callers.
@@ -65,6 +66,9 @@
 			near.Regions = g.Table().RegionsOf(host)
 		}
 	})
+	if !i.settings.Ways.Has(mechanism.DirectoryMixed) {
+		near.Caller = ""
+	}
 	addresses := i.addresses(near)
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -34,6 +34,8 @@
 	// listPause is the least time between two questions for the list: many
 	// changes at once must not cost a call each.
 	listPause = 100 * time.Millisecond
+	// sparingPause is the same where calls to the store are to be saved.
+	sparingPause = 300 * time.Millisecond
 	// stalePause is the pause after an answer that confirms too little: long
 	// enough that hundreds of instances that all ask each other do not keep
 	// their machines busy, short against the time for which keys are accepted.
@@ -74,6 +76,8 @@
 	wait time.Duration
 	// divides is set unless large services are left whole.
 	divides bool
+	// pace is the least time between two questions for the list, apart from its length.
+	pace time.Duration
 
 	// mu guards what follows, up to last.
 	mu    sync.Mutex
@@ -225,7 +229,7 @@
 // listPause is the least time between two questions for the list.
 func (f *follower) listPause() (d time.Duration) {
 	f.server.decide(func(_ time.Time, g *forward.Gate) {
-		d = listPause + time.Duration(g.Roster().Len())*listPerEntry
+		d = f.pace + time.Duration(g.Roster().Len())*listPerEntry
 	})
 	return d
 }
--- a/internal/hosted/home.go
+++ b/internal/hosted/home.go
@@ -34,6 +34,7 @@
 	begun func()
 	// without lists the mechanisms that the homes do without.
 	without mechanism.Set
+	ways    mechanism.Ways
 	// local takes messages for this instance itself.
 	local func(from string, m msg.Message)
 
@@ -65,7 +66,7 @@
 		return // the service was divided anew, as the entry will know soon, too
 	}
 	if p == nil {
-		p = pool.NewHome(name, *l.service.Engine, h.without)
+		p = pool.NewHome(name, *l.service.Engine, h.without, h.ways)
 		h.pools[name] = p
 		began = true
 		p.Sync(now, l.Listing)
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -82,9 +82,9 @@
 	m := metrics.NewMetrics()
 	o := options(s)
 	keys := o.KeysGoodFor
-	o.Seed = rand.Uint64()
-	gate := forward.New(o)
 	conns := conn.NewPool()
+	o.Seed, o.Open = rand.Uint64(), conns.Open
+	gate := forward.New(o)
 	conns.Dialled = func() { m.Count("upstream_connections_total", "dialled") }
 	srv := &server{
 		wire: wire, pool: conns, holder: newHolder(s.MemoryBytes), metrics: m, log: log,
@@ -107,10 +107,13 @@
 	i.follower = &follower{
 		store: store, server: srv, metrics: m, log: log, left: func() { i.homes.sync() }, isHome: func() bool { return len(i.homes.names()) > 0 },
 		adopted: i.adopted, peers: i.peers, relay: i.relay, watch: watch.New(keys), wait: holdFor(keys),
-		divides: !s.Without.Has(mechanism.Parts), regions: s.Regions,
+		divides: !s.Without.Has(mechanism.Parts), regions: s.Regions, pace: listPause,
+	}
+	if s.Ways.Has(mechanism.FeedSparing) {
+		i.follower.pace = sparingPause
 	}
 	i.homes = &homes{
-		server: srv, metrics: m, log: log, self: s.Name, send: i.peers.sendTo, local: i.onPeer, standsIn: i.peers.standsIn, without: s.Without,
+		server: srv, metrics: m, log: log, self: s.Name, send: i.peers.sendTo, local: i.onPeer, standsIn: i.peers.standsIn, without: s.Without, ways: s.Ways,
 		pools: map[string]*pool.Home{}, used: map[string]time.Time{},
 	}
 	srv.homes = homeLink{name: i.homeOf, send: i.sendAny, silent: i.homeSilent, broadcast: i.broadcast}
--- a/internal/trial/instances_test.go
+++ b/internal/trial/instances_test.go
@@ -29,7 +29,7 @@
 func TestAShutdownLosesWhatRuns(t *testing.T) {
 	w := calm()
 	w.Shutdown = Shutdown{At: w.Length / 2, Down: time.Second}
-	r := Play(w, PoolHome("home", 0), 1)
+	r := Play(w, PoolHome("home", 0, 0), 1)
 	shut := r.Worth.LostShare(LostShutdown)
 	if r.Unanswered != 0 || r.Done+r.Partial != len(w.Requests(1)) || r.Partial == 0 {
 		t.Errorf("%d done, %d partial, %d without an end", r.Done, r.Partial, r.Unanswered)
@@ -49,12 +49,12 @@
 func TestInstancesThatLosePowerTakeTheirWork(t *testing.T) {
 	w := calm()
 	w.EntryLoss = EntryLoss{At: w.Length / 2, Share: 0.34, Down: 2 * time.Second}
-	r := Play(w, PoolHome("home", 0), 1)
+	r := Play(w, PoolHome("home", 0, 0), 1)
 	if r.Unanswered != 0 || r.Partial == 0 || r.Worth.LostShare(LostEntry) == 0 {
 		t.Errorf("%d partial, %d without an end, %.3f lost", r.Partial, r.Unanswered, r.Worth.LostShare(LostEntry))
 	}
 	w.Orgs[0].Repeatable = true
-	again := Play(w, PoolHome("home", 0), 1)
+	again := Play(w, PoolHome("home", 0, 0), 1)
 	if again.Partial != 0 || again.Worth.LostShare(LostEntry) != 0 {
 		t.Errorf("repeatable requests: %d partial", again.Partial)
 	}
@@ -102,7 +102,7 @@
 	w.Crashes = Crashes{First: 4 * time.Second, Every: 7 * time.Second, Count: 1, Replace: time.Second}
 	w.EntryLoss = EntryLoss{At: 5 * time.Second, Share: 0.3, Down: time.Second}
 	w.Shutdown = Shutdown{At: 20 * time.Second, Down: time.Second}
-	a, b := Play(w, PoolHome("home", 0), 7), Play(w, PoolHome("home", 0), 7)
+	a, b := Play(w, PoolHome("home", 0, 0), 7), Play(w, PoolHome("home", 0, 0), 7)
 	if !reflect.DeepEqual(a, b) {
 		t.Errorf("two runs of one seed differ:\n%s\n%s", a.Line("-", 1), b.Line("-", 1))
 	}
--- a/internal/trial/poolhome.go
+++ b/internal/trial/poolhome.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
@@ -19,7 +20,9 @@
 type poolHome struct {
 	run     *Run
 	without mechanism.Set
+	ways    mechanism.Ways
 	home    *pool.Home
+	cordons cordon.Set
 	listed  map[int]*roster.Upstream
 	waiting map[string]*Request
 	// announced is when each entry last told what it runs.
@@ -29,10 +32,11 @@
 // poolName names the pool of a trial.
 const poolName = "pool"
 
-// PoolHome is the project's own home of a pool, without some mechanisms.
-func PoolHome(name string, without mechanism.Set) Maker {
+// PoolHome is the project's own home of a pool, without some mechanisms, which decides in
+// some ways.
+func PoolHome(name string, without mechanism.Set, ways mechanism.Ways) Maker {
 	return Maker{Name: name, Make: func(r *Run) Policy {
-		p := &poolHome{run: r, without: without, listed: map[int]*roster.Upstream{}, announced: make([]time.Duration, r.work.Entries)}
+		p := &poolHome{run: r, without: without, ways: ways, listed: map[int]*roster.Upstream{}, announced: make([]time.Duration, r.work.Entries)}
 		p.begin()
 		for i := range r.engines {
 			p.Joined(i)
@@ -48,7 +52,7 @@
 	p.home = pool.NewHome(poolName, route.Engine{
 		Slots: spec.MaxBatch, MemoryToken: spec.Capacity,
 		TokenBytes: l.TokenBytes, LinkMbps: l.Mbps, Moves: true, EventTokens: 1, CopyLife: copyLife,
-	}, p.without)
+	}, p.without, p.ways)
 }
 
 // Restart implements restarter.
@@ -72,15 +76,23 @@
 			list = append(list, p.listed[i])
 		}
 	}
-	p.home.Sync(p.now(), pool.Listing{Answered: p.now(), Upstreams: list})
+	p.home.Sync(p.now(), pool.Listing{Answered: p.now(), Upstreams: list, Cordons: p.cordons})
 	p.act()
 }
 
+// Cordon implements cordoner.
+func (p *poolHome) Cordon(s cordon.Set) {
+	p.cordons = s
+	p.sync()
+}
+
 // dataCentre names the place of an engine or entry.
 func (p *poolHome) dataCentre(i int) string {
-	return fmt.Sprintf("dc-%d", i%max(p.run.work.Links.DataCentres, 1))
+	return dataCentreName(i % max(p.run.work.Links.DataCentres, 1))
 }
 
+func dataCentreName(n int) string { return fmt.Sprintf("dc-%d", n) }
+
 // Joined implements leaver.
 func (p *poolHome) Joined(i int) {
 	e := p.run.engines[i]
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -140,6 +140,9 @@
 	if r.work.Failing.Every > 0 {
 		r.at(r.work.Failing.First, r.turnFailing)
 	}
+	if r.work.Cordoning.For > 0 {
+		r.at(r.work.Cordoning.First, r.cordon)
+	}
 	if r.work.Crashes.Every > 0 {
 		r.at(r.work.Crashes.First, r.crash)
 	}
--- a/internal/trial/workload.go
+++ b/internal/trial/workload.go
@@ -114,7 +114,9 @@
 	// Failing and Crashes are what engines do besides.
 	Failing Failing
 	Crashes Crashes
-	Slowing Slowing
+	// Cordoning takes a data centre out of service.
+	Cordoning Cordoning
+	Slowing   Slowing
 	// Shutdown and EntryLoss are what happens to the instances.
 	Shutdown  Shutdown
 	EntryLoss EntryLoss
