--- a/internal/core/pool/evacuate.go
+++ b/internal/core/pool/evacuate.go
@@ -12,62 +12,57 @@
 )
 
 const (
-	// goneAfter is how long after the first sign of leaving an upstream's
-	// work is still moved.
-	goneAfter = 6 * time.Second
-	// noticeLeast is the life that is assumed for a leaving upstream that
-	// does not say when it goes.
-	noticeLeast = 1500 * time.Millisecond
-	// orderSlack is added to the time that a move is expected to take before
-	// its order is given up.
+	// evacuationTimeout is how long after the first notice generations are still moved.
+	evacuationTimeout = 6 * time.Second
+	// minNotice is the assumed remaining life of a leaving upstream that does not state it.
+	minNotice = 1500 * time.Millisecond
+	// orderSlack is added to the expected duration of a move before its order is given up.
 	orderSlack = 400 * time.Millisecond
-	// triesMax is how often the move of one generation is tried that failed.
-	triesMax = 2
-	// fullFor is how long a destination gets no copies that had no room for one,
-	// whatever the forecast says: copies that were not picked up hold memory
-	// there, too. A notice takes two seconds.
-	fullFor = 400 * time.Millisecond
-	// beginsSoon is when a move is tried again that found no run yet: a
-	// prompt of 3,000 tokens is read in 0.2 s, and can't be moved before.
-	beginsSoon = 100 * time.Millisecond
-	// endsSoon is the rest of a generation that is not worth a move.
-	endsSoon = 150 * time.Millisecond
-	// outputValue is how many prompt tokens an output token is worth where
-	// not all generations can be saved: making it takes ten times as long.
+	// maxTries is the number of failed moves of one generation.
+	maxTries = 2
+	// fullBackoff is how long a destination without room is skipped, whatever the forecast
+	// says: it may hold copies that were not picked up.
+	fullBackoff = 400 * time.Millisecond
+	// prefillRetry is the delay before a move is retried that found no running generation:
+	// prompts cannot be moved during prefill.
+	prefillRetry = 100 * time.Millisecond
+	// minRest is the minimum remaining duration of a generation worth moving.
+	minRest = 150 * time.Millisecond
+	// outputValue is the value of an output token in prompt tokens: decoding takes ten times
+	// as long as prefill.
 	outputValue = 10
 )
 
-// evacuation moves the generations off one leaving upstream, one at a time:
-// copies share the upstream's link, and the last piece of a generation, for
-// which its stream stands still, must not wait behind another's copy.
+// evacuation moves the generations off a leaving upstream, one at a time: copies share its
+// link, and the final copy of a generation, during which its stream pauses, must not queue
+// behind another's.
 type evacuation struct {
 	upstream *roster.Upstream
-	// ends is when the upstream is expected to be gone.
+	// ends is when the upstream is expected to stop.
 	ends  time.Time
 	order *order
 	tries map[string]int
-	// later holds the generations that can't be moved yet, with the moment
-	// of the next try.
+	// later holds when generations that cannot be moved yet are tried again.
 	later map[string]time.Time
-	// cordoned is set if the upstream does not leave, but is cordoned: there is no hurry.
+	// cordoned is set if the upstream is not leaving but cordoned.
 	cordoned bool
 }
 
-// cordonLasts is how long a cordon is assumed to last.
-const cordonLasts = time.Minute
+// cordonDuration is the assumed duration of a cordon.
+const cordonDuration = time.Minute
 
-// clears reports whether generations are moved off an upstream only because it is cordoned.
+// clears reports whether generations are moved off an upstream because it is cordoned.
 func (h *Home) clears(u *roster.Upstream) bool {
 	return h.ways.Has(mechanism.CordonedMove) && u.TakesWork() && h.cordons.Has(u.DataCentre)
 }
 
-// clear moves the generations off a cordoned upstream, after those that leave.
+// clear starts to move generations off a cordoned upstream.
 func (h *Home) clear(now time.Time, u *roster.Upstream) {
 	if h.evacuations[u.ID] != nil {
 		return
 	}
 	e := newEvacuation(u, now)
-	e.cordoned, e.ends = true, now.Add(cordonLasts)
+	e.cordoned, e.ends = true, now.Add(cordonDuration)
 	h.evacuations[u.ID] = e
 	h.note("evacuation_began", "upstream", u.ID, "running", len(h.placement.On(now, u.ID)), "why", "cordoned")
 }
@@ -83,20 +78,19 @@
 	given  time.Time
 }
 
-// abandoned is a copy that nothing will go on from and that could not be freed: it takes
-// memory until it lapses.
+// abandoned is an unused copy that could not be freed: it occupies memory until it expires.
 type abandoned struct {
 	upstream string
 	tokens   int
 	until    time.Time
 }
 
-// abandonCopy notes that what became of an order's copy is not known.
+// abandonCopy records that the fate of an order's copy is unknown.
 func (h *Home) abandonCopy(now time.Time, o *order) {
 	h.abandoned = append(h.abandoned, abandoned{upstream: o.to, tokens: o.tokens, until: now.Add(h.engine.CopyLife)})
 }
 
-// lapseCopies releases the memory of abandoned copies that have lapsed.
+// lapseCopies releases the memory of expired copies.
 func (h *Home) lapseCopies(now time.Time) {
 	h.abandoned = slices.DeleteFunc(h.abandoned, func(a abandoned) bool {
 		if now.Before(a.until) {
@@ -112,10 +106,10 @@
 	if since.IsZero() {
 		since = now
 	}
-	return &evacuation{upstream: u, ends: since.Add(noticeLeast), tries: map[string]int{}, later: map[string]time.Time{}}
+	return &evacuation{upstream: u, ends: since.Add(minNotice), tries: map[string]int{}, later: map[string]time.Time{}}
 }
 
-// evacuate gives each leaving upstream's next order.
+// evacuate gives the next order for each evacuation.
 func (h *Home) evacuate(now time.Time) {
 	if !h.engine.Moves {
 		return
@@ -148,7 +142,7 @@
 	return ids
 }
 
-// rank orders the evacuations of upstreams that leave before those of cordoned ones.
+// rank orders evacuations of leaving upstreams before those of cordoned ones.
 func rank(e *evacuation) int {
 	if e.cordoned {
 		return 1
@@ -156,7 +150,7 @@
 	return 0
 }
 
-// next orders the move of the generation that has most to lose.
+// next orders the most valuable move.
 func (h *Home) next(now time.Time, e *evacuation) {
 	for _, p := range h.candidates(now, e) {
 		to := h.placement.Destination(now, p.Ask.Attempt,
@@ -170,15 +164,15 @@
 	}
 }
 
-// candidates lists the generations that may be moved: first those that will not
-// end in time, those that are worth most first among them.
+// candidates lists the movable generations: those that will not finish in time first, then by
+// value.
 func (h *Home) candidates(now time.Time, e *evacuation) []placement.Placed {
 	var out []placement.Placed
 	for _, p := range h.placement.On(now, e.upstream.ID) {
-		if !p.Begun || e.tries[p.Ask.Attempt] >= triesMax || h.entries[p.Ask.Attempt] == "" || now.Before(e.later[p.Ask.Attempt]) {
+		if !p.Begun || e.tries[p.Ask.Attempt] >= maxTries || h.entries[p.Ask.Attempt] == "" || now.Before(e.later[p.Ask.Attempt]) {
 			continue
 		}
-		if p.Tokens > 0 && rest(p) < endsSoon && now.Add(endsSoon).Before(e.ends) {
+		if p.Tokens > 0 && rest(p) < minRest && now.Add(minRest).Before(e.ends) {
 			continue
 		}
 		out = append(out, p)
@@ -198,7 +192,7 @@
 	return out
 }
 
-// rest is how long a generation is expected to take from now.
+// rest is the expected remaining duration of a generation.
 func rest(p placement.Placed) time.Duration {
 	return time.Duration(p.Left * float64(p.TokenTime))
 }
@@ -213,7 +207,7 @@
 	return ua != nil && ub != nil && ua.DataCentre == ub.DataCentre
 }
 
-// receiving reports whether an upstream's link takes a copy already.
+// receiving reports whether an upstream is the destination of a move in progress.
 func (h *Home) receiving(name string) bool {
 	for _, e := range h.evacuations {
 		if e.order != nil && e.order.to == name {
@@ -240,8 +234,7 @@
 		"tokens", p.Ask.Prompt+p.Tokens, "left", int(p.Left), "try", e.tries[p.Ask.Attempt], "since_notice", now.Sub(e.upstream.LeavingSince))
 }
 
-// copyTime estimates how long the copy of a generation takes: a link between
-// data centres takes twice as long.
+// copyTime estimates the duration of a copy; links between data centres take twice as long.
 func (h *Home) copyTime(p placement.Placed, from, to string) time.Duration {
 	bits := float64(p.Ask.Prompt+p.Tokens) * h.engine.TokenBytes * 8
 	t := time.Duration(bits / (max(h.engine.LinkMbps, 1) * 1e6) * float64(time.Second))
@@ -251,7 +244,7 @@
 	return t
 }
 
-// Moved takes the outcome of an order, and gives the next one.
+// Moved processes the outcome of an order.
 func (h *Home) Moved(now time.Time, m msg.Moved) {
 	for id, e := range h.evacuations {
 		if e.order == nil || e.order.number != m.Number {
@@ -268,11 +261,11 @@
 			h.placement.Move(m.Attempt, e.order.to)
 		case msg.MoveNoRun:
 			e.tries[m.Attempt]--
-			e.later[m.Attempt] = now.Add(beginsSoon)
+			e.later[m.Attempt] = now.Add(prefillRetry)
 		case msg.MoveNoRoom:
-			// The run goes on, and may move elsewhere or later.
+			// The generation goes on and can be moved later.
 			e.tries[m.Attempt]--
-			h.full[e.order.to] = now.Add(fullFor)
+			h.full[e.order.to] = now.Add(fullBackoff)
 		}
 		e.order = nil
 	}
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -1,9 +1,8 @@
-// Package pool is the home of an engine pool on a hosting platform: one instance
-// that places the pool's generations and moves them off upstreams that leave. It
-// holds soft state only: another instance that takes over learns what runs from
-// the entries. It does no I/O.
+// Package pool is the home of an engine pool on a hosting platform: one instance that places
+// the pool's generations and moves them off leaving upstreams. Its state is soft: a successor
+// rebuilds it from the entries' announcements. It does no I/O.
 //
-// pool.go places and keeps the ledger, evacuate.go orders the moves.
+// pool.go places generations, upstreams.go tracks the upstreams, evacuate.go orders moves.
 package pool
 
 import (
@@ -20,81 +19,74 @@
 )
 
 const (
-	// grantTTL is how long a grant may be used. An entry that was frozen
-	// meanwhile must not send work where it no longer belongs.
+	// grantTTL bounds the use of a grant by an entry that was frozen in the meantime.
 	grantTTL = time.Second
-	// orphanAfter is how long a grant is kept that no entry announces.
-	orphanAfter = 3 * time.Second
-	// firstPromptRate is how many prompt tokens a second an upstream is assumed to
-	// read before the first token of an answer has told.
+	// orphanTimeout is how long a grant is kept that no entry announces.
+	orphanTimeout = 3 * time.Second
+	// firstPromptRate is the assumed prefill throughput in tokens a second before any was
+	// measured.
 	firstPromptRate = 7200
-	// failurePenalty is how much it counts against an upstream if it fails all that
-	// it is given, in seconds in flight: as much as if all came late. An engine that
-	// fails is freed at once, looks idle, and would draw work.
+	// failurePenalty is the cost of a failure rate of 1, in seconds in flight. Without it a
+	// failing engine, which frees its slots at once, would look idle and attract work.
 	failurePenalty = 20.0
-	// avoidFor is how long an upstream gets no new work that could not be
-	// reached. A dead one stays listed for three of its heartbeats, and while
-	// the store is away for as long as that lasts.
-	avoidFor = 1500 * time.Millisecond
-	// probeInterval is the pause between two questions to an upstream whether it
-	// leaves. A notice may be as short as 1.5 s, and the store silent, slow or cut
-	// off from the upstream when that begins.
+	// unreachableBackoff is how long an unreachable upstream gets no new work. Dead ones stay
+	// listed for three heartbeats, and throughout an outage of the store.
+	unreachableBackoff = 1500 * time.Millisecond
+	// probeInterval is the interval at which upstreams are asked whether they are leaving.
+	// Notices can be as short as 1.5 s, and the store may be unavailable when they arrive.
 	probeInterval = time.Second
-	// storeFresh is how long after the store last answered the upstreams are asked
-	// more often, at outageProbeInterval: no notice arrives by the list then.
+	// storeFresh is the age of the store's last answer from which outageProbeInterval is used
+	// instead.
 	storeFresh          = 900 * time.Millisecond
 	outageProbeInterval = 300 * time.Millisecond
-	// knownAfter is how long after an upstream was listed here entries may not know it
-	// yet: a home hears of it first, and a relay or two lie between.
-	knownAfter = 3 * time.Second
-	// AnnounceEvery is how often an entry tells the home what it runs, at most,
-	// and announceShare the time for each generation that it runs: 175 of them,
-	// as at the largest sizes, take 11 KB/s at 89 bytes each instead of 31. An
-	// entry that says nothing for orphanAfter is taken for dead.
-	AnnounceEvery = 500 * time.Millisecond
-	announceShare = 8 * time.Millisecond
-	announceMost  = orphanAfter / 2
+	// propagationTime is how long after an upstream was listed here entries may not know it
+	// yet: relays may be in between.
+	propagationTime = 3 * time.Second
+	// AnnounceInterval is the minimum interval of an entry's announcements, to which
+	// announcePerRun is added for each running generation, up to maxAnnounceInterval. An entry
+	// that is silent for orphanTimeout counts as dead.
+	AnnounceInterval    = 500 * time.Millisecond
+	announcePerRun      = 8 * time.Millisecond
+	maxAnnounceInterval = orphanTimeout / 2
 )
 
-// AnnouncePause returns the pause between two announcements of an entry that runs
-// some generations.
+// AnnouncePause returns the interval of announcements for a number of running generations.
 func AnnouncePause(running int) time.Duration {
-	return min(max(AnnounceEvery, time.Duration(running)*announceShare), announceMost)
+	return min(max(AnnounceInterval, time.Duration(running)*announcePerRun), maxAnnounceInterval)
 }
 
-// Out is a message to an instance.
+// Out is an outgoing message.
 type Out struct {
 	To  string
 	Msg msg.Message
 }
 
-// Home decides for one pool. It is not safe for concurrent use.
+// Home makes the decisions for one pool. It is not safe for concurrent use.
 type Home struct {
 	service string
 	engine  route.Engine
 	without mechanism.Set
 	ways    mechanism.Ways
-	// part is set if the pool is a part of a divided service: entries do not
-	// know its upstreams.
+	// part is set for a group of a divided service, whose upstreams entries do not know.
 	part      bool
 	placement *placement.Home
 	upstreams map[string]*roster.Upstream
-	// entries maps attempts to the instances that asked for them.
+	// entries maps attempts to the instances that requested them.
 	entries     map[string]string
 	evacuations map[string]*evacuation
 	cordons     cordon.Set
-	// coldRate is how many requests a second a cold upstream bears; 0 is no bound.
+	// coldRate is the request rate that a cold upstream accepts; 0 means no limit.
 	coldRate float64
-	// full holds until when destinations are passed over that had no room.
+	// full holds until when a destination is skipped that had no room for a copy.
 	full map[string]time.Time
-	// abandoned holds copies that take memory until they lapse.
+	// abandoned holds copies that occupy memory until they expire.
 	abandoned []abandoned
-	// unreachable holds when an upstream was last found so, probedAt when it
-	// was last asked for its state.
+	// unreachable and probedAt hold when each upstream was last found unreachable and last
+	// asked.
 	unreachable map[string]time.Time
-	// failures holds how upstreams have ended what they were given.
+	// failures holds the recent outcomes of each upstream.
 	failures map[string]*health.Record
-	// own holds the upstreams that have said themselves that they leave.
+	// own holds the upstreams that reported leaving themselves.
 	own      map[string]time.Time
 	probedAt map[string]time.Time
 	number   int64
@@ -103,20 +95,20 @@
 	notes    []Note
 }
 
-// Probe is an upstream that is to be asked for its state.
+// Probe is an upstream to ask for its state.
 type Probe struct {
 	ID      string
 	Address string
 }
 
-// Note is a decision to be logged.
+// Note is a log event.
 type Note struct {
 	Event string
 	Pairs []any
 }
 
-// NewHome returns the home of a pool, which is a service or a group of its upstreams.
-// without lists the mechanisms that it does without, ways are those in which it decides.
+// NewHome returns the home of a pool: a service or a group of its upstreams. without lists
+// disabled mechanisms, ways alternative ways of deciding.
 func NewHome(service string, engine route.Engine, without mechanism.Set, ways mechanism.Ways) *Home {
 	engine.Moves = engine.Moves && !without.Has(mechanism.Moves)
 	return &Home{
@@ -130,22 +122,21 @@
 	}
 }
 
-// Take returns the messages that are to be sent, and forgets them.
+// Take returns and clears the outgoing messages.
 func (h *Home) Take() []Out {
 	out := h.out
 	h.out = nil
 	return out
 }
 
-// Probes returns the upstreams that are to be asked for their state, and forgets
-// them.
+// Probes returns and clears the upstreams to ask for their state.
 func (h *Home) Probes() []Probe {
 	probes := h.probes
 	h.probes = nil
 	return probes
 }
 
-// Notes returns the decisions that are to be logged, and forgets them.
+// Notes returns and clears the log events.
 func (h *Home) Notes() []Note {
 	notes := h.notes
 	h.notes = nil
@@ -158,13 +149,13 @@
 	h.notes = append(h.notes, Note{Event: event, Pairs: append(pairs, "pool", h.service)})
 }
 
-// Entry is the instance that a message came from, and where it stands.
+// Entry is the sender of a message.
 type Entry struct {
 	Name       string
 	DataCentre string
 }
 
-// nearTo returns the data centre that is preferred for an entry's answers.
+// nearTo returns the preferred data centre for an entry's generations.
 func (h *Home) nearTo(from Entry) string {
 	if h.without.Has(mechanism.Near) {
 		return ""
@@ -184,7 +175,7 @@
 		m := msg.GrantAnswer{Pool: h.service, Decision: d, TTL: grantTTL}
 		if u := h.upstreams[d.Upstream]; u != nil {
 			m.Address = u.Address
-			if h.part || now.Sub(u.Seen) < knownAfter {
+			if h.part || now.Sub(u.Seen) < propagationTime {
 				m.Entry = &u.Entry
 			}
 		}
@@ -199,7 +190,7 @@
 	}
 }
 
-// End releases what an attempt held.
+// End releases an attempt.
 func (h *Home) End(now time.Time, m msg.GrantEnd) {
 	delete(h.entries, m.Attempt)
 	h.ran(now, m)
@@ -207,8 +198,8 @@
 	h.evacuate(now)
 }
 
-// ran notes how an upstream ended what it was given. One that leaves cuts off
-// what it runs, which says nothing about it.
+// ran records an attempt's outcome at its upstream. Streams cut by a leaving upstream say
+// nothing about its health.
 func (h *Home) ran(now time.Time, m msg.GrantEnd) {
 	u := h.upstreams[m.Upstream]
 	if m.Unreachable {
@@ -229,7 +220,7 @@
 	}
 }
 
-// failureRate is the share of failures among what an upstream ended of late.
+// failureRate is the share of recent attempts that an upstream failed.
 func (h *Home) failureRate(now time.Time, id string) float64 {
 	if r := h.failures[id]; r != nil && !h.without.Has(mechanism.Failures) {
 		return r.Rate(now)
@@ -237,7 +228,7 @@
 	return 0
 }
 
-// Announce takes an entry's word of what it runs.
+// Announce processes an entry's running generations.
 func (h *Home) Announce(now time.Time, from Entry, m msg.Announce) {
 	for _, a := range m.Running {
 		h.entries[a.Ask.Attempt] = from.Name
@@ -246,18 +237,17 @@
 	}
 }
 
-// Begun takes an entry's word that the first token of an attempt has come: its run
-// can be moved from now on.
+// Begun processes the first token of an attempt: from then on it can be moved.
 func (h *Home) Begun(now time.Time, m msg.Begun) {
 	h.decide(now, h.placement.Began(now, m.Attempt))
 	h.evacuate(now)
 }
 
-// Tick grants what waited and drops what nobody follows any more.
+// Tick grants waiting requests and drops orphaned grants.
 func (h *Home) Tick(now time.Time) {
 	h.lapseCopies(now)
 	h.decide(now, h.placement.Tick(now))
-	for _, o := range h.placement.Orphans(now, orphanAfter) {
+	for _, o := range h.placement.Orphans(now, orphanTimeout) {
 		delete(h.entries, o.Attempt)
 		h.note("grant_dropped", "request", o.Attempt, "upstream", o.Upstream, "why", "entry_silent")
 	}
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -439,7 +439,7 @@
 	if n := s.on("u00"); n != 0 {
 		t.Errorf("%d placed on a dead upstream", n)
 	}
-	s.pass(avoidFor + 100*time.Millisecond)
+	s.pass(unreachableBackoff + 100*time.Millisecond)
 	for k := range 6 {
 		s.ask(fmt.Sprintf("e-%d", k), 3000, 900)
 	}
@@ -512,7 +512,7 @@
 		t.Fatalf("%d of 3 destinations were asked", len(asked))
 	}
 	n := len(s.orders)
-	s.pass(fullFor + 200*time.Millisecond)
+	s.pass(fullBackoff + 200*time.Millisecond)
 	if len(s.orders) == n {
 		t.Error("nothing is asked again later: the draft is left behind")
 	}
--- a/internal/core/pool/upstreams.go
+++ b/internal/core/pool/upstreams.go
@@ -11,21 +11,21 @@
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
-// coldShare is the part of the starts that a cold upstream bears which a home gives it: two
-// instances may believe to be home, and entries that hear from neither choose by themselves.
+// coldShare is the part of a cold upstream's rate that one home uses: two instances may both
+// act as home, and entries that reach neither choose on their own.
 const coldShare = 0.4
 
 // Listing is what the home's instance knows of the pool.
 type Listing struct {
-	// Answered is the latest moment at which the store was asked that it has answered.
+	// Answered is when the last question was asked that the store answered.
 	Answered  time.Time
 	Upstreams []*roster.Upstream
 	Cordons   cordon.Set
-	// ColdRate is how many requests a second a cold upstream bears; 0 is no bound.
+	// ColdRate is the request rate that a cold upstream accepts; 0 means no limit.
 	ColdRate float64
 }
 
-// Sync takes the pool as it is listed now.
+// Sync updates the pool from the list.
 func (h *Home) Sync(now time.Time, l Listing) {
 	h.coldRate, h.cordons = l.ColdRate, l.Cordons
 	h.decide(now, h.placement.SetCordons(now, l.Cordons))
@@ -33,7 +33,7 @@
 	for _, u := range l.Upstreams {
 		seen[u.ID] = true
 		if at, ok := h.own[u.ID]; ok && u.LeavingSince.IsZero() {
-			u.LeavingSince = at // it said so itself; the list does not know yet
+			u.LeavingSince = at // its own notice precedes the list
 		}
 		h.upstreams[u.ID] = u
 		h.report(now, u)
@@ -53,9 +53,8 @@
 	h.evacuate(now)
 }
 
-// probe asks the upstreams on which something runs themselves whether they leave.
-// While the store is away their announcements do not arrive, and what runs on them
-// would be cut.
+// probe asks upstreams with running generations whether they are leaving: during an outage of
+// the store notices do not arrive through the list.
 func (h *Home) probe(now time.Time, interval time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(h.upstreams)) {
 		if u := h.upstreams[id]; h.placement.Runs(id) && u.LeavingSince.IsZero() && now.Sub(h.probedAt[id]) >= interval {
@@ -65,7 +64,7 @@
 	}
 }
 
-// Leaves takes an upstream's own word that it leaves, and when.
+// Leaves processes an upstream's own notice that it is leaving, and when if known.
 func (h *Home) Leaves(now time.Time, id string, in time.Duration, known bool) {
 	u := h.upstreams[id]
 	if u == nil {
@@ -83,7 +82,7 @@
 	h.evacuate(now)
 }
 
-// Unreachable notes that no connection to an upstream could be made.
+// Unreachable records a failed connection to an upstream.
 func (h *Home) Unreachable(now time.Time, id string) {
 	if u := h.upstreams[id]; u != nil {
 		h.unreachable[id] = now
@@ -91,14 +90,15 @@
 	}
 }
 
-// report gives the placement what is known of an upstream.
+// report passes an upstream's state to the placement and starts its evacuation if it is
+// leaving.
 func (h *Home) report(now time.Time, u *roster.Upstream) {
 	slots := u.Slots
 	if slots == 0 {
 		slots = h.engine.Slots
 	}
 	h.decide(now, h.placement.Report(now, now, placement.Report{
-		Upstream: u.ID, DataCentre: u.DataCentre, Leaving: !u.TakesWork() || now.Sub(h.unreachable[u.ID]) < avoidFor, Capacity: h.engine.MemoryToken, MaxBatch: slots,
+		Upstream: u.ID, DataCentre: u.DataCentre, Leaving: !u.TakesWork() || now.Sub(h.unreachable[u.ID]) < unreachableBackoff, Capacity: h.engine.MemoryToken, MaxBatch: slots,
 		Penalty: failurePenalty * h.failureRate(now, u.ID), MaxStarts: h.maxStarts(now, u),
 	}))
 	if h.clears(u) {
@@ -116,8 +116,8 @@
 	}
 }
 
-// maxStarts bounds what an upstream is given in a second, also one that is not known to be
-// cold: it may have become so a moment ago.
+// maxStarts bounds the requests sent to an upstream in a second. The bound also applies to
+// upstreams that are not known to be cold: they may have become so a moment ago.
 func (h *Home) maxStarts(now time.Time, u *roster.Upstream) int {
 	if h.coldRate <= 0 {
 		return 0
@@ -129,16 +129,15 @@
 	return max(int(rate), 1)
 }
 
-// gone forgets an upstream that is no longer listed once nothing runs there. A
-// worker whose entry has vanished may serve on for a while, so its work is moved
-// like that of one that announces its leaving.
+// gone drops an upstream that is no longer listed once it is idle. It may still serve for a
+// while, so that its generations are moved as from a leaving one.
 func (h *Home) gone(now time.Time, id string) {
 	u := h.upstreams[id]
 	u.Gone = true
 	if u.LeavingSince.IsZero() {
 		u.LeavingSince = now
 	}
-	if len(h.placement.On(now, id)) > 0 && now.Sub(u.LeavingSince) < goneAfter {
+	if len(h.placement.On(now, id)) > 0 && now.Sub(u.LeavingSince) < evacuationTimeout {
 		h.report(now, u)
 		return
 	}
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -192,4 +192,4 @@
 }
 
 // announceTick is how often it is looked whether the homes must hear what runs.
-const announceTick = pool.AnnounceEvery / 2
+const announceTick = pool.AnnounceInterval / 2
