--- a/internal/core/placement/backlog.go
+++ b/internal/core/placement/backlog.go
@@ -2,17 +2,17 @@
 
 import "time"
 
-// backlog is what an upstream has yet to read: it reads prompts one after another, and
-// the first token of an answer tells that its prompt was read.
+// backlog is the prompts that an upstream has yet to compute. Upstreams prefill one prompt
+// after another; the first token of an answer ends its prefill.
 type backlog struct {
-	// tokens of count prompts are not known to be read.
+	// tokens is the sum over count prompts.
 	tokens int
 	count  int
-	// since is when the upstream began with the first of them, as far as is known.
+	// since is the estimated start of the first prefill.
 	since time.Time
 }
 
-// add enters a grant whose prompt is unread.
+// add adds a grant.
 func (b *backlog) add(g *grant) {
 	if g.begun {
 		return
@@ -25,7 +25,7 @@
 	b.count++
 }
 
-// drop takes a grant out that has ended, or moved, unread.
+// drop removes a grant that ended or moved before its first token.
 func (b *backlog) drop(g *grant) {
 	if g.begun {
 		return
@@ -34,7 +34,7 @@
 	b.count--
 }
 
-// read notes that a grant's prompt has been read.
+// read removes a grant whose prefill is complete.
 func (b *backlog) read(now time.Time, g *grant) {
 	if g.begun {
 		return
@@ -43,23 +43,21 @@
 	g.begun, b.since = true, now
 }
 
-// entrySilent is how long an entry may say nothing of an unread prompt until that counts
-// for nothing: the entry has died, and will not tell of a first token. An entry that
-// lives announces all that it runs every 1.5 s at the latest.
-const entrySilent = 1600 * time.Millisecond
+// unreadTimeout is how long an unread prompt counts without a word from its entry, which
+// announces all its runs every 1.5 s at the latest.
+const unreadTimeout = 1600 * time.Millisecond
 
 // forget drops the prompts whose entries have fallen silent.
 func (b *backlog) forget(now time.Time, grants []*grant) {
 	for _, g := range grants {
-		if !g.begun && now.Sub(g.seen) > entrySilent {
+		if !g.begun && now.Sub(g.seen) > unreadTimeout {
 			b.read(now, g)
 		}
 	}
 }
 
-// Began takes an entry's word that the first token of an attempt has come, and grants
-// what waited for that. The wait of a prompt that an upstream had to itself tells how
-// fast it reads.
+// Began records the first token of an attempt and grants what waited for it. The time to first
+// token of a prompt that was alone measures the prefill throughput.
 func (h *Home) Began(now time.Time, attempt string) []Decision {
 	g := h.granted[attempt]
 	if g == nil || g.begun {
@@ -75,10 +73,9 @@
 	return h.drainQueue(now)
 }
 
-// unreadAt is how many prompt tokens are unread at a moment in nanoseconds. The first
-// prompt is read at the known rate. What comes after it is not reckoned with before its
-// first token has come: an upstream whose memory is full of what the home does not know
-// of reads nothing, and would get one prompt after another.
+// unreadAt returns the number of prompt tokens still to compute at a time in nanoseconds.
+// Progress is assumed for the first prompt only: an upstream whose memory is full of
+// generations unknown to the home computes nothing, and would get one prompt after another.
 func (s *summary) unreadAt(at int64) float64 {
 	if s.unread == 0 {
 		return 0
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -8,15 +8,14 @@
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 )
 
-// printSpread is how many different upstreams may run one fingerprint at once:
-// a request that crashes upstreams takes no more than these with it before its
-// strikes are known, however many callers send it at the same time.
+// printSpread is the number of upstreams that may run one fingerprint at a time. It bounds the
+// damage of a request that crashes engines before its strikes are known, however many callers
+// send it.
 const printSpread = 2
 
-// readAhead is how many seconds of prompts an upstream may have to read when it gets
-// another one. What waits, waits at the home: it goes to the upstream that is free
-// first, may be ordered by when it is due, and takes no memory meanwhile. A prompt must
-// only be there before the last one has been read.
+// readAhead is the backlog, in seconds of prefill, up to which an upstream gets another
+// prompt. Requests wait at the home instead, where they can be reordered, take the first free
+// upstream and hold no memory.
 const readAhead = 0.1
 
 // readAheadNow returns the same, or what never holds a prompt back.
@@ -39,41 +38,42 @@
 	return max(h.readAhead, readAheadTarget*p.target-waited.Seconds())
 }
 
-// summary is what the choice among many upstreams looks at. The summaries lie
-// side by side in memory, in the upstreams' order: with 870 upstreams, reading
-// each one's full record for every decision would take most of its time.
+// summary is the part of an upstream's record that a placement reads. The summaries are
+// contiguous: with hundreds of upstreams, reading the full records would dominate the cost of
+// a decision.
 type summary struct {
-	// free is the part of the memory that the forecast leaves free.
+	// free is the fraction of the memory that the forecast leaves free.
 	free float64
-	// prompts were not yet computed at promptsAt.
+	// prompts is the number of prompt tokens not computed by promptsAt.
 	prompts   float64
 	promptsAt int64
-	// freshUntil is when the last report is too old for new work; it lies in
-	// the past for an upstream that is leaving. In nanoseconds, as promptsAt.
+	// freshUntil is when the last report expires, in nanoseconds; in the past for an upstream
+	// that is leaving.
 	freshUntil int64
 	// reader is set if the upstream reads the prompts of short answers.
 	reader bool
-	// openAt is when the upstream may be given more work, in nanoseconds.
+	// openAt is when the upstream accepts the next request, in nanoseconds.
 	openAt int64
-	// slots is how many more generations its batch takes.
+	// slots is the number of free places in the batch.
 	slots    int
 	grants   int
 	suspects int
-	// dataCentre is where the upstream stands, penalty what speaks against it.
+	// dataCentre is the upstream's location, penalty the deduction from its score.
 	dataCentre string
 	penalty    float64
-	// pace and rate are the upstream's speed, running what prompts delay there.
+	// pace and rate are the upstream's speed, running the worth of the answers that a prefill
+	// delays.
 	pace    float64
 	rate    float64
 	running float64
-	// unread prompt tokens lay there at unreadSince, firstPrompt of them in the one
-	// that is read first.
+	// unread is the number of prompt tokens to compute at unreadSince, firstPrompt that of the
+	// first prompt among them.
 	unread      float64
 	firstPrompt float64
 	unreadSince int64
 }
 
-// summarize brings an upstream's summary up to date.
+// summarize updates an upstream's summary.
 func (h *Home) summarize(u *upstream) {
 	s := &h.summaries[u.index]
 	s.free = 1 - (u.peak+u.foreign+u.copies)/float64(max(u.report.Capacity, 1))
@@ -97,13 +97,12 @@
 	}
 }
 
-// takesWork tells whether new work may be placed at all.
+// takesWork reports whether the upstream accepts new work.
 func (u *upstream) takesWork(now time.Time) bool {
 	return !u.report.Leaving && !u.cordoned && now.Sub(u.reported) < reportMaxAge
 }
 
-// choose returns the upstream that an ask should run on now, or nil.
-// waited is for how long the ask has.
+// choose returns the upstream for an ask that has waited for some time, or nil.
 func (h *Home) choose(now time.Time, ask *Ask, waited time.Duration) *upstream {
 	var need footprint
 	if h.settings.Engine {
@@ -149,8 +148,8 @@
 	return h.upstreams[best]
 }
 
-// allowed tells whether the ask may run on the upstream, by its own exclusions
-// and the spread of its fingerprint.
+// allowed reports whether an ask may run on an upstream by its exclusions and the spread of
+// its fingerprint.
 func (u *upstream) allowed(ask *Ask, only []*grant) bool {
 	if slices.Contains(ask.Exclude, u.name) || !ask.mayRunIn(u.report.DataCentre) {
 		return false
@@ -163,8 +162,8 @@
 	return len(a.DataCentres) == 0 || slices.Contains(a.DataCentres, dataCentre)
 }
 
-// printsOn returns grants on the upstreams to which a fingerprint is confined,
-// or nil if it may run on another one yet.
+// printsOn returns grants on the upstreams to which a fingerprint is confined, or nil if it
+// may spread further.
 func (h *Home) printsOn(fingerprint uint64) []*grant {
 	list := h.prints[fingerprint]
 	if len(list) < printSpread {
@@ -177,9 +176,8 @@
 	return nil
 }
 
-// score is higher for better upstreams: by the cost that is predicted, or else by the
-// part of the memory that the forecast leaves free, less what the prompts that wait
-// there will slow down.
+// score rates an upstream, higher is better: by predicted cost, or by the free memory less the
+// delay of its backlog.
 func (h *Home) score(at int64, s *summary, p *prospect) float64 {
 	switch {
 	case !h.settings.Engine:
@@ -192,13 +190,11 @@
 	return s.free - s.penalty - max(left, 0)/(rate/promptWeight)
 }
 
-// promptWeight is how much a second of waiting prompts weighs, as a part of the
-// memory, when upstreams are compared: 20,000 tokens weigh as much as all of it.
+// promptWeight is the weight of a second of backlog as a fraction of the memory.
 const promptWeight = promptRate / 20_000.0
 
-// hasRoom tells whether the forecast leaves room for a generation, and a part of the
-// memory besides. One that is alone always has room: it could wait nowhere else for
-// more.
+// hasRoom reports whether the forecast leaves room for a generation plus a fraction of the
+// memory. An idle upstream always has room: waiting elsewhere would not help.
 func (h *Home) hasRoom(u *upstream, need *footprint, besides float64) bool {
 	if !h.settings.Engine || len(u.grants) == 0 && u.foreign == 0 && u.copies == 0 {
 		return true
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -10,45 +10,43 @@
 // upstream, an instance or all of them takes what is in flight then. An answer's worth
 // is its size in prompt tokens.
 const (
-	// outputWorth is how many prompt tokens an output token is worth: making it
-	// takes an engine about ten times as long.
+	// outputWorth is the worth of an output token in prompt tokens: engines spend about ten
+	// times as long on it.
 	outputWorth = 10
-	// readShare is the part of the time in which an upstream reads a prompt that
-	// the answers beside it wait: a step that reads takes twice as long as others.
+	// readShare is the fraction of a prefill by which the answers beside it are delayed: steps
+	// with a prefill take twice as long.
 	readShare = 0.5
-	// longLeft is the rest of an answer in tokens from which on a prompt that is
-	// read beside it delays it for all of that time.
+	// longLeft is the number of remaining tokens from which an answer is delayed by the whole
+	// of a prefill beside it.
 	longLeft = 48
-	// lateSeconds is what a first token that will be late costs, in seconds in
-	// flight: to its caller it is worth little more than none.
+	// lateSeconds is the cost of a late first token, in seconds in flight.
 	lateSeconds = 20.0
-	// lateFrom is the part of the target from which on a predicted first token may
-	// be late.
+	// lateFrom is the fraction of the target from which a predicted first token may turn out
+	// late.
 	lateFrom = 0.5
-	// lateMost bounds the doubt, in multiples of what is likely late.
-	lateMost = 2.0
-	// memorySeconds is what full memory costs, in seconds in flight.
+	// lateMax bounds that risk, in multiples of lateSeconds.
+	lateMax = 2.0
+	// memorySeconds is the cost of full memory, in seconds in flight.
 	memorySeconds = 0.5
-	// farSeconds is what it costs that an answer crosses a link between data
-	// centres, where a lost packet is a pause for its reader. With much more, answers
-	// crowd together and are moved too late when their upstream leaves.
+	// farSeconds is the cost of a stream that crosses data centres, where a lost packet is a
+	// pause for its reader. A much higher value crowds answers together, which are then moved
+	// too late when their upstream leaves.
 	farSeconds = 0.2
 )
 
-// prospect is what is expected of an answer.
+// prospect is the predicted course of an answer.
 type prospect struct {
-	// worth and prompt are in prompt tokens, output in tokens yet to come.
+	// worth and prompt are in prompt tokens, output is the expected number of tokens.
 	worth  float64
 	prompt float64
 	output float64
-	// target is when the first token is due in seconds, 0 if nothing is.
+	// target is the time to first token in seconds; 0 if there is none.
 	target float64
-	// dataCentre is where the entry stands, "" if that does not matter.
+	// dataCentre is the entry's location; "" if it does not matter.
 	dataCentre string
 }
 
-// prospect predicts a new answer. What was learnt of lengths counts here: callers'
-// estimates are often far off.
+// prospect predicts a new answer from learned lengths: estimates of callers are often far off.
 func (h *Home) prospect(ask *Ask) prospect {
 	output := h.lengths.curve(h.settings.Service, ask).remaining(0, ask.MaxOutput)
 	return prospect{
@@ -57,7 +55,7 @@
 	}
 }
 
-// rest predicts what is left of an answer that runs.
+// rest predicts the remainder of a running answer.
 func (h *Home) rest(now time.Time, g *grant) prospect {
 	tokens := g.tokensAt(now)
 	left := h.left(g, tokens)
@@ -66,7 +64,7 @@
 	}
 }
 
-// delayed is the worth of an answer that prompts read beside it delay.
+// delayed is the worth of a running answer that is delayed by prompts read beside it.
 func (h *Home) delayed(now time.Time, g *grant) float64 {
 	if !h.settings.Predict || h.settings.Without.Has(mechanism.Delays) {
 		return 0
@@ -75,8 +73,8 @@
 	return p.worth * min(p.output/longLeft, 1)
 }
 
-// cost is what it costs to run an answer on an upstream, in worth times seconds: its
-// own time there, and what its prompt delays.
+// cost returns the cost of running an answer on an upstream, in worth times seconds: its own
+// time in flight and the delay of others by its prompt.
 func (s *summary) cost(at int64, p *prospect) float64 {
 	first := (s.unreadAt(at) + p.prompt) / s.rate
 	seconds := first + p.output*s.pace + memorySeconds*(1-s.free) + s.penalty
@@ -84,7 +82,7 @@
 		seconds += farSeconds
 	}
 	if from := lateFrom * p.target; first > from && p.target > 0 {
-		seconds += lateSeconds * min((first-from)/(p.target-from), lateMost)
+		seconds += lateSeconds * min((first-from)/(p.target-from), lateMax)
 	}
 	if s.reader && !p.isShort() {
 		seconds += longAtReader
--- a/internal/core/placement/curve.go
+++ b/internal/core/placement/curve.go
@@ -21,7 +21,7 @@
 	return min(b, buckets-1)
 }
 
-// lowerOf returns the lowest length of a bucket.
+// lowerOf returns the lower bound of a bucket.
 func lowerOf(bucket int) int {
 	if bucket < bucketsInOct {
 		return bucket
@@ -41,26 +41,25 @@
 	return lows, widths
 }
 
-// curve is the learnt distribution of answers' lengths.
+// curve is the learned distribution of answer lengths.
 type curve struct {
-	// survival is the chance that an answer is longer than the lower bound of
-	// each bucket.
+	// survival is the probability that an answer is longer than each bucket's lower bound.
 	survival [buckets + 1]float64
-	// beyond is the survival's integral from each lower bound on: the tokens
-	// that an answer is expected to have past it.
+	// beyond is the integral of survival from each lower bound: the expected number of tokens
+	// past it.
 	beyond [buckets + 1]float64
 }
 
-// leastSurvival keeps conditional chances finite far out in the tail.
-const leastSurvival = 1e-9
+// minSurvival keeps conditional probabilities finite in the tail.
+const minSurvival = 1e-9
 
-// newCurve builds a curve from each bucket's hazard: the chance that an answer
-// which got to the bucket ends within it.
+// newCurve builds a curve from each bucket's hazard: the probability that an answer that
+// reached the bucket ends within it.
 func newCurve(hazard *[buckets]float32) *curve {
 	c := &curve{}
 	c.survival[0] = 1
 	for b := range buckets {
-		c.survival[b+1] = max(c.survival[b]*(1-float64(hazard[b])), leastSurvival)
+		c.survival[b+1] = max(c.survival[b]*(1-float64(hazard[b])), minSurvival)
 	}
 	for b := buckets - 1; b >= 0; b-- {
 		c.beyond[b] = c.beyond[b+1] + width[b]*(c.survival[b]+c.survival[b+1])/2
@@ -68,22 +67,22 @@
 	return c
 }
 
-// longer returns the chance that an answer is longer than the given tokens.
+// longer returns the probability that an answer is longer than a number of tokens.
 func (c *curve) longer(tokens int) float64 {
 	b := bucketOf(tokens)
 	part := min((float64(tokens)-lower[b])/width[b], 1)
 	return c.survival[b] + part*(c.survival[b+1]-c.survival[b])
 }
 
-// past returns the survival's integral from a length on.
+// past returns the integral of survival from a length.
 func (c *curve) past(tokens int) float64 {
 	b := bucketOf(tokens)
 	part := min((float64(tokens)-lower[b])/width[b], 1)
 	return c.beyond[b] + part*(c.beyond[b+1]-c.beyond[b])
 }
 
-// remaining returns how many tokens an answer with so many is expected to get
-// yet, when it is cut at most.
+// remaining returns the expected number of further tokens of an answer, given its length and
+// its limit.
 func (c *curve) remaining(tokens, most int) float64 {
 	if tokens >= most {
 		return 0
--- a/internal/core/placement/drain.go
+++ b/internal/core/placement/drain.go
@@ -7,38 +7,37 @@
 )
 
 const (
-	// drainFade is the time in which a measured rate forgets two thirds.
+	// drainFade is the time constant of measured rates.
 	drainFade = 10 * time.Second
-	// guessWeight is how many seconds of measurement the guessed rate is worth.
+	// guessWeight is the weight of the guessed rate in seconds of measurement.
 	guessWeight = 5.0
-	// costClasses are the classes of cost, one for each power of two.
+	// costClasses is the number of cost classes, one for each power of two.
 	costClasses = 32
-	// leastLeft is the part of the drain rate that is always left to an ask,
-	// however much cheaper work comes: ageing sees to that.
-	leastLeft = 0.05
-	// lateGuess is the part of the drain rate that late asks are assumed to get
-	// before that is measured.
+	// minShare is the fraction of the drain rate that always reaches an ask, however much
+	// cheaper work arrives; ageing guarantees it.
+	minShare = 0.05
+	// lateGuess is the assumed fraction of the drain rate for late asks before it is measured.
 	lateGuess = 0.25
-	// missStep and hitStep move the doubt after a wait that was longer than
-	// allowed and after one that was not: they balance at one miss in 21.
+	// missStep and hitStep adjust the doubt after a wait that exceeded its limit and after one
+	// that did not. They balance at one miss in 21.
 	missStep = 0.1
 	hitStep  = 0.005
-	// mostErrors bounds the doubt.
-	mostErrors = 3.0
+	// maxErrors bounds the doubt.
+	maxErrors = 3.0
 )
 
-// drainMeter measures how much cost a pool works off a second while asks wait,
-// and how much comes in, by class of cost.
+// drainMeter measures, by cost class, how much work a pool completes per second while asks
+// wait and how much arrives.
 type drainMeter struct {
 	at time.Time
-	// granted is the cost granted in busy seconds while asks waited, lateGranted in
-	// lateBusy seconds to those that could not be on time any more.
+	// granted is the cost granted in busy seconds with a queue, lateGranted the cost granted
+	// in lateBusy seconds to asks past their deadline.
 	granted, busy         float64
 	lateGranted, lateBusy float64
-	// came is the cost that came in, seconds over how long, both faded.
+	// came is the cost that arrived over the last seconds; both decay.
 	came    [costClasses]float64
 	seconds float64
-	// errors is how far waits were predicted too short, as a logarithm.
+	// errors is the logarithm of the factor by which waits were underestimated.
 	errors float64
 }
 
@@ -46,8 +45,8 @@
 	return min(bits.Len64(uint64(max(cost, 0))), costClasses-1)
 }
 
-// advance fades what was measured; waiting tells whether asks waited since, late
-// whether some of them could not be on time any more.
+// advance decays the measurements; waiting and late report whether any and whether late asks
+// were queued.
 func (m *drainMeter) advance(now time.Time, waiting, late bool) {
 	since := now.Sub(m.at).Seconds()
 	if m.at.IsZero() {
@@ -72,17 +71,17 @@
 	}
 }
 
-// rate is the cost worked off a second, near the guess until enough is measured.
+// rate returns the cost completed per second, close to the guess until enough is measured.
 func (m *drainMeter) rate(guess float64) float64 {
 	return (m.granted + guess*guessWeight) / (m.busy + guessWeight)
 }
 
-// lateRate is the part of a rate that is left to late asks.
+// lateRate returns the part of a rate that reaches late asks.
 func (m *drainMeter) lateRate(rate float64) float64 {
 	return (m.lateGranted + lateGuess*rate*guessWeight) / (m.lateBusy + guessWeight)
 }
 
-// cheaper is the cost a second that comes in by asks of a lower class.
+// cheaper returns the cost per second arriving in lower classes.
 func (m *drainMeter) cheaper(cost float64) float64 {
 	sum := 0.0
 	for i := range classOf(cost) {
@@ -91,7 +90,7 @@
 	return sum / (m.seconds + guessWeight)
 }
 
-// served notes that an ask was granted after it had queued.
+// served records a grant from the queue.
 func (m *drainMeter) served(cost float64, late bool) {
 	m.granted += cost
 	if late {
@@ -100,10 +99,9 @@
 	m.errors = max(m.errors-hitStep, 0)
 }
 
-// missed notes that an ask waited longer than it was predicted to.
-func (m *drainMeter) missed() { m.errors = min(m.errors+missStep, mostErrors) }
+// missed records a wait that exceeded its prediction.
+func (m *drainMeter) missed() { m.errors = min(m.errors+missStep, maxErrors) }
 
-// doubt is what predicted waits are multiplied with. A prediction that is too
-// short shows in callers who wait in vain and are refused late; the doubt then
-// grows until nearly all refusals come at once.
+// doubt is the factor applied to predicted waits. Predictions that are too short appear as
+// late refusals; the doubt then grows until nearly all refusals are immediate.
 func (m *drainMeter) doubt() float64 { return math.Exp(m.errors) }
--- a/internal/core/placement/forecast.go
+++ b/internal/core/placement/forecast.go
@@ -2,22 +2,21 @@
 
 import "math"
 
-// horizons are the tokens ahead at which an upstream's memory is forecast.
+// horizons are the numbers of tokens ahead at which memory is forecast.
 var horizons = [...]int{16, 64, 128, 256, 512, 1024, 2048, 4096}
 
-// deviations scales z at each horizon. Near ones get more: what is forecast
-// there comes true before anything can be done about it, while a fuller far
-// future can still be met by granting less until then.
+// deviations scales z at each horizon. Near horizons get more headroom: nothing can be done
+// any more about what is forecast there, while granting less still relieves the far ones.
 var deviations = [len(horizons)]float64{1.5, 1.36, 1.21, 1.07, 0.93, 0.79, 0.64, 0.5}
 
-// footprint is the memory in tokens that one generation, or all of an
-// upstream's together, will need at each horizon: its mean and variance.
+// footprint is the mean and variance of the memory, in tokens, that generations need at each
+// horizon.
 type footprint struct {
 	mean     [len(horizons)]float64
 	variance [len(horizons)]float64
 }
 
-// footprintOf forecasts a generation that has some tokens and is cut at most.
+// footprintOf forecasts a generation from its current and its maximum length.
 func footprintOf(c *curve, prompt, tokens, most int) footprint {
 	var f footprint
 	now := c.longer(tokens)
@@ -47,8 +46,7 @@
 	}
 }
 
-// peak returns the most memory that is needed at any horizon, with z standard
-// deviations of headroom.
+// peak returns the highest need over all horizons with z standard deviations of headroom.
 func (f *footprint) peak(z float64) float64 {
 	most := 0.0
 	for i := range horizons {
@@ -57,7 +55,7 @@
 	return most
 }
 
-// fits tells whether another generation fits under a limit at every horizon.
+// fits reports whether another generation stays under a limit at every horizon.
 func (f *footprint) fits(o *footprint, z, limit float64) bool {
 	for i := range horizons {
 		if f.mean[i]+o.mean[i]+z*deviations[i]*math.Sqrt(f.variance[i]+o.variance[i]) > limit {
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -11,10 +11,10 @@
 type Home struct {
 	settings Settings
 	tuning   tuning
-	// z is the headroom in force, in standard deviations.
+	// z is the current headroom in standard deviations.
 	z       float64
 	lengths *Lengths
-	// upstreams are sorted by name, so that the same events give the same decisions.
+	// upstreams are sorted by name, which makes decisions deterministic.
 	upstreams []*upstream
 	summaries []summary
 	byName    map[string]*upstream
@@ -27,20 +27,18 @@
 	ended    recent
 	promises promises
 	meter    drainMeter
-	// begun is when the first ask came, warm is set with the first report.
+	// begun is the time of the first ask; warm is set by the first report.
 	begun time.Time
 	warm  bool
-	// readAhead is how many seconds of prompts an upstream may have to read when it
-	// gets another one.
+	// readAhead is the backlog in seconds up to which an upstream gets another prompt.
 	readAhead float64
-	// forMoves is the part of the memory that is kept free for answers that must leave
-	// their upstreams.
+	// forMoves is the fraction of memory reserved for generations on leaving upstreams.
 	forMoves float64
-	// typical is the speed of the pool's upstreams, for those that are new.
+	// typical is the mean speed of the pool's upstreams.
 	typical speed
 }
 
-// NewHome returns a home without upstreams; they appear with their reports.
+// NewHome returns a home without upstreams, which are added by their reports.
 func NewHome(s Settings) *Home {
 	h := &Home{
 		byName: map[string]*upstream{}, granted: map[string]*grant{}, prints: map[uint64][]*grant{},
@@ -51,7 +49,7 @@
 	return h
 }
 
-// Configure takes new settings; what is granted or queued stays so.
+// Configure changes the settings. Grants and the queue are kept.
 func (h *Home) Configure(s Settings) {
 	if h.lengths == nil || s.Lengths != nil && s.Lengths != h.lengths {
 		h.lengths = s.Lengths
@@ -73,9 +71,9 @@
 	h.queue.byDue = s.Predict && !s.Without.Has(mechanism.DueOrder)
 }
 
-// Report takes an upstream's load report that was asked for at a moment. What
-// waits is placed as of now, not as of then: a home that was frozen between the
-// two would else find every report fresh, those of leaving upstreams included.
+// Report records an upstream's load as of the time it was asked. The queue is served as of
+// now: to a home that was frozen in between, every report would look fresh otherwise,
+// including those of leaving upstreams.
 func (h *Home) Report(now, asked time.Time, r Report) []Decision {
 	u := h.byName[r.Upstream]
 	if u == nil {
@@ -96,8 +94,8 @@
 	return h.drainQueue(now)
 }
 
-// SetCordons takes the cordoned data centres: their upstreams get no new work, and what runs
-// there runs on. It grants and refuses what waited for that.
+// SetCordons sets the cordoned data centres. Their upstreams get no new work and keep what
+// runs.
 func (h *Home) SetCordons(now time.Time, s cordon.Set) []Decision {
 	if s.Same(h.cordons) {
 		return nil
@@ -110,7 +108,7 @@
 	return append(h.drainQueue(now), h.refuseHopeless(now)...)
 }
 
-// Remove forgets an upstream and returns the asks that ran there.
+// Remove removes an upstream and returns the asks that ran there.
 func (h *Home) Remove(name string) []Ask {
 	u := h.byName[name]
 	if u == nil {
@@ -125,7 +123,7 @@
 	return ran
 }
 
-// Ask answers a request for placement. It is idempotent by attempt.
+// Ask answers a request for placement. It is idempotent per attempt.
 func (h *Home) Ask(now time.Time, ask Ask) []Decision {
 	if g := h.granted[ask.Attempt]; g != nil && g.upstream.takesWork(now) {
 		g.seen = now
@@ -154,7 +152,7 @@
 	return h.enqueue(now, ask, cost)
 }
 
-// enqueue queues an ask, or refuses it at once if it would wait too long.
+// enqueue queues an ask, or refuses it if the predicted wait is too long.
 func (h *Home) enqueue(now time.Time, ask Ask, cost float64) []Decision {
 	since := h.promises.redeem(now, &ask)
 	if h.tooLong(h.predictWait(now, since, &ask, cost), ask.MaxWait) {
@@ -169,13 +167,13 @@
 	return out
 }
 
-// position tells an ask's place among its organisation's.
+// position returns an ask's place in its organisation's queue.
 func (h *Home) position(q *queued) Decision {
 	return Decision{Attempt: q.ask.Attempt, Kind: Queued, Position: q.index + 1}
 }
 
-// End releases an attempt's grant or its place in the queue. Its length is
-// learnt from; whole is false if it did not come to its own end.
+// End releases a grant or a place in the queue and learns from the answer's length. whole is
+// false for an answer that was cut off.
 func (h *Home) End(now time.Time, attempt string, tokens int, whole bool) []Decision {
 	if g := h.granted[attempt]; g != nil {
 		h.release(g)
@@ -190,7 +188,7 @@
 	return h.drainQueue(now)
 }
 
-// Tick grants queued work that fits by now and refuses what waited too long.
+// Tick grants queued asks that fit by now and refuses those that have waited too long.
 func (h *Home) Tick(now time.Time) []Decision {
 	h.reserveForMoves(now)
 	h.chooseReaders(now)
@@ -208,17 +206,17 @@
 	return out
 }
 
-// passMost is how many asks that do not fit may be passed over in one round.
-const passMost = 4
+// maxBypass is the number of asks that may be passed over in one round.
+const maxBypass = 4
 
-// drainQueue grants queued asks in order. An ask that fits nowhere is passed
-// over, until it has waited so long that all others must wait for it.
+// drainQueue grants queued asks in order. An ask that does not fit is passed over until
+// bypassTimeout.
 func (h *Home) drainQueue(now time.Time) []Decision {
 	h.measure(now)
 	h.setHeadroom(now)
 	out := h.demote(now)
 	var passed map[*queued]bool
-	most := passMost
+	most := maxBypass
 	for len(passed) < most {
 		q := h.queue.best(passed)
 		if q == nil {
@@ -231,7 +229,7 @@
 			out = append(out, h.grant(now, q.ask, u, q.cost))
 			continue
 		}
-		if now.Sub(q.since) > passNoMore {
+		if now.Sub(q.since) > bypassTimeout {
 			break
 		}
 		if passed == nil {
@@ -245,13 +243,13 @@
 	return out
 }
 
-// measure brings the meter up to date.
+// measure updates the drain meter.
 func (h *Home) measure(now time.Time) {
 	h.meter.advance(now, h.queue.len() > 0, h.queue.lates > 0)
 }
 
-// demote moves the asks that can't be on time any more behind the others, and refuses
-// those that would not be served within their patience there.
+// demote moves late asks behind the others and refuses those that would exceed their patience
+// there.
 func (h *Home) demote(now time.Time) []Decision {
 	if !h.settings.Predict || h.settings.Without.Has(mechanism.LateBehind) {
 		return nil
@@ -266,7 +264,7 @@
 	return out
 }
 
-// setHeadroom sets z by how much waits.
+// setHeadroom sets z from the length of the queue.
 func (h *Home) setHeadroom(now time.Time) {
 	h.z = h.tuning.calmZ
 	if h.queue.len() > 0 {
@@ -274,8 +272,8 @@
 	}
 }
 
-// passNoMore is how long an ask may be passed over by asks that fit sooner.
-const passNoMore = 10 * time.Second
+// bypassTimeout is how long later asks may overtake one that does not fit.
+const bypassTimeout = 10 * time.Second
 
 func (h *Home) grant(now time.Time, ask Ask, u *upstream, cost float64) Decision {
 	g := &grant{ask: ask, upstream: u, at: now, seen: now, known: now}
@@ -293,7 +291,7 @@
 	return d
 }
 
-// forecastGrant predicts what becomes of an ask on an upstream.
+// forecastGrant predicts an ask's course on an upstream.
 func (h *Home) forecastGrant(now time.Time, ask *Ask, u *upstream) Forecast {
 	if !h.settings.Predict {
 		return Forecast{}
@@ -311,8 +309,8 @@
 	}
 }
 
-// warming reports whether the home has just begun and may get its first report
-// any moment. Each pool would else refuse its first callers after an idle time.
+// warming reports whether a new home still expects its first report. Without this grace a pool
+// would refuse its first callers after an idle time.
 func (h *Home) warming(now time.Time) bool {
 	if h.begun.IsZero() {
 		h.begun = now
@@ -320,8 +318,8 @@
 	return !h.warm && now.Sub(h.begun) < reportMaxAge
 }
 
-// refuseHopeless ends the waits that are in vain: for a first report that has not come, or
-// for upstreams that are all cordoned.
+// refuseHopeless refuses asks that wait for a first report that did not come, or for upstreams
+// that are all cordoned.
 func (h *Home) refuseHopeless(now time.Time) []Decision {
 	if h.queue.len() == 0 {
 		return nil
@@ -337,8 +335,8 @@
 	return out
 }
 
-// hopeless reports whether no upstream will take an ask: all where it may run are cordoned,
-// or there are none. Where all leave, others are likely to take their place.
+// hopeless reports whether no upstream can take an ask: all that it may run on are cordoned,
+// or there are none. Leaving upstreams are likely to be replaced.
 func (h *Home) hopeless(ask *Ask) bool {
 	found := false
 	for _, u := range h.upstreams {
@@ -353,22 +351,22 @@
 	return found || len(ask.DataCentres) > 0
 }
 
-// cordonedLater is when a caller should come back whose upstreams are all cordoned. Nobody
-// knows when operators lift a cordon.
-const cordonedLater = 2 * time.Second
+// cordonedRetry is the Retry-After when every upstream is cordoned. The end of a cordon is up
+// to the operators.
+const cordonedRetry = 2 * time.Second
 
-// noUpstream refuses an ask that no upstream can take.
+// noUpstream returns the refusal of an ask that no upstream can take.
 func (h *Home) noUpstream(ask *Ask) Decision {
 	d := Decision{Attempt: ask.Attempt, Kind: Refused, Reason: ReasonNoUpstream, RetryAfter: reportMaxAge}
 	for _, u := range h.upstreams {
 		if u.cordoned && !u.report.Leaving && ask.mayRunIn(u.report.DataCentre) {
-			d.Reason, d.RetryAfter = ReasonCordoned, cordonedLater
+			d.Reason, d.RetryAfter = ReasonCordoned, cordonedRetry
 		}
 	}
 	return d
 }
 
-// anyFresh reports whether some upstream takes work where an ask may run.
+// anyFresh reports whether any upstream accepts an ask.
 func (h *Home) anyFresh(now time.Time, ask *Ask) bool {
 	for _, u := range h.upstreams {
 		if u.takesWork(now) && ask.mayRunIn(u.report.DataCentre) {
@@ -378,8 +376,8 @@
 	return false
 }
 
-// cost is the work that an ask is expected to make: the memory that it holds
-// times the tokens for which it holds it.
+// cost is the expected work of an ask: the memory that it holds times the number of tokens for
+// which it holds it.
 func (h *Home) cost(ask *Ask) float64 {
 	if !h.settings.Engine {
 		return 1
@@ -392,10 +390,9 @@
 // priorityTies is the number of priorities within one class of expected length.
 const priorityTies = 100
 
-// priority tells the engine whom to preempt first when its memory fills: the
-// generation that is expected to get longest, as it frees the most memory and
-// so the fewest others are preempted after it. Within a class the order is
-// strict, so that the same generation gives way again rather than a second one.
+// priority tells the engine which generation to preempt first: the one expected to get
+// longest, as that frees the most memory. Ties are broken strictly, so that the same
+// generation is preempted again rather than a second one.
 func (h *Home) priority(ask *Ask) int {
 	if !h.settings.Engine {
 		return 0
--- a/internal/core/placement/home_test.go
+++ b/internal/core/placement/home_test.go
@@ -185,7 +185,7 @@
 	for _, step := range []struct {
 		says, believed string
 	}{{other, granted}, {granted, granted}, {other, granted}, {other, other}, {other, other}} {
-		at = at.Add(sightingLeast)
+		at = at.Add(minSightingInterval)
 		h.Running(at, testAsk("a"), step.says, Sighting{Tokens: 10})
 		if on := h.On(at, step.believed); len(on) != 1 {
 			t.Fatalf("after %q was named: %d grants on %s", step.says, len(on), step.believed)
--- a/internal/core/placement/ledger.go
+++ b/internal/core/placement/ledger.go
@@ -9,43 +9,43 @@
 	"mulberrylug.example/mulberrylug/internal/core/pace"
 )
 
-// upstream is what the home knows of one upstream.
+// upstream is the home's record of one upstream.
 type upstream struct {
 	name string
-	// index is its place among the home's upstreams.
+	// index is its position in Home.upstreams.
 	index    int
 	report   Report
 	reported time.Time
 	grants   []*grant
 	// suspects counts the grants of suspected requests.
 	suspects int
-	// need is the forecast over all grants, foreign the memory of generations
-	// that the home never granted: those of another home or before a takeover.
+	// need is the forecast over all grants, foreign the memory of generations that this home
+	// did not grant.
 	need    footprint
 	foreign float64
-	// copies is the memory that copies take there from which nothing runs yet.
+	// copies is the memory held by copies from which nothing runs yet.
 	copies float64
 	// peak is the highest need over all horizons.
 	peak float64
-	// spt is the measured time between tokens in seconds, 0 if unknown.
+	// spt is the measured time per token in seconds; 0 if unknown.
 	spt float64
-	// prompts is how many granted prompt tokens were not yet computed at promptsAt.
+	// prompts is the number of granted prompt tokens not computed by promptsAt.
 	prompts   float64
 	promptsAt time.Time
-	// speed is what was measured, believed what it is taken for.
+	// speed is the measured speed, believed the one used for decisions.
 	speed    speed
 	believed speed
 	backlog  backlog
 	starts   pace.Starts
-	// cordoned is set while its data centre is.
+	// cordoned is set while the data centre is cordoned.
 	cordoned bool
-	// reader is set if it reads the prompts of short answers.
+	// reader is set if it computes the prompts of short answers.
 	reader bool
-	// running is the worth of the long answers that run there, in prompt tokens.
+	// running is the worth of the long answers running here, in prompt tokens.
 	running float64
 }
 
-// grant is an attempt that may run, or runs.
+// grant is an attempt that runs or may run.
 type grant struct {
 	ask      Ask
 	upstream *upstream
@@ -53,17 +53,17 @@
 	at       time.Time
 	// seen is when the entry last asked for or announced the attempt.
 	seen time.Time
-	// tokens were out at known.
+	// tokens is the number produced by known.
 	tokens int
 	known  time.Time
 	// still is set when the attempt made no progress between two sightings.
 	still bool
-	// elsewhere is where the entry says that it runs, if that is not upstream, since
-	// elsewhereAt.
+	// elsewhere is the upstream that the entry reports since elsewhereAt, if it is another
+	// one.
 	elsewhere   string
 	elsewhereAt time.Time
-	// begun is set once its prompt is known to be read, alone if no other prompt
-	// was unread at its upstream when it was granted.
+	// begun is set once the prompt was computed; alone if the upstream had no other unread
+	// prompt when it was granted.
 	begun    bool
 	alone    bool
 	priority int
@@ -71,16 +71,17 @@
 }
 
 const (
-	// firstSpt is the time between tokens in seconds that is assumed first.
+	// firstSpt is the initial estimate of the time per token, in seconds.
 	firstSpt = 0.02
-	// sptFade is the part that one measurement changes of the mean.
+	// sptFade is the weight of one measurement in the mean.
 	sptFade = 0.05
-	// promptRate is how many prompt tokens a second an engine is assumed to compute.
+	// promptRate is the default prefill throughput in tokens a second.
 	promptRate = 15_000
-	// lookMost is how far a grant's tokens are extrapolated.
-	lookMost = 3 * time.Second
-	// sightingLeast is the time between two sightings that tells a speed.
-	sightingLeast = 500 * time.Millisecond
+	// maxExtrapolation bounds the extrapolation of a grant's tokens.
+	maxExtrapolation = 3 * time.Second
+	// minSightingInterval is the shortest interval between sightings from which a speed is
+	// measured.
+	minSightingInterval = 500 * time.Millisecond
 )
 
 func (h *Home) addUpstream(name string) *upstream {
@@ -108,7 +109,7 @@
 	}
 }
 
-// hold enters a grant into the ledger.
+// hold adds a grant to the ledger.
 func (h *Home) hold(g *grant) {
 	u := g.upstream
 	h.granted[g.ask.Attempt] = g
@@ -126,7 +127,7 @@
 	h.weigh(u)
 }
 
-// release takes a grant out of the ledger.
+// release removes a grant from the ledger.
 func (h *Home) release(g *grant) {
 	u := g.upstream
 	delete(h.granted, g.ask.Attempt)
@@ -157,13 +158,13 @@
 	h.prints[g.ask.Fingerprint] = slices.Delete(list, i, i+1)
 }
 
-// weigh works out an upstream's peak after its needs or report changed.
+// weigh recomputes an upstream's peak.
 func (h *Home) weigh(u *upstream) {
 	u.peak = u.need.peak(h.z)
 	h.summarize(u)
 }
 
-// refresh forecasts every grant of an upstream anew.
+// refresh recomputes the forecasts of an upstream's grants.
 func (h *Home) refresh(now time.Time, u *upstream) {
 	u.backlog.forget(now, u.grants)
 	u.need, u.running, u.believed = footprint{}, 0, h.speedAt(now, u)
@@ -175,7 +176,7 @@
 	h.weigh(u)
 }
 
-// forecast works out what a grant's memory will be.
+// forecast computes a grant's future memory.
 func (h *Home) forecast(now time.Time, g *grant) {
 	if !h.settings.Engine {
 		return
@@ -184,12 +185,12 @@
 	g.need = footprintOf(c, g.ask.Prompt, g.tokensAt(now), g.ask.MaxOutput)
 }
 
-// tokensAt extrapolates a grant's tokens from the last sighting.
+// tokensAt extrapolates the number of tokens from the last sighting.
 func (g *grant) tokensAt(now time.Time) int {
 	if g.still {
 		return g.tokens
 	}
-	since := min(now.Sub(g.known), lookMost)
+	since := min(now.Sub(g.known), maxExtrapolation)
 	more := int(since.Seconds() / g.upstream.timePerToken())
 	return min(g.tokens+max(more, 0), max(g.ask.MaxOutput-1, g.tokens))
 }
@@ -201,13 +202,13 @@
 	return u.spt
 }
 
-// sight takes a newer count of a grant's tokens and learns the upstream's speed.
+// sight records a newer number of tokens and measures the upstream's speed.
 func (g *grant) sight(now time.Time, tokens int) {
 	if tokens < g.tokens {
 		return
 	}
 	since := now.Sub(g.known)
-	if since < sightingLeast {
+	if since < minSightingInterval {
 		return
 	}
 	if g.tokens > 0 && tokens > g.tokens {
@@ -224,15 +225,14 @@
 	u.spt += sptFade * (spt - u.spt)
 }
 
-// addPrompt notes prompt tokens that the upstream has to compute.
+// addPrompt records prompt tokens to compute.
 func (u *upstream) addPrompt(now time.Time, tokens int, rate float64) {
 	left := max(u.prompts-rate*now.Sub(u.promptsAt).Seconds(), 0)
 	u.prompts, u.promptsAt = left+float64(tokens), now
 }
 
-// reconcile compares a report with the ledger. Generations that the home does
-// not know and that did not end lately are another home's, or older than a
-// takeover: they hold memory too.
+// reconcile compares a report with the ledger. Unknown generations that did not end recently
+// belong to another home or precede a takeover; they hold memory too.
 func (h *Home) reconcile(now time.Time, u *upstream) {
 	known, unknown := 0, 0
 	for _, l := range u.report.Gens {
@@ -250,11 +250,11 @@
 	}
 }
 
-// HoldCopy notes that a copy of a running generation takes memory on an upstream, until
-// it is released or the generation is entered there.
+// HoldCopy records that a copy of a running generation holds memory on an upstream, until
+// ReleaseCopy or the move.
 func (h *Home) HoldCopy(name string, tokens int) { h.addCopy(name, float64(tokens)) }
 
-// ReleaseCopy takes HoldCopy back.
+// ReleaseCopy undoes HoldCopy.
 func (h *Home) ReleaseCopy(name string, tokens int) { h.addCopy(name, -float64(tokens)) }
 
 func (h *Home) addCopy(name string, tokens float64) {
@@ -264,10 +264,10 @@
 	}
 }
 
-// endedKeep is how long a report may still show an attempt that has ended.
-const endedKeep = 5 * time.Second
+// endedTTL is how long a report may still list an attempt after its end.
+const endedTTL = 5 * time.Second
 
-// recent remembers the attempts that ended lately.
+// recent holds the attempts that ended recently.
 type recent struct {
 	at    map[string]time.Time
 	order []string
@@ -287,7 +287,7 @@
 
 func (r *recent) forget(now time.Time) {
 	n := 0
-	for n < len(r.order) && now.Sub(r.at[r.order[n]]) > endedKeep {
+	for n < len(r.order) && now.Sub(r.at[r.order[n]]) > endedTTL {
 		delete(r.at, r.order[n])
 		n++
 	}
--- a/internal/core/placement/lengths.go
+++ b/internal/core/placement/lengths.go
@@ -3,45 +3,38 @@
 import "math/bits"
 
 const (
-	// memory is how many answers a level remembers: each new one fades the
-	// older ones by one part in memory.
+	// memory is the number of answers after which a level's older ones have decayed.
 	memory = 2500
-	// backOff is how many answers of its own a level needs to weigh as much
-	// as the level above it.
+	// backOff is the number of answers at which a level weighs as much as the one above.
 	backOff = 25
-	// firstHazard is the chance that an answer ends within a bucket before
-	// anything has been learnt: three of four get a bucket's quarter further
-	// only, so that the guess is wide and the tail heavy.
+	// firstHazard is the prior probability that an answer ends within a bucket: a wide guess
+	// with a heavy tail.
 	firstHazard = 0.13
-	// firstLength is the length below which nothing is expected to end
-	// before anything has been learnt.
+	// firstLength is the length below which the prior expects no answer to end.
 	firstLength = 16
-	// relearn is how many new answers a level collects before its curve is
-	// drawn again, as one part in so many of what it remembers.
+	// relearn is the fraction of its memory, as a divisor, that a level collects before its
+	// curve is recomputed.
 	relearn = 50
-	// orgLevels bounds the organisations that are remembered one by one.
+	// orgLevels bounds the number of organisations with a level of their own.
 	orgLevels = 8192
 )
 
-// Lengths learns how long answers get: a decayed histogram for each kind of answer
-// and organisation, which backs off to the kind's and to that of all. It
-// holds hazards, not counts of lengths, so that answers which were cut off
-// still teach how long answers get at least.
+// Lengths learns the distribution of answer lengths: decayed histograms by kind of answer and
+// organisation, which back off to the kind and to all answers. It estimates hazards, so that
+// truncated answers count as lower bounds.
 type Lengths struct {
 	first [buckets]float32
-	// oneKind passes over what callers declare.
+	// oneKind ignores the declared maximum.
 	oneKind bool
 	all     *level
 	kinds   map[kind]*level
 	orgs    map[orgKey]*level
-	// order holds the organisations' keys, oldest first; the oldest goes
-	// when there are too many.
+	// order holds the organisations' keys for eviction, oldest first.
 	order []orgKey
 }
 
-// kind is a kind of answer: the service's, in the octave of the most tokens that the
-// caller declares. An organisation that asks for both lines and pages declares so; the
-// mean of both would be right for neither.
+// kind is a kind of answer: the service and the octave of the declared maximum. One
+// organisation may ask for lines and for pages, and the mean of both describes neither.
 type kind struct {
 	service string
 	most    int
@@ -52,7 +45,7 @@
 	org string
 }
 
-// keyOf returns what is learnt together with an ask's answer.
+// keyOf returns the level that an ask's answer belongs to.
 func (l *Lengths) keyOf(service string, ask *Ask) orgKey {
 	k := kind{service: service}
 	if !l.oneKind {
@@ -61,22 +54,22 @@
 	return orgKey{kind: k, org: ask.Org}
 }
 
-// level is one histogram. ended counts the answers that ended in each bucket,
-// reached those that got to it.
+// level is one histogram: ended counts the answers that ended in each bucket, reached those
+// that got there.
 type level struct {
 	above   *level
 	ended   [buckets]float32
 	reached [buckets]float32
 	hazard  [buckets]float32
 	curve   *curve
-	// fresh counts the answers since the curve was drawn, total all of them.
+	// fresh counts the answers since the curve was computed, total all of them.
 	fresh, total float32
-	// drawn counts the drawings of the curve, aboveDrawn which one of the
-	// level above went into the latest.
+	// drawn counts the computations of the curve; aboveDrawn is the parent's count at the last
+	// one.
 	drawn, aboveDrawn int
 }
 
-// NewLengths returns an estimator that has learnt nothing.
+// NewLengths returns an estimator without observations.
 func NewLengths() *Lengths {
 	l := &Lengths{kinds: map[kind]*level{}, orgs: map[orgKey]*level{}}
 	for b := range l.first {
@@ -94,8 +87,7 @@
 	return v
 }
 
-// Observe learns from an ask's answer with so many tokens. An answer that did not
-// come to its own end teaches only that it got so far.
+// Observe records an answer. One that was cut off counts as a lower bound only.
 func (l *Lengths) Observe(service string, ask *Ask, tokens int, whole bool) {
 	own := l.own(l.keyOf(service, ask))
 	for v := own; v != nil; v = v.above {
@@ -103,7 +95,7 @@
 	}
 }
 
-// own returns the level of an organisation, beginning it if need be.
+// own returns an organisation's level, creating it if needed.
 func (l *Lengths) own(key orgKey) *level {
 	if v := l.orgs[key]; v != nil {
 		return v
@@ -123,7 +115,7 @@
 	return v
 }
 
-// curve returns what is expected of an ask's answer.
+// curve returns the distribution for an ask's answer.
 func (l *Lengths) curve(service string, ask *Ask) *curve {
 	v := l.own(l.keyOf(service, ask))
 	v.refresh(&l.first)
@@ -149,7 +141,7 @@
 	v.fresh++
 }
 
-// refresh draws the curve anew once enough has been learnt here or above.
+// refresh recomputes the curve once this level or the one above has learned enough.
 func (v *level) refresh(first *[buckets]float32) {
 	if v.above != nil {
 		v.above.refresh(first)
--- a/internal/core/placement/move.go
+++ b/internal/core/placement/move.go
@@ -8,15 +8,15 @@
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 )
 
-// Placed is a generation that runs on an upstream, as the home believes.
+// Placed is a generation that the home believes to run on an upstream.
 type Placed struct {
 	Ask Ask
-	// Tokens are out by now, Left are expected to follow.
+	// Tokens is the number produced so far, Left the expected remainder.
 	Tokens int
 	Left   float64
-	// TokenTime is how long the upstream takes for a token.
+	// TokenTime is the upstream's time per token.
 	TokenTime time.Duration
-	// Begun is set once its prompt has been read; it can't be moved before.
+	// Begun is set once the prompt was computed. It cannot be moved before.
 	Begun bool
 }
 
@@ -37,14 +37,14 @@
 	return out
 }
 
-// Runs reports whether anything runs on an upstream, as the home believes.
+// Runs reports whether the home believes that anything runs on an upstream.
 func (h *Home) Runs(name string) bool {
 	u := h.byName[name]
 	return u != nil && len(u.grants) > 0
 }
 
-// left returns how many tokens are expected to follow. A caller's own estimate
-// counts until it is passed; what was learnt of lengths counts from then on.
+// left returns the expected number of further tokens: by the caller's estimate until it is
+// exceeded, then by learned lengths.
 func (h *Home) left(g *grant, tokens int) float64 {
 	if g.ask.Expected > tokens && !h.settings.Without.Has(mechanism.Hints) {
 		return float64(g.ask.Expected - tokens)
@@ -52,9 +52,8 @@
 	return h.lengths.curve(h.settings.Service, &g.ask).remaining(tokens, max(g.ask.MaxOutput, tokens+1))
 }
 
-// Destination returns the upstream that an attempt's generation should move to,
-// or "" if none has room. Upstreams for which skip is true are left out; of
-// those that remain, the ones for which near is true come first.
+// Destination returns the upstream that a generation should move to, or "" if none has room.
+// Upstreams for which near is true are preferred, those for which skip is true are left out.
 func (h *Home) Destination(now time.Time, attempt string, near, skip func(name string) bool) string {
 	g := h.granted[attempt]
 	if g == nil {
@@ -76,8 +75,8 @@
 	return best
 }
 
-// Started notes that an upstream is given work that the home does not place itself: a run
-// that moves there.
+// Started records work that the home does not place itself on an upstream: a run that moves
+// there.
 func (h *Home) Started(now time.Time, name string) {
 	if u := h.byName[name]; u != nil {
 		u.starts.Note(now)
@@ -85,7 +84,7 @@
 	}
 }
 
-// Move enters in the ledger that an attempt runs on another upstream now.
+// Move records that an attempt runs on another upstream now.
 func (h *Home) Move(attempt, to string) bool {
 	g, u := h.granted[attempt], h.byName[to]
 	if g == nil || u == nil {
@@ -97,13 +96,12 @@
 	return true
 }
 
-// moveReserve is the part of the memory that leaving answers need which new work leaves
-// free. The rest becomes free as others end while the notice lasts.
+// moveReserve is the fraction of the memory needed by generations on leaving upstreams that is
+// kept free of new work. Enough of the rest becomes free during the notice.
 const moveReserve = 0.5
 
-// reserveForMoves works out which part of the memory is kept for the answers that run on
-// leaving upstreams. One that finds no room elsewhere is lost with all that was done for
-// it, while an ask can wait for the moment that a notice lasts.
+// reserveForMoves updates the memory reserved for generations on leaving upstreams. One that
+// finds no room is lost with all its work, while a new ask can wait.
 func (h *Home) reserveForMoves(now time.Time) {
 	need, capacity := 0.0, 0.0
 	for _, u := range h.upstreams {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -22,16 +22,15 @@
 	ReasonNoUpstream = "no_upstream"
 	ReasonQueueFull  = "queue_wait"
 	ReasonPoison     = "poison"
-	// ReasonCordoned: all upstreams where an ask may run are cordoned.
+	// ReasonCordoned: every upstream that the ask may run on is cordoned.
 	ReasonCordoned = "cordoned"
 )
 
-// reportMaxAge is how old an upstream's last report may be for it to get new
-// work. Reports come every quarter second, so three may be lost; an upstream that
-// is leaving or cut off gets nothing new after this long.
+// reportMaxAge is the age at which a report expires and the upstream gets no new work. Reports
+// arrive every 250 ms, so several may be lost.
 const reportMaxAge = 1200 * time.Millisecond
 
-// Ask is a request for the permission to run one attempt.
+// Ask is a request to run one attempt.
 type Ask struct {
 	Attempt     string
 	Org         string
@@ -41,21 +40,19 @@
 	MaxOutput int
 	// Prefix holds chained hashes of the prompt's blocks, for prefix affinity.
 	Prefix []uint64
-	// Expected is the caller's own estimate of the output in tokens, 0 if it
-	// gives none.
+	// Expected is the caller's estimate of the output in tokens; 0 if none.
 	Expected int
 	// Exclude lists upstreams that this request must not run on again.
 	Exclude []string
-	// DataCentre is where the entry stands, which passes the answer on; "" if
-	// that does not matter. The home knows it of the asker.
+	// DataCentre is the entry's location, known from the connection; "" if it does not matter.
 	DataCentre string `msgpack:"-"`
-	// DataCentres are those that the request may run in; none allows all.
+	// DataCentres limits where the request may run; empty allows all.
 	DataCentres []string `msgpack:",omitempty"`
-	// FirstTarget is when the first token is due after the ask, 0 if nothing is.
+	// FirstTarget is the deadline for the first token after the ask; 0 if there is none.
 	FirstTarget time.Duration
-	// Suspect marks a request with one strike: it runs beside no other suspect.
+	// Suspect marks a request with one strike, which shares no upstream with another suspect.
 	Suspect bool
-	// MaxWait is the longest the request may queue.
+	// MaxWait is the longest time in the queue.
 	MaxWait time.Duration
 }
 
@@ -65,24 +62,22 @@
 	Tokens  int    `json:"tokens"`
 }
 
-// Report is an upstream's own account of its load. It lags.
+// Report is an upstream's own, delayed account of its load.
 type Report struct {
 	Upstream string `json:"upstream"`
-	// Boot changes whenever the upstream starts anew.
+	// Boot changes with every start of the upstream.
 	Boot string `json:"boot"`
 	// Version is the model version that the engine runs.
 	Version string `json:"version"`
 	Leaving bool   `json:"leaving"`
-	// MaxStarts bounds the requests that the upstream is given in any second; 0 is no
-	// bound. The home sets it.
+	// MaxStarts limits the requests sent in any second; 0 is no limit. Set by the home.
 	MaxStarts int `json:"-" msgpack:"-"`
-	// DataCentre is where the upstream stands, if its home was told.
+	// DataCentre is the upstream's location; "" if unknown.
 	DataCentre string `json:"data_centre,omitempty"`
-	// Penalty is what speaks against the upstream beside its load, as a part
-	// of its memory; its home sets it.
+	// Penalty lowers the score of the upstream, as a fraction of its memory. Set by the home.
 	Penalty float64 `json:"-" msgpack:"-"`
-	// Capacity and Used are in tokens of engine memory; a plain service
-	// reports calls at once instead.
+	// Capacity and Used are in tokens of engine memory; in concurrent calls for a plain
+	// service.
 	Capacity int `json:"capacity"`
 	Used     int `json:"used"`
 	MaxBatch int `json:"max_batch"`
@@ -93,7 +88,7 @@
 	Gens        []GenLoad `json:"gens"`
 }
 
-// Kind says what a decision is.
+// Kind is the kind of a decision.
 type Kind int
 
 // Kinds of decision.
@@ -103,7 +98,7 @@
 	Refused
 )
 
-// String names the kind for metrics.
+// String returns the name for metrics.
 func (k Kind) String() string {
 	switch k {
 	case Granted:
@@ -115,53 +110,51 @@
 	}
 }
 
-// Decision answers an ask, at once or later.
+// Decision answers an ask, immediately or later.
 type Decision struct {
 	Attempt  string
 	Kind     Kind
 	Upstream string
-	// Priority is handed to the engine; lower runs first.
+	// Priority is passed to the engine; lower runs first.
 	Priority   int
 	Reason     string
 	RetryAfter time.Duration
-	// Position in the queue, from 1, if Queued.
+	// Position is the place in the queue, from 1, if Queued.
 	Position int
-	// Forecast is what a grant was based on; it is for the log of the home.
+	// Forecast is the basis of a grant, for the log.
 	Forecast Forecast `msgpack:"-"`
 }
 
-// Forecast is what is predicted of a granted answer.
+// Forecast is the predicted course of a granted answer.
 type Forecast struct {
-	// Unread is how many prompt tokens the upstream had to read before its prompt.
+	// Unread is the number of prompt tokens that the upstream computes first.
 	Unread int
-	// First is when the first token is expected after the grant, Pace the time
-	// between tokens while nothing disturbs, Output how many there will be.
+	// First is the expected time to first token from the grant, Pace the undisturbed time per
+	// token, Output the expected length.
 	First  time.Duration
 	Pace   time.Duration
 	Output int
-	// Free is the part of the memory that was forecast to be free.
+	// Free is the fraction of memory forecast to be free.
 	Free float64
 }
 
-// Settings of a home.
+// Settings configure a home.
 type Settings struct {
 	Weights config.Weights
-	// Engine is false for pools of plain services, whose load is a count of calls.
+	// Engine is false for plain services, whose load is a number of calls.
 	Engine bool
-	// Service is what the pool serves.
+	// Service is the name of the pool's service.
 	Service string
-	// PromptRate is how many prompt tokens a second an upstream computes
-	// beside its running generations; 0 takes promptRate.
+	// PromptRate is the prefill throughput in tokens a second beside running generations; 0
+	// means promptRate.
 	PromptRate float64
-	// Predict chooses by the time in flight that is predicted for the ask and for
-	// what runs beside it, in place of the free memory. It needs entries that tell
-	// of first tokens.
+	// Predict places by predicted time in flight, of the ask and of what runs beside it,
+	// instead of by free memory. It requires entries that announce first tokens.
 	Predict bool
-	// Without lists the mechanisms that are left out, for comparison.
+	// Without lists disabled mechanisms.
 	Without mechanism.Set
-	// Ways are the ways in which decisions are made.
+	// Ways selects between alternative ways of deciding.
 	Ways mechanism.Ways
-	// Lengths is what has been learnt of answers' lengths; homes of one
-	// instance share it. Nil gives the home its own.
+	// Lengths is shared by the homes of one instance. Nil creates one.
 	Lengths *Lengths
 }
--- a/internal/core/placement/predict_test.go
+++ b/internal/core/placement/predict_test.go
@@ -452,7 +452,7 @@
 	ask := w.asks["r0"]
 	d := w.home.refuse(w.now, w.now, &ask, 0)
 	all := seconds((w.home.queue.cost + w.home.promises.cost) / w.home.drainRate(w.now))
-	if all < retryLeast || d.RetryAfter < 2*all {
+	if all < retryMin || d.RetryAfter < 2*all {
 		t.Errorf("told to come back after %v, when all that was promised would be done after %v", d.RetryAfter, all)
 	}
 }
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -8,35 +8,32 @@
 	"time"
 )
 
-// queued is an ask that waits.
+// queued is a waiting ask.
 type queued struct {
 	ask Ask
-	// since is when the caller first asked, asked when this ask came.
+	// since is when the caller first asked, asked when this ask arrived.
 	since time.Time
 	asked time.Time
 	// cost is the expected work: memory held times tokens produced.
 	cost float64
-	// key orders an organisation's asks. An ask with a target is ordered by when
-	// its first token is due, and moved behind the others, once, when it can't be on
-	// time any more. Any other by its arrival, moved back for each unit of cost,
-	// which never changes: cheap work goes first, but nothing that came more than
-	// perCost*maxCost later ever does. Either way no ask waits for ever.
+	// key orders an organisation's asks. With a target it is the deadline of the first token,
+	// moved behind the others once it can no longer be met. Otherwise it is the arrival time,
+	// delayed in proportion to the cost up to maxCost, which bounds the wait.
 	key time.Time
-	// late is set once it was moved behind the others.
+	// late is set once the ask was moved behind the others.
 	late  bool
 	index int
 }
 
-// lateBehind is how much later an ask may come that is still served before one that
-// can't be on time any more. Served in turn, the late ones would make all that come
-// after them late, too; so they get what the others leave.
+// lateBehind is the delay added to the key of an ask that can no longer meet its deadline.
+// Served in order, late asks would make the following ones late as well.
 const lateBehind = time.Minute
 
-// waitingOrg holds one organisation's queued asks.
+// waitingOrg holds the queue of one organisation.
 type waitingOrg struct {
 	name string
 	asks askHeap
-	// served is the cost of what it was granted, on the queue's virtual clock.
+	// served is the cost granted so far, on the queue's virtual clock.
 	served float64
 }
 
@@ -64,17 +61,16 @@
 	return q
 }
 
-// queue orders asks: fair among organisations, then cheapest first with
-// ageing. An organisation may be ahead of the one served least by slack; with
-// that, what two organisations that both wait are served differs by no more
-// than slack and the cost of one ask.
+// queue orders asks fairly among organisations, then cheapest first with ageing. An
+// organisation may lead the least served one by slack, so that two waiting organisations
+// differ by at most slack and the cost of one ask.
 type queue struct {
 	slack   float64
 	perCost float64
-	// byDue orders asks by when their first token is due.
+	// byDue orders asks by the deadline of their first token.
 	byDue bool
 	byID  map[string]*queued
-	// lates counts the late asks, lateCost sums their cost.
+	// lates counts the late asks; lateCost is the sum of their cost.
 	lates    int
 	lateCost float64
 	// cost sums the cost of all asks.
@@ -82,8 +78,8 @@
 	orgs map[string]*waitingOrg
 	// waiting lists the organisations with asks.
 	waiting []*waitingOrg
-	// clock is the least that any waiting organisation was served; one that
-	// comes back after a pause starts there and has saved up nothing.
+	// clock is the minimum served over waiting organisations. One that returns after a pause
+	// starts there, without credit.
 	clock float64
 }
 
@@ -96,7 +92,7 @@
 
 func (q *queue) len() int { return len(q.byID) }
 
-// all lists the asks in the order of their attempts.
+// all lists the asks ordered by attempt.
 func (q *queue) all() []*queued {
 	out := make([]*queued, 0, len(q.byID))
 	for _, attempt := range slices.Sorted(maps.Keys(q.byID)) {
@@ -126,7 +122,7 @@
 	return since.Add(time.Duration(min(cost, maxCost) * q.perCost))
 }
 
-// ahead sums the cost of the asks that go before a key.
+// ahead returns the sum of the cost of asks before a key.
 func (q *queue) ahead(key time.Time) float64 {
 	sum := 0.0
 	for _, item := range q.byID {
@@ -137,8 +133,8 @@
 	return sum
 }
 
-// demote moves the asks that can't be on time any more behind the others and returns
-// them, in order.
+// demote moves asks that can no longer meet their deadline behind the others and returns them
+// in order.
 func (q *queue) demote(missed func(item *queued) bool) []*queued {
 	var out []*queued
 	for _, o := range q.waiting {
@@ -163,7 +159,7 @@
 	return out
 }
 
-// before orders the asks of an organisation.
+// before orders the asks of one organisation.
 func (q *queued) before(o *queued) bool {
 	if q.key.Equal(o.key) {
 		return q.ask.Attempt < o.ask.Attempt
@@ -171,7 +167,7 @@
 	return q.key.Before(o.key)
 }
 
-// lateAhead sums the cost and the prompts of the late asks that go before another.
+// lateAhead sums the cost and prompts of the late asks before another.
 func (q *queue) lateAhead(of *queued) (cost, prompts float64) {
 	for _, item := range q.byID {
 		if item.late && item.before(of) {
@@ -182,7 +178,7 @@
 	return cost, prompts
 }
 
-// overdue returns the asks that have waited as long as they may, in order.
+// overdue returns the asks that have reached their longest wait, in order.
 func (q *queue) overdue(now time.Time) []*queued {
 	var out []*queued
 	for _, o := range q.waiting {
@@ -224,14 +220,13 @@
 	}
 }
 
-// charge counts an ask's cost as served to its organisation.
+// charge adds a granted ask to its organisation's served cost.
 func (q *queue) charge(org string, cost float64) {
 	q.org(org).served += cost
 }
 
-// best returns the ask that is next and was not passed over in this round: of those that
-// can be on time, and else of the late ones. An organisation whose asks are all late holds
-// back no other's that can be on time, however little it was served.
+// best returns the next ask not passed over in this round, late asks last. An organisation
+// with late asks only does not hold back others.
 func (q *queue) best(passed map[*queued]bool) *queued {
 	q.tick()
 	if b := q.bestOf(passed, false); b != nil {
@@ -240,8 +235,7 @@
 	return q.bestOf(passed, true)
 }
 
-// bestOf returns the next of the asks that are late, or of those that are not, among the
-// organisations that are not ahead of the others there.
+// bestOf returns the next late or timely ask among the organisations within slack.
 func (q *queue) bestOf(passed map[*queued]bool, late bool) *queued {
 	least := math.Inf(1)
 	for _, o := range q.waiting {
@@ -262,7 +256,7 @@
 	return best
 }
 
-// tick moves the clock on to the least that a waiting organisation was served.
+// tick advances the clock to the minimum served.
 func (q *queue) tick() {
 	if len(q.waiting) == 0 {
 		return
@@ -274,8 +268,8 @@
 	q.clock = max(q.clock, least)
 }
 
-// forget drops the organisations that wait for nothing and that the clock has
-// caught up with: they would start anew just the same.
+// forget drops idle organisations that the clock has passed; they would restart in the same
+// state.
 func (q *queue) forget() {
 	if len(q.waiting) == 0 {
 		q.clock = q.mostServed()
--- a/internal/core/placement/sighting.go
+++ b/internal/core/placement/sighting.go
@@ -4,17 +4,16 @@
 	"time"
 )
 
-// Sighting is an entry's word of an attempt that runs.
+// Sighting is an entry's announcement of a running attempt.
 type Sighting struct {
-	// Tokens are out by now.
+	// Tokens is the number produced so far.
 	Tokens int
-	// Pace is the time between tokens while no prompt is read beside them, 0 if
-	// the entry can't tell.
+	// Pace is the time per token without prefill beside it; 0 if unknown.
 	Pace time.Duration
 }
 
-// Running takes an entry's word that an attempt runs on an upstream and how
-// far it is. A home that has just taken over rebuilds its ledger from these.
+// Running records that an attempt runs on an upstream. A new home rebuilds its ledger from
+// these.
 func (h *Home) Running(now time.Time, ask Ask, name string, s Sighting) {
 	if g := h.granted[ask.Attempt]; g != nil {
 		g.seen = now
@@ -38,8 +37,8 @@
 	h.hold(&grant{ask: ask, upstream: u, at: now, seen: now, tokens: s.Tokens, known: now, begun: s.Tokens > 0})
 }
 
-// locate follows a grant to where its entry says that it runs: an entry that could not use
-// the grant has chosen by itself. One word is not enough, as it may be older than a move.
+// locate moves a grant to the upstream that its entry reports, as entries that could not use a
+// grant choose for themselves. A single report is not enough, as it may precede a move.
 func (h *Home) locate(now time.Time, g *grant, name string) {
 	if name == g.upstream.name {
 		g.elsewhere = ""
@@ -49,7 +48,7 @@
 		g.elsewhere, g.elsewhereAt = name, now
 		return
 	}
-	if now.Sub(g.elsewhereAt) >= sightingLeast {
+	if now.Sub(g.elsewhereAt) >= minSightingInterval {
 		g.elsewhere = ""
 		h.Move(g.ask.Attempt, name)
 	}
@@ -61,8 +60,7 @@
 	Upstream string
 }
 
-// Orphans drops the grants that no entry has asked for or announced for the
-// given time, and returns them: their entries died, and nobody will end them.
+// Orphans drops and returns the grants that no entry has announced for a time.
 func (h *Home) Orphans(now time.Time, silent time.Duration) []Orphan {
 	var out []Orphan
 	for _, u := range h.upstreams {
--- a/internal/core/placement/speed.go
+++ b/internal/core/placement/speed.go
@@ -6,36 +6,33 @@
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 )
 
-// speed is how fast an upstream works, apart from its load. Figures are 0 while they
-// are unknown.
+// speed holds an upstream's unloaded decode interval and prefill throughput; 0 while unknown.
 type speed struct {
-	// pace is the time between tokens in seconds while no prompt is read beside them.
+	// pace is the decode interval in seconds without prefill beside it.
 	pace float64
-	// rate is how many prompt tokens are read a second.
+	// rate is the prefill throughput in tokens a second.
 	rate float64
-	// pacedAt and ratedAt are when these were last measured.
+	// pacedAt and ratedAt are the times of the last measurements.
 	pacedAt time.Time
 	ratedAt time.Time
 }
 
 const (
-	// speedFade is the part that one measurement changes of an upstream's figure:
-	// upstreams live for seconds only, and may turn slow.
+	// speedFade is the weight of one measurement: upstreams are short-lived and may become
+	// slow.
 	speedFade = 0.3
-	// disturbedFade is the same for a pace that is slower than what is known: most
-	// of these are prompts that were read beside the tokens all the while. An
-	// upstream that has turned slow is known for it after some seconds.
+	// disturbedFade is that weight for a longer decode interval, most of which were disturbed
+	// by prefill all the while.
 	disturbedFade = 0.03
-	// typicalFade is the same for the mean over the pool.
+	// typicalFade is the weight in the mean of the pool.
 	typicalFade = 0.02
-	// speedKnown is how long a measurement counts. An upstream that is avoided makes
-	// no more of them, and would be avoided for ever.
-	speedKnown = 10 * time.Second
-	// firstPace is the pace in seconds that is assumed before anything is known.
+	// speedTTL is how long a measurement counts. An upstream that is avoided gets no new ones.
+	speedTTL = 10 * time.Second
+	// firstPace is the initial estimate of the decode interval in seconds.
 	firstPace = 0.01
 )
 
-// learn moves a mean, which is 0 before the first value.
+// learn updates a mean that is 0 before the first value.
 func learn(mean *float64, value, fade float64) {
 	if *mean == 0 {
 		*mean = value
@@ -44,7 +41,7 @@
 	*mean += fade * (value - *mean)
 }
 
-// learnPace takes the pace of an answer on an upstream.
+// learnPace records the decode interval of an answer.
 func (h *Home) learnPace(now time.Time, u *upstream, pace time.Duration) {
 	fade := speedFade
 	if pace.Seconds() > u.speed.pace {
@@ -55,7 +52,7 @@
 	learn(&h.typical.pace, u.speed.pace, typicalFade)
 }
 
-// learnRate takes how long an upstream read a prompt that it had to itself.
+// learnRate records the duration of a prefill without other prompts.
 func (h *Home) learnRate(now time.Time, u *upstream, prompt int, took time.Duration) {
 	rate := float64(prompt) / took.Seconds()
 	learn(&u.speed.rate, rate, speedFade)
@@ -63,11 +60,10 @@
 	learn(&h.typical.rate, rate, typicalFade)
 }
 
-// speedAt returns what an upstream's speed is taken for. What is not known, or no
-// longer, is the pool's. A slow reader makes tokens slowly, too, so that the first
-// prompt tells about a new upstream before it has made any.
+// speedAt returns an upstream's assumed speed: what was measured, or the pool's. A slow
+// prefill implies slow decoding, so that the first prompt already tells about a new upstream.
 func (h *Home) speedAt(now time.Time, u *upstream) speed {
-	paced, rated := now.Sub(u.speed.pacedAt) < speedKnown, now.Sub(u.speed.ratedAt) < speedKnown
+	paced, rated := now.Sub(u.speed.pacedAt) < speedTTL, now.Sub(u.speed.ratedAt) < speedTTL
 	if h.settings.Without.Has(mechanism.Speeds) {
 		paced, rated = false, false
 	}
@@ -86,7 +82,7 @@
 	return s
 }
 
-// typicalRate is how many prompt tokens a second an upstream of the pool reads.
+// typicalRate returns the pool's mean prefill throughput in tokens a second.
 func (h *Home) typicalRate() float64 {
 	if h.typical.rate > 0 {
 		return h.typical.rate
--- a/internal/core/placement/wait.go
+++ b/internal/core/placement/wait.go
@@ -7,25 +7,21 @@
 )
 
 const (
-	// usable is the part of the upstreams' memory that is in use on average
-	// while work waits.
+	// usable is the mean fraction of the upstreams' memory in use while work waits.
 	usable = 0.75
-	// retryLeast and retryMost bound the time after which a refused caller
-	// is told to come back.
-	retryLeast = time.Second
-	retryMost  = 5 * time.Minute
-	// readMargin is the time that is allowed for between a grant and its first token
-	// beside that in which the prompt is read: messages, the rest of the prompt before
-	// it, a slower upstream.
+	// retryMin and retryMax bound the Retry-After of refusals.
+	retryMin = time.Second
+	retryMax = 5 * time.Minute
+	// readMargin is the time allowed between a grant and its first token beside the prefill:
+	// messages, the rest of the previous prompt, a slower upstream.
 	readMargin = 250 * time.Millisecond
-	// promisesMost bounds the remembered promises.
-	promisesMost = 16_384
-	// promiseKeep is how long after its time a promise is kept for its caller.
-	promiseKeep = 10 * time.Second
+	// maxPromises bounds the number of promises.
+	maxPromises = 16_384
+	// promiseTTL is how long a promise is kept after its time.
+	promiseTTL = 10 * time.Second
 )
 
-// drainRate is how much cost the pool works off in a second: memory times
-// tokens a second.
+// drainRate returns the cost that the pool completes per second: memory times tokens a second.
 func (h *Home) drainRate(now time.Time) float64 {
 	guess := 0.0
 	for _, u := range h.upstreams {
@@ -40,10 +36,9 @@
 	return max(h.meter.rate(guess), 1)
 }
 
-// predictWait is how long an ask would queue: the time in which the work that
-// is ahead of it drains, while cheaper work keeps coming in and goes first. One with
-// a target that it can still meet waits until then at most before it is looked at
-// again.
+// predictWait returns the expected wait of an ask: until the work ahead of it has drained,
+// while cheaper work continues to arrive. An ask with a target that it can still meet waits
+// until its deadline at most before it is reconsidered.
 func (h *Home) predictWait(now, since time.Time, ask *Ask, cost float64) time.Duration {
 	if h.queue.len() == 0 {
 		return 0
@@ -56,18 +51,18 @@
 		return 0
 	}
 	rate := h.drainRate(now)
-	left := max(rate-h.meter.cheaper(cost), rate*leastLeft)
+	left := max(rate-h.meter.cheaper(cost), rate*minShare)
 	ahead := h.queue.ahead(key) + cost
 	return seconds(ahead / left * h.meter.doubt())
 }
 
-// tooLong reports whether an ask is refused now, as it would wait in vain.
+// tooLong reports whether an ask is refused because its wait would be in vain.
 func (h *Home) tooLong(wait, patience time.Duration) bool {
 	return wait > patience && !h.settings.Without.Has(mechanism.EarlyRefusal)
 }
 
-// lateWait is how long a late ask would queue behind those that can be on time: until
-// the work ahead of it has drained, by memory and time or by prompts that must be read.
+// lateWait returns the expected wait of a late ask behind the timely ones, by memory or by
+// prefill.
 func (h *Home) lateWait(now time.Time, q *queued) time.Duration {
 	rate := h.drainRate(now)
 	left := h.meter.lateRate(rate)
@@ -76,7 +71,7 @@
 	return seconds(max((cost+q.cost)/left, (prompts+float64(q.ask.Prompt))/max(reading, 1)))
 }
 
-// readRate is how many prompt tokens a second the pool reads.
+// readRate returns the pool's prefill throughput in tokens a second.
 func (h *Home) readRate(now time.Time) float64 {
 	sum := 0.0
 	for _, u := range h.upstreams {
@@ -87,8 +82,7 @@
 	return sum
 }
 
-// misses reports whether an ask that is still queued can't have its first token on
-// time any more.
+// misses reports whether a queued ask can no longer meet its deadline.
 func (h *Home) misses(now, since time.Time, ask *Ask) bool {
 	if ask.FirstTarget == 0 {
 		return false
@@ -99,8 +93,8 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// refuse turns an ask away with a time to come back: when the work that is
-// queued and the work of those who were told to come back earlier has drained.
+// refuse refuses an ask with a Retry-After: when the queue and the work of callers who were
+// told to return earlier have drained.
 func (h *Home) refuse(now, since time.Time, ask *Ask, cost float64) Decision {
 	rate, ahead := h.drainRate(now), h.queue.cost
 	if h.settings.Predict && ask.FirstTarget > 0 {
@@ -108,12 +102,12 @@
 		rate, ahead = h.meter.lateRate(rate), h.queue.lateCost
 	}
 	after := seconds((ahead + h.promises.cost) / rate)
-	after = min(max(after, retryLeast), retryMost)
+	after = min(max(after, retryMin), retryMax)
 	h.promises.add(now, since, ask, after, cost)
 	return Decision{Attempt: ask.Attempt, Kind: Refused, Reason: ReasonQueueFull, RetryAfter: after}
 }
 
-// promise is what a refused caller was told.
+// promise is the Retry-After given to a refused caller.
 type promise struct {
 	print uint64
 	// since is when the caller first asked, at when it was told to return.
@@ -121,9 +115,8 @@
 	cost      float64
 }
 
-// promises remembers, by fingerprint, the callers who were told to come back:
-// one who does takes the place in the queue that it had when it first asked,
-// before those who have come since.
+// promises holds the promises by fingerprint. A caller who returns as told takes the place of
+// its first ask.
 type promises struct {
 	byPrint map[uint64]*promise
 	order   []*promise
@@ -133,7 +126,7 @@
 func newPromises() promises { return promises{byPrint: map[uint64]*promise{}} }
 
 func (p *promises) add(now, since time.Time, ask *Ask, after time.Duration, cost float64) {
-	if ask.Fingerprint == 0 || p.byPrint[ask.Fingerprint] != nil || len(p.byPrint) >= promisesMost {
+	if ask.Fingerprint == 0 || p.byPrint[ask.Fingerprint] != nil || len(p.byPrint) >= maxPromises {
 		return
 	}
 	made := &promise{print: ask.Fingerprint, since: since, at: now.Add(after), cost: cost}
@@ -142,8 +135,8 @@
 	p.cost += cost
 }
 
-// redeem returns since when an ask counts as waiting: from its first refusal
-// on if its caller kept to the time that it was told.
+// redeem returns the time from which an ask counts as waiting: that of its first refusal if
+// the caller returned as told.
 func (p *promises) redeem(now time.Time, ask *Ask) time.Time {
 	made := p.byPrint[ask.Fingerprint]
 	if made == nil || now.Before(made.at) {
@@ -161,12 +154,12 @@
 	p.cost = max(p.cost-made.cost, 0)
 }
 
-// forget drops the promises whose callers did not come back.
+// forget drops the promises whose callers did not return.
 func (p *promises) forget(now time.Time) {
 	for len(p.order) > 0 {
 		made := p.order[0]
 		live := p.byPrint[made.print] == made
-		if live && now.Sub(made.at) < promiseKeep {
+		if live && now.Sub(made.at) < promiseTTL {
 			return
 		}
 		p.drop(made)
--- a/internal/core/roster/group.go
+++ b/internal/core/roster/group.go
@@ -11,38 +11,36 @@
 )
 
 const (
-	// wholeMost is the most upstreams of a service that every instance knows.
-	// Sixty entries are 5 KB.
-	wholeMost = 64
-	// wholeAgain is the number below which a divided service is whole again: a
-	// few upstreams that come and go must not divide it anew each time.
-	wholeAgain = 48
-	// groupMost is the most upstreams of a part when a service is divided. One
-	// home places their work and asks them for their state, both within a tenth of
-	// a second.
-	groupMost = 32
-	// groupFull and groupThin are how full a part gets, and how empty, before
-	// the service is divided anew, as parts of groupMost.
+	// maxWhole is the size above which a service is divided. Every instance knows all
+	// upstreams of a smaller one.
+	maxWhole = 64
+	// mergeBelow is the size below which a divided service becomes whole again. The gap to
+	// maxWhole keeps a few arrivals and departures from redividing it.
+	mergeBelow = 48
+	// maxGroup is the size of a group when a service is divided. One home places its work and
+	// polls its upstreams, each within 100 ms.
+	maxGroup = 32
+	// groupFull and groupThin are the fill factors, relative to maxGroup, beyond which a
+	// service is redivided.
 	groupFull = 1.5
 	groupThin = 0.3
-	// divideAfter is for how long a service must be too large or too small for its
-	// division before it is divided anew: each division makes new pools, whose homes
-	// must learn what runs, and a release or an outage doubles the entries for some
-	// seconds. divideAtOnce is how many times wholeMost a service may be meanwhile.
-	divideAfter  = 30 * time.Second
-	divideAtOnce = 2
-	// ownGroups is how many parts of a service an instance chooses from by
-	// itself: with two, no part depends on how many instances hash to it.
+	// divideDelay is how long a service must exceed these bounds before it is redivided: the
+	// new pools' homes must rebuild their state, and a release or an outage doubles the
+	// entries for some seconds. Above divideNow times maxWhole it is divided at once.
+	divideDelay = 30 * time.Second
+	divideNow   = 2
+	// ownGroups is how many groups of a service an instance balances over itself. With two, no
+	// group depends on how many instances hash to it.
 	ownGroups = 2
 )
 
-// Group is a part of a service's upstreams: all of them, or a share of those in one
-// data centre. An instance knows the groups that it uses, not every upstream.
+// Group is a subset of a service's upstreams: all of them, or a share of those in one data
+// centre. An instance knows only the groups that it uses.
 type Group struct {
 	Service string
-	// DataCentre is where the upstreams stand; "" for the whole service.
+	// DataCentre is the location of the upstreams; "" for the whole service.
 	DataCentre string
-	// Index tells the part, from 0, of Of parts in the data centre.
+	// Index is the group's number, from 0, among the Of groups of the data centre.
 	Index int
 	Of    int
 }
@@ -50,8 +48,7 @@
 // Whole returns the group of all upstreams of a service.
 func Whole(service string) Group { return Group{Service: service} }
 
-// Name returns the group's name as a pool: the service, or service, data centre,
-// index and number of parts.
+// Name returns the pool name of the group: the service, or "service/data centre/index/of".
 func (g Group) Name() string {
 	if g.Of == 0 {
 		return g.Service
@@ -59,7 +56,7 @@
 	return fmt.Sprintf("%s/%s/%d/%d", g.Service, g.DataCentre, g.Index, g.Of)
 }
 
-// ParseGroup returns the group of a pool's name.
+// ParseGroup is the inverse of Name.
 func ParseGroup(name string) Group {
 	parts := strings.Split(name, "/")
 	n := len(parts)
@@ -74,8 +71,7 @@
 	return Group{Service: strings.Join(parts[:n-3], "/"), DataCentre: parts[n-3], Index: index, Of: of}
 }
 
-// Layout tells into how many parts services are divided, by service and data
-// centre. Services that it lacks are whole.
+// Layout maps service and data centre to a number of groups. Services not listed are whole.
 type Layout map[string]map[string]int
 
 // Of returns the group that an entry belongs to.
@@ -87,10 +83,10 @@
 	return Group{Service: e.Service, DataCentre: e.DataCentre, Index: part(e.ID, of), Of: of}
 }
 
-// part spreads names evenly over parts.
+// part hashes a name to one of a number of groups.
 func part(name string, of int) int { return int(xxhash.Sum64String(name) % uint64(of)) }
 
-// Groups lists the parts of a service in a data centre, or in all for "".
+// Groups lists the groups of a service in a data centre, or in all of them for "".
 func (l Layout) Groups(service, dataCentre string) []Group {
 	var out []Group
 	for dc, of := range l[service] {
@@ -102,9 +98,9 @@
 	return out
 }
 
-// Own returns the groups of a service that an instance chooses from by itself: all
-// of a whole one, else some of its data centre, or of others if that is not open or has
-// none.
+// Own returns the groups of a service that an instance balances over: the whole service if it
+// is undivided, otherwise some of its own data centre, or of another one if its own is closed
+// or has none.
 func (l Layout) Own(service, dataCentre, instance string, open func(dataCentre string) bool) []Group {
 	if l[service] == nil {
 		return []Group{Whole(service)}
@@ -125,8 +121,8 @@
 	return out
 }
 
-// divide returns the layout for numbers of upstreams by service and data centre,
-// from the one before: small changes keep it, as each change makes new pools.
+// divide returns the layout for a number of upstreams by service and data centre. It keeps the
+// previous one on small changes, as each change makes new pools.
 func divide(before Layout, count map[string]map[string]int) Layout {
 	out := Layout{}
 	for service, by := range count {
@@ -134,7 +130,7 @@
 		for _, n := range by {
 			total += n
 		}
-		if total <= wholeAgain || before[service] == nil && total <= wholeMost {
+		if total <= mergeBelow || before[service] == nil && total <= maxWhole {
 			continue
 		}
 		out[service] = map[string]int{}
@@ -145,23 +141,23 @@
 	return out
 }
 
-// partsOf returns the number of parts for n upstreams: a power of two, so that a
-// growing service does not change its parts with each upstream.
+// partsOf returns the number of groups for n upstreams: a power of two, so that growth changes
+// it seldom.
 func partsOf(before, n int) int {
 	if before > 0 {
 		each := float64(n) / float64(before)
-		if each <= groupFull*groupMost && (each >= groupThin*groupMost || before == 1) {
+		if each <= groupFull*maxGroup && (each >= groupThin*maxGroup || before == 1) {
 			return before
 		}
 	}
 	of := 1
-	for of*groupMost < n {
+	for of*maxGroup < n {
 		of *= 2
 	}
 	return of
 }
 
-// Has reports whether a group is one of the layout's.
+// Has reports whether a group belongs to the layout.
 func (l Layout) Has(g Group) bool {
 	if g.Of == 0 {
 		return l[g.Service] == nil
@@ -169,7 +165,6 @@
 	return l[g.Service][g.DataCentre] == g.Of
 }
 
-// equal reports whether two layouts divide alike.
 func (l Layout) equal(o Layout) bool {
 	if len(l) != len(o) {
 		return false
--- a/internal/core/roster/group_test.go
+++ b/internal/core/roster/group_test.go
@@ -107,21 +107,21 @@
 		removed = append(removed, Change{ID: c.ID, Version: c.Version + 45, Removed: true})
 	}
 	r.Update(at(0), doubled, v+45)
-	for _, d := range []time.Duration{0, divideAfter / 2, divideAfter - time.Second} {
+	for _, d := range []time.Duration{0, divideDelay / 2, divideDelay - time.Second} {
 		if r.Divide(at(d)) {
 			t.Fatalf("divided after %s of crowding", d)
 		}
 	}
-	r.Update(at(divideAfter-time.Second), removed, v+90)
-	if r.Divide(at(divideAfter)) {
+	r.Update(at(divideDelay-time.Second), removed, v+90)
+	if r.Divide(at(divideDelay)) {
 		t.Fatal("divided though the crowd has gone")
 	}
 	for k := range doubled {
 		doubled[k].Version += 100
 	}
-	r.Update(at(divideAfter), doubled, v+200)
-	r.Divide(at(divideAfter))
-	if r.Divide(at(2*divideAfter-time.Second)) || !r.Divide(at(2*divideAfter)) {
+	r.Update(at(divideDelay), doubled, v+200)
+	r.Divide(at(divideDelay))
+	if r.Divide(at(2*divideDelay-time.Second)) || !r.Divide(at(2*divideDelay)) {
 		t.Error("a service that stays too large must be divided after a while, counted anew")
 	}
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -1,6 +1,5 @@
-// Package roster keeps what an instance knows of the upstreams: their entries
-// in the platform's list with the versions of those entries, and which of them
-// take new work. It does no I/O.
+// Package roster holds an instance's view of the upstreams: their entries in the platform's
+// list with versions, and which of them accept new work. It does no I/O.
 package roster
 
 import (
@@ -9,20 +8,20 @@
 	"time"
 )
 
-// Entry is what an upstream says of itself in the platform's list.
+// Entry is an upstream's own row in the platform's list.
 type Entry struct {
 	ID         string
 	Service    string
 	Address    string
 	DataCentre string
 	Slots      int
-	// Leaving is set once the upstream has announced that it will go.
+	// Leaving is set once the upstream has announced its shutdown.
 	Leaving bool
-	// Cold is how much longer the upstream stays cold, as of the entry's writing. An
-	// upstream is cold after its start, and may become so again.
+	// Cold is the remaining warm-up time when the entry was written. Upstreams are cold after
+	// a start and may become cold again.
 	Cold time.Duration
-	// Born identifies the run of the upstream, in Unix milliseconds; 0 if the
-	// entry does not say. An id may come again with another run.
+	// Born identifies the run of the upstream, in Unix milliseconds; 0 if unknown. Ids can be
+	// reused by another run.
 	Born int64
 }
 
@@ -33,17 +32,17 @@
 	Version int64
 	// Seen is when this run was first listed.
 	Seen time.Time
-	// LeavingSince is when the first sign of leaving arrived; zero if none.
+	// LeavingSince is when the first sign of its shutdown arrived; zero if none.
 	LeavingSince time.Time
-	// ColdUntil is when the upstream will be warm, as far as it has told.
+	// ColdUntil is the expected end of the warm-up.
 	ColdUntil time.Time
-	// Lapses is when a vanished entry is given up; zero while it is listed.
+	// Lapses is when a vanished entry is dropped; zero while it is listed.
 	Lapses time.Time
 	// Gone is set once the entry was removed or replaced by another run.
 	Gone bool
 }
 
-// Chill takes the upstream's word that it stays cold for a time from now on.
+// Chill records an upstream's report that it stays cold for a time from now.
 func (u *Upstream) Chill(now time.Time, cold time.Duration) {
 	if until := now.Add(cold); cold > 0 && until.After(u.ColdUntil) {
 		u.ColdUntil = until
@@ -58,47 +57,47 @@
 	ID      string
 	Version int64
 	Removed bool
-	// Valid is false for an entry that could not be decoded. It names no
-	// upstream to use; what was known under its id no longer holds.
+	// Valid is false for an entry that could not be decoded. It invalidates what was known
+	// under its id.
 	Valid bool
 	Entry Entry
 }
 
-// Roster is the list as known here: all of it, or the groups that this instance
-// uses. It is not safe for concurrent use.
+// Roster is the local view of the list: all of it, or the groups that this instance uses. It
+// is not safe for concurrent use.
 type Roster struct {
 	byID     map[string]*Upstream
 	versions map[string]int64
-	// gone holds when upstreams were dropped whose versions are remembered.
+	// gone holds the removal time of upstreams whose versions are kept.
 	gone      map[string]time.Time
 	byService map[string][]*Upstream
 	byGroup   map[Group][]*Upstream
-	// layout tells how services are divided, nil before that was decided; divided
-	// is its version.
+	// layout is the current division into groups, nil before the first decision; divided is
+	// its version.
 	layout  Layout
 	divided int64
-	// wanted is how services should be divided since wantedAt, if not as they are.
+	// wanted is the layout to change to, since wantedAt; nil if there is none.
 	wanted   Layout
 	wantedAt time.Time
-	// known holds the divided groups of which every upstream is known; whole
-	// is set if that is so of all.
+	// known holds the groups of which every upstream is known; whole is set if that holds for
+	// all.
 	known map[Group]bool
 	whole bool
-	// newest is the newest version of the list that was seen.
+	// newest is the newest version of the list seen.
 	newest int64
-	// changed holds, by group, the version of the newest change that was more
-	// than a heartbeat; lastChange is the newest of these.
+	// changed holds, by group, the version of the last change other than a heartbeat;
+	// lastChange is the newest of these.
 	changed    map[Group]int64
 	lastChange int64
-	// down is set while the store does not answer, since returned.
+	// down is set during an outage of the store; returned is when the last one ended.
 	down     bool
 	returned time.Time
-	// confirmed is the moment for which the list was last confirmed.
+	// confirmed is the time as of which the list was last confirmed.
 	confirmed time.Time
-	// lapsed holds, by group, when an entry that had lapsed was last given up,
-	// and retold when that was last told again.
+	// lapsed and retold hold, by group, when a lapsed entry was last dropped and when that was
+	// last announced again.
 	lapsed, retold map[Group]time.Time
-	// joined holds the runs that were listed since Joined was last called.
+	// joined holds the runs listed since the last call of Joined.
 	joined []*Upstream
 }
 
@@ -111,34 +110,33 @@
 	}
 }
 
-// Confirm tells that the list was the newest at a moment: that of the question
-// whose answer said so.
+// Confirm records that the list was current when the store was asked.
 func (r *Roster) Confirm(asked time.Time) {
 	if asked.After(r.confirmed) {
 		r.confirmed = asked
 	}
 }
 
-// Confirmed returns the moment for which the list was last confirmed.
+// Confirmed returns the time as of which the list was last confirmed.
 func (r *Roster) Confirmed() time.Time { return r.confirmed }
 
-// Joined returns the runs that were listed since the last call.
+// Joined returns the runs listed since the last call.
 func (r *Roster) Joined() []*Upstream {
 	joined := r.joined
 	r.joined = nil
 	return joined
 }
 
-// Known reports whether the list was received at all. An instance that has the
-// configuration but no list yet would refuse everything.
+// Known reports whether a list was received. Without one, an instance that has its
+// configuration would refuse everything.
 func (r *Roster) Known() bool { return r.newest > 0 }
 
-// Newest returns the newest version of the list that was seen.
+// Newest returns the newest version of the list seen.
 func (r *Roster) Newest() int64 { return r.newest }
 
-// Update applies changes of the list up to a version and returns the upstreams
-// that began to leave or went by it. Changes older than what is known under
-// their id are passed over: answers may come late or from a stale copy.
+// Update applies changes up to a version and returns the upstreams that began to leave or were
+// removed. Changes older than what is known are ignored: answers can be late or come from a
+// stale replica.
 func (r *Roster) Update(now time.Time, changes []Change, upTo int64) []*Upstream {
 	var left []*Upstream
 	meant := false
@@ -147,7 +145,7 @@
 			continue
 		}
 		r.versions[c.ID] = c.Version
-		if r.means(now, c) {
+		if r.isChange(now, c) {
 			r.touch(c)
 			meant = true
 		}
@@ -162,7 +160,7 @@
 	return left
 }
 
-// touch notes that a change concerns the groups of what was and of what is.
+// touch marks the groups of the old and the new entry as changed.
 func (r *Roster) touch(c Change) {
 	if u := r.byID[c.ID]; u != nil {
 		r.mark(r.layout.Of(u.Entry), c.Version)
@@ -177,8 +175,8 @@
 	r.lastChange = max(r.lastChange, version)
 }
 
-// Replace applies a whole copy of the list: what it lacks is removed. A copy
-// that is older than what was seen is passed over; it reports false then.
+// Replace applies a full copy of the list and removes what it lacks. It returns false for a
+// copy older than what is known.
 func (r *Roster) Replace(now time.Time, all []Change, version int64) (left []*Upstream, ok bool) {
 	if version < r.newest {
 		return nil, false
@@ -188,7 +186,7 @@
 	return left, true
 }
 
-// missing returns removals for those of some upstreams that a copy lacks.
+// missing returns removals for the upstreams that a copy lacks.
 func (r *Roster) missing(all []Change, version int64, of []*Upstream) []Change {
 	listed := make(map[string]bool, len(all))
 	for _, c := range all {
@@ -203,7 +201,7 @@
 	return out
 }
 
-// apply takes one change in and returns the upstream that left by it, if any.
+// apply applies one change and returns the upstream that left by it, or nil.
 func (r *Roster) apply(now time.Time, c Change) *Upstream {
 	old := r.byID[c.ID]
 	if c.Removed || !c.Valid {
@@ -233,12 +231,12 @@
 	return nil
 }
 
-// coldSlack is how much longer than known an upstream may say that it stays cold before
-// that is told to others: each of its heartbeats says so a little later than the last.
+// coldSlack is the extension of a warm-up above which a heartbeat counts as a change: each one
+// reports a slightly later end.
 const coldSlack = 300 * time.Millisecond
 
-// means reports whether a change is more than a heartbeat.
-func (r *Roster) means(now time.Time, c Change) bool {
+// isChange reports whether a change is more than a heartbeat.
+func (r *Roster) isChange(now time.Time, c Change) bool {
 	u := r.byID[c.ID]
 	if c.Removed || !c.Valid {
 		return u != nil
@@ -247,13 +245,12 @@
 		u.DataCentre != c.Entry.DataCentre || !u.Lapses.IsZero()
 }
 
-// sameRun reports whether two entries under one id are of the same run.
+// sameRun reports whether two entries of one id belong to the same run.
 func sameRun(a, b Entry) bool {
 	return a.Born == b.Born && a.Address == b.Address && a.Service == b.Service
 }
 
-// MarkLeaving notes another sign that an upstream leaves; it reports whether
-// that was new.
+// MarkLeaving records a sign of shutdown from elsewhere and reports whether it is the first.
 func (r *Roster) MarkLeaving(now time.Time, u *Upstream) bool {
 	if !u.LeavingSince.IsZero() {
 		return false
@@ -262,7 +259,7 @@
 	return true
 }
 
-// index lists the upstreams by service and by group, in the order of their ids.
+// index rebuilds the lists by service and group, ordered by id.
 func (r *Roster) index() {
 	r.byService, r.byGroup = map[string][]*Upstream{}, map[Group][]*Upstream{}
 	for _, u := range r.All() {
@@ -272,7 +269,7 @@
 	}
 }
 
-// Of lists the upstreams of a service, those that leave included.
+// Of lists the upstreams of a service, including those that leave.
 func (r *Roster) Of(service string) []*Upstream { return r.byService[service] }
 
 // All lists every upstream by id.
@@ -285,8 +282,8 @@
 	return out
 }
 
-// Len is how many upstreams are listed.
+// Len returns the number of upstreams listed.
 func (r *Roster) Len() int { return len(r.byID) }
 
-// Find returns the upstream that is listed under an id, or nil.
+// Find returns the upstream with an id, or nil.
 func (r *Roster) Find(id string) *Upstream { return r.byID[id] }
--- a/internal/core/roster/roster_test.go
+++ b/internal/core/roster/roster_test.go
@@ -153,7 +153,7 @@
 	r.StoreDown()
 	r.StoreUp(start)
 	r.Update(start, []Change{{ID: "a", Version: 3, Removed: true}}, 3)
-	if left := r.Tick(at(lapseHold)); len(left) != 1 {
+	if left := r.Tick(at(lapseTimeout)); len(left) != 1 {
 		t.Fatalf("left %v", names(left))
 	}
 	const known = 5 // of the instance, from the other reader
@@ -163,9 +163,9 @@
 	told := 0
 	for d := time.Duration(0); d < 10*time.Second; d += 100 * time.Millisecond {
 		v := int64(4 + d/(100*time.Millisecond))
-		r.Update(at(lapseHold+d), []Change{listed("b", v)}, v)
+		r.Update(at(lapseTimeout+d), []Change{listed("b", v)}, v)
 		before := r.lastChange
-		r.Tick(at(lapseHold + d))
+		r.Tick(at(lapseTimeout + d))
 		if r.lastChange != before {
 			told++
 		}
--- a/internal/core/roster/share.go
+++ b/internal/core/roster/share.go
@@ -6,27 +6,26 @@
 	"time"
 )
 
-// GroupCopy is all of a group, for another instance.
+// GroupCopy is the full content of a group, for another instance.
 type GroupCopy struct {
 	Group Group
 	List  []Change
 }
 
-// Layout returns how services are divided, and the version of that.
+// Layout returns the division into groups and its version.
 func (r *Roster) Layout() (Layout, int64) { return r.layout, r.divided }
 
 // Whole reports whether every upstream is known.
 func (r *Roster) Whole() bool { return r.whole }
 
-// In lists the upstreams of a group, those that leave included.
+// In lists the upstreams of a group, including those that leave.
 func (r *Roster) In(g Group) []*Upstream { return r.byGroup[g] }
 
 // Knows reports whether every upstream of a group is known.
 func (r *Roster) Knows(g Group) bool { return r.whole || g.Of == 0 || r.known[g] }
 
-// Divide works out anew how services are divided, as a reader of the whole list
-// does for all. It reports whether that has changed. Who knows a part of the list
-// must not: it would divide the service by the few upstreams that it knows.
+// Divide recomputes the layout and reports whether it changed. Only a reader of the whole list
+// decides it: others would divide a service by the few upstreams they know.
 func (r *Roster) Divide(now time.Time) bool {
 	if !r.whole {
 		return false
@@ -44,7 +43,7 @@
 	if r.wanted == nil || !want.equal(r.wanted) {
 		r.wanted, r.wantedAt = want, now
 	}
-	if !first && now.Sub(r.wantedAt) < divideAfter && !r.layout.overfull(count) {
+	if !first && now.Sub(r.wantedAt) < divideDelay && !r.layout.overfull(count) {
 		return false
 	}
 	r.wanted = nil
@@ -52,7 +51,7 @@
 	return true
 }
 
-// working counts the upstreams that take work, by service and data centre.
+// working counts the upstreams that accept work, by service and data centre.
 func (r *Roster) working() map[string]map[string]int {
 	count := map[string]map[string]int{}
 	for _, u := range r.byID {
@@ -67,23 +66,22 @@
 	return count
 }
 
-// overfull reports whether a service that is whole has far more upstreams than every
-// instance can know.
+// overfull reports whether an undivided service is far above maxWhole.
 func (l Layout) overfull(count map[string]map[string]int) bool {
 	for service, by := range count {
 		total := 0
 		for _, n := range by {
 			total += n
 		}
-		if l[service] == nil && total > divideAtOnce*wholeMost {
+		if l[service] == nil && total > divideNow*maxWhole {
 			return true
 		}
 	}
 	return false
 }
 
-// adoptLayout divides what is known as told. Groups that are new by it count as
-// changed, so that all who use them hear of them.
+// adoptLayout applies a layout. Its new groups count as changed, so that their users receive
+// them.
 func (r *Roster) adoptLayout(l Layout, version int64) {
 	r.divided = version
 	if l.equal(r.layout) {
@@ -106,9 +104,9 @@
 	}
 }
 
-// Since returns the copies of those groups that changed after a version: of all if
-// want is nil, else of the whole services and those that want names. Relays answer
-// hundreds of questions a second, nearly all of which find nothing new.
+// Since returns copies of the groups that changed after a version: of all groups if want is
+// nil, otherwise of the whole services and those in want. It is cheap when nothing changed, as
+// relays answer hundreds of such requests a second.
 func (r *Roster) Since(now time.Time, version int64, want []Group) []GroupCopy {
 	if r.lastChange <= version {
 		return nil
@@ -127,8 +125,7 @@
 	return out
 }
 
-// Copies returns copies of groups, whether they changed or not. Groups that are not
-// known here are left out.
+// Copies returns full copies of the groups that are known here.
 func (r *Roster) Copies(now time.Time, groups []Group) []GroupCopy {
 	var out []GroupCopy
 	for _, g := range groups {
@@ -139,7 +136,7 @@
 	return out
 }
 
-// copy returns a group as it is now: how much longer upstreams stay cold counts from then.
+// copy returns a group with warm-up times relative to now.
 func (r *Roster) copy(now time.Time, g Group) GroupCopy {
 	c := GroupCopy{Group: g, List: make([]Change, 0, len(r.byGroup[g]))}
 	for _, u := range r.byGroup[g] {
@@ -154,11 +151,11 @@
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Index, b.Index))
 }
 
-// Share is what another instance tells of its list.
+// Share is an instance's answer about its list.
 type Share struct {
-	// Version is that of the list it has.
+	// Version is the version of the sender's list.
 	Version int64
-	// Layout is nil if the asker knows it; Divided is its version.
+	// Layout is nil if the requester has it; Divided is its version.
 	Layout  Layout
 	Divided int64
 	Groups  []GroupCopy
@@ -166,20 +163,20 @@
 	All bool
 }
 
-// Question is what another instance asks of the list.
+// Question is a request for changes of the list.
 type Question struct {
-	// Version is that of the list it has, Divided that of its layout.
+	// Version is the version of the requester's list, Divided that of its layout.
 	Version int64
 	Divided int64
-	// Groups are the divided groups that it uses, New those among them that it
-	// does not know. All asks for every group.
+	// Groups are the groups in use, New those of them that the requester lacks. All requests
+	// every group.
 	Groups []Group
 	New    []Group
 	All    bool
 }
 
-// Answer tells what a question lacks: nil if nothing. It reports false if too little
-// is known here to answer it.
+// Answer returns the changes since a question's versions, or nil if there are none. It returns
+// false if this instance knows too little to answer.
 func (r *Roster) Answer(now time.Time, q Question) (s *Share, ok bool) {
 	if !r.Known() || q.All && !r.whole {
 		return nil, false
@@ -212,7 +209,7 @@
 	return !slices.ContainsFunc(groups, func(g Group) bool { return !r.Knows(g) })
 }
 
-// current returns those of some groups that the layout has.
+// current returns the groups that the layout still has.
 func (r *Roster) current(groups []Group) []Group {
 	out := make([]Group, 0, len(groups))
 	for _, g := range groups {
@@ -241,8 +238,8 @@
 	return q
 }
 
-// Adopt applies another instance's copies. What a copy lacks is gone: the other has
-// held lapsed entries for as long as they are worth it.
+// Adopt applies copies from another instance. What a copy lacks is removed at once: its sender
+// has already kept lapsed entries for long enough.
 func (r *Roster) Adopt(now time.Time, s Share) (left []*Upstream) {
 	r.down, r.returned = false, time.Time{}
 	for _, u := range r.byID {
@@ -252,7 +249,7 @@
 	case s.Layout != nil && s.Divided != r.divided:
 		r.adoptLayout(s.Layout, s.Divided)
 	case r.layout == nil:
-		r.layout = Layout{} // the other has decided that nothing is divided
+		r.layout = Layout{} // the sender knows that nothing is divided
 	}
 	if s.Version < r.newest {
 		return nil
@@ -266,13 +263,12 @@
 		}
 	}
 	r.newest = max(r.newest, s.Version)
-	// Services that are not divided are told whole to everybody.
+	// Undivided services are sent to every instance.
 	r.whole = s.All || len(r.layout) == 0
 	return left
 }
 
-// Keep forgets the divided groups that are not among some. It reports whether there
-// were others.
+// Keep drops all divided groups but some and reports whether there were others.
 func (r *Roster) Keep(groups []Group) bool {
 	dropped := false
 	for g := range r.byGroup {
@@ -280,7 +276,7 @@
 			continue
 		}
 		for _, u := range r.byGroup[g] {
-			u.Gone = true // from here: whoever holds it must not choose it
+			u.Gone = true // holders of the pointer must not choose it
 			delete(r.byID, u.ID)
 			delete(r.versions, u.ID)
 		}
