--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -13,14 +13,14 @@
 	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
-// answerSmall is the largest answer that is read whole before any of it is
-// passed on: one that breaks off can then be tried again, and never looks whole.
-const answerSmall = 64 << 10
+// bufferedAnswer is the size up to which an answer is buffered before it is passed on, so that
+// a truncated one can be retried.
+const bufferedAnswer = 64 << 10
 
-// errUnsigned means that a success lacks the upstream's signature.
+// errUnsigned: a success lacks the upstream's signature.
 var errUnsigned = errors.New("success without a signature")
 
-// held is an answer that was read whole.
+// held is a buffered answer.
 type held struct {
 	status int
 	header http.Header
@@ -28,8 +28,8 @@
 	body   []byte
 }
 
-// answer reads the head of this request's answer. An answer to an earlier
-// request may arrive late, at the place of this one: it is read and dropped.
+// answer reads the head of this request's answer. A late answer to an earlier request on the
+// connection is drained.
 func (x *exchange) answer(c *conn.Conn, a *forward.Attempt) (*http.Response, Answer, error) {
 	if !a.GiveUp.IsZero() {
 		_ = c.SetReadDeadline(time.Now().Add(a.GiveUp.Sub(a.Sent))) // fails only on a closed connection, as the read then does
@@ -45,14 +45,14 @@
 			return resp, ans, nil
 		}
 		x.server.metrics.Count("late_answers_total", "dropped")
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, answerSmall)); err != nil || resp.Close {
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, bufferedAnswer)); err != nil || resp.Close {
 			break
 		}
 	}
 	return nil, Answer{}, errNotOurs
 }
 
-// pass hands the answer on and says how the attempt ended.
+// pass forwards the answer and returns the attempt's outcome.
 func (x *exchange) pass(c *conn.Conn, a *forward.Attempt, resp *http.Response, ans Answer) (forward.Outcome, error) {
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if success && x.call.Route.Kind == route.Stream && ans.Signed {
@@ -71,7 +71,7 @@
 	case success && !ans.Signed:
 		return forward.Lost, errUnsigned
 	case resp.StatusCode >= http.StatusInternalServerError || forward.PromisesNotRun(resp.StatusCode):
-		// Without its word that it has not run the request, it may have.
+		// An upstream that does not say otherwise may have run the request.
 		x.failure = h
 		return forward.Failed, nil
 	}
@@ -85,15 +85,15 @@
 func readHeld(resp *http.Response, ans Answer) (*held, error) {
 	h := &held{status: resp.StatusCode, header: resp.Header, signed: ans.Signed}
 	var err error
-	h.body, err = io.ReadAll(io.LimitReader(resp.Body, answerSmall+1))
-	if err == nil && len(h.body) > answerSmall {
+	h.body, err = io.ReadAll(io.LimitReader(resp.Body, bufferedAnswer+1))
+	if err == nil && len(h.body) > bufferedAnswer {
 		err = errTooLarge
 	}
 	return h, err
 }
 
-// write passes an answer on that was read whole. A status that promises "not
-// run" without the upstream's word for it is replaced.
+// write forwards a buffered answer. A status that means "not run" is replaced unless the
+// upstream has stated it.
 func (x *exchange) write(h *held) {
 	if forward.PromisesNotRun(h.status) {
 		h = &held{status: http.StatusBadGateway, header: http.Header{}, body: nil}
@@ -111,7 +111,7 @@
 	}
 }
 
-// passLarge passes an answer on as it arrives, after its beginning was held.
+// passLarge forwards an answer as it arrives, after its buffered beginning.
 func (x *exchange) passLarge(resp *http.Response, h *held) (forward.Outcome, error) {
 	x.server.wire.Passed(x.w.Header(), resp.Header, true)
 	plainType(x.w.Header())
@@ -127,8 +127,7 @@
 	return forward.Done, nil
 }
 
-// plainType keeps the HTTP library from guessing a content type that the
-// upstream did not state.
+// plainType prevents net/http from guessing a content type.
 func plainType(h http.Header) {
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil
--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -13,27 +13,27 @@
 )
 
 const (
-	// callTimeout bounds calls to upstreams that are no caller's requests. A
-	// copy takes up to half a second over a link between data centres.
+	// callTimeout bounds calls other than callers' requests. A copy takes up to 500 ms between
+	// data centres.
 	callTimeout = 1500 * time.Millisecond
-	// probeTimeout bounds the question for an upstream's state.
+	// probeTimeout bounds a request for an upstream's state.
 	probeTimeout = 400 * time.Millisecond
 	// callAnswerMax bounds the answers of such calls in bytes.
 	callAnswerMax = 64 << 10
 )
 
-// errUnreadable means that an upstream answered what can't be decoded.
+// errUnreadable: an answer cannot be decoded.
 var errUnreadable = errors.New("unreadable answer")
 
-// callAnswer is an upstream's answer to a call that is no caller's request.
+// callAnswer is the answer to a call other than a caller's request.
 type callAnswer struct {
 	status int
 	body   []byte
-	// closing is set if the upstream closes the connection after it.
+	// closing is set if the upstream closes the connection afterwards.
 	closing bool
 }
 
-// call makes a call to an upstream that is no caller's request.
+// call makes a call to an upstream other than a caller's request.
 func (s *server) call(ctx context.Context, address string, call Call) (callAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -67,7 +67,7 @@
 	return got, nil
 }
 
-// report asks an upstream for its state.
+// report requests an upstream's state.
 func (s *server) report(ctx context.Context, address string) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -83,9 +83,9 @@
 	return r, nil
 }
 
-// askLeaving asks an upstream whether it leaves. Its report is as old as its lag, half a
-// second and more, while a leaving upstream closes its connections at once. Others close
-// one now and then, so that it takes two in a row.
+// askLeaving asks an upstream whether it is leaving. Its report lags by half a second and
+// more, but a leaving upstream closes its connections at once. As others occasionally close
+// one too, it takes two in a row.
 func (s *server) askLeaving(ctx context.Context, address string) (Report, error) {
 	r, err := s.report(ctx, address)
 	if err != nil || r.Leaving || !r.Closing {
--- a/internal/hosted/cordon.go
+++ b/internal/hosted/cordon.go
@@ -13,15 +13,15 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 )
 
-// cordonGauge is what the metrics say of the cordons.
+// cordonGauge is the cordons' entry in the metrics.
 type cordonGauge struct {
 	DataCentres []string `json:"data_centres"`
 	Version     int64    `json:"version"`
-	// AgeMs is how long ago the cordons were last confirmed, in milliseconds.
+	// AgeMs is the time since the cordons were last confirmed, in milliseconds.
 	AgeMs int64 `json:"age_milliseconds"`
 }
 
-// cordonsNow is the gauge of the cordoned data centres.
+// cordonsNow returns the gauge of the cordoned data centres.
 func (s *server) cordonsNow() expvar.Func {
 	return func() any {
 		var out cordonGauge
@@ -33,8 +33,8 @@
 	}
 }
 
-// cordonsRead returns the cordons of an answer of the store, nil if they are as known. The
-// version of a set is that of the answer that first showed it.
+// cordonsRead returns the cordons in an answer of the store, or nil if unchanged. Their
+// version is that of the first answer that contained them.
 func (f *follower) cordonsRead(read ConfigRead) (changed *cordon.Set) {
 	f.logUnreadable(read)
 	f.server.decide(func(_ time.Time, g *forward.Gate) {
@@ -46,8 +46,8 @@
 	return changed
 }
 
-// logUnreadable tells once of cordons that can't be read in full. Their names say what
-// operators want, and count all the same.
+// logUnreadable logs once cordons that cannot be decoded in full. They apply all the same, as
+// their names are known.
 func (f *follower) logUnreadable(read ConfigRead) {
 	problems := errors.Join(read.Unreadable...)
 	text := fmt.Sprint(problems)
@@ -57,7 +57,7 @@
 	f.unreadable = text
 }
 
-// logCordons tells which data centres are cordoned and which no longer.
+// logCordons logs which data centres were cordoned and uncordoned.
 func (f *follower) logCordons(before, now cordon.Set, asked time.Time, source string) {
 	if !before.Known() && now.Empty() {
 		return
--- a/internal/hosted/crash.go
+++ b/internal/hosted/crash.go
@@ -10,13 +10,12 @@
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
-// crashProbeTimeout bounds the dial that tells a crash from a broken connection.
+// crashProbeTimeout bounds the dial that distinguishes a crash from a broken connection.
 const crashProbeTimeout = 300 * time.Millisecond
 
-// suspectCrash looks whether an upstream that broke an attempt off has crashed,
-// and if so holds that against the request, here and at every instance. Some
-// requests crash each upstream that runs them, and come again at any instance;
-// an upstream that was about to leave proves nothing.
+// suspectCrash checks whether an upstream that broke off an attempt has crashed, and if so
+// records a strike against the request at every instance: some requests crash each upstream
+// that runs them. Upstreams about to leave do not count.
 func (s *server) suspectCrash(c *forward.Call, a *forward.Attempt, o forward.Outcome) {
 	if o != forward.Lost && o != forward.Cut || s.isLeavingUpstream(a) || s.isCold(a) {
 		return
@@ -39,22 +38,21 @@
 	}()
 }
 
-// isCold reports whether an attempt's upstream is cold. It crashes under too many requests
-// then, which says nothing about each of them.
+// isCold reports whether an attempt's upstream is cold. It then crashes under too many
+// requests, which does not incriminate any of them.
 func (s *server) isCold(a *forward.Attempt) (cold bool) {
 	s.decide(func(now time.Time, g *forward.Gate) { cold = now.Before(g.ColdUntil(a.Upstream)) })
 	return cold
 }
 
-// isLeavingUpstream reports whether an attempt's upstream is known to leave.
+// isLeavingUpstream reports whether an attempt's upstream is known to be leaving.
 func (s *server) isLeavingUpstream(a *forward.Attempt) (leaving bool) {
 	s.decide(func(time.Time, *forward.Gate) { leaving = a.Leaving() })
 	return leaving
 }
 
-// tellFailing tells the other instances of an upstream that took a request and
-// gave no usable answer. Where a home places the work, the home is told of each end,
-// and nobody else needs to know.
+// tellFailing reports an upstream without a usable answer to the other instances. Where a home
+// places the work, it already learns of each end.
 func (s *server) tellFailing(c *forward.Call, a *forward.Attempt, o forward.Outcome) {
 	if o != forward.Lost || c.Pool != "" || s.isLeavingUpstream(a) {
 		return
@@ -63,14 +61,14 @@
 	s.homes.broadcast(msg.Failing{Upstream: a.Entry.ID, Born: a.Entry.Born})
 }
 
-// failing takes another instance's word of an upstream.
+// failing handles such a report.
 func (s *server) failing(from string, m msg.Failing) {
 	s.metrics.Count("upstreams_failing_total", "heard")
 	s.decide(func(now time.Time, g *forward.Gate) { g.Failing(now, m.Upstream, m.Born) })
 	s.log.Info("upstream_failing", "upstream", m.Upstream, "source", from)
 }
 
-// struck takes another instance's strike.
+// struck handles another instance's strike.
 func (s *server) struck(m msg.Strike) {
 	s.decide(func(now time.Time, g *forward.Gate) {
 		g.Strike(now, suspect.Strike{
--- a/internal/hosted/drain.go
+++ b/internal/hosted/drain.go
@@ -6,8 +6,8 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 )
 
-// Drain leaves: callers are sent elsewhere, and the process ends once nothing
-// runs any more or the grace is over.
+// Drain sends callers elsewhere and ends the process once nothing runs or the grace period is
+// over.
 func (i *Instance) Drain() {
 	i.server.decide(func(_ time.Time, g *forward.Gate) {
 		i.server.leaving = true
--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -16,7 +16,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 )
 
-// callersListener names the listener for callers.
+// callersListener is the name of the callers' listener.
 const callersListener = "callers"
 
 type listener struct {
@@ -38,7 +38,7 @@
 	return out
 }
 
-// answerReady tells the platform whether callers may come.
+// answerReady answers the platform's readiness check.
 func (i *Instance) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if !i.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -47,8 +47,8 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// ready reports whether the instance can serve: it knows a configuration and the
-// upstreams, and keys may be accepted.
+// ready reports whether the instance can serve: it has a configuration and the upstreams, and
+// keys may be accepted.
 func (i *Instance) ready() (ok bool) {
 	i.server.decide(func(now time.Time, g *forward.Gate) {
 		ok = !i.server.leaving && g.Table() != nil && g.Cordons().Known() && g.Roster().Known() && g.KeysGood(now)
@@ -56,9 +56,8 @@
 	return ok
 }
 
-// answerDirectory tells a caller where to connect. Each instance serves every
-// route, so that only the caller's place matters, and where the requests to its host may
-// be sent.
+// answerDirectory tells a caller where to connect. Every instance serves every route, so the
+// answer depends only on the caller's location and on the regions allowed for its host.
 func (i *Instance) answerDirectory(w http.ResponseWriter, req *http.Request) {
 	near, host := i.wire.Caller(req)
 	i.server.decide(func(_ time.Time, g *forward.Gate) {
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -13,12 +13,12 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// eventMax bounds one event of a stream in bytes.
-const eventMax = 1 << 20
+// maxEvent bounds an event of a stream in bytes.
+const maxEvent = 1 << 20
 
 var errEventTooLarge = errors.New("event is too large")
 
-// eventReader cuts a stream into events, byte for byte.
+// eventReader splits a stream into events without changing a byte.
 type eventReader struct {
 	r   *bufio.Reader
 	buf []byte
@@ -26,15 +26,15 @@
 
 func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReaderSize(r, 2048)} }
 
-// next returns the next whole event with the empty line that ends it. It
-// returns io.EOF at a clean end, and what was left with io.ErrUnexpectedEOF if
-// the stream stops within an event. The bytes hold until the next call.
+// next returns the next event including the empty line that ends it. It returns io.EOF at a
+// clean end and the remainder with io.ErrUnexpectedEOF within an event. The bytes are valid
+// until the next call.
 func (e *eventReader) next() ([]byte, error) {
 	e.buf = e.buf[:0]
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.buf = append(e.buf, line...)
-		if len(e.buf) > eventMax {
+		if len(e.buf) > maxEvent {
 			return nil, errEventTooLarge
 		}
 		switch {
@@ -51,7 +51,7 @@
 	}
 }
 
-// eventID returns the id that an event carries, or "".
+// eventID returns an event's id, or "".
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
 		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
@@ -61,9 +61,8 @@
 	return ""
 }
 
-// passStream passes events on as they arrive, each only when it is whole: what
-// an upstream leaves unfinished must not reach the caller, as the stream may go
-// on elsewhere.
+// passStream forwards whole events as they arrive. A partial one must not reach the caller, as
+// the stream may continue on another upstream.
 func (x *exchange) passStream(resp *http.Response) (forward.Outcome, error) {
 	events := newEventReader(resp.Body)
 	flush := http.NewResponseController(x.w)
@@ -91,8 +90,8 @@
 	}
 }
 
-// progress notes an event that was passed on. The first one tells the pool's home
-// that the prompt has been read.
+// progress records a forwarded event. The first one tells the pool's home that the prefill is
+// complete.
 func (x *exchange) progress(id string) {
 	pace := x.gaps.pace()
 	first := false
@@ -106,7 +105,7 @@
 	}
 }
 
-// streamEnded says how a stream ended that stopped early.
+// streamEnded returns the outcome of a stream that ended early.
 func (x *exchange) streamEnded() forward.Outcome {
 	if x.begun {
 		return forward.Cut
@@ -114,7 +113,7 @@
 	return forward.Lost
 }
 
-// begin passes the head on, once.
+// begin forwards the head, once.
 func (x *exchange) begin(resp *http.Response) {
 	if x.begun {
 		return
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -13,10 +13,10 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// errNotOurs means that an answer on a connection belongs to another request.
+// errNotOurs: an answer belongs to another request on the connection.
 var errNotOurs = errors.New("answer belongs to another request")
 
-// exchange sees one request through its attempts to its final answer.
+// exchange carries one request through its attempts to its final answer.
 type exchange struct {
 	server  *server
 	w       http.ResponseWriter
@@ -27,30 +27,26 @@
 	started time.Time
 	first   time.Duration
 	gaps    gaps
-	// begun is set once the head of an answer was passed on.
+	// begun is set once the head of an answer was forwarded.
 	begun bool
-	// failure is the upstream's own failure, held back while a retry is
-	// decided.
+	// failure is an upstream's error answer, held back while a retry is decided.
 	failure *held
 	lastErr error
-	// grants receives the answers of pools' homes, home is the one that
-	// granted the attempt in progress.
+	// grants receives the answers of homes; home is the one that granted the current attempt.
 	grants chan msg.GrantAnswer
 	home   string
-	// upstream is where the last attempt went, listAge the age of the list of
-	// upstreams when the request was let in; both are for the log.
+	// upstream is the last attempt's upstream, listAge the age of the list at admission; both
+	// are logged.
 	upstream string
 	listAge  time.Duration
-	// eventTokens is the number of tokens that one event holds.
+	// eventTokens is the number of tokens per event.
 	eventTokens int
-	// pace is the present attempt's pause between events while nothing disturbs it,
-	// 0 if that is not known. The server's lock guards it.
+	// pace is the current attempt's undisturbed interval between events; 0 if unknown. Guarded
+	// by the server's lock.
 	pace time.Duration
-	// mover makes a move of the run; nil if none is in progress. The server's
-	// lock guards it.
+	// mover is the move in progress, or nil. Guarded by the server's lock.
 	mover *mover
-	// conn carries the attempt in progress; nil between attempts. The server's
-	// lock guards it.
+	// conn carries the current attempt; nil between attempts. Guarded by the server's lock.
 	conn *conn.Conn
 }
 
@@ -67,7 +63,7 @@
 	x.end(step)
 }
 
-// try makes one attempt and returns what comes next.
+// try makes one attempt and returns the next step.
 func (x *exchange) try(a *forward.Attempt) forward.Step {
 	x.upstream = a.Entry.ID
 	grant := x.call.Grant()
@@ -90,7 +86,7 @@
 	return next
 }
 
-// end gives the caller the final answer, or breaks the connection off.
+// end sends the final answer or aborts the connection.
 func (x *exchange) end(step forward.Step) {
 	switch {
 	case step.Refuse != nil:
@@ -114,7 +110,7 @@
 	return step
 }
 
-// attempt sends the request to one upstream and passes its answer on.
+// attempt sends the request to one upstream and forwards its answer.
 func (x *exchange) attempt(a *forward.Attempt) forward.Outcome {
 	s := x.server
 	c, err := s.pool.Get(x.ctx, a.Entry.Address)
@@ -125,8 +121,8 @@
 		}
 		return forward.NotSent
 	}
-	// A caller that leaves, and a deadline that passes, end the upstream's
-	// work: it stops when the connection closes.
+	// Closing the connection stops the upstream's work when the caller leaves or the deadline
+	// passes.
 	stop := context.AfterFunc(x.ctx, func() { c.Close() })
 	defer stop()
 	x.setConn(c)
@@ -145,7 +141,7 @@
 	x.server.decide(func(time.Time, *forward.Gate) { x.conn = c })
 }
 
-// hangUp closes the connection of an attempt, if that is still in progress.
+// hangUp closes the connection of an attempt that is still in progress.
 func (x *exchange) hangUp(a *forward.Attempt) {
 	x.server.decide(func(time.Time, *forward.Gate) {
 		if x.conn != nil && x.call.Current() == a {
@@ -188,8 +184,8 @@
 	return outcome, err
 }
 
-// send writes the request; the channel tells when it has been written. A body
-// that is not held whole is sent while the answer is awaited already.
+// send writes the request; the channel reports when it is written. A body that is not buffered
+// is sent while the answer is awaited.
 func (x *exchange) send(c *conn.Conn, a *forward.Attempt) <-chan error {
 	req := &conn.Request{
 		Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
--- a/internal/hosted/fleet.go
+++ b/internal/hosted/fleet.go
@@ -14,43 +14,41 @@
 	"mulberrylug.example/mulberrylug/internal/peer"
 )
 
-// redialTimeout bounds a look at an instance whose connection has ended.
+// redialTimeout bounds each dial to an instance whose connection ended.
 const redialTimeout = 300 * time.Millisecond
 
-// redialDelays are the pauses before each of these looks.
+// redialDelays are the delays before these dials.
 var redialDelays = []time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond}
 
-// peers keeps in touch with the other instances.
+// peers maintains the view of the other instances.
 type peers struct {
 	store     Store
 	transport *peer.Transport
 	metrics   *metrics.Metrics
 	log       hclog.Logger
-	// state tells whether this instance is ready, whether it leaves, and
-	// whether the store answers it.
+	// state returns whether this instance is ready, is leaving, and can read the store.
 	state func() (ready, leaving, reads bool)
-	// gone is called when an instance has died: whoever takes its place as a
-	// home must hear at once what runs.
+	// gone is called when an instance has died: its successors as homes must hear immediately
+	// what runs.
 	gone func()
 
-	// seeds are addresses of a few instances, seedAddress is this one's own.
+	// seeds are the addresses of some instances, seedAddress is this instance's own.
 	seeds       []string
 	seedAddress string
-	// answers takes the answers to this instance's questions who lives, while it joins.
+	// answers receives the answers to this instance's join requests.
 	answers chan msg.JoinAnswer
-	// consulted is closed once this instance has joined, or nobody tells it of
-	// others; learned does that once.
+	// consulted is closed once this instance has joined, or none answers; learned does that
+	// once.
 	consulted chan struct{}
 	learned   sync.Once
 
-	// mu guards the view, and when the last regular heartbeats were sent to each
-	// data centre.
+	// mu guards the view and the times of the last regular heartbeats by data centre.
 	mu     sync.Mutex
 	fleet  *fleet.Fleet
 	sentAt map[string]time.Time
 }
 
-// with runs f on the view.
+// with runs a function on the view.
 func (f *peers) with(do func(now time.Time, v *fleet.Fleet)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -62,8 +60,7 @@
 	return self
 }
 
-// heartbeatDue tells the others that this instance lives, those of each data centre when
-// that is due.
+// heartbeatDue sends regular heartbeats to the data centres for which one is due.
 func (f *peers) heartbeatDue() {
 	due := map[string]bool{}
 	f.with(func(now time.Time, v *fleet.Fleet) {
@@ -83,14 +80,14 @@
 	}
 }
 
-// heartbeat tells every other instance at once that this one lives, and in which state;
-// those of other data centres by the relays in a large fleet.
+// heartbeat announces this instance's state to all others at once; in a large fleet relays
+// forward it to other data centres.
 func (f *peers) heartbeat() {
 	f.heartbeatTo(func(string) bool { return true })
 	f.announceDue()
 }
 
-// heartbeatTo tells the instances of some data centres that this one lives.
+// heartbeatTo sends a heartbeat to the instances of some data centres.
 func (f *peers) heartbeatTo(in func(dataCentre string) bool) {
 	ready, leaving, reads := f.state()
 	var self msg.Heartbeat
@@ -112,7 +109,7 @@
 	}
 }
 
-// send queues a message; one that does not fit is lost, as all may be.
+// send queues a message. Messages that do not fit are dropped; every protocol tolerates that.
 func (f *peers) send(to msg.Heartbeat, m msg.Message) {
 	if err := f.transport.Send(to.Name, to.PeerAddress, m); err != nil {
 		f.metrics.Count("peer_lost_messages_total", to.Name)
@@ -120,7 +117,7 @@
 	}
 }
 
-// sendTo sends a message to an instance by name; an unknown one hears nothing.
+// sendTo sends a message to an instance by name, if it is known.
 func (f *peers) sendTo(name string, m msg.Message) {
 	var to *msg.Heartbeat
 	f.with(func(_ time.Time, v *fleet.Fleet) {
@@ -134,13 +131,13 @@
 	}
 }
 
-// standsIn returns an instance's data centre, "" if the instance is not known.
-func (f *peers) standsIn(name string) (dataCentre string) {
+// dataCentreOf returns an instance's data centre, or "" if it is unknown.
+func (f *peers) dataCentreOf(name string) (dataCentre string) {
 	f.with(func(_ time.Time, v *fleet.Fleet) { dataCentre = v.DataCentre(name) })
 	return dataCentre
 }
 
-// heard takes another instance's heartbeat.
+// heard handles a heartbeat.
 func (f *peers) heard(b msg.Heartbeat) {
 	var contact fleet.Contact
 	unheard := false
@@ -162,11 +159,9 @@
 	}
 }
 
-// linkEnded looks whether an instance whose connection has ended is gone. A killed
-// process is told from a broken connection by the refusal of a new one, a second
-// sooner than by its silence: until then callers are sent to it, and work that it
-// was home of waits. Its sockets close one after the other, so that its address may
-// still take a connection at first.
+// linkEnded checks whether an instance whose connection ended is dead. A killed process
+// refuses a new connection, which detects it a second before its silence does. Its sockets
+// close one after the other, so that its address may still accept one at first.
 func (f *peers) linkEnded(name string) {
 	for _, wait := range redialDelays {
 		time.Sleep(wait)
@@ -187,7 +182,7 @@
 	}
 }
 
-// takeOut counts an instance as dead that refused a connection.
+// takeOut marks an instance that refused a connection as dead.
 func (f *peers) takeOut(tried time.Time, name string) {
 	gone := false
 	f.with(func(now time.Time, v *fleet.Fleet) { gone = v.Gone(now, tried, name) })
@@ -205,8 +200,8 @@
 	}
 }
 
-// sources returns where this instance gets its updates from; isHome is set if it is home
-// of a pool.
+// sources returns where this instance gets its updates from; isHome is set if it is home of a
+// pool.
 func (f *peers) sources(isHome bool) (s fleet.Sources) {
 	f.with(func(now time.Time, v *fleet.Fleet) { s = v.Sources(now, isHome) })
 	return s
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -18,45 +18,40 @@
 )
 
 const (
-	// configWait is the most time between two readings of the configuration.
-	// A new one is in force everywhere that much later, plus some
-	// milliseconds; operators are promised two seconds.
-	configWait = 600 * time.Millisecond
-	// confirmShare is the part of the time for which keys are accepted
-	// without a new confirmation that may pass between two readings. Who asks
-	// a reader adds a hold of the same length, so that three failed readings
-	// in a row are borne.
+	// configInterval is the longest interval between reads of the configuration, and so the
+	// delay until a new one is in force. Operators are promised two seconds.
+	configInterval = 600 * time.Millisecond
+	// confirmShare divides the validity of keys after a confirmation into intervals between
+	// reads. Instances behind a reader add a hold of the same length, so that three failed
+	// reads in a row are tolerated.
 	confirmShare = 6
-	// listWait is how long the store may hold a question for changes of the
-	// list of upstreams, on a connection that may go silent meanwhile: what
-	// leaves must get no more work within two seconds.
+	// listWait bounds a long poll for changes of the list, as the connection may go silent
+	// meanwhile: leaving upstreams must get no work after two seconds.
 	listWait = time.Second
-	// listPause is the least time between two questions for the list: many
-	// changes at once must not cost a call each.
-	listPause = 100 * time.Millisecond
-	// sparingPause is the same where calls to the store are to be saved.
-	sparingPause = 300 * time.Millisecond
-	// stalePause is the pause after an answer that confirms too little: long
-	// enough that hundreds of instances that all ask each other do not keep
-	// their machines busy, short against the time for which keys are accepted.
-	stalePause = 150 * time.Millisecond
-	// retryPause is the pause after a call to the store that failed.
-	retryPause = 150 * time.Millisecond
-	// sourcesEvery is how often it is worked out whom to ask. Instances come and
-	// go; one that does not answer is passed over at once all the same.
-	sourcesEvery = 200 * time.Millisecond
-	// listPerEntry is added to listPause for each entry of a long list: each is
-	// renewed every second or so, and what is asked for sooner is read twice.
+	// listInterval is the minimum interval between polls of the list.
+	listInterval = 100 * time.Millisecond
+	// sparingInterval is that interval where store calls are to be saved.
+	sparingInterval = 300 * time.Millisecond
+	// staleBackoff is the delay after an answer that confirms too little. It keeps hundreds of
+	// instances that ask each other from overloading their machines, and is short against the
+	// validity of keys.
+	staleBackoff = 150 * time.Millisecond
+	// retryBackoff is the delay after a failed call to the store.
+	retryBackoff = 150 * time.Millisecond
+	// sourcesInterval is the interval at which sources are recomputed. One that does not
+	// answer is skipped immediately.
+	sourcesInterval = 200 * time.Millisecond
+	// listPerEntry extends the interval for each entry of the list: every entry is renewed
+	// about once a second.
 	listPerEntry = 200 * time.Microsecond
-	// changeLines bounds the lines on upstreams that join, and on those that
-	// leave, by one answer: the first answer of a large service names thousands.
-	changeLines = 16
-	// sourcePause is how often it is looked whether another source is to be
-	// asked.
-	sourcePause = 100 * time.Millisecond
+	// maxChangeLines bounds the log lines about upstreams that joined, and that left, per
+	// answer.
+	maxChangeLines = 16
+	// sourceCheckInterval is the interval between checks for a better update source.
+	sourceCheckInterval = 100 * time.Millisecond
 )
 
-// follower keeps the gate's configuration and list of upstreams up to date.
+// follower keeps the gate's configuration and list of upstreams current.
 type follower struct {
 	store   Store
 	server  *server
@@ -66,50 +61,48 @@
 	left func()
 	// isHome reports whether this instance is home of a pool.
 	isHome func() bool
-	// adopted is called with what was put in force anew.
+	// adopted is called with each update that was put in force.
 	adopted func(update)
 	// regions maps each data centre to its region.
 	regions map[string]string
 	peers   *peers
 	relay   *relay
-	// wait is the time between two readings of the configuration.
+	// wait is the interval between reads of the configuration.
 	wait time.Duration
-	// divides is set unless large services are left whole.
+	// divides is unset if large services stay whole.
 	divides bool
-	// pace is the least time between two questions for the list, apart from its length.
+	// pace is the minimum interval between polls of the list, apart from its length.
 	pace time.Duration
 
-	// mu guards what follows, up to last.
+	// mu guards the fields up to last.
 	mu    sync.Mutex
 	watch *watch.Watch
 	// up is set while the store answers.
 	up bool
-	// sources are whom this instance may ask, as of sourcesAt.
+	// sources are the candidates for updates as of sourcesAt.
 	sources   fleet.Sources
 	sourcesAt time.Time
-	// last is the source that was asked last.
+	// last is the source asked last.
 	last string
 
-	// configAt and listAt are the store's versions that were last seen.
+	// configAt and listAt are the latest versions seen.
 	configAt int64
 	listAt   int64
-	// unreadable is what was last logged of cordons that can't be read.
+	// unreadable is the last log message about undecodable cordons.
 	unreadable string
 }
 
-// holdFor returns the time between two readings, and for which another
-// instance's question may be held, if keys are accepted for a time after a
-// confirmation; 0 accepts them for ever.
+// holdFor returns the interval between reads and the hold of other instances' long polls,
+// given the validity of keys after a confirmation; 0 is unlimited.
 func holdFor(keys time.Duration) time.Duration {
 	if keys == 0 {
-		return configWait
+		return configInterval
 	}
-	return min(configWait, keys/confirmShare)
+	return min(configInterval, keys/confirmShare)
 }
 
-// followConfig follows the configuration until the context ends. It reads the
-// row itself again and again: a feed of changes may be silent for a while though
-// there are changes, and its silence must not confirm that keys are still good.
+// followConfig follows the configuration until the context ends. It polls the row: a feed of
+// changes can stall, and its silence must not confirm that keys are still valid.
 func (f *follower) followConfig(ctx context.Context) error {
 	return f.whileReading(ctx, func() {
 		asked := boottime.Now()
@@ -117,7 +110,7 @@
 		if err != nil {
 			f.sourceFailed(watch.Store, err.Error())
 			f.failed(ctx, "configuration", err)
-			pause(ctx, retryPause)
+			pause(ctx, retryBackoff)
 			return
 		}
 		f.takeConfig(asked, read)
@@ -125,15 +118,15 @@
 	})
 }
 
-// whileReading repeats a step as long as the store is whom this instance asks
-// for updates, until the context ends.
+// whileReading repeats a step while the store is this instance's source, until the context
+// ends.
 func (f *follower) whileReading(ctx context.Context, step func()) error {
 	f.peers.awaitLearned(ctx)
 	for ctx.Err() == nil {
 		if f.source() == watch.Store {
 			step()
 		} else {
-			pause(ctx, sourcePause)
+			pause(ctx, sourceCheckInterval)
 		}
 	}
 	return ctx.Err()
@@ -152,15 +145,14 @@
 	f.adopt(asked, update{config: read.Config, cordons: f.cordonsRead(read)}, "store")
 }
 
-// update is what a source tells anew; what is nil is as it was.
+// update is a set of changes from a source; nil fields are unchanged.
 type update struct {
 	config  *route.Config
 	cordons *cordon.Set
 }
 
-// adopt puts an update in force and confirms what is in force as of the question. The
-// configuration and the cordons are taken in one step: no request is let in by the one
-// before the other is known.
+// adopt applies an update and confirms the current state as of the question. Configuration and
+// cordons change in one step, so that no request is admitted under one without the other.
 func (f *follower) adopt(asked time.Time, u update, source string) {
 	adopted, cordoned := false, false
 	c := u.config
@@ -209,33 +201,33 @@
 			f.listAt = 0
 			if whole {
 				f.failed(ctx, "list", err)
-				pause(ctx, retryPause)
+				pause(ctx, retryBackoff)
 			} else {
 				f.metrics.Count("store_failures_total", "list")
 			}
 			return
 		}
-		pause(ctx, f.listPause()-time.Since(began))
+		pause(ctx, f.listInterval()-time.Since(began))
 	})
 }
 
-// knowsAll reports whether every upstream is known. An instance that asked others
-// for a while knows what it uses.
+// knowsAll reports whether every upstream is known. Instances that asked others know only what
+// they use.
 func (f *follower) knowsAll() (all bool) {
 	f.server.decide(func(_ time.Time, g *forward.Gate) { all = g.Roster().Whole() })
 	return all
 }
 
-// listPause is the least time between two questions for the list.
-func (f *follower) listPause() (d time.Duration) {
+// listInterval returns the minimum interval between polls of the list.
+func (f *follower) listInterval() (d time.Duration) {
 	f.server.decide(func(_ time.Time, g *forward.Gate) {
 		d = f.pace + time.Duration(g.Roster().Len())*listPerEntry
 	})
 	return d
 }
 
-// readList reads the whole list, or what has changed. A feed that fails or is
-// cut is no sign that the store is away: the whole list is read then.
+// readList reads the whole list, or its changes. A feed that fails does not mean that the
+// store is down: the whole list is read instead.
 func (f *follower) readList(ctx context.Context, whole bool) error {
 	asked := boottime.Now()
 	var read ListRead
@@ -286,7 +278,7 @@
 	f.relay.tick()
 }
 
-// change changes the list, logs what that changes and tells who must know of it.
+// change applies changes of the list, logs them and notifies.
 func (f *follower) change(source string, do func(now time.Time, g *forward.Gate) []*roster.Upstream) {
 	var left, joined []roster.Upstream
 	listed := 0
@@ -294,15 +286,15 @@
 		left = copies(do(now, g))
 		joined, listed = copies(g.Roster().Joined()), g.Roster().Len()
 	})
-	for _, u := range joined[:min(len(joined), changeLines)] {
+	for _, u := range joined[:min(len(joined), maxChangeLines)] {
 		f.log.Info("upstream_joined", "upstream", u.ID, "service", u.Service, "address", u.Address, "data_centre", u.DataCentre,
 			"born", u.Born, "leaving", u.Leaving, "source", source, "version", u.Version, "listed", listed)
 	}
-	for _, u := range left[:min(len(left), changeLines)] {
+	for _, u := range left[:min(len(left), maxChangeLines)] {
 		f.log.Info("upstream_leaving", "upstream", u.ID, "service", u.Service, "address", u.Address,
 			"gone", u.Gone, "source", source, "version", u.Version)
 	}
-	if more := max(len(joined), len(left)) - changeLines; more > 0 {
+	if more := max(len(joined), len(left)) - maxChangeLines; more > 0 {
 		f.log.Info("upstreams_changed", "joined", len(joined), "left", len(left), "source", source, "listed", listed)
 	}
 	if len(left) > 0 {
@@ -310,7 +302,7 @@
 	}
 }
 
-// copies returns upstreams as they are: the list goes on changing them.
+// copies returns copies of upstreams that later changes of the list do not affect.
 func copies(list []*roster.Upstream) []roster.Upstream {
 	out := make([]roster.Upstream, 0, len(list))
 	for _, u := range list {
@@ -330,12 +322,12 @@
 	}
 }
 
-// tick gives up what lapsed and did not come back.
+// tick drops lapsed entries.
 func (f *follower) tick() {
 	f.change("lapse", func(now time.Time, g *forward.Gate) []*roster.Upstream { return g.Roster().Tick(now) })
 }
 
-// pause waits, unless the context ends first.
+// pause sleeps until the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/hosted/gaps.go
+++ b/internal/hosted/gaps.go
@@ -6,33 +6,29 @@
 )
 
 const (
-	// paceOver is the number of pauses that tell the pace of a stream, paceLeast
-	// how many there must be.
-	paceOver  = 16
-	paceLeast = 8
+	// paceWindow is the number of intervals from which a pace is estimated, paceMin the least
+	// number.
+	paceWindow = 16
+	paceMin    = 8
 )
 
-// gaps measures the pauses between the events of a stream, as they are passed on
-// to the caller: the waits that a reader of the answer sees. A pause that a move,
-// a slow upstream or a lossy link makes shows here; one between this instance and
-// the caller does not.
+// gaps measures the intervals between a stream's events when they are forwarded, as the caller
+// sees them apart from its own link.
 type gaps struct {
 	last    time.Time
 	longest time.Duration
-	// recent holds the latest of the noted pauses that the upstream of the present
-	// attempt made; noted counts them.
-	recent [paceOver]time.Duration
+	// recent holds the latest intervals of the current attempt's upstream; noted counts them.
+	recent [paceWindow]time.Duration
 	noted  int
-	// resumed is set until the first event of an attempt: the pause before it is
-	// the move's.
+	// resumed is set until the first event of an attempt: the interval before it belongs to
+	// the move.
 	resumed bool
 }
 
-// attempt begins to follow another attempt of the same stream.
+// attempt starts another attempt of the same stream.
 func (g *gaps) attempt() { g.noted, g.resumed = 0, true }
 
-// note takes an event that is passed on now, and returns the pause before it; ok
-// is false for the first event, before which there is none.
+// note records an event and returns the interval before it; ok is false for the first.
 func (g *gaps) note(now time.Time) (pause time.Duration, ok bool) {
 	ok = !g.last.IsZero()
 	if ok {
@@ -40,19 +36,18 @@
 		g.longest = max(g.longest, pause)
 	}
 	if ok && !g.resumed {
-		g.recent[g.noted%paceOver] = pause
+		g.recent[g.noted%paceWindow] = pause
 		g.noted++
 	}
 	g.last, g.resumed = now, false
 	return pause, ok
 }
 
-// pace is the pause between events while no prompt is read beside them, 0 if too few
-// have come. Prompts lengthen some pauses and never shorten one, so that the lower
-// quartile leaves them out, and single events that came early as well.
+// pace returns the interval between events without prefill beside them, or 0 with too few
+// events. Prefill lengthens intervals and never shortens one, so it takes the lower quartile.
 func (g *gaps) pace() time.Duration {
-	n := min(g.noted, paceOver)
-	if n < paceLeast {
+	n := min(g.noted, paceWindow)
+	if n < paceMin {
 		return 0
 	}
 	sorted := g.recent
--- a/internal/hosted/hold.go
+++ b/internal/hosted/hold.go
@@ -8,32 +8,32 @@
 )
 
 const (
-	// holdSmall is the largest body that is held whole before it is sent, so
-	// that it can be sent again elsewhere. The longest prompts take 34 KB.
-	holdSmall = 64 << 10
-	// heldShare is the part of the machine's memory that held bodies may take.
+	// maxHeldBody is the size up to which a body is buffered, so that it can be sent again
+	// elsewhere. The longest prompts take 34 KB.
+	maxHeldBody = 64 << 10
+	// heldShare is the fraction of the machine's memory for buffered bodies.
 	heldShare = 0.15
-	// heldLeast bounds it from below for machines that do not tell their memory.
-	heldLeast = 4 << 20
+	// minHeldTotal is its minimum, for machines whose memory is unknown.
+	minHeldTotal = 4 << 20
 )
 
-// holder bounds the memory that bodies of requests in progress take.
+// holder bounds the memory for bodies of requests in progress.
 type holder struct {
 	limit int64
 	held  atomic.Int64
 }
 
 func newHolder(memory int64) *holder {
-	return &holder{limit: max(int64(heldShare*float64(memory)), heldLeast)}
+	return &holder{limit: max(int64(heldShare*float64(memory)), minHeldTotal)}
 }
 
 // body is the body of a caller's request.
 type body struct {
 	// data is the body, or its beginning if rest is set.
 	data []byte
-	// rest is what has not been read yet; nil if data is everything.
+	// rest is the unread remainder, or nil.
 	rest io.Reader
-	// length is the length that the caller stated, -1 for chunks.
+	// length is the declared length; -1 for chunked bodies.
 	length  int64
 	present bool
 	release func()
@@ -42,8 +42,7 @@
 // whole reports whether the body can be sent again.
 func (b *body) whole() bool { return b.rest == nil }
 
-// reader returns the body from its beginning. A body that is not held whole can
-// be read once only.
+// reader returns the body from its beginning; only once if it is not whole.
 func (b *body) reader() io.Reader {
 	switch {
 	case !b.present:
@@ -55,13 +54,13 @@
 	}
 }
 
-// hold reads a small body whole, and the beginning of a large one. ok is false
-// if there is no memory for it.
+// hold buffers a small body, and the beginning of a large one. ok is false if there is no
+// memory.
 func (h *holder) hold(r *http.Request) (b *body, ok bool, err error) {
 	if r.ContentLength == 0 {
 		return &body{release: func() {}}, true, nil
 	}
-	size := int64(holdSmall)
+	size := int64(maxHeldBody)
 	if r.ContentLength > 0 && r.ContentLength < size {
 		size = r.ContentLength
 	}
--- a/internal/hosted/home.go
+++ b/internal/hosted/home.go
@@ -19,23 +19,22 @@
 	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
-// homes runs the homes of pools that this instance is asked as. An instance that
-// is asked serves, whether or not it believes to be home: two homes at once
-// overcommit a little and break no promise.
+// homes runs the homes of pools for which this instance is asked. It serves whether or not it
+// considers itself the home: two homes at once overcommit slightly and break no promise.
 type homes struct {
 	server  *server
 	metrics *metrics.Metrics
 	log     hclog.Logger
 	self    string
 	send    func(to string, m msg.Message)
-	// standsIn returns an instance's data centre, "" if it is not known.
-	standsIn func(instance string) string
-	// begun is called when a home has begun.
+	// dataCentreOf returns an instance's data centre, or "" if it is unknown.
+	dataCentreOf func(instance string) string
+	// begun is called when a home starts.
 	begun func()
-	// without lists the mechanisms that the homes do without.
+	// without lists disabled mechanisms.
 	without mechanism.Set
 	ways    mechanism.Ways
-	// local takes messages for this instance itself.
+	// local delivers messages to this instance itself.
 	local func(from string, m msg.Message)
 
 	mu    sync.Mutex
@@ -44,14 +43,14 @@
 }
 
 const (
-	// homeIdle is how long a home is kept that nobody asks.
+	// homeIdle is how long an unused home is kept.
 	homeIdle = 10 * time.Second
-	// syncEvery is how often a home compares its ledger with the list, and
-	// gives the orders that have come due.
-	syncEvery = 100 * time.Millisecond
+	// syncInterval is the interval at which homes compare their ledger with the list and give
+	// orders.
+	syncInterval = 100 * time.Millisecond
 )
 
-// on runs f on the home of a pool, beginning it if need be.
+// on runs a function on a pool's home, creating it if needed.
 func (h *homes) on(name string, f func(now time.Time, p *pool.Home)) {
 	now := boottime.Now()
 	l := h.listed(name)
@@ -93,7 +92,7 @@
 	return out
 }
 
-// collected is what a home wants done.
+// collected is a home's output.
 type collected struct {
 	pool   string
 	out    []pool.Out
@@ -105,18 +104,17 @@
 	return collected{pool: name, out: p.Take(), notes: p.Notes(), probes: p.Probes()}
 }
 
-// listing is what this instance knows of a pool.
+// listing is this instance's knowledge of a pool.
 type listing struct {
-	// service is nil if it is not in the configuration.
+	// service is nil if the configuration lacks it.
 	service *route.Service
-	// Listing is for the home. Its upstreams are copies: the list may change while the
-	// home looks at them.
+	// Listing holds copies of the upstreams, which may change concurrently.
 	pool.Listing
 	// current is unset once the service is divided into other pools.
 	current bool
 }
 
-// listed returns what this instance knows of a pool.
+// listed returns this instance's knowledge of a pool.
 func (h *homes) listed(name string) (l listing) {
 	group := roster.ParseGroup(name)
 	h.server.decide(func(_ time.Time, g *forward.Gate) {
@@ -158,7 +156,7 @@
 	}
 }
 
-// probe asks an upstream for its state and tells the home if it leaves.
+// probe asks an upstream for its state and tells the home if it is leaving.
 func (h *homes) probe(name string, l pool.Probe) {
 	h.metrics.Count("upstream_questions_total", name)
 	r, err := h.server.askLeaving(context.Background(), l.Address)
@@ -176,7 +174,7 @@
 	}
 }
 
-// sync gives every home the list as it is now.
+// sync passes the current list to every home.
 func (h *homes) sync() {
 	for _, name := range h.names() {
 		l := h.listed(name)
@@ -211,9 +209,9 @@
 	return names
 }
 
-// take handles a message for a home. It reports false for any other.
+// take handles a message for a home and returns false for any other.
 func (h *homes) take(from string, m msg.Message) bool {
-	entry := pool.Entry{Name: from, DataCentre: h.standsIn(from)}
+	entry := pool.Entry{Name: from, DataCentre: h.dataCentreOf(from)}
 	switch m := m.(type) {
 	case msg.GrantAsk:
 		h.on(m.Pool, func(now time.Time, p *pool.Home) { p.Ask(now, entry, m) })
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -31,34 +31,30 @@
 )
 
 const (
-	// heapShare is the part of the machine's memory that the heap may take
-	// before the collector works harder. The rest is for stacks, buffers of
-	// the sockets and the runtime.
+	// heapShare is the fraction of the machine's memory set as the soft limit of the heap. The
+	// rest is for stacks, socket buffers and the runtime.
 	heapShare = 0.6
-	// keyMargin is taken off the bound on revocation: the time between the
-	// acceptance of a key and the start of its request at an upstream.
+	// keyMargin is subtracted from the bound on revocation for the time between the acceptance
+	// of a key and the start of its request at an upstream.
 	keyMargin = 800 * time.Millisecond
-	// headerTimeout and headerBytes bound the head of a request. They are
-	// wider than the configuration's own limits, which well-behaved callers
-	// keep; they protect the process before it knows a configuration.
+	// headerTimeout and headerBytes bound the head of a request before a configuration is
+	// known; its own limits are narrower.
 	headerTimeout = 10 * time.Second
 	headerBytes   = 64 << 10
-	// idleTimeout ends callers' idle connections. It is far above what a
-	// configuration allows callers to reuse, so that no request crosses the
-	// close of its connection.
+	// idleTimeout closes callers' idle connections. It is far above the reuse that
+	// configurations allow, so that no request crosses a close.
 	idleTimeout = 3 * time.Minute
-	// sweepEvery is how often idle connections to upstreams are consulted at,
-	// tickEvery how often lapsed entries are.
-	sweepEvery = time.Second
-	tickEvery  = 100 * time.Millisecond
-	// entryTTL is how long callers keep a directory answer. Callers whose
-	// answer names a dead instance lose up to a second on it.
+	// sweepInterval is the interval between checks of idle upstream connections, tickInterval
+	// that between checks for lapsed entries.
+	sweepInterval = time.Second
+	tickInterval  = 100 * time.Millisecond
+	// entryTTL is the lifetime of a directory answer. Callers lose up to a second on a dead
+	// instance.
 	entryTTL = time.Second
-	// drainMargin is kept free of the grace at its end, for the last bytes.
+	// drainMargin is the part of the grace period left for the last bytes.
 	drainMargin = 500 * time.Millisecond
-	// lingerTTLs is for how many times a directory answer's life a leaving
-	// instance still takes requests: some callers keep an answer three times
-	// as long as it says.
+	// lingerTTLs is the number of directory lifetimes for which a leaving instance accepts
+	// requests: some callers keep an answer three times as long.
 	lingerTTLs = 3
 )
 
@@ -107,13 +103,13 @@
 	i.follower = &follower{
 		store: store, server: srv, metrics: m, log: log, left: func() { i.homes.sync() }, isHome: func() bool { return len(i.homes.names()) > 0 },
 		adopted: i.adopted, peers: i.peers, relay: i.relay, watch: watch.New(keys), wait: holdFor(keys),
-		divides: !s.Without.Has(mechanism.Parts), regions: s.Regions, pace: listPause,
+		divides: !s.Without.Has(mechanism.Parts), regions: s.Regions, pace: listInterval,
 	}
 	if s.Ways.Has(mechanism.FeedSparing) {
-		i.follower.pace = sparingPause
+		i.follower.pace = sparingInterval
 	}
 	i.homes = &homes{
-		server: srv, metrics: m, log: log, self: s.Name, send: i.peers.sendTo, local: i.onPeer, standsIn: i.peers.standsIn, without: s.Without, ways: s.Ways,
+		server: srv, metrics: m, log: log, self: s.Name, send: i.peers.sendTo, local: i.onPeer, dataCentreOf: i.peers.dataCentreOf, without: s.Without, ways: s.Ways,
 		pools: map[string]*pool.Home{}, used: map[string]time.Time{},
 	}
 	srv.homes = homeLink{name: i.homeOf, send: i.sendAny, silent: i.homeSilent, broadcast: i.broadcast}
@@ -122,7 +118,7 @@
 	return i
 }
 
-// options returns what the gate needs of the settings.
+// options converts the settings for the gate.
 func options(s Settings) forward.Options {
 	o := forward.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Regions: s.Regions, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
@@ -134,8 +130,7 @@
 	return o
 }
 
-// Reload takes changed settings. The bounds are in force at once; addresses and
-// names belong to the process and need a new one, which the log then says.
+// Reload applies changed bounds. Addresses and names need a restart, which is logged.
 func (i *Instance) Reload(s Settings) {
 	old := i.current()
 	s.MetricsPort, s.Without, s.Ways = old.MetricsPort, old.Without, old.Ways
@@ -159,7 +154,7 @@
 	return s
 }
 
-// heartbeat is what this instance tells the others of itself.
+// heartbeat returns this instance's heartbeat.
 func (i *Instance) heartbeat() msg.Heartbeat {
 	return msg.Heartbeat{
 		Name: i.settings.Name, DataCentre: i.settings.DataCentre, CallerAddress: i.settings.CallerAddress,
@@ -168,13 +163,12 @@
 	}
 }
 
-// state is what this instance tells the others of itself.
+// state returns this instance's announced state.
 func (i *Instance) state() (ready, leaving, reads bool) {
 	return i.ready(), i.server.isLeaving(), i.follower.reads()
 }
 
-// adopted hands an update that was put in force on to the instances that ask for it, and
-// to the homes.
+// adopted passes an update that is in force on to dependent instances and to the homes.
 func (i *Instance) adopted(u update) {
 	if u.config != nil {
 		i.server.decide(func(time.Time, *forward.Gate) { i.relay.config = u.config })
@@ -186,8 +180,8 @@
 	}
 }
 
-// uses returns the groups of divided services that this instance uses: those that it
-// chooses from by itself, and the pools that it is home of.
+// uses returns the groups of divided services that this instance needs: for its own balancing
+// and as a home.
 func (i *Instance) uses(gate *forward.Gate) []roster.Group {
 	out := i.homes.groups()
 	for _, g := range gate.OwnGroups() {
@@ -198,7 +192,7 @@
 	return out
 }
 
-// Metrics returns the counters of the instance.
+// Metrics returns the instance's counters.
 func (i *Instance) Metrics() *metrics.Metrics { return i.metrics }
 
 // Serve runs the instance until the context ends or it has drained.
@@ -237,7 +231,7 @@
 	}
 }
 
-// addListeners opens the addresses that speak HTTP and adds their servers.
+// addListeners opens the HTTP listeners and adds their servers.
 func (i *Instance) addListeners(ctx context.Context, tree *suture.Supervisor) error {
 	for _, l := range i.listeners() {
 		ln, err := conn.ListenConfig().Listen(ctx, "tcp", l.address)
@@ -254,7 +248,7 @@
 	return nil
 }
 
-// addPeers opens the addresses for other instances and adds the transport.
+// addPeers opens the listeners for other instances and adds the transport.
 func (i *Instance) addPeers(tree *suture.Supervisor) error {
 	peers, err := peer.Listen(i.heartbeat().PeerAddress, i.settings.Name, i.onPeer, i.log.Named("peer"))
 	if err != nil {
@@ -273,8 +267,8 @@
 	return nil
 }
 
-// countInstances tells the gate which instances share the retry budget and what cold
-// upstreams bear, and whether another one could serve.
+// countInstances updates the number of instances that share the retry budget and the load on
+// cold upstreams, and whether another one could serve.
 func (i *Instance) countInstances() {
 	n, alone := 1, false
 	var peers []forward.Peer
@@ -293,17 +287,16 @@
 	})
 }
 
-// countSent counts the bytes of a message by its kind, those that leave the data centre
-// apart.
+// countSent counts sent bytes by kind of message and whether they leave the data centre.
 func (i *Instance) countSent(to string, kind msg.Kind, bytes int) {
 	group := "peer_sent_bytes_total"
-	if i.peers.standsIn(to) != i.settings.DataCentre {
+	if i.peers.dataCentreOf(to) != i.settings.DataCentre {
 		group = "peer_sent_remote_bytes_total"
 	}
 	i.metrics.Add(group, kind.String(), int64(bytes))
 }
 
-// tasks lists what the instance does besides serving.
+// tasks lists the periodic tasks.
 func (i *Instance) tasks() []task.Task {
 	return []task.Task{
 		{Name: "join", Run: i.peers.join},
@@ -311,15 +304,15 @@
 		{Name: "asker", Run: i.asker.run},
 		{Name: "configuration", Run: i.follower.followConfig},
 		{Name: "list", Run: i.follower.followList},
-		task.Every("heartbeats", tickEvery, func(context.Context) {
+		task.Every("heartbeats", tickInterval, func(context.Context) {
 			i.peers.heartbeatDue()
 			i.peers.announceDue()
 		}),
-		task.Every("homes", syncEvery, func(context.Context) { i.homes.sync() }),
+		task.Every("homes", syncInterval, func(context.Context) { i.homes.sync() }),
 		task.Every("announcements", announceTick, func(context.Context) { i.server.announceDue() }),
 		task.Every("silent streams", silenceTick, i.server.askAboutSilent),
-		task.Every("idle connections", sweepEvery, func(context.Context) { i.server.pool.Sweep() }),
-		task.Every("ticks", tickEvery, func(context.Context) {
+		task.Every("idle connections", sweepInterval, func(context.Context) { i.server.pool.Sweep() }),
+		task.Every("ticks", tickInterval, func(context.Context) {
 			i.follower.tick()
 			i.relay.tick()
 			i.countInstances()
--- a/internal/hosted/join.go
+++ b/internal/hosted/join.go
@@ -12,18 +12,18 @@
 )
 
 const (
-	// joinTick is how often an instance that starts looks what to do next.
+	// joinTick is the interval of steps while joining.
 	joinTick = 10 * time.Millisecond
-	// memberTick is the same for one that has joined.
+	// memberTick is that interval after joining.
 	memberTick = 500 * time.Millisecond
-	// introducers is how many instances of the rows in the store are asked who else
-	// lives: rows of dead ones stay for a while.
+	// introducers is the number of instances from the store's rows that are asked for members:
+	// rows of dead ones remain for a while.
 	introducers = 6
-	// seedName names a seed that has not told its name yet, by its address.
+	// seedName prefixes the address of a seed whose name is unknown.
 	seedName = "seed "
 )
 
-// join makes this instance one of the fleet, and keeps it there.
+// join makes this instance a member of the fleet and keeps it one.
 func (f *peers) join(ctx context.Context) error {
 	j := fleet.NewJoin(boottime.Now(), len(f.otherSeeds()) > 0)
 	for ctx.Err() == nil {
@@ -45,7 +45,7 @@
 	return ctx.Err()
 }
 
-// awaitAnswer waits a moment for the answer of a seed.
+// awaitAnswer waits briefly for a seed's answer.
 func (f *peers) awaitAnswer(ctx context.Context, j *fleet.Join) {
 	t := time.NewTimer(joinTick)
 	defer t.Stop()
@@ -57,7 +57,7 @@
 	}
 }
 
-// joined notes that the others are known, as far as anybody tells.
+// joined records that the members are known.
 func (f *peers) joined(by string) {
 	f.learned.Do(func() {
 		known := 0
@@ -77,8 +77,7 @@
 	}
 }
 
-// awaitLearned waits until this instance knows of the others, if anybody tells: who
-// reads the store for all depends on who they are.
+// awaitLearned waits until the members are known, which decide who reads the store.
 func (f *peers) awaitLearned(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -86,13 +85,13 @@
 	}
 }
 
-// otherSeeds lists the seeds that are not this instance.
+// otherSeeds lists the seeds other than this instance.
 func (f *peers) otherSeeds() []string {
 	return slices.DeleteFunc(slices.Clone(f.seeds), func(a string) bool { return a == f.seedAddress })
 }
 
-// askSeeds asks the seeds over new connections: one that is dialled while the machine
-// still has no power would hang for longer than that takes to start.
+// askSeeds asks the seeds over new connections: an earlier dial to a machine without power
+// would hang for longer than its start takes.
 func (f *peers) askSeeds() {
 	for _, address := range f.otherSeeds() {
 		f.transport.Reset(seedName + address)
@@ -114,7 +113,7 @@
 	return ask
 }
 
-// onJoinAsk answers an instance that asks who lives.
+// onJoinAsk answers a request for members.
 func (f *peers) onJoinAsk(m msg.JoinAsk) {
 	m.Sender.Hears = true // it does not say whether it does
 	f.heard(m.Sender)
@@ -124,7 +123,7 @@
 	f.send(m.Sender, answer)
 }
 
-// onJoinAnswer takes in whom another instance knows.
+// onJoinAnswer handles a list of members.
 func (f *peers) onJoinAnswer(from string, m msg.JoinAnswer) {
 	f.with(func(now time.Time, v *fleet.Fleet) { v.Told(now, m.Size) })
 	f.learn("instance "+from, m.Instances, (*fleet.Fleet).Introduce)
@@ -134,8 +133,7 @@
 	}
 }
 
-// learn takes in instances that others know of, and asks those for a heartbeat that
-// were not known.
+// learn adds known members and asks new ones for a heartbeat.
 func (f *peers) learn(source string, known []msg.Heartbeat, take func(*fleet.Fleet, time.Time, msg.Heartbeat) bool) {
 	var fresh []msg.Heartbeat
 	f.with(func(now time.Time, v *fleet.Fleet) {
@@ -159,17 +157,15 @@
 	}
 }
 
-// sendsHeartbeats reports whether this instance tells those of a data centre itself that
-// it lives.
+// sendsHeartbeats reports whether this instance sends heartbeats to a data centre itself.
 func (f *peers) sendsHeartbeats(dataCentre string) (ok bool) {
 	f.with(func(_ time.Time, v *fleet.Fleet) { ok = v.HeartbeatInterval(dataCentre) > 0 })
 	return ok
 }
 
-// stay keeps this instance one of the fleet. Now and then it compares whom it knows with
-// what another one does: after a cut that lasted for minutes two sides have forgotten
-// each other, and whoever meets one of the other side tells the rest. Those that others
-// ask have a row in the store, and read there who else has.
+// stay maintains the membership. It periodically compares members with another instance, which
+// heals a partition after both sides have expired each other. Relays also keep a row in the
+// store and read the others'.
 func (f *peers) stay(ctx context.Context) error {
 	syncs, nextSync := 0, boottime.Now().Add(fleet.SyncAfter(0))
 	var rows rowKeeper
@@ -188,9 +184,8 @@
 	return ctx.Err()
 }
 
-// syncMembers asks another instance who lives: one that it exchanges heartbeats with, or
-// one of the seeds. A relay asks the seeds, as it must find the relays of data centres
-// that its own has lost sight of.
+// syncMembers asks another instance for its members: one of its peers, or one of the seeds.
+// Relays ask seeds, to find relays of data centres that their own has lost.
 func (f *peers) syncMembers() {
 	var live []string
 	f.with(func(now time.Time, v *fleet.Fleet) {
--- a/internal/hosted/limit.go
+++ b/internal/hosted/limit.go
@@ -9,16 +9,15 @@
 )
 
 const (
-	// filesKept is the number of descriptors kept for files.
+	// filesKept is the number of descriptors reserved for files.
 	filesKept = 200
-	// callerShare is the part of the rest that callers' connections may take.
-	// Each request in progress takes one more towards an upstream.
+	// callerShare is the fraction of the remaining descriptors for callers' connections. Each
+	// request in progress takes another one for its upstream.
 	callerShare = 0.5
 )
 
-// limitListener accepts at most a number of connections at once. Beyond it new
-// ones wait in the kernel's queue: a process that runs out of descriptors can
-// neither reach upstreams nor the store.
+// limitListener bounds the number of open connections. Further ones wait in the kernel's
+// backlog: without descriptors the process could reach neither upstreams nor the store.
 type limitListener struct {
 	net.Listener
 	places chan struct{}
@@ -42,7 +41,7 @@
 	return &limitedConn{Conn: c, free: func() { <-l.places }}, nil
 }
 
-// limitedConn gives its place back when it is closed.
+// limitedConn releases its place on Close.
 type limitedConn struct {
 	net.Conn
 	once sync.Once
@@ -56,8 +55,7 @@
 	return err
 }
 
-// checkDescriptors logs a warning if the process may open fewer descriptors than
-// the machine's settings say.
+// checkDescriptors logs a warning if the process may open fewer descriptors than configured.
 func checkDescriptors(want int, log hclog.Logger) {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// lastTimeout bounds the wait for the end of a move once the stream at
-	// the source has stopped: past it the caller has seen a long pause
-	// already, and what the first copy holds is the best there is.
+	// lastTimeout bounds the wait for the end of a move once the source has stopped. After it,
+	// the first copy is used.
 	lastTimeout = 700 * time.Millisecond
 )
 
@@ -26,7 +25,7 @@
 	done chan struct{}
 }
 
-// orderMove starts a move that the pool's home has ordered.
+// orderMove starts a move ordered by the pool's home.
 func (s *server) orderMove(from string, m msg.MoveOrder) {
 	reply := func(o msg.MoveOutcome) {
 		s.homes.send(from, msg.Moved{Pool: m.Pool, Attempt: m.Attempt, Number: m.Number, Outcome: o})
@@ -45,8 +44,8 @@
 	go func() { reply(x.runMove(mv, source, x.move)) }()
 }
 
-// beginMove makes a move the one in progress. It returns no source if there is
-// one already, or the run is not at the order's source.
+// beginMove registers a move. It returns no source if another one is in progress or the run is
+// not at the order's source.
 func (x *exchange) beginMove(m msg.MoveOrder) (mv *mover, source *forward.Attempt) {
 	mv = &mover{order: m, done: make(chan struct{})}
 	x.server.decide(func(time.Time, *forward.Gate) {
@@ -58,7 +57,7 @@
 	return mv, source
 }
 
-// runMove makes a move that has begun, by the steps given.
+// runMove runs a registered move by the given steps.
 func (x *exchange) runMove(mv *mover, source *forward.Attempt, steps func(*mover, *forward.Attempt) (msg.MoveOutcome, error)) msg.MoveOutcome {
 	s := x.server
 	outcome, err := steps(mv, source)
@@ -71,10 +70,9 @@
 	return outcome
 }
 
-// move copies the run's memory while it goes on, then stops it and copies what
-// is new: the caller waits for the second, short copy only. A run that ends meanwhile
-// leaves a copy behind, which would take memory at its destination for seconds: its
-// name comes with the answer alone, so that this is awaited all the same.
+// move copies the run's memory while it continues, then stops it and copies the remainder, so
+// that the caller waits for the short second copy only. It waits for the answer even if the
+// run ends meanwhile: only the answer names the copy, which must be freed.
 func (x *exchange) move(mv *mover, source *forward.Attempt) (msg.MoveOutcome, error) {
 	first, err := x.server.copyRun(context.WithoutCancel(x.ctx), source.Entry.Address, x.call.ID, mv.order.ToAddress, false)
 	if x.ctx.Err() != nil && err == nil {
@@ -91,17 +89,16 @@
 	return x.stopAndCopy(mv, source, first.Handle)
 }
 
-// errCordoned means that the destination of a move was cordoned meanwhile.
+// errCordoned: the destination of a move was cordoned meanwhile.
 var errCordoned = errors.New("the destination is cordoned")
 
-// mayMove reports whether a run may still go on where a move takes it.
+// mayMove reports whether a run may still continue at a move's destination.
 func (x *exchange) mayMove(o msg.MoveOrder) (may bool) {
 	x.server.decide(func(_ time.Time, g *forward.Gate) { may = g.MayMove(x.call, o.ToDataCentre) })
 	return may
 }
 
-// stopAndCopy stops the run, copies what an earlier copy lacks, and makes the call
-// go on from there.
+// stopAndCopy stops the run, copies what an earlier copy lacks and redirects the call there.
 func (x *exchange) stopAndCopy(mv *mover, source *forward.Attempt, earlier string) (msg.MoveOutcome, error) {
 	s := x.server
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), lastTimeout)
@@ -123,7 +120,7 @@
 	return last.Outcome, err
 }
 
-// redirect makes the call go on from the copy once its stream has stopped.
+// redirect makes the call continue from the copy.
 func (x *exchange) redirect(mv *mover, source *forward.Attempt, handle string, o msg.MoveOutcome) {
 	s := x.server
 	s.decide(func(_ time.Time, g *forward.Gate) {
@@ -141,8 +138,7 @@
 	})
 }
 
-// dropCopy frees a copy that nothing will go on from, as its run has ended. It
-// would hold memory at its upstream until it lapses; if it can't be freed, it does.
+// dropCopy frees a copy whose run has ended. If that fails, the copy expires.
 func (s *server) dropCopy(source, handle string) {
 	if handle == "" {
 		return
@@ -152,7 +148,7 @@
 	}
 }
 
-// copyRun makes one copy call.
+// copyRun makes one copy.
 func (s *server) copyRun(ctx context.Context, source, id, to string, last bool) (Copy, error) {
 	call, err := s.wire.Move(id, to, last)
 	if err != nil {
@@ -165,8 +161,8 @@
 	return s.wire.Moved(got.status, got.body), nil
 }
 
-// awaitMove waits for the end of a move in progress, which may be what has
-// stopped the stream, so that the call can go on from the copy.
+// awaitMove waits for the end of a move in progress, which may be the reason why the stream
+// stopped.
 func (x *exchange) awaitMove() {
 	var mv *mover
 	x.server.decide(func(time.Time, *forward.Gate) { mv = x.mover })
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -8,8 +8,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
-// homeOf returns the present home of a pool, in the pool's data centre if that has
-// instances.
+// homeOf returns the current home of a pool, in the pool's data centre if that has instances.
 func (i *Instance) homeOf(name string) (home string) {
 	dataCentre := roster.ParseGroup(name).DataCentre
 	i.peers.with(func(now time.Time, v *fleet.Fleet) { home = v.Home(now, "pool/"+name, dataCentre) })
@@ -20,7 +19,7 @@
 	i.peers.with(func(now time.Time, v *fleet.Fleet) { v.Suspect(now, name) })
 }
 
-// sendAny delivers a message to an instance, this one included.
+// sendAny sends a message to any instance, including this one.
 func (i *Instance) sendAny(to string, m msg.Message) {
 	if to == i.settings.Name {
 		i.onPeer(to, m)
@@ -29,7 +28,7 @@
 	i.peers.sendTo(to, m)
 }
 
-// broadcast sends a message to every other instance that lives.
+// broadcast sends a message to all other live instances.
 func (i *Instance) broadcast(m msg.Message) {
 	var live []string
 	i.peers.with(func(_ time.Time, v *fleet.Fleet) { live = v.Live() })
@@ -38,7 +37,7 @@
 	}
 }
 
-// onPeer takes a message of another instance.
+// onPeer handles a message from another instance.
 func (i *Instance) onPeer(from string, m msg.Message) {
 	if i.homes.take(from, m) {
 		return
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -12,24 +12,24 @@
 	"mulberrylug.example/mulberrylug/internal/core/pool"
 )
 
-// homeLink is an entry's way to the homes of pools.
+// homeLink connects an entry with the homes of pools.
 type homeLink struct {
-	// name returns the present home of a pool.
+	// name returns the current home of a pool.
 	name func(pool string) string
-	// send delivers a message to an instance, this one included.
+	// send delivers a message to an instance, including this one.
 	send func(to string, m msg.Message)
-	// silent notes a home that did not answer.
+	// silent records a home that did not answer.
 	silent func(name string)
-	// broadcast sends a message to every other instance that lives.
+	// broadcast sends a message to all other live instances.
 	broadcast func(m msg.Message)
 }
 
-// question is an ask at a pool's home that is not decided yet.
+// question is an undecided ask at a home.
 type question struct {
 	ask  msg.GrantAsk
 	home string
-	// began is when the home was asked first, asked when last: a grant counts
-	// from the question that may have led to it.
+	// began and asked are the times of the first and last ask: a grant is valid from the ask
+	// that may have led to it.
 	began, asked time.Time
 }
 
@@ -60,14 +60,14 @@
 			if a.Decision.Kind != placement.Queued {
 				return x.decided(q, a)
 			}
-			// The home lives and will say more in time.
+			// The home is alive and will decide later.
 			silence.Reset(forward.AskInterval + forward.HomeTimeout)
 			again.Reset(forward.AskInterval)
 		}
 	}
 }
 
-// decided takes the home's decision.
+// decided handles the home's decision.
 func (x *exchange) decided(q *question, a msg.GrantAnswer) forward.Step {
 	s := x.server
 	if a.Decision.Kind == placement.Refused {
@@ -83,8 +83,7 @@
 	return x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.Granted(now, q.asked, x.call, a) })
 }
 
-// homeSilent makes the entry choose by itself, and the next request ask another
-// home.
+// homeSilent falls back to a local choice and makes the next request ask another home.
 func (x *exchange) homeSilent(home string) forward.Step {
 	s := x.server
 	s.homes.silent(home)
@@ -93,7 +92,7 @@
 	return x.step(func(now time.Time, g *forward.Gate) forward.Step { return g.HomeSilent(now, x.call) })
 }
 
-// stopped returns the step of a call whose caller left or whose time is over.
+// stopped returns the step of a call whose caller left or whose deadline passed.
 func (x *exchange) stopped() forward.Step {
 	if x.r.Context().Err() != nil {
 		return forward.Step{End: true}
@@ -122,8 +121,8 @@
 // tokens estimates the output so far.
 func (x *exchange) tokens() int { return x.call.Events * x.eventTokens }
 
-// announceDue tells the homes which generations this instance runs, when that is due: a
-// home that is new must hear at once.
+// announceDue announces the running generations to the homes when due; new homes must hear
+// immediately.
 func (s *server) announceDue() {
 	due := false
 	told := map[string]string{}
@@ -139,7 +138,7 @@
 	}
 }
 
-// announce tells the homes which generations this instance runs.
+// announce announces the running generations to the homes.
 func (s *server) announce() {
 	running := map[string][]msg.RunningAttempt{}
 	s.decide(func(now time.Time, g *forward.Gate) {
@@ -165,7 +164,7 @@
 	s.decide(func(time.Time, *forward.Gate) { s.announcedTo = told })
 }
 
-// granted hands a home's answer to the request that waits for it.
+// granted passes a home's answer to the waiting request.
 func (s *server) granted(m msg.GrantAnswer) {
 	x := s.find(requestOf(m.Decision.Attempt))
 	if x == nil {
@@ -177,7 +176,7 @@
 	}
 }
 
-// requestOf returns the request of an attempt's name.
+// requestOf returns the request id of an attempt's name.
 func requestOf(attempt string) string {
 	if k := strings.LastIndexByte(attempt, '/'); k >= 0 {
 		return attempt[:k]
@@ -191,5 +190,5 @@
 	return s.running[id]
 }
 
-// announceTick is how often it is looked whether the homes must hear what runs.
+// announceTick is the interval between checks for due announcements.
 const announceTick = pool.AnnounceInterval / 2
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -13,17 +13,17 @@
 	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
-// ErrHistoryGone means that the store no longer holds the changes that were
-// asked for; the whole state must be read again.
+// ErrHistoryGone: the store no longer holds the requested changes, and the whole state must be
+// read.
 var ErrHistoryGone = errors.New("history is no longer held")
 
 // ConfigRead is an answer about the configuration.
 type ConfigRead struct {
 	// Version is the store's version that the answer reflects.
 	Version int64
-	// Config is nil if the answer holds no configuration.
+	// Config is nil if the answer holds none.
 	Config *route.Config
-	// Cordoned lists the data centres that operators have cordoned.
+	// Cordoned lists the cordoned data centres.
 	Cordoned []string
 	// Unreadable tells which cordons could not be read in full.
 	Unreadable []error
@@ -37,36 +37,36 @@
 	Unreadable []error
 }
 
-// Store is what an instance needs of the platform's store. ListSince waits for
-// changes after a version, and returns ErrHistoryGone if those are no longer held.
+// Store is the platform's store. ListSince is a long poll for changes after a version, and
+// returns ErrHistoryGone if those are no longer held.
 type Store interface {
 	Config(ctx context.Context) (ConfigRead, error)
 	List(ctx context.Context) (ListRead, error)
 	ListSince(ctx context.Context, after int64, wait time.Duration) (ListRead, error)
-	// Join makes an instance known to the others, Members lists all that did,
-	// Remove takes rows out that nobody has written since.
+	// Join registers an instance, Members lists the registered ones, Remove deletes rows that
+	// were not written since.
 	Join(ctx context.Context, self msg.Heartbeat) error
 	Members(ctx context.Context) ([]fleet.Row, error)
 	Remove(ctx context.Context, rows []fleet.Row) error
 }
 
-// Answer is the head of an upstream's answer, decoded.
+// Answer is the decoded head of an upstream's answer.
 type Answer struct {
-	// Ours is false for an answer that belongs to another request.
+	// Ours is false for an answer to another request.
 	Ours bool
-	// NotRun is set if the upstream states that it has not run the request.
+	// NotRun is set if the upstream states that it did not run the request.
 	NotRun bool
 	// Signed is set if the answer carries the upstream's signature.
 	Signed bool
 	// Leaving is set if the upstream closes the connection after the answer.
 	Leaving bool
-	// Load is nil if the answer does not tell the upstream's load.
+	// Load is nil if unknown.
 	Load *forward.Report
-	// Cold is how much longer the upstream stays cold; 0 if the answer does not tell.
+	// Cold is the remaining warm-up; 0 if unknown.
 	Cold time.Duration
 }
 
-// Call is a call to an upstream that is no caller's request.
+// Call is a call to an upstream other than a caller's request.
 type Call struct {
 	Method string
 	Target string
@@ -77,56 +77,53 @@
 type Copy struct {
 	// Handle names the copy.
 	Handle string
-	// Events counts the events that the run had made.
+	// Events is the number of events that the run had produced.
 	Events  int
 	Outcome msg.MoveOutcome
 }
 
-// Report is what an upstream says of itself, as of some hundred milliseconds ago.
+// Report is an upstream's state, some hundred milliseconds old.
 type Report struct {
 	Leaving bool
-	// Closing is set if the upstream closes the connection that it reported on.
+	// Closing is set if the upstream closes the connection of the report.
 	Closing bool
-	// LeavesIn is when it ends, if Known.
+	// LeavesIn is the time until it ends, if Known.
 	LeavesIn time.Duration
 	Known    bool
-	// Waiting counts the requests that it holds and does not run.
+	// Waiting counts the requests held but not running.
 	Waiting int
-	// Events counts, by request, the events that its runs have made; nil if it
-	// does not tell.
+	// Events counts the produced events by request; nil if unknown.
 	Events map[string]int
 }
 
 // Wire translates between the platform's HTTP and the core's types.
 type Wire interface {
-	// IsReady and IsDirectory tell which question a request of the platform
-	// or a caller asks.
+	// IsReady and IsDirectory report which endpoint a request is for.
 	IsReady(r *http.Request) bool
 	IsDirectory(r *http.Request) bool
-	// Caller tells where the caller stands that asks a directory question, and for which
-	// host it asks.
+	// Caller returns a directory request's location and the host it asks for.
 	Caller(r *http.Request) (near fleet.Place, host string)
-	// Addresses answers a directory question.
+	// Addresses writes a directory answer.
 	Addresses(w http.ResponseWriter, addresses []string, keep time.Duration) error
-	// Request decodes a caller's request; the body is not read.
+	// Request decodes a caller's request without its body.
 	Request(r *http.Request) forward.Request
-	// Outgoing returns the headers of an attempt, from those of the caller.
+	// Outgoing returns an attempt's headers, derived from the caller's.
 	Outgoing(caller http.Header, c *forward.Call, a *forward.Attempt) http.Header
-	// Answer decodes the head of an upstream's answer to a request.
+	// Answer decodes the head of an answer.
 	Answer(resp *http.Response, requestID string) Answer
-	// Passed copies the headers of an upstream's answer that concern the
-	// caller. The signature is left out if the status is not the upstream's.
+	// Passed copies the headers of an answer that concern the caller, without the signature
+	// unless the status is the upstream's.
 	Passed(to, from http.Header, signed bool)
-	// Move copies a run's memory to another upstream; with last the run stops
-	// first. Moved decodes the answer, DropCopy frees a copy and CopyAt names
-	// one to the upstream that goes on from it.
+	// Move copies a run's memory to another upstream; with last, the run stops first. Moved
+	// decodes the answer, DropCopy frees a copy and CopyAt names one to the upstream that
+	// continues from it.
 	Move(id, to string, last bool) (Call, error)
 	Moved(status int, body []byte) Copy
 	DropCopy(handle string) Call
 	CopyAt(address, handle string) string
-	// Report asks an upstream for its state, and Reported decodes the answer.
+	// Report requests an upstream's state, Reported decodes the answer.
 	Report() Call
 	Reported(body []byte) (Report, error)
-	// Refuse writes an answer of the system's own.
+	// Refuse writes a refusal of this system.
 	Refuse(w http.ResponseWriter, requestID string, r forward.Refusal) error
 }
--- a/internal/hosted/presence.go
+++ b/internal/hosted/presence.go
@@ -7,7 +7,8 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// announceDue tells others who lives, if this instance is a relay and that is due.
+// announceDue announces members to other data centres if this instance is a relay and it is
+// due.
 func (f *peers) announceDue() {
 	var due []fleet.Announcement
 	f.with(func(now time.Time, v *fleet.Fleet) { due = v.Announcements(now) })
@@ -18,7 +19,7 @@
 	}
 }
 
-// onPresences takes in who lives in other data centres.
+// onPresences handles the members of other data centres.
 func (f *peers) onPresences(from string, m msg.Presences) {
 	var unknown []string
 	f.with(func(now time.Time, v *fleet.Fleet) {
@@ -33,7 +34,7 @@
 	}
 }
 
-// onPresenceAsk tells an instance the members that it does not know.
+// onPresenceAsk sends an instance the members that it lacks.
 func (f *peers) onPresenceAsk(from string, m msg.PresenceAsk) {
 	var list []msg.Presence
 	f.with(func(now time.Time, v *fleet.Fleet) { list = v.Presences(now, m.Sources) })
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -13,22 +13,22 @@
 	"mulberrylug.example/mulberrylug/internal/core/watch"
 )
 
-// homeHold is how long a home lets its questions be held. It bounds how old what it
-// knows of the store gets while all is well, and so how soon it notices an outage.
+// homeHold is the hold of a home's long polls. It bounds the age of its knowledge and so the
+// delay until it notices an outage.
 const homeHold = 150 * time.Millisecond
 
-// relay answers the questions of instances that do not read the store.
+// relay answers instances that do not read the store.
 type relay struct {
 	server *server
 	send   func(to string, m msg.Message)
-	// hold is how long a question is held while there is no update.
+	// hold is how long a poll waits for an update.
 	hold time.Duration
-	// relays reports whether others should ask this instance, or it does not know yet.
+	// relays reports whether others use this instance as a source, or that is still unknown.
 	relays func() bool
 
 	mu      sync.Mutex
 	waiting map[string]waitingAsk
-	// config is the configuration in force, to be handed on.
+	// config is the configuration in force.
 	config *route.Config
 }
 
@@ -37,13 +37,13 @@
 	until time.Time
 }
 
-// ask takes a question: it is answered at once if there is an update.
+// ask handles a poll, which is answered immediately if there is an update.
 func (r *relay) ask(from string, m msg.SyncAsk) {
 	if answer, updated := r.answer(m); updated {
 		r.send(from, answer)
 		return
 	}
-	if !r.expects() {
+	if !r.mayUpdate() {
 		r.send(from, msg.SyncAnswer{Number: m.Number, ConfigAge: -1})
 		return
 	}
@@ -56,14 +56,14 @@
 	r.waiting[from] = waitingAsk{ask: m, until: time.Now().Add(hold)}
 }
 
-// expects reports whether an update may come soon. An instance that has no configuration
-// yet, and asks others for it like those that ask it, has nothing to wait for.
-func (r *relay) expects() (ok bool) {
+// mayUpdate reports whether a long poll is worth holding: without a configuration there is
+// nothing to compare.
+func (r *relay) mayUpdate() (ok bool) {
 	r.server.decide(func(_ time.Time, g *forward.Gate) { ok = g.Table() != nil })
 	return ok || r.relays()
 }
 
-// tick answers the questions that there is an update for, or that waited long enough.
+// tick answers polls that have an update or have been held for long enough.
 func (r *relay) tick() {
 	r.mu.Lock()
 	waiting := make(map[string]waitingAsk, len(r.waiting))
@@ -85,7 +85,7 @@
 	}
 }
 
-// answer tells what is newer than the asker's versions, and whether anything is.
+// answer returns what is newer than the requester's versions and whether anything is.
 func (r *relay) answer(m msg.SyncAsk) (a msg.SyncAnswer, updated bool) {
 	a = msg.SyncAnswer{Number: m.Number, ConfigAge: -1}
 	r.server.decide(func(now time.Time, g *forward.Gate) {
@@ -110,13 +110,13 @@
 	return a, updated
 }
 
-// asker asks other instances for updates while this one does not read the store.
+// asker polls other instances while this one does not read the store.
 type asker struct {
 	follower *follower
 	answers  chan syncAnswer
-	// uses returns the groups of divided services that this instance uses.
+	// uses returns the groups of divided services that this instance needs.
 	uses func(*forward.Gate) []roster.Group
-	// wake ends the wait for an answer: the instance uses another group now.
+	// wake interrupts a poll when another group is needed.
 	wake   chan struct{}
 	number int64
 }
@@ -126,13 +126,13 @@
 	msg.SyncAnswer
 }
 
-// run asks until the context ends.
+// run polls until the context ends.
 func (a *asker) run(ctx context.Context) error {
 	a.follower.peers.awaitLearned(ctx)
 	for ctx.Err() == nil {
 		source := a.follower.source()
 		if source == watch.Store {
-			pause(ctx, sourcePause)
+			pause(ctx, sourceCheckInterval)
 			continue
 		}
 		a.ask(ctx, source)
@@ -140,7 +140,7 @@
 	return ctx.Err()
 }
 
-// wakeUp makes the next question go out at once.
+// wakeUp makes the next poll start immediately.
 func (a *asker) wakeUp() {
 	select {
 	case a.wake <- struct{}{}:
@@ -148,8 +148,7 @@
 	}
 }
 
-// ask asks one instance and takes its answer in. The answer counts from the
-// moment of the question: what happened since, it may not know.
+// ask polls one instance and applies its answer, which confirms the state as of the question.
 func (a *asker) ask(ctx context.Context, source string) {
 	a.number++
 	all := a.follower.relays()
@@ -190,9 +189,9 @@
 func (a *asker) take(ctx context.Context, source string, asked time.Time, m msg.SyncAnswer, all bool) {
 	f := a.follower
 	if !f.sourceAnswered(source, m.ConfigAge) {
-		// While the store is away everybody's knowledge is old. Each other
-		// instance may be asked, but not one right after the other.
-		defer pause(ctx, stalePause)
+		// During an outage everyone's knowledge is old. Any other instance may be asked, with
+		// a backoff.
+		defer pause(ctx, staleBackoff)
 	}
 	if m.ConfigAge < 0 {
 		return
@@ -207,7 +206,7 @@
 	}
 }
 
-// takeList takes in what another instance tells of the list.
+// takeList applies another instance's list.
 func (a *asker) takeList(source string, share roster.Share, all bool) {
 	f := a.follower
 	var before, after int64
--- a/internal/hosted/rows.go
+++ b/internal/hosted/rows.go
@@ -11,18 +11,18 @@
 )
 
 const (
-	// joinPause is the mean pause after the first failed try to reach the rows of
-	// instances. It doubles joinDoubles times at most, and is drawn anew each
-	// time, so that instances that started together do not try together.
-	joinPause   = 500 * time.Millisecond
+	// joinBackoff is the mean delay after the first failed access to the instances' rows. It
+	// doubles up to joinDoubles times and is randomized, so that instances that start together
+	// do not retry together.
+	joinBackoff = 500 * time.Millisecond
 	joinDoubles = 3
-	// rowsEvery is how often the rows are read again, rowsAlone the mean pause before
-	// an instance does so that hears no other.
-	rowsEvery = 2 * time.Minute
-	rowsAlone = 8 * time.Second
+	// rowsInterval is the interval between reads of the rows, rowsAlone the mean delay for an
+	// instance without peers.
+	rowsInterval = 2 * time.Minute
+	rowsAlone    = 8 * time.Second
 )
 
-// joinByStore learns from the rows in the store who else is there, as no seed tells.
+// joinByStore learns the members from the store, as no seed answered.
 func (f *peers) joinByStore(ctx context.Context) {
 	for tries := 0; ctx.Err() == nil; tries++ {
 		err := f.tryRegister(ctx)
@@ -32,22 +32,21 @@
 		}
 		f.metrics.Count("store_failures_total", "join")
 		f.log.Warn("join_failed", "step", "join", "try", tries+1, "error", err)
-		wait := joinPause << min(tries, joinDoubles)
+		wait := joinBackoff << min(tries, joinDoubles)
 		pause(ctx, wait/2+rand.N(wait))
 	}
 }
 
-// rowKeeper tells when the rows of instances are to be read, and the own one written if
-// it is missing.
+// rowKeeper schedules reads of the rows and writes of this instance's own.
 type rowKeeper struct {
-	// read is when that was last done; alone since when no other is heard.
+	// read is the time of the last access, alone the time since which no peer was heard.
 	read  time.Time
 	alone time.Time
-	// wait is how long this instance must have heard nobody.
+	// wait is the time without peers after which the rows are read.
 	wait time.Duration
 }
 
-// due reports whether that is now.
+// due reports whether an access is due.
 func (k *rowKeeper) due(now time.Time, f *peers) bool {
 	alone, must := false, false
 	s := f.sources(false)
@@ -58,14 +57,14 @@
 		k.alone, k.wait = now, rowsAlone/2+rand.N(rowsAlone)
 	}
 	lonely := alone && now.Sub(k.alone) >= k.wait
-	if !lonely && (!must || !k.read.IsZero() && now.Sub(k.read) < rowsEvery) {
+	if !lonely && (!must || !k.read.IsZero() && now.Sub(k.read) < rowsInterval) {
 		return false
 	}
 	k.read, k.alone = now, time.Time{}
 	return true
 }
 
-// register writes the own row if it is missing, and learns from the others'.
+// register writes the own row if it is missing and learns from the others.
 func (f *peers) register(ctx context.Context) {
 	if err := f.tryRegister(ctx); err != nil && ctx.Err() == nil {
 		f.metrics.Count("store_failures_total", "register")
@@ -73,8 +72,8 @@
 	}
 }
 
-// tryRegister reads the rows and writes the own one if it is missing. It reads again after
-// that, so that of two instances that do so at once at least one sees the other.
+// tryRegister reads the rows, and writes and reads again if the own one is missing, so that of
+// two concurrent instances at least one sees the other.
 func (f *peers) tryRegister(ctx context.Context) error {
 	known, err := f.store.Members(ctx)
 	if err != nil {
@@ -95,7 +94,7 @@
 	return nil
 }
 
-// learnRows takes in the instances of rows, and asks some of them who else lives.
+// learnRows adds the instances in the rows and asks some of them for members.
 func (f *peers) learnRows(rows []fleet.Row) {
 	list := make([]msg.Heartbeat, 0, len(rows))
 	for _, r := range rows {
@@ -111,14 +110,13 @@
 	}
 }
 
-// sameRow reports whether a row says of an instance what it would write of itself.
+// sameRow reports whether a row matches what the instance would write.
 func sameRow(row, self msg.Heartbeat) bool {
 	return row.Name == self.Name && row.DataCentre == self.DataCentre &&
 		row.CallerAddress == self.CallerAddress && row.PeerAddress == self.PeerAddress
 }
 
-// sweep removes the rows of instances that are gone for good, now and then. The first
-// reader does it for all.
+// sweep periodically removes the rows of dead instances. The first reader does it for all.
 func (f *peers) sweep(ctx context.Context) error {
 	var s fleet.Sweep
 	for pause(ctx, fleet.SweepInterval); ctx.Err() == nil; pause(ctx, fleet.SweepInterval) {
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -16,7 +16,7 @@
 	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
-// server takes callers' requests and sees each to its final answer.
+// server carries callers' requests to their final answers.
 type server struct {
 	wire    Wire
 	pool    *conn.Pool
@@ -25,20 +25,20 @@
 	log     hclog.Logger
 	homes   homeLink
 
-	// mu serialises the gate.
+	// mu serializes access to the gate.
 	mu   sync.Mutex
 	gate *forward.Gate
-	// leaving is set once the instance drains; answers then close their
-	// connections, so that callers go elsewhere.
+	// leaving is set while draining: answers close their connections, so that callers go
+	// elsewhere.
 	leaving bool
-	// running holds the requests in progress by id; announced is when the
-	// homes were last told of them, announcedTo which homes, by pool.
+	// running holds the requests in progress by id; announced and announcedTo are the time and
+	// the homes of the last announcement.
 	running     map[string]*exchange
 	announced   time.Time
 	announcedTo map[string]string
 }
 
-// decide runs f on the gate.
+// decide runs a function on the gate.
 func (s *server) decide(f func(now time.Time, g *forward.Gate)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -48,7 +48,7 @@
 // ServeHTTP implements http.Handler for callers.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	req := s.wire.Request(r)
-	if r.ContentLength < 0 || r.ContentLength > holdSmall {
+	if r.ContentLength < 0 || r.ContentLength > maxHeldBody {
 		// An upstream may answer before it has read a long body; without
 		// this the server would stop reading the rest once it answers.
 		if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
@@ -118,14 +118,14 @@
 	}
 }
 
-// open returns how many requests are in progress.
+// open returns the number of requests in progress.
 func (s *server) open() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.running)
 }
 
-// refuse answers a request with a refusal and logs what decided it.
+// refuse answers with a refusal and logs its inputs.
 func (s *server) refuse(w http.ResponseWriter, req forward.Request, refusal forward.Refusal, c *forward.Call) {
 	s.metrics.Count("refusals_total", string(refusal.Reason))
 	pairs := []any{
@@ -149,7 +149,7 @@
 	}
 }
 
-// only answers a listener that serves one question besides requests.
+// only restricts a handler to one kind of request.
 func only(matches func(*http.Request) bool, answer http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !matches(r) {
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -8,19 +8,18 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// silenceTick is how often it is looked which streams have been silent for long.
+// silenceTick is the interval between checks for silent streams.
 const silenceTick = 100 * time.Millisecond
 
-// silentRun is an attempt whose stream says nothing.
+// silentRun is an attempt whose stream is silent.
 type silentRun struct {
 	x *exchange
 	a *forward.Attempt
 }
 
-// askAboutSilent asks upstreams what has become of streams that have said nothing
-// for long. Something between the two may have lost track of the connection: it
-// stays open, brings nothing, and the upstream goes on for nobody. New connections
-// work, so that one question tells that from an engine that is merely slow.
+// askAboutSilent asks upstreams about streams that have been silent for long. A middlebox may
+// have lost the connection while it stays open at both ends; a new connection distinguishes
+// that from a slow engine.
 func (s *server) askAboutSilent(ctx context.Context) {
 	due := map[string][]silentRun{}
 	s.decide(func(now time.Time, g *forward.Gate) {
@@ -36,7 +35,7 @@
 	}
 }
 
-// askAbout asks one upstream about all silent streams there at once.
+// askAbout asks one upstream about all its silent streams.
 func (s *server) askAbout(ctx context.Context, address string, runs []silentRun) {
 	var asked time.Time
 	s.decide(func(now time.Time, _ *forward.Gate) { asked = now })
@@ -54,7 +53,7 @@
 	}
 }
 
-// judgeSilent acts on an upstream's word about a silent stream.
+// judgeSilent acts on an upstream's report of a silent stream.
 func (s *server) judgeSilent(r silentRun, asked time.Time, report Report) {
 	events, listed := report.Events[r.x.call.ID]
 	var finding forward.Finding
@@ -74,9 +73,8 @@
 	}
 }
 
-// rescue makes a run go on elsewhere whose connection has fallen silent: it is
-// stopped over a new connection, so that it never runs twice, and picked up where
-// its copy lies.
+// rescue continues a run whose connection has fallen silent elsewhere. It is stopped over a
+// new connection, so that it never runs twice, and resumed from its copy.
 func (x *exchange) rescue(a *forward.Attempt) {
 	order := msg.MoveOrder{Pool: x.call.Pool, Attempt: x.call.ID, From: a.Entry.ID}
 	x.server.decide(func(now time.Time, g *forward.Gate) {
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -7,7 +7,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/watch"
 )
 
-// setUp notes whether the store answers, and reports whether that is a change.
+// setUp records whether the store answers and returns whether that changed.
 func (f *follower) setUp(up bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -16,12 +16,12 @@
 	return changed
 }
 
-// source returns whom to ask for updates: the store, or an instance by name.
+// source returns the current update source: the store, or an instance by name.
 func (f *follower) source() string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
-	if now.Sub(f.sourcesAt) >= sourcesEvery {
+	if now.Sub(f.sourcesAt) >= sourcesInterval {
 		f.sources = f.peers.sources(f.isHome())
 		f.sourcesAt = now
 	}
@@ -33,7 +33,7 @@
 	return source
 }
 
-// relays reports whether others get their updates from this instance.
+// relays reports whether other instances use this one as a source.
 func (f *follower) relays() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -58,16 +58,15 @@
 	}
 }
 
-// reads reports whether the store answered this instance when it last asked, or
-// enough time has passed since to ask again.
+// reads reports whether the store answered last time or may be asked again.
 func (f *follower) reads() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return !f.watch.Bad(boottime.Now(), watch.Store)
 }
 
-// sourceAnswered takes the age of what a source confirms, and reports whether it is
-// young enough.
+// sourceAnswered records the age of what a source confirms and reports whether it is fresh
+// enough.
 func (f *follower) sourceAnswered(source string, age time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
