forward: equal shares of a cold upstream are gone

A cold upstream's rate can be held by a few instances, or shared equally by all. The test keeps the bound of the way that stays: never above the rate.

--- a/internal/core/forward/cold.go
+++ b/internal/core/forward/cold.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/pace"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
@@ -67,8 +66,8 @@
 	if l.coldShare == nil {
 		l.coldShare = g.coldShare(now, u)
 	}
-	at := l.coldShare.openAt()
-	if at.After(warm) {
+	at := l.coldShare.OpenAt()
+	if l.coldShare.none || at.After(warm) {
 		return warm
 	}
 	return at
@@ -77,27 +76,8 @@
 // coldShare is this instance's share of a cold upstream's rate.
 type coldShare struct {
 	pace.Starts
-	// interval is the time between requests for shares of less than one a second, next the
-	// time of the next one.
-	interval time.Duration
-	next     time.Time
-}
-
-// never exceeds the time for which upstreams stay cold.
-const never = time.Hour
-
-func (s *coldShare) openAt() time.Time {
-	if s.interval > 0 {
-		return s.next
-	}
-	return s.OpenAt()
-}
-
-func (s *coldShare) note(now time.Time) {
-	s.Note(now)
-	if s.interval > 0 {
-		s.next = now.Add(s.interval)
-	}
+	// none is set if other instances hold all of it.
+	none bool
 }
 
 // coldShare computes this instance's share of a cold upstream.
@@ -107,20 +87,10 @@
 	if s.Engine != nil {
 		part = coldBesideHome
 	}
-	rate := part * s.ColdRate
-	if g.options.Ways.Has(mechanism.ColdShares) {
-		each := rate / float64(max(len(g.peers), 1))
-		if each >= 1 {
-			return &coldShare{Starts: pace.Starts{Limit: int(each)}}
-		}
-		interval := time.Duration(float64(time.Second) / each)
-		// All instances see an upstream become cold at once: the first start is random.
-		return &coldShare{interval: interval, next: now.Add(time.Duration(g.rng.Float64() * float64(interval)))}
-	}
-	starts := max(int(rate), 1)
+	starts := max(int(part*s.ColdRate), 1)
 	holders := g.holders(u, starts)
 	if !slices.Contains(holders, g.options.Name) {
-		return &coldShare{interval: never, next: now.Add(never)}
+		return &coldShare{none: true}
 	}
 	return &coldShare{Starts: pace.Starts{Limit: starts / len(holders)}}
 }
@@ -149,7 +119,7 @@
 // noteCold counts a request to a cold upstream.
 func (g *Gate) noteCold(now time.Time, u *roster.Upstream) {
 	if share := g.load(u).coldShare; share != nil && g.paced(now, u) {
-		share.note(now)
+		share.Note(now)
 	}
 }
 
--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -12,12 +12,9 @@
 
 // The ways that are no defaults, by decision.
 const (
-	// ColdShares: each instance has an equal share of what a cold upstream bears. By
-	// default a few instances hold it.
-	ColdShares Way = iota
 	// LengthsApart: a part of the upstreams, as large as the load takes, reads the prompts of
 	// short answers. By default each answer goes where it costs least, whatever its length.
-	LengthsApart
+	LengthsApart Way = iota
 	// ReadAheadTarget: an upstream may have as many unread prompts as leave the next one a
 	// part of its target. By default a tenth of a second of them.
 	ReadAheadTarget
@@ -50,7 +47,6 @@
 }
 
 var decisions = []decision{
-	{"cold", "holders", map[string]Way{"shares": ColdShares}},
 	{"lengths", "mixed", map[string]Way{"apart": LengthsApart}},
 	{"read_ahead", "fixed", map[string]Way{"target": ReadAheadTarget}},
 	{"cordoned", "stay", map[string]Way{"move": CordonedMove}},
--- a/internal/trial/cold.go
+++ b/internal/trial/cold.go
@@ -9,7 +9,6 @@
 
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
-	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/pace"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
@@ -29,7 +28,6 @@
 	Work      time.Duration
 	// Unaware is the part of the instances that know only half of the others.
 	Unaware float64
-	Ways    mechanism.Ways
 	Seed    uint64
 }
 
@@ -125,7 +123,7 @@
 	}
 	var out []*forward.Gate
 	for k, p := range peers {
-		g := forward.New(forward.Options{Name: p.Name, DataCentre: p.DataCentre, RetryWindow: 10 * time.Second, Ways: c.Ways, Seed: c.Seed + uint64(k)})
+		g := forward.New(forward.Options{Name: p.Name, DataCentre: p.DataCentre, RetryWindow: 10 * time.Second, Seed: c.Seed + uint64(k)})
 		g.Adopt(table)
 		g.SetCordons(now, cordon.NewSet(1, nil))
 		known := peers
