placement: the read-ahead that follows the target is gone

An upstream may have a tenth of a second of unread prompts; the other way let it have as many as leave the next one a fifth of its target.

--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -15,9 +15,6 @@
 	// LengthsApart: a part of the upstreams, as large as the load takes, reads the prompts of
 	// short answers. By default each answer goes where it costs least, whatever its length.
 	LengthsApart Way = iota
-	// ReadAheadTarget: an upstream may have as many unread prompts as leave the next one a
-	// part of its target. By default a tenth of a second of them.
-	ReadAheadTarget
 	// CordonedMove: generations are moved off cordoned upstreams. By default they run on.
 	CordonedMove
 	// MoveCheapest: a generation that leaves its upstream moves to where it costs least. By
@@ -48,7 +45,6 @@
 
 var decisions = []decision{
 	{"lengths", "mixed", map[string]Way{"apart": LengthsApart}},
-	{"read_ahead", "fixed", map[string]Way{"target": ReadAheadTarget}},
 	{"cordoned", "stay", map[string]Way{"move": CordonedMove}},
 	{"moves", "near", map[string]Way{"cheapest": MoveCheapest}},
 	{"retry", "least", map[string]Way{"elsewhere": RetryElsewhere}},
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -26,18 +26,6 @@
 	return readAhead
 }
 
-// readAheadTarget is the part of its target that an ask may spend behind unread prompts.
-const readAheadTarget = 0.2
-
-// readAheadFor returns how many seconds of prompts an upstream may have to read when it gets
-// an ask that has waited for some time.
-func (h *Home) readAheadFor(p *prospect, waited time.Duration) float64 {
-	if !h.settings.Ways.Has(mechanism.ReadAheadTarget) {
-		return h.readAhead
-	}
-	return max(h.readAhead, readAheadTarget*p.target-waited.Seconds())
-}
-
 // summary is the part of an upstream's record that a placement reads. The summaries are
 // contiguous: with hundreds of upstreams, reading the full records would dominate the cost of
 // a decision.
@@ -128,7 +116,7 @@
 		if h.settings.Engine && s.grants > 0 && s.free <= h.tuning.reserve {
 			continue // full already, whatever the ask needs
 		}
-		if unread := s.unreadAt(at); unread > 0 && unread > h.readAheadFor(&p, waited)*s.rate {
+		if unread := s.unreadAt(at); unread > 0 && unread > h.readAhead*s.rate {
 			continue
 		}
 		if h.apart.keepsFrom(s, &p, waited) {
