pool: moves to the cheapest destination are gone

A generation that leaves its upstream moves within its data centre if that has room; the other way sent it wherever it costs least. More moves then cross links between data centres, and each takes longer than the notice allows for some of the rest.

--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -17,9 +17,6 @@
 	LengthsApart Way = iota
 	// CordonedMove: generations are moved off cordoned upstreams. By default they run on.
 	CordonedMove
-	// MoveCheapest: a generation that leaves its upstream moves to where it costs least. By
-	// default to one in the same data centre, if that has room.
-	MoveCheapest
 	// RetryElsewhere: a second try prefers another data centre than the first. By default the
 	// upstream with the least work.
 	RetryElsewhere
@@ -46,7 +43,6 @@
 var decisions = []decision{
 	{"lengths", "mixed", map[string]Way{"apart": LengthsApart}},
 	{"cordoned", "stay", map[string]Way{"move": CordonedMove}},
-	{"moves", "near", map[string]Way{"cheapest": MoveCheapest}},
 	{"retry", "least", map[string]Way{"elsewhere": RetryElsewhere}},
 	{"connections", "any", map[string]Way{"warm": ConnectionsWarm}},
 	{"feed", "prompt", map[string]Way{"sparing": FeedSparing}},
--- a/internal/core/pool/evacuate.go
+++ b/internal/core/pool/evacuate.go
@@ -154,7 +154,7 @@
 func (h *Home) next(now time.Time, e *evacuation) {
 	for _, p := range h.candidates(now, e) {
 		to := h.placement.Destination(now, p.Ask.Attempt,
-			func(name string) bool { return !h.ways.Has(mechanism.MoveCheapest) && h.near(e.upstream.ID, name) },
+			func(name string) bool { return h.near(e.upstream.ID, name) },
 			func(name string) bool { return h.receiving(name) || now.Before(h.full[name]) })
 		if to == "" {
 			continue
