forward: retries that prefer another data centre are gone

A second try goes to the upstream with the least work; the other way preferred a data centre other than that of the failed attempt. Look-ups fail at both tries in few of a hundred, and those failures do not share a data centre.

--- a/internal/core/forward/choose.go
+++ b/internal/core/forward/choose.go
@@ -21,10 +21,8 @@
 	repeatPenalty = 1000.0
 	// coldPenalty keeps calls away from cold upstreams while others have little load.
 	coldPenalty = 2.0
-	// sameSitePenalty keeps retries away from the data centre of a failed attempt, dialPenalty
-	// calls away from upstreams without an open connection.
-	sameSitePenalty = 1.0
-	dialPenalty     = 0.2
+	// dialPenalty keeps calls away from upstreams without an open connection.
+	dialPenalty = 0.2
 	// generationUnit is the number of tokens that counts like one plain call in progress.
 	generationUnit = 1000.0
 	// outputWeight is the cost of an output token in prompt tokens.
@@ -124,9 +122,6 @@
 	if slices.Contains(c.tried, u) {
 		score += repeatPenalty
 	}
-	if g.options.Ways.Has(mechanism.RetryElsewhere) && slices.ContainsFunc(c.tried, func(t *roster.Upstream) bool { return t.DataCentre == u.DataCentre }) {
-		score += sameSitePenalty
-	}
 	if g.options.Ways.Has(mechanism.ConnectionsWarm) && !g.options.Open(u.Address) {
 		score += dialPenalty
 	}
--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -17,9 +17,6 @@
 	LengthsApart Way = iota
 	// CordonedMove: generations are moved off cordoned upstreams. By default they run on.
 	CordonedMove
-	// RetryElsewhere: a second try prefers another data centre than the first. By default the
-	// upstream with the least work.
-	RetryElsewhere
 	// ConnectionsWarm: plain calls prefer upstreams to which a connection is open. By default
 	// the upstream with the least work.
 	ConnectionsWarm
@@ -43,7 +40,6 @@
 var decisions = []decision{
 	{"lengths", "mixed", map[string]Way{"apart": LengthsApart}},
 	{"cordoned", "stay", map[string]Way{"move": CordonedMove}},
-	{"retry", "least", map[string]Way{"elsewhere": RetryElsewhere}},
 	{"connections", "any", map[string]Way{"warm": ConnectionsWarm}},
 	{"feed", "prompt", map[string]Way{"sparing": FeedSparing}},
 	{"directory", "near", map[string]Way{"mixed": DirectoryMixed}},
