forward: the preference for open connections is gone

Plain calls go to the upstream with the least work; the other way preferred those to which a connection is open, as new connections are dear on some sheets.

--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -65,13 +65,6 @@
 	return &Conn{Conn: raw, r: bufio.NewReaderSize(raw, readBuffer), address: address}, nil
 }
 
-// Open reports whether an idle connection to an address is kept.
-func (p *Pool) Open(address string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.idle[address]) > 0
-}
-
 func (p *Pool) take(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/core/forward/choose.go
+++ b/internal/core/forward/choose.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
@@ -21,8 +20,6 @@
 	repeatPenalty = 1000.0
 	// coldPenalty keeps calls away from cold upstreams while others have little load.
 	coldPenalty = 2.0
-	// dialPenalty keeps calls away from upstreams without an open connection.
-	dialPenalty = 0.2
 	// generationUnit is the number of tokens that counts like one plain call in progress.
 	generationUnit = 1000.0
 	// outputWeight is the cost of an output token in prompt tokens.
@@ -122,9 +119,6 @@
 	if slices.Contains(c.tried, u) {
 		score += repeatPenalty
 	}
-	if g.options.Ways.Has(mechanism.ConnectionsWarm) && !g.options.Open(u.Address) {
-		score += dialPenalty
-	}
 	return score + g.rng.Float64()/10
 }
 
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -39,12 +39,8 @@
 	RetryWindow time.Duration
 	// Regions maps each data centre to its region.
 	Regions map[string]string
-	// Without lists disabled mechanisms, Ways alternative ways of deciding; both are for
-	// comparison.
+	// Without lists disabled mechanisms, for comparison.
 	Without mechanism.Set
-	Ways    mechanism.Ways
-	// Open reports whether an idle connection to an address is available.
-	Open func(address string) bool
 	// Seed feeds tie-breaking.
 	Seed uint64
 }
@@ -134,7 +130,7 @@
 // Configure updates the bounds.
 func (g *Gate) Configure(o Options) {
 	o.Seed, o.Name, o.DataCentre = g.options.Seed, g.options.Name, g.options.DataCentre
-	o.Without, o.Ways, o.Open = g.options.Without, g.options.Ways, g.options.Open
+	o.Without = g.options.Without
 	g.options = o
 	g.budgets = map[string]*budget{}
 }
--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -17,9 +17,6 @@
 	LengthsApart Way = iota
 	// CordonedMove: generations are moved off cordoned upstreams. By default they run on.
 	CordonedMove
-	// ConnectionsWarm: plain calls prefer upstreams to which a connection is open. By default
-	// the upstream with the least work.
-	ConnectionsWarm
 	// FeedSparing: the list's changes are asked for three times a second. By default ten
 	// times.
 	FeedSparing
@@ -40,7 +37,6 @@
 var decisions = []decision{
 	{"lengths", "mixed", map[string]Way{"apart": LengthsApart}},
 	{"cordoned", "stay", map[string]Way{"move": CordonedMove}},
-	{"connections", "any", map[string]Way{"warm": ConnectionsWarm}},
 	{"feed", "prompt", map[string]Way{"sparing": FeedSparing}},
 	{"directory", "near", map[string]Way{"mixed": DirectoryMixed}},
 }
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -79,7 +79,7 @@
 	o := options(s)
 	keys := o.KeysGoodFor
 	conns := conn.NewPool()
-	o.Seed, o.Open = rand.Uint64(), conns.Open
+	o.Seed = rand.Uint64()
 	gate := forward.New(o)
 	conns.Dialled = func() { m.Count("upstream_connections_total", "dialled") }
 	srv := &server{
@@ -122,7 +122,7 @@
 func options(s Settings) forward.Options {
 	o := forward.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Regions: s.Regions, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		Without: s.Without, Ways: s.Ways,
+		Without: s.Without,
 	}
 	if s.StrictRevocation {
 		o.KeysGoodFor = max(s.RevokeWithin-keyMargin, time.Millisecond)
