pool: moves off cordoned upstreams are gone

What runs on a cordoned upstream runs on; the other way moved it to others, after the generations of leaving upstreams. It crowds a third of the work onto the rest just as those have lost a third of their room, while nearly all that runs ends before the data centre comes back cold.

--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -15,8 +15,6 @@
 	// LengthsApart: a part of the upstreams, as large as the load takes, reads the prompts of
 	// short answers. By default each answer goes where it costs least, whatever its length.
 	LengthsApart Way = iota
-	// CordonedMove: generations are moved off cordoned upstreams. By default they run on.
-	CordonedMove
 	// FeedSparing: the list's changes are asked for three times a second. By default ten
 	// times.
 	FeedSparing
@@ -36,7 +34,6 @@
 
 var decisions = []decision{
 	{"lengths", "mixed", map[string]Way{"apart": LengthsApart}},
-	{"cordoned", "stay", map[string]Way{"move": CordonedMove}},
 	{"feed", "prompt", map[string]Way{"sparing": FeedSparing}},
 	{"directory", "near", map[string]Way{"mixed": DirectoryMixed}},
 }
--- a/internal/core/pool/evacuate.go
+++ b/internal/core/pool/evacuate.go
@@ -44,27 +44,6 @@
 	tries map[string]int
 	// later holds when generations that cannot be moved yet are tried again.
 	later map[string]time.Time
-	// cordoned is set if the upstream is not leaving but cordoned.
-	cordoned bool
-}
-
-// cordonDuration is the assumed duration of a cordon.
-const cordonDuration = time.Minute
-
-// clears reports whether generations are moved off an upstream because it is cordoned.
-func (h *Home) clears(u *roster.Upstream) bool {
-	return h.ways.Has(mechanism.CordonedMove) && u.TakesWork() && h.cordons.Has(u.DataCentre)
-}
-
-// clear starts to move generations off a cordoned upstream.
-func (h *Home) clear(now time.Time, u *roster.Upstream) {
-	if h.evacuations[u.ID] != nil {
-		return
-	}
-	e := newEvacuation(u, now)
-	e.cordoned, e.ends = true, now.Add(cordonDuration)
-	h.evacuations[u.ID] = e
-	h.note("evacuation_began", "upstream", u.ID, "running", len(h.placement.On(now, u.ID)), "why", "cordoned")
 }
 
 // order is a move that an entry was told to make.
@@ -116,10 +95,6 @@
 	}
 	for _, id := range h.leaving() {
 		e := h.evacuations[id]
-		if e.cordoned && e.order == nil && !h.clears(e.upstream) {
-			delete(h.evacuations, id) // the cordon was lifted
-			continue
-		}
 		if e.order != nil && now.After(e.order.due) {
 			h.note("move_given_up", "request", e.order.attempt, "from", id, "to", e.order.to, "after", now.Sub(e.order.given))
 			h.abandonCopy(now, e.order)
@@ -136,20 +111,10 @@
 	for id := range h.evacuations {
 		ids = append(ids, id)
 	}
-	slices.SortFunc(ids, func(a, b string) int {
-		return cmp.Or(rank(h.evacuations[a])-rank(h.evacuations[b]), cmp.Compare(a, b))
-	})
+	slices.Sort(ids)
 	return ids
 }
 
-// rank orders evacuations of leaving upstreams before those of cordoned ones.
-func rank(e *evacuation) int {
-	if e.cordoned {
-		return 1
-	}
-	return 0
-}
-
 // next orders the most valuable move.
 func (h *Home) next(now time.Time, e *evacuation) {
 	for _, p := range h.candidates(now, e) {
--- a/internal/core/pool/pool.go
+++ b/internal/core/pool/pool.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/config"
-	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/health"
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
@@ -66,7 +65,6 @@
 	service string
 	engine  route.Engine
 	without mechanism.Set
-	ways    mechanism.Ways
 	// part is set for a group of a divided service, whose upstreams entries do not know.
 	part      bool
 	placement *placement.Home
@@ -74,7 +72,6 @@
 	// entries maps attempts to the instances that requested them.
 	entries     map[string]string
 	evacuations map[string]*evacuation
-	cordons     cordon.Set
 	// coldRate is the request rate that a cold upstream accepts; 0 means no limit.
 	coldRate float64
 	// full holds until when a destination is skipped that had no room for a copy.
@@ -112,7 +109,7 @@
 func NewHome(service string, engine route.Engine, without mechanism.Set, ways mechanism.Ways) *Home {
 	engine.Moves = engine.Moves && !without.Has(mechanism.Moves)
 	return &Home{
-		service: service, engine: engine, without: without, ways: ways, part: roster.ParseGroup(service).Of > 0, upstreams: map[string]*roster.Upstream{},
+		service: service, engine: engine, without: without, part: roster.ParseGroup(service).Of > 0, upstreams: map[string]*roster.Upstream{},
 		entries: map[string]string{}, evacuations: map[string]*evacuation{}, full: map[string]time.Time{},
 		unreachable: map[string]time.Time{}, own: map[string]time.Time{}, probedAt: map[string]time.Time{}, failures: map[string]*health.Record{},
 		placement: placement.NewHome(placement.Settings{
--- a/internal/core/pool/upstreams.go
+++ b/internal/core/pool/upstreams.go
@@ -27,7 +27,7 @@
 
 // Sync updates the pool from the list.
 func (h *Home) Sync(now time.Time, l Listing) {
-	h.coldRate, h.cordons = l.ColdRate, l.Cordons
+	h.coldRate = l.ColdRate
 	h.decide(now, h.placement.SetCordons(now, l.Cordons))
 	seen := map[string]bool{}
 	for _, u := range l.Upstreams {
@@ -101,16 +101,8 @@
 		Upstream: u.ID, DataCentre: u.DataCentre, Leaving: !u.TakesWork() || now.Sub(h.unreachable[u.ID]) < unreachableBackoff, Capacity: h.engine.MemoryToken, MaxBatch: slots,
 		Penalty: failurePenalty * h.failureRate(now, u.ID), MaxStarts: h.maxStarts(now, u),
 	}))
-	if h.clears(u) {
-		h.clear(now, u)
-		return
-	}
-	if e := h.evacuations[u.ID]; !u.TakesWork() && (e == nil || e.cordoned) {
-		next := newEvacuation(u, now)
-		if e != nil {
-			next.order = e.order
-		}
-		h.evacuations[u.ID] = next
+	if !u.TakesWork() && h.evacuations[u.ID] == nil {
+		h.evacuations[u.ID] = newEvacuation(u, now)
 		h.probes = append(h.probes, Probe{ID: u.ID, Address: u.Address})
 		h.note("evacuation_began", "upstream", u.ID, "running", len(h.placement.On(now, u.ID)))
 	}
