--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -15,9 +15,6 @@
 	// LengthsApart: a part of the upstreams, as large as the load takes, reads the prompts of
 	// short answers. By default each answer goes where it costs least, whatever its length.
 	LengthsApart Way = iota
-	// FeedSparing: the list's changes are asked for three times a second. By default ten
-	// times.
-	FeedSparing
 	// DirectoryMixed: callers are named some near instances and a few far ones. By default
 	// all near ones and no other.
 	DirectoryMixed
@@ -34,7 +31,6 @@
 
 var decisions = []decision{
 	{"lengths", "mixed", map[string]Way{"apart": LengthsApart}},
-	{"feed", "prompt", map[string]Way{"sparing": FeedSparing}},
 	{"directory", "near", map[string]Way{"mixed": DirectoryMixed}},
 }
 
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -30,8 +30,6 @@
 	listWait = time.Second
 	// listInterval is the minimum interval between polls of the list.
 	listInterval = 100 * time.Millisecond
-	// sparingInterval is that interval where store calls are to be saved.
-	sparingInterval = 300 * time.Millisecond
 	// staleBackoff is the delay after an answer that confirms too little. It keeps hundreds of
 	// instances that ask each other from overloading their machines, and is short against the
 	// validity of keys.
@@ -71,8 +69,6 @@
 	wait time.Duration
 	// divides is unset if large services stay whole.
 	divides bool
-	// pace is the minimum interval between polls of the list, apart from its length.
-	pace time.Duration
 
 	// mu guards the fields up to last.
 	mu    sync.Mutex
@@ -221,7 +217,7 @@
 // listInterval returns the minimum interval between polls of the list.
 func (f *follower) listInterval() (d time.Duration) {
 	f.server.decide(func(_ time.Time, g *forward.Gate) {
-		d = f.pace + time.Duration(g.Roster().Len())*listPerEntry
+		d = listInterval + time.Duration(g.Roster().Len())*listPerEntry
 	})
 	return d
 }
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -103,10 +103,7 @@
 	i.follower = &follower{
 		store: store, server: srv, metrics: m, log: log, left: func() { i.homes.sync() }, isHome: func() bool { return len(i.homes.names()) > 0 },
 		adopted: i.adopted, peers: i.peers, relay: i.relay, watch: watch.New(keys), wait: holdFor(keys),
-		divides: !s.Without.Has(mechanism.Parts), regions: s.Regions, pace: listInterval,
-	}
-	if s.Ways.Has(mechanism.FeedSparing) {
-		i.follower.pace = sparingInterval
+		divides: !s.Without.Has(mechanism.Parts), regions: s.Regions,
 	}
 	i.homes = &homes{
 		server: srv, metrics: m, log: log, self: s.Name, send: i.peers.sendTo, local: i.onPeer, dataCentreOf: i.peers.dataCentreOf, without: s.Without, ways: s.Ways,
