--- a/internal/core/mechanism/mechanism_test.go
+++ b/internal/core/mechanism/mechanism_test.go
@@ -35,3 +35,33 @@
 		seen = append(seen, m.String())
 	}
 }
+
+func TestWaysComeBackAsWritten(t *testing.T) {
+	for _, item := range Decisions() {
+		w, err := ParseWays([]string{item})
+		if err != nil {
+			t.Errorf("%s: %v", item, err)
+		}
+		if got := w.String(); got != item && w != 0 {
+			t.Errorf("%s comes back as %q", item, got)
+		}
+	}
+	w, err := ParseWays([]string{"lengths=apart", "directory=mixed", "lengths=mixed"})
+	if err != nil || w != WaysOf(DirectoryMixed) {
+		t.Errorf("the default does not undo another way: %v, %v", w, err)
+	}
+}
+
+func TestUnknownWaysAreRefused(t *testing.T) {
+	for item, want := range map[string]string{
+		"length=apart":   `decision "length" is unknown; there are lengths=mixed, lengths=apart`,
+		"lengths=a":      `decision "lengths" has no way "a"; there are mixed, apart`,
+		"lengths":        `decision "lengths" has no way ""`,
+		"=":              `decision "" is unknown`,
+		"lengths=apart,": `has no way "apart,"`,
+	} {
+		if _, err := ParseWays([]string{item}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v, want %s", item, err, want)
+		}
+	}
+}
--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -40,6 +40,14 @@
 // Ways holds the ways that are no defaults; the zero value has the default of each decision.
 type Ways uint64
 
+// WaysOf returns the set of some ways.
+func WaysOf(list ...Way) (w Ways) {
+	for _, way := range list {
+		w |= 1 << way
+	}
+	return w
+}
+
 // Has reports whether a decision is made in a way.
 func (w Ways) Has(way Way) bool { return w&(1<<way) != 0 }
 
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -50,12 +50,43 @@
 // Variant is a policy, with mechanisms left out if its home is the project's own.
 type Variant struct {
 	// Name is the policy's by default.
-	Name    string   `yaml:"name"`
-	Policy  string   `yaml:"policy" validate:"required"`
-	Without []string `yaml:"without"`
+	Name   string `yaml:"name"`
+	Policy string `yaml:"policy" validate:"required"`
+	// Without lists the home's mechanisms to leave out. Default none.
+	Without mechanisms `yaml:"without"`
 	// Ways lists decision=way for decisions that the home makes in another way than by
 	// default.
-	Ways []string `yaml:"ways"`
+	Ways ways `yaml:"ways"`
+}
+
+// mechanisms is a list of names in an experiment file.
+type mechanisms struct{ mechanism.Set }
+
+// UnmarshalYAML implements yaml.Unmarshaler. Unknown names are errors that tell the line.
+func (m *mechanisms) UnmarshalYAML(n *yaml.Node) (err error) {
+	var names []string
+	if err := n.Decode(&names); err != nil {
+		return err
+	}
+	if m.Set, err = mechanism.Parse(names); err != nil {
+		return fmt.Errorf("line %d: without: %w", n.Line, err)
+	}
+	return nil
+}
+
+// ways is a list of decision=way in an experiment file.
+type ways struct{ mechanism.Ways }
+
+// UnmarshalYAML implements yaml.Unmarshaler. Unknown ones are errors that tell the line.
+func (w *ways) UnmarshalYAML(n *yaml.Node) (err error) {
+	var list []string
+	if err := n.Decode(&list); err != nil {
+		return err
+	}
+	if w.Ways, err = mechanism.ParseWays(list); err != nil {
+		return fmt.Errorf("line %d: ways: %w", n.Line, err)
+	}
+	return nil
 }
 
 // Engines describes the engines; times are those of an engine of speed 1.
@@ -176,14 +207,9 @@
 func (v Variant) maker() (trial.Maker, error) {
 	name := cmp.Or(v.Name, v.Policy)
 	if v.Policy == homePolicy {
-		without, err := mechanism.Parse(v.Without)
-		if err != nil {
-			return trial.Maker{}, err
-		}
-		ways, err := mechanism.ParseWays(v.Ways)
-		return trial.PoolHome(name, without, ways), err
+		return trial.PoolHome(name, v.Without.Set, v.Ways.Ways), nil
 	}
-	if len(v.Without) > 0 || len(v.Ways) > 0 {
+	if v.Without.Set != 0 || v.Ways.Ways != 0 {
 		return trial.Maker{}, fmt.Errorf("variant %q: only the policy %q can do without mechanisms or in other ways", name, homePolicy)
 	}
 	known := homePolicy
@@ -245,8 +271,7 @@
 func (f *File) Ablate() {
 	f.Variants = []Variant{{Policy: homePolicy}}
 	for _, m := range placing {
-		name := m.String()
-		f.Variants = append(f.Variants, Variant{Name: "no " + name, Policy: homePolicy, Without: []string{name}})
+		f.Variants = append(f.Variants, Variant{Name: "no " + m.String(), Policy: homePolicy, Without: mechanisms{mechanism.Of(m)}})
 	}
 }
 
@@ -260,7 +285,7 @@
 func (f *File) OtherWays() {
 	f.Variants = []Variant{{Policy: homePolicy}}
 	for _, w := range placingWays {
-		f.Variants = append(f.Variants, Variant{Name: w.String(), Policy: homePolicy, Ways: []string{w.String()}})
+		f.Variants = append(f.Variants, Variant{Name: w.String(), Policy: homePolicy, Ways: ways{mechanism.WaysOf(w)}})
 	}
 }
 
