--- a/internal/core/mechanism/mechanism.go
+++ b/internal/core/mechanism/mechanism.go
@@ -1,5 +1,5 @@
-// Package mechanism names the mechanisms that an instance can do without, so that
-// each can be left out to measure what it is worth. None of them keeps a promise:
+// Package mechanism names the mechanisms of an instance that can be disabled to measure their
+// value, and the decisions that can be made in several ways. None of them keeps a promise:
 // what must always hold has no switch.
 package mechanism
 
@@ -9,10 +9,10 @@
 	"strings"
 )
 
-// Mechanism is one way of deciding better that can be left out.
+// Mechanism is an optimization that can be disabled.
 type Mechanism uint8
 
-// The mechanisms. Without one, what its comment says happens.
+// The mechanisms. The comments say what happens without them.
 const (
 	// Homes: each entry places generations by itself.
 	Homes Mechanism = iota
@@ -26,41 +26,41 @@
 	CopyMemory
 	// LeaveProbes: upstreams that run something are not asked whether they leave.
 	LeaveProbes
-	// Near: a home's choice does not prefer the entry's data centre.
+	// Near: homes do not prefer the entry's data centre.
 	Near
-	// Failures: what upstreams failed of late does not count against them.
+	// Failures: recent failures of an upstream do not count against it.
 	Failures
-	// WaitAtHome: prompts go to upstreams that have others to read yet.
+	// WaitAtHome: prompts are sent to upstreams that still compute others.
 	WaitAtHome
-	// Delays: it costs nothing that a prompt delays what runs beside it.
+	// Delays: the delay of running generations by a prompt is not a cost.
 	Delays
-	// Speeds: all upstreams of a pool are taken to be equally fast.
+	// Speeds: all upstreams of a pool are assumed to be equally fast.
 	Speeds
-	// Headroom: memory is forecast without a margin for its spread.
+	// Headroom: memory is forecast without a margin for its variance.
 	Headroom
-	// Lengths: nothing is learnt of how long answers get.
+	// Lengths: the lengths of answers are not learned.
 	Lengths
-	// Kinds: one histogram of lengths serves whatever callers declare.
+	// Kinds: lengths are learned without regard to the declared maximum.
 	Kinds
-	// Hints: callers' own estimates of their answers are passed over.
+	// Hints: callers' estimates are ignored.
 	Hints
 	// DueOrder: queued work is granted in the order of its cost, not of its targets.
 	DueOrder
-	// LateBehind: who can't be on time any more keeps its place in the queue.
+	// LateBehind: requests that can no longer meet their deadline are not demoted.
 	LateBehind
-	// Fairness: an organisation may have any lead over others that wait.
+	// Fairness: the lead of an organisation over others that wait is not bounded.
 	Fairness
-	// EarlyRefusal: work that will wait too long queues until it has.
+	// EarlyRefusal: work that would wait too long is refused only once it has.
 	EarlyRefusal
-	// Retries: calls that may run again are not.
+	// Retries: repeatable calls are not retried.
 	Retries
-	// Relays: all instances ask those that read the store.
+	// Relays: all instances poll the readers of the store.
 	Relays
 	// Parts: large services are not divided.
 	Parts
 	// RareHeartbeats: heartbeats are as frequent in a large fleet as in a small one.
 	RareHeartbeats
-	// SilenceProbes: nobody asks what became of a stream that says nothing.
+	// SilenceProbes: upstreams are not asked about silent streams.
 	SilenceProbes
 	count
 )
@@ -113,14 +113,14 @@
 // String joins the names by commas.
 func (s Set) String() string { return strings.Join(s.Names(), ",") }
 
-// Known reports whether there is a mechanism of a name.
+// Known reports whether a name is that of a mechanism.
 func Known(name string) bool { return slices.Contains(names[:], name) }
 
-// Allowed lists the names that there are.
+// Allowed lists the names of all mechanisms.
 func Allowed() string { return strings.Join(names[:], ", ") }
 
-// Parse returns the set with the given names; an unknown one is an error that
-// lists those that there are.
+// Parse returns the set with the given names. An unknown one is an error that lists the
+// known ones.
 func Parse(list []string) (Set, error) {
 	var s Set
 	for _, name := range list {
--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -6,25 +6,24 @@
 	"strings"
 )
 
-// Way is another way of making a decision than the default. None of them keeps a promise:
-// what must always hold holds in every way.
+// Way is an alternative to the default way of making a decision.
 type Way uint8
 
-// The ways that are no defaults, by decision.
+// The alternatives, by decision.
 const (
-	// LengthsApart: a part of the upstreams, as large as the load takes, reads the prompts of
-	// short answers. By default each answer goes where it costs least, whatever its length.
+	// LengthsApart: some upstreams, as many as the load requires, compute the prompts of short
+	// answers. By default any answer runs wherever it costs least.
 	LengthsApart Way = iota
-	// DirectoryMixed: callers are named some near instances and a few far ones. By default
-	// all near ones and no other.
+	// DirectoryMixed: callers are sent to some near and a few far instances, which survive the
+	// loss of their data centre. By default to near ones only.
 	DirectoryMixed
 	ways
 )
 
-// decision is what can be made in several ways.
+// decision is a decision that can be made in several ways.
 type decision struct {
 	name string
-	// otherwise names the default way.
+	// otherwise is the default way.
 	otherwise string
 	ways      map[string]Way
 }
@@ -37,7 +36,7 @@
 // String returns the way as decision=way.
 func (w Way) String() string { return Ways(1 << w).String() }
 
-// Ways holds the ways that are no defaults; the zero value has the default of each decision.
+// Ways is a set of alternatives; the zero value is the default of each decision.
 type Ways uint64
 
 // WaysOf returns the set of some ways.
@@ -48,10 +47,10 @@
 	return w
 }
 
-// Has reports whether a decision is made in a way.
+// Has reports whether an alternative is in the set.
 func (w Ways) Has(way Way) bool { return w&(1<<way) != 0 }
 
-// String lists the ways that are no defaults, as ParseWays takes them.
+// String lists the alternatives in the form that ParseWays accepts.
 func (w Ways) String() string {
 	var out []string
 	for _, d := range decisions {
@@ -74,8 +73,8 @@
 	return out
 }
 
-// ParseWays returns the ways of a list of decision=way; an unknown one is an error that lists
-// those that there are.
+// ParseWays returns the set for a list of decision=way. An unknown one is an error that lists
+// the known ones.
 func ParseWays(list []string) (w Ways, err error) {
 	for _, item := range list {
 		if w, err = w.with(item); err != nil {
@@ -105,7 +104,7 @@
 	return w | 1<<chosen, nil
 }
 
-// Decisions lists every decision=way that there is, the default of each decision first.
+// Decisions lists every decision=way, the default of each decision first.
 func Decisions() []string {
 	var out []string
 	for _, d := range decisions {
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,35 @@
+package metrics
+
+import (
+	"encoding/json"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// A counter or histogram that operators read as something else than what was counted: values
+// must come back by group and label, and durations out of range must not be lost.
+func TestMetricsAreServedAsCounted(t *testing.T) {
+	m := NewMetrics()
+	m.Count("refusals_total", "cordoned")
+	m.Add("refusals_total", "cordoned", 2)
+	for _, d := range []time.Duration{0, 40 * time.Millisecond, 40 * time.Millisecond, time.Hour} {
+		m.Observe("request_milliseconds", "drafts", d)
+	}
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, nil)
+	var got struct {
+		Refusals map[string]int64     `json:"refusals_total"`
+		Requests map[string]quantiles `json:"request_milliseconds"`
+	}
+	if err := json.Unmarshal(w.Body.Bytes(), &got); err != nil {
+		t.Fatalf("%v in %s", err, w.Body)
+	}
+	if n := got.Refusals["cordoned"]; n != 3 {
+		t.Errorf("%d refusals, want 3", n)
+	}
+	q := got.Requests["drafts"]
+	if q.Count != 4 || q.P50 != 40 || q.Max < longest {
+		t.Errorf("histogram %+v, want 4 values with a median of 40 and a maximum of %d", q, longest)
+	}
+}
