placement: upstreams kept for short answers are gone; choice by memory is a way

Some upstreams, as many as the load required, computed the prompts of short answers, and long answers ran on the others. A step that computes a prompt takes twice as long, but it also makes a token for all that run beside it: apart, the readers' steps make none for long answers, so that at most 8% of the time a token takes can be won.

Where an answer runs stays a decision of two ways, as both are in the code: by predicted cost on hosting platforms, by free memory elsewhere. choice=memory plays the latter against the former.

--- a/internal/core/mechanism/mechanism_test.go
+++ b/internal/core/mechanism/mechanism_test.go
@@ -46,7 +46,7 @@
 			t.Errorf("%s comes back as %q", item, got)
 		}
 	}
-	w, err := ParseWays([]string{"lengths=apart", "directory=mixed", "lengths=mixed"})
+	w, err := ParseWays([]string{"choice=memory", "directory=mixed", "choice=cost"})
 	if err != nil || w != WaysOf(DirectoryMixed) {
 		t.Errorf("the default does not undo another way: %v, %v", w, err)
 	}
@@ -54,11 +54,11 @@
 
 func TestUnknownWaysAreRefused(t *testing.T) {
 	for item, want := range map[string]string{
-		"length=apart":   `decision "length" is unknown; there are lengths=mixed, lengths=apart`,
-		"lengths=a":      `decision "lengths" has no way "a"; there are mixed, apart`,
-		"lengths":        `decision "lengths" has no way ""`,
+		"choices=memory": `decision "choices" is unknown; there are choice=cost, choice=memory`,
+		"choice=m":       `decision "choice" has no way "m"; there are cost, memory`,
+		"choice":         `decision "choice" has no way ""`,
 		"=":              `decision "" is unknown`,
-		"lengths=apart,": `has no way "apart,"`,
+		"choice=memory,": `has no way "memory,"`,
 	} {
 		if _, err := ParseWays([]string{item}); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v, want %s", item, err, want)
--- a/internal/core/mechanism/way.go
+++ b/internal/core/mechanism/way.go
@@ -11,9 +11,9 @@
 
 // The alternatives, by decision.
 const (
-	// LengthsApart: some upstreams, as many as the load requires, compute the prompts of short
-	// answers. By default any answer runs wherever it costs least.
-	LengthsApart Way = iota
+	// ChoiceMemory: answers run on the upstream with the most free memory. By default where the
+	// predicted time in flight, of the answer and of others beside it, is shortest.
+	ChoiceMemory Way = iota
 	// DirectoryMixed: callers are sent to some near and a few far instances, which survive the
 	// loss of their data centre. By default to near ones only.
 	DirectoryMixed
@@ -29,7 +29,7 @@
 }
 
 var decisions = []decision{
-	{"lengths", "mixed", map[string]Way{"apart": LengthsApart}},
+	{"choice", "cost", map[string]Way{"memory": ChoiceMemory}},
 	{"directory", "near", map[string]Way{"mixed": DirectoryMixed}},
 }
 
--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -54,7 +54,7 @@
 			h, a := bigHome(n), benchAsk()
 			b.ReportAllocs()
 			for b.Loop() {
-				if h.choose(start, &a, 0) == nil {
+				if h.choose(start, &a) == nil {
 					b.Fatal("no upstream has room")
 				}
 			}
@@ -69,7 +69,7 @@
 			a.FirstTarget = 2 * time.Second
 			b.ReportAllocs()
 			for b.Loop() {
-				if h.choose(start, &a, 0) == nil {
+				if h.choose(start, &a) == nil {
 					b.Fatal("no upstream has room")
 				}
 			}
@@ -87,7 +87,7 @@
 	a.Prompt = 100_000
 	b.ReportAllocs()
 	for b.Loop() {
-		if h.choose(start, &a, 0) != nil {
+		if h.choose(start, &a) != nil {
 			b.Fatal("an upstream has room")
 		}
 	}
@@ -131,7 +131,7 @@
 func TestDecisionAllocations(t *testing.T) {
 	for _, predict := range []bool{false, true} {
 		h, a := bigHomeOf(benchUpstreams, predict), benchAsk()
-		if got := testing.AllocsPerRun(100, func() { h.choose(start, &a, 0) }); got > allocsMost {
+		if got := testing.AllocsPerRun(100, func() { h.choose(start, &a) }); got > allocsMost {
 			t.Errorf("predict %v: %g allocations, at most %d wanted", predict, got, allocsMost)
 		}
 	}
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -38,8 +38,6 @@
 	// freshUntil is when the last report expires, in nanoseconds; in the past for an upstream
 	// that is leaving.
 	freshUntil int64
-	// reader is set if the upstream reads the prompts of short answers.
-	reader bool
 	// openAt is when the upstream accepts the next request, in nanoseconds.
 	openAt int64
 	// slots is the number of free places in the batch.
@@ -70,7 +68,7 @@
 	if u.report.Leaving || u.cordoned {
 		s.freshUntil = 0
 	}
-	s.openAt, s.reader = 0, u.reader
+	s.openAt = 0
 	if at := u.starts.OpenAt(); !at.IsZero() {
 		s.openAt = at.UnixNano()
 	}
@@ -90,8 +88,8 @@
 	return !u.report.Leaving && !u.cordoned && now.Sub(u.reported) < reportMaxAge
 }
 
-// choose returns the upstream for an ask that has waited for some time, or nil.
-func (h *Home) choose(now time.Time, ask *Ask, waited time.Duration) *upstream {
+// choose returns the upstream for an ask, or nil.
+func (h *Home) choose(now time.Time, ask *Ask) *upstream {
 	var need footprint
 	if h.settings.Engine {
 		c := h.lengths.curve(h.settings.Service, ask)
@@ -119,9 +117,6 @@
 		if unread := s.unreadAt(at); unread > 0 && unread > h.readAhead*s.rate {
 			continue
 		}
-		if h.apart.keepsFrom(s, &p, waited) {
-			continue
-		}
 		score := h.score(at, s, &p)
 		if best >= 0 && score <= bestScore {
 			continue
@@ -170,7 +165,7 @@
 	switch {
 	case !h.settings.Engine:
 		return -float64(s.grants)
-	case h.settings.Predict:
+	case h.settings.Predict && !h.settings.Ways.Has(mechanism.ChoiceMemory):
 		return -s.cost(at, p)
 	}
 	rate := h.settings.PromptRate
--- a/internal/core/placement/cost.go
+++ b/internal/core/placement/cost.go
@@ -84,8 +84,5 @@
 	if from := lateFrom * p.target; first > from && p.target > 0 {
 		seconds += lateSeconds * min((first-from)/(p.target-from), lateMax)
 	}
-	if s.reader && !p.isShort() {
-		seconds += longAtReader
-	}
 	return p.worth*seconds + s.running*readShare*p.prompt/s.rate
 }
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -23,7 +23,6 @@
 	prints   map[uint64][]*grant
 	queue    *queue
 	cordons  cordon.Set
-	apart    apart
 	ended    recent
 	promises promises
 	meter    drainMeter
@@ -67,7 +66,6 @@
 	h.z = h.tuning.calmZ
 	h.queue.slack, h.queue.perCost = h.tuning.slack, h.tuning.perCost
 	h.readAhead = readAheadNow(s.Without)
-	h.apart.on = s.Predict && s.Ways.Has(mechanism.LengthsApart)
 	h.queue.byDue = s.Predict && !s.Without.Has(mechanism.DueOrder)
 }
 
@@ -145,7 +143,7 @@
 	h.measure(now)
 	h.meter.came[classOf(cost)] += cost
 	if h.queue.len() == 0 {
-		if u := h.choose(now, &ask, 0); u != nil {
+		if u := h.choose(now, &ask); u != nil {
 			return []Decision{h.grant(now, ask, u, cost)}
 		}
 	}
@@ -191,7 +189,6 @@
 // Tick grants queued asks that fit by now and refuses those that have waited too long.
 func (h *Home) Tick(now time.Time) []Decision {
 	h.reserveForMoves(now)
-	h.chooseReaders(now)
 	out := append(h.drainQueue(now), h.refuseHopeless(now)...)
 	for _, q := range h.queue.overdue(now) {
 		h.queue.remove(q)
@@ -216,13 +213,12 @@
 	h.setHeadroom(now)
 	out := h.demote(now)
 	var passed map[*queued]bool
-	most := maxBypass
-	for len(passed) < most {
+	for len(passed) < maxBypass {
 		q := h.queue.best(passed)
 		if q == nil {
 			break
 		}
-		u := h.choose(now, &q.ask, now.Sub(q.since))
+		u := h.choose(now, &q.ask)
 		if u != nil {
 			h.queue.remove(q)
 			h.meter.served(q.cost, q.late)
@@ -236,9 +232,6 @@
 			passed = map[*queued]bool{}
 		}
 		passed[q] = true
-		if p := h.prospect(&q.ask); h.apart.on && p.isShort() {
-			most++ // it waits for a reader, and others need not
-		}
 	}
 	return out
 }
@@ -280,9 +273,6 @@
 	g.priority = h.priority(&ask)
 	u.addPrompt(now, ask.Prompt, h.settings.PromptRate)
 	u.starts.Note(now)
-	if p := h.prospect(&ask); h.apart.on && p.isShort() {
-		h.apart.tokens += p.prompt
-	}
 	forecast := h.forecastGrant(now, &ask, u)
 	h.hold(g)
 	h.queue.charge(ask.Org, cost)
--- a/internal/core/placement/ledger.go
+++ b/internal/core/placement/ledger.go
@@ -39,8 +39,6 @@
 	starts   pace.Starts
 	// cordoned is set while the data centre is cordoned.
 	cordoned bool
-	// reader is set if it computes the prompts of short answers.
-	reader bool
 	// running is the worth of the long answers running here, in prompt tokens.
 	running float64
 }
--- a/internal/core/placement/predict_test.go
+++ b/internal/core/placement/predict_test.go
@@ -412,7 +412,7 @@
 	w := newPredictWorld(t, fast, fast, fast, fast)
 	ask := Ask{Attempt: "new", Org: "long", Prompt: 3000, MaxOutput: 1500, FirstTarget: 1800 * time.Millisecond, MaxWait: time.Second}
 	last := ""
-	for k := 0; w.home.choose(w.now, &ask, 0) != nil; k++ {
+	for k := 0; w.home.choose(w.now, &ask) != nil; k++ {
 		runs := ask
 		last = fmt.Sprintf("old-%d", k)
 		runs.Attempt = last
@@ -420,11 +420,11 @@
 	}
 	w.home.End(w.now, last, 300, false) // there is room for one more
 	w.decide(w.home.Report(w.now, w.now, Report{Upstream: "u0", Capacity: 34_000, MaxBatch: 24, Leaving: true}))
-	if u := w.home.choose(w.now, &ask, 0); u != nil {
+	if u := w.home.choose(w.now, &ask); u != nil {
 		t.Errorf("a new long answer takes the room on %s", u.name)
 	}
 	short := Ask{Attempt: "s", Org: "short", Prompt: 500, MaxOutput: 20, FirstTarget: 1500 * time.Millisecond, MaxWait: time.Second}
-	if w.home.choose(w.now, &short, 0) == nil {
+	if w.home.choose(w.now, &short) == nil {
 		t.Error("a short answer has to wait, too")
 	}
 	near, skip := func(string) bool { return false }, func(string) bool { return false }
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -277,7 +277,7 @@
 
 // placingWays lists the ways of deciding of a pool's home that the emulator plays.
 var placingWays = []mechanism.Way{
-	mechanism.LengthsApart,
+	mechanism.ChoiceMemory,
 }
 
 // OtherWays replaces the variants by the project's own home, and by it in each other way of
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -105,8 +105,8 @@
 		{"rate: 11.1", "rat: 11.1", "rat"},
 		{"- {policy: home}", "- {policy: homes}", `"homes" is unknown`},
 		{"without: [moves]", "without: [move]", `line 9: without: mechanism "move" is unknown`},
-		{"without: [moves]", "ways: [length=apart]", `line 9: ways: decision "length" is unknown; there are`},
-		{"without: [moves]", "ways: [lengths=together]", `line 9: ways: decision "lengths" has no way "together"; there are`},
+		{"without: [moves]", "ways: [choices=memory]", `line 9: ways: decision "choices" is unknown; there are`},
+		{"without: [moves]", "ways: [choice=chance]", `line 9: ways: decision "choice" has no way "chance"; there are`},
 		{"- {policy: home}", "- {policy: alone_stay}", `two variants are named "alone_stay"`},
 		{"mbps: 2700", "mbps: 0", "links with mbps"},
 	} {
