--- a/internal/core/action.go
+++ b/internal/core/action.go
@@ -8,8 +8,8 @@
 	"mulberrylug.example/mulberrylug/internal/core/table"
 )
 
-// Action is something that the instance wants done; Instance.Handle returns
-// them in the order in which they must be started.
+// Action is an effect requested by the instance. Instance.Handle returns actions in the order
+// in which they must be started.
 type Action interface{ action() }
 
 // Send sends a message to another instance. It may be lost.
@@ -19,12 +19,11 @@
 	Msg     msg.Message
 }
 
-// ResetPeer closes the connection to an instance that did not answer, so that
-// the next Send dials anew. A connection that something between the two ends
-// has lost track of stays silent for good while new ones work.
+// ResetPeer closes the connection to an instance that did not answer, so that the next Send
+// dials anew. A connection that a middlebox has dropped stays silent while new ones work.
 type ResetPeer struct{ To string }
 
-// Dispatch makes an upstream run an attempt, or reads on from a running one.
+// Dispatch starts an attempt at an upstream, or reads on from a running one.
 type Dispatch struct {
 	Request string
 	Attempt string
@@ -45,8 +44,8 @@
 	From   int
 	// Link numbers the connections of an attempt; its events carry it.
 	Link int
-	// Before is the latest moment at which the call may be sent: the grant
-	// lapses then. The shell checks it right before the first byte.
+	// Before is the deadline for sending the call, when the grant expires. It is checked right
+	// before the first byte.
 	Before  time.Time
 	Timeout time.Duration
 }
@@ -60,11 +59,11 @@
 // CloseUpstream stops reading from an attempt without cancelling it.
 type CloseUpstream struct{ Attempt string }
 
-// Deliver hands a token to the caller.
+// Deliver passes a token to the caller.
 type Deliver struct {
 	Request string
-	// Handle is shared by the tokens of a stream, so that a caller that reads
-	// slowly does not hold a copy for each.
+	// Handle is shared by the tokens of a stream, which spares a copy per token for slow
+	// readers.
 	Handle string
 	Index  int
 	Text   string
@@ -73,7 +72,7 @@
 // EventID returns the id from which the caller can resume.
 func (d Deliver) EventID() string { return stream.EventID(d.Handle, d.Index) }
 
-// Outcome says how a request ended.
+// Outcome is how a request ended.
 type Outcome string
 
 // Outcomes.
@@ -88,13 +87,13 @@
 	Unknown Outcome = "unknown"
 )
 
-// Finish ends a request. It is the last action for it.
+// Finish ends a request. It is its last action.
 type Finish struct {
 	Request string
 	Outcome Outcome
 	// Status is the HTTP status for answers that have not begun.
 	Status int
-	// Reason, Step and Peer explain every outcome but Done.
+	// Reason, Step and Peer explain any outcome other than Done.
 	Reason     string
 	Step       string
 	Peer       string
@@ -106,19 +105,19 @@
 	FinishReason string
 }
 
-// Commit runs a transaction on the table; CommitResult answers it.
+// Commit runs a transaction on the table. CommitResult answers it.
 type Commit struct {
 	Op string
 	Tx table.Tx
 }
 
-// Read reads rows of the table; ReadResult answers it.
+// Read reads rows of the table. ReadResult answers it.
 type Read struct {
 	Op   string
 	Keys []string
 }
 
-// Scan reads rows in the order of their keys; ScanResult answers it.
+// Scan reads rows ordered by key. ScanResult answers it.
 type Scan struct {
 	Op     string
 	Prefix string
@@ -127,35 +126,35 @@
 	Limit int
 }
 
-// Fetch reads an object; ObjectResult answers it.
+// Fetch reads an object. ObjectResult answers it.
 type Fetch struct{ Hash string }
 
-// Poll asks an upstream for its load; UpstreamReport or UpstreamSilent answers.
+// Poll requests an upstream's load. UpstreamReport or UpstreamSilent answers it.
 type Poll struct {
 	Upstream string
 	Address  string
 }
 
-// Count adds one to a counter.
+// Count increments a counter.
 type Count struct {
 	// Group is the metric, for example "refusals_total"; Name its label.
 	Group string
 	Name  string
 }
 
-// Log writes one line of key=value pairs.
+// Log writes a line of key=value pairs.
 type Log struct {
 	Event string
 	Pairs []any
 }
 
-// Explained answers an operator's question about a request.
+// Explained answers AskExplain.
 type Explained struct {
 	ID    uint64
 	Lines []string
 }
 
-// Exit tells the shell that nothing is left to do after Drain.
+// Exit reports that a drain is complete.
 type Exit struct{}
 
 func (Send) action()          {}
--- a/internal/core/adopt.go
+++ b/internal/core/adopt.go
@@ -8,30 +8,29 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// objectPart is the size in bytes of the parts in which a published
-// configuration passes between instances, well below the largest frame.
+// objectPart is the size in bytes of the parts in which a configuration is transferred between
+// instances.
 const objectPart = 256 << 10
 
-// tellAppliedFor is how long a change that was accepted here is told to all.
-const tellAppliedFor = 2 * time.Second
+// applyAnnounceDuration is how long a change accepted here is announced to all instances.
+const applyAnnounceDuration = 2 * time.Second
 
-// wanted is a version that is known to be newer than the one held.
+// wanted is a version known to be newer than the current one.
 type wanted struct {
 	ConfigPointer
-	// at is the latest moment at which no newer one was in force.
+	// at is the latest time at which no newer one was in force.
 	at time.Time
-	// from told of it.
+	// from is the instance that announced it.
 	from string
-	// tries counts the rounds in which it was fetched.
+	// tries counts the rounds of fetching.
 	tries int
-	// parts is what other instances have sent of its object.
+	// parts is the received beginning of its object.
 	parts []byte
 }
 
 func (w *wanted) newer(number int64) bool { return w.Number > number }
 
-// learn takes the word that a version was in force at a moment; the zero time
-// if the moment is not known.
+// learn handles the information that a version was in force at a time; zero if unknown.
 func (i *Instance) learn(now time.Time, p ConfigPointer, at time.Time, from string) {
 	w := &i.follow.want
 	switch held := i.ConfigNumber(); {
@@ -55,8 +54,8 @@
 	}
 }
 
-// renumber puts a wanted version in force whose configuration is the one held: other data
-// centres are cordoned by it.
+// renumber adopts a wanted version with the current configuration, which differs in its
+// cordons only.
 func (i *Instance) renumber(now time.Time) {
 	i.version = i.version.Renumbered(i.follow.want.Number)
 	i.inForce(now)
@@ -75,8 +74,7 @@
 	return a
 }
 
-// fetchAgain tries again to get a wanted version, from the store and from
-// another instance: the store may be down, slow or not have answered.
+// fetchAgain retries a wanted version from the store and from another instance.
 func (i *Instance) fetchAgain(now time.Time) {
 	w := &i.follow.want
 	if !w.newer(i.ConfigNumber()) {
@@ -90,8 +88,8 @@
 	}
 }
 
-// askObject asks for the next part of the wanted object, each time of another
-// instance, first of the one that told of it.
+// askObject requests the next part of the wanted object, from a different instance each time,
+// starting with the one that announced it.
 func (i *Instance) askObject(time.Time) {
 	w := &i.follow.want
 	var others []string
@@ -156,7 +154,7 @@
 	i.putInForce(now, e.Hash, e.Data, e.Config)
 }
 
-// decodeInForce decodes a wanted version and puts it in force.
+// decodeInForce decodes and adopts a wanted version.
 func (i *Instance) decodeInForce(now time.Time, hash string, object []byte) {
 	w := i.follow.want
 	if hash != w.Hash || !w.newer(i.ConfigNumber()) {
@@ -171,8 +169,7 @@
 	i.putInForce(now, hash, object, cfg)
 }
 
-// putInForce puts a wanted version in force here. Requests that have begun keep
-// theirs.
+// putInForce adopts a wanted version. Requests in progress keep theirs.
 func (i *Instance) putInForce(now time.Time, hash string, object []byte, cfg *config.Config) {
 	w := i.follow.want
 	if hash != w.Hash || !w.newer(i.ConfigNumber()) {
@@ -183,21 +180,20 @@
 	i.inForce(now)
 }
 
-// inForce takes what goes with the wanted version, which is in force now.
+// inForce applies what accompanies the wanted version, now in force.
 func (i *Instance) inForce(now time.Time) {
 	w := &i.follow.want
 	i.confirm(w.at)
 	i.emit(Log{Event: "config_in_force", Pairs: []any{"number", w.Number, "hash", w.Hash, "from", w.from}})
 	i.setCordons(now, cordon.NewSet(w.Number, w.Cordoned))
 	if w.from == i.self {
-		i.tellDataCentre(now)
+		i.announceInDataCentre(now)
 	}
 }
 
-// onConfigApplied takes a change that was accepted through this instance and
-// tells every other, without waiting for a reader: an outage of the table that
-// begins right after the change would otherwise keep it from all of them, who
-// would go on with the version before.
+// onConfigApplied adopts a change accepted through this instance and announces it to all
+// others directly: an outage of the table right after the change would otherwise hide it from
+// them.
 func (i *Instance) onConfigApplied(now time.Time, e ConfigApplied) {
 	p := e.Pointer
 	i.learn(now, p, time.Time{}, i.self)
@@ -205,20 +201,20 @@
 		i.decodeInForce(now, p.Hash, e.Object)
 	}
 	i.follow.applied = now
-	i.tellApplied(now)
+	i.announceApplied(now)
 }
 
-// tellApplied repeats the update in the next rounds: a message may be lost, and an
-// instance that has just started does not know the others yet.
-func (i *Instance) tellApplied(now time.Time) {
-	if now.Sub(i.follow.applied) < tellAppliedFor {
+// announceApplied repeats that announcement for some rounds, as messages can be lost and new
+// instances join.
+func (i *Instance) announceApplied(now time.Time) {
+	if now.Sub(i.follow.applied) < applyAnnounceDuration {
 		i.broadcast(msg.ConfigTold{Number: i.ConfigNumber(), Hash: i.ConfigHash(), Cordoned: i.cordons.DataCentres})
 	}
 }
 
-// tellDataCentre tells a version that this instance read itself to the others
-// in its data centre, so that they need not wait for their next question.
-func (i *Instance) tellDataCentre(now time.Time) {
+// announceInDataCentre sends a version that this instance read to the others in its data
+// centre before their next poll.
+func (i *Instance) announceInDataCentre(now time.Time) {
 	own := i.selfMember().DataCentre
 	for _, name := range i.view.Entries() {
 		if m, _ := i.view.Member(name); name != i.self && m.DataCentre == own {
--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -7,10 +7,10 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// announceEvery is how often an entry tells each pool's home what it runs.
-const announceEvery = time.Second
+// announceInterval is the interval of an entry's announcements to pool homes.
+const announceInterval = time.Second
 
-// beats holds what is sent or kept at intervals.
+// beats holds the state of periodic work.
 type beats struct {
 	announced time.Time
 }
@@ -22,7 +22,7 @@
 
 // tickBeats announces the running attempts to the homes of their pools.
 func (i *Instance) tickBeats(now time.Time) {
-	if now.Sub(i.beats.announced) < announceEvery {
+	if now.Sub(i.beats.announced) < announceInterval {
 		return
 	}
 	i.beats.announced = now
--- a/internal/core/book.go
+++ b/internal/core/book.go
@@ -20,17 +20,17 @@
 )
 
 const (
-	// retryStore is when to come back while the table does not answer.
+	// retryStore is the Retry-After while the table is unavailable.
 	retryStore = 2 * time.Second
-	// retryReleased is when to come back for a key that is free again.
+	// retryReleased is the Retry-After for a key that was released.
 	retryReleased = 200 * time.Millisecond
-	// recordSlack is added to the longest call for its claim and its record.
+	// recordSlack extends the longest call by the time for its claim and its record.
 	recordSlack = 5 * time.Second
-	// claimTries bounds the claims of one attempt over released rows.
-	claimTries = 3
+	// maxClaims bounds the claims of one attempt over released rows.
+	maxClaims = 3
 )
 
-// claim writes the booking's row: the permission to dispatch.
+// claim writes the booking's row, which permits the dispatch.
 func (i *Instance) claim(now time.Time, r *request) {
 	r.phase = claiming
 	r.book.tries++
@@ -61,7 +61,7 @@
 	i.afterClaim(now, r, booking.AfterFence(now, res, row.Key, r.attempt, r.BodyHash), row)
 }
 
-// afterClaim goes on once the row is known, or known to be unreachable.
+// afterClaim continues once the row is known, or known to be unreachable.
 func (i *Instance) afterClaim(now time.Time, r *request, step booking.Step, row table.Row) {
 	switch step {
 	case booking.Dispatch:
@@ -83,7 +83,7 @@
 	}
 }
 
-// answerFromRow ends, or holds, a request whose key another attempt has used.
+// answerFromRow ends or holds a request whose key another attempt has used.
 func (i *Instance) answerFromRow(now time.Time, r *request, step booking.Step, row table.Row) {
 	switch step {
 	case booking.Replay:
@@ -110,9 +110,9 @@
 	return Finish{Status: status.ServiceUnavailable, Reason: reason, Step: "claim", Peer: "table", RetryAfter: after}
 }
 
-// claimAgain claims a key whose earlier holder has renounced it.
+// claimAgain claims a key that its previous holder has renounced.
 func (i *Instance) claimAgain(now time.Time, r *request, row table.Row) {
-	if r.book.tries >= claimTries {
+	if r.book.tries >= maxClaims {
 		i.refuse(now, r, notRun(ReasonReleased, retryReleased))
 		return
 	}
@@ -120,9 +120,9 @@
 	i.claim(now, r)
 }
 
-// fence settles a claim whose answer was lost. A read would not do: the lost
-// write may land after it. The fence occupies the row instead, so that the
-// claim either has landed already or never will.
+// fence settles a claim whose answer was lost. A read would be inconclusive, as the write may
+// land after it. The fence occupies the row, so that the claim has either landed already or
+// never will.
 func (i *Instance) fence(now time.Time, r *request) {
 	r.phase = fencing
 	i.count("bookings_total", "claim_answer_lost")
@@ -130,9 +130,9 @@
 	i.emit(Commit{Op: opFence + r.ID, Tx: tx})
 }
 
-// dispatchClaimed dispatches, unless the grant has lapsed while the table
-// answered: then the claim is released and the call has not run. A holder that
-// was frozen between claim and dispatch ends here.
+// dispatchClaimed dispatches, unless the grant expired while the table answered: then the
+// claim is released and the call has not run. It also stops holders that were frozen between
+// claim and dispatch.
 func (i *Instance) dispatchClaimed(now time.Time, r *request) {
 	if now.After(r.run.before) {
 		i.release(now, r)
@@ -142,15 +142,14 @@
 	i.dispatch(now, r)
 }
 
-// release gives the key of an attempt back that will never dispatch.
+// release frees the key of an attempt that will never be dispatched.
 func (i *Instance) release(now time.Time, r *request) {
 	rec := r.book.record
 	rec.State = booking.Released
 	i.writeBack(now, backWrite{tx: booking.Put(r.bookingRow(), r.book.version, rec)})
 }
 
-// renounce makes sure in the background that a claim that may still land does
-// not keep the key.
+// renounce ensures in the background that a claim that may still land does not occupy the key.
 func (i *Instance) renounce(now time.Time, r *request, row table.Row) {
 	tx, ok := booking.Undo(now, row, r.book.base, r.attempt, r.BodyHash)
 	if ok {
@@ -158,8 +157,7 @@
 	}
 }
 
-// record stores the service's answer before the caller gets it, so that a
-// repeat of the key gets the same answer.
+// record stores the service's answer before the caller receives it, for repeats of the key.
 func (i *Instance) record(now time.Time, r *request, f Finish) {
 	r.phase = recording
 	r.book.answer = f
@@ -169,9 +167,8 @@
 	i.emit(Commit{Op: opRecord + r.ID, Tx: booking.Put(r.bookingRow(), r.book.version, r.book.record)})
 }
 
-// onRecorded answers the caller. A record whose answer was lost is written
-// again in the background: without it, each repeat of the key would get
-// "unknown" although the answer is known here.
+// onRecorded answers the caller. A record whose answer was lost is rewritten in the
+// background: without it, repeats of the key would get "unknown".
 func (i *Instance) onRecorded(now time.Time, id string, res table.Result) {
 	r := i.requests[id]
 	if r == nil || r.phase != recording {
@@ -184,8 +181,8 @@
 	i.finish(now, r, r.book.answer)
 }
 
-// bookingFailed ends a booking whose call broke: a call that can't have left
-// is released and not run, any other is unknown and never tried again.
+// bookingFailed ends a booking whose call failed: released and not run if it cannot have left,
+// otherwise unknown and never retried.
 func (i *Instance) bookingFailed(now time.Time, r *request, e UpstreamFailed) {
 	f := Finish{Status: status.BadGateway, Reason: ReasonUpstreamCut, Step: e.Step, Peer: r.run.upstream}
 	if !e.Sent {
--- a/internal/core/bookwait.go
+++ b/internal/core/bookwait.go
@@ -9,24 +9,23 @@
 )
 
 const (
-	// awaitFirst and awaitMost bound the pause between two looks at a key
-	// that another attempt holds.
-	awaitFirst = 100 * time.Millisecond
-	awaitMost  = time.Second
-	// awaitTotal is how long a repeat of a key waits for the first to end
-	// before it is told to come back.
-	awaitTotal = 5 * time.Second
+	// awaitMin and awaitMax bound the interval between reads of a key held by another attempt.
+	awaitMin = 100 * time.Millisecond
+	awaitMax = time.Second
+	// awaitTimeout is how long a repeat of a key waits for the first call before it is told to
+	// come back.
+	awaitTimeout = 5 * time.Second
 )
 
-// await holds a repeat of a key whose first call is still running, and answers
-// it with the recorded outcome. It keeps nothing that others could use.
+// await holds a repeat of a key whose first call is still running, without occupying anything,
+// and answers it with the recorded outcome.
 func (i *Instance) await(now time.Time, r *request, row table.Row) {
 	if r.phase != awaiting {
 		i.settle(r, Finish{Outcome: NotRun})
 		i.endGrant(r, false)
 		r.phase = awaiting
-		r.book.awaitEnd = now.Add(awaitTotal)
-		r.book.pause = awaitFirst
+		r.book.awaitEnd = now.Add(awaitTimeout)
+		r.book.pause = awaitMin
 		i.count("bookings_total", "awaited")
 	}
 	if !now.Before(r.book.awaitEnd) {
@@ -34,12 +33,12 @@
 		return
 	}
 	i.wakeAt(r, now.Add(r.book.pause))
-	r.book.pause = min(2*r.book.pause, awaitMost)
+	r.book.pause = min(2*r.book.pause, awaitMax)
 }
 
 // answerInProgress tells a repeat when the first call must have ended.
 func (i *Instance) answerInProgress(now time.Time, r *request, row table.Row) {
-	after := awaitMost
+	after := awaitMax
 	if rec, err := booking.Decode(row.Value); err == nil {
 		after = max(after, time.UnixMilli(rec.Until).Sub(now))
 	}
@@ -71,12 +70,10 @@
 	i.answerFromRow(now, r, step, row)
 }
 
-// lookUpFirst looks at the key of a booking that is about to be refused before
-// it made a claim. An earlier call under the same key may have run while its
-// answer got lost: its repeat must get that outcome, not "not run", even when
-// the limits are used up or no upstream is left. It reports whether the
-// refusal has to wait. While the table does not answer, the refusal says so: it
-// speaks of this request only, not of earlier ones under its key.
+// lookUpFirst reads the key of a booking that is about to be refused before its claim, and
+// reports whether the refusal has to wait. An earlier call under the key may have run: its
+// repeat must get that outcome rather than "not run". While the table is unavailable, the
+// refusal refers to this request only.
 func (i *Instance) lookUpFirst(now time.Time, r *request, f *Finish) bool {
 	if !r.NotRepeatable || r.service == nil || r.IdempotencyKey == "" || r.book.tries > 0 || r.book.looked {
 		return false
--- a/internal/core/configask.go
+++ b/internal/core/configask.go
@@ -9,7 +9,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// configCall is a question that was sent; to is empty for the table.
+// configCall is a request in progress; to is empty for the table.
 type configCall struct {
 	to string
 	at time.Time
@@ -20,7 +20,7 @@
 	down  bool
 }
 
-// readers lists who reads the row for a data centre, in rendezvous order.
+// readers lists the instances that read the row for a data centre, in rendezvous order.
 func (i *Instance) readers(now time.Time, dataCentre string) []string {
 	var out []string
 	for _, name := range i.view.Homes(now, "config/"+dataCentre, configReaders, func(dc string) int {
@@ -57,8 +57,8 @@
 	}
 }
 
-// otherReaders lists whom to ask in a data centre: its readers, and one more
-// in this instance's place if it is a reader itself.
+// otherReaders lists the readers to ask in a data centre, with a substitute for this instance
+// if it is one.
 func (i *Instance) otherReaders(now time.Time, dataCentre string) []string {
 	var out []string
 	for _, name := range i.view.Homes(now, "config/"+dataCentre, configReaders+1, func(dc string) int {
@@ -92,20 +92,19 @@
 	i.send(reader, msg.ConfigAsk{Ask: n, Address: i.selfMember().PeerAddress})
 }
 
-// dropLostCalls forgets questions that no answer can make use of any more. A
-// reader that did not answer is passed over, on a new connection: the old one
-// may be silent for good.
+// dropLostCalls drops requests that timed out. A reader that did not answer is skipped, on a
+// new connection: the old one may stay silent.
 func (i *Instance) dropLostCalls(now time.Time) {
 	for _, n := range slices.Sorted(maps.Keys(i.follow.sent)) {
 		c := i.follow.sent[n]
-		if now.Sub(c.at) < askLost {
+		if now.Sub(c.at) < pollTimeout {
 			continue
 		}
 		if c.to != "" {
 			delete(i.follow.sent, n)
 			i.count("config_asks_lost_total", c.to)
 			i.giveUpOn(now, c.to)
-		} else if now.Sub(c.at) > confirmFor {
+		} else if now.Sub(c.at) > confirmTTL {
 			delete(i.follow.sent, n)
 		}
 	}
@@ -114,14 +113,14 @@
 		if m, _ := i.view.Member(name); now.Sub(a.asked) <= unsureAfter {
 			recent[m.DataCentre] = true
 		}
-		if now.Sub(a.asked) > confirmFor {
+		if now.Sub(a.asked) > confirmTTL {
 			delete(i.follow.answers, name)
 		}
 	}
 	maps.DeleteFunc(i.follow.heard, func(dc string, _ time.Time) bool { return !recent[dc] })
 }
 
-// answered takes a question off the list and returns when it was sent.
+// answered removes a request and returns when it was sent.
 func (f *follower) answered(n int64, from string) (at time.Time, ok bool) {
 	c, ok := f.sent[n]
 	if !ok || c.to != from {
--- a/internal/core/cordons.go
+++ b/internal/core/cordons.go
@@ -9,7 +9,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
 )
 
-// setCordons takes the cordons that go with the version in force.
+// setCordons applies the cordons of the version in force.
 func (i *Instance) setCordons(now time.Time, s cordon.Set) {
 	before := i.cordons
 	i.cordons = s
@@ -25,7 +25,7 @@
 	}
 }
 
-// cordoned reports whether an upstream gets no new work as its data centre is cordoned.
+// cordoned reports whether an upstream's data centre is cordoned.
 func (i *Instance) cordoned(upstream string) bool {
 	u := i.version.Upstream(upstream)
 	return u != nil && i.cordons.Has(u.DataCentre)
@@ -34,8 +34,7 @@
 // Cordons returns the cordons in force.
 func (i *Instance) Cordons() cordon.Set { return i.cordons }
 
-// allowedPools leaves those pools that stand in regions which both the service and the
-// organisation allow.
+// allowedPools returns the pools in regions that both the service and the organisation allow.
 func (i *Instance) allowedPools(pools []*config.Pool, r *request) []*config.Pool {
 	return slices.DeleteFunc(slices.Clone(pools), func(p *config.Pool) bool {
 		return !r.service.AllowsRegion(p.Region) || !r.org.AllowsRegion(p.Region)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,14 +30,14 @@
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
-// Options describe an instance at its start.
+// Options are the parameters of an instance.
 type Options struct {
 	Self membership.Member
-	// Boot is unique to this run of the instance.
+	// Boot is unique to this run.
 	Boot string
 	// Seed feeds the jitter of retries.
 	Seed uint64
-	// Without lists the mechanisms that are left out, for comparison.
+	// Without lists disabled mechanisms.
 	Without mechanism.Set
 }
 
@@ -46,11 +46,11 @@
 	self string
 	boot string
 	view *membership.View
-	// without lists the mechanisms that are left out.
+	// without lists disabled mechanisms.
 	without mechanism.Set
 
 	version *config.Version
-	// cordons are those that go with the version in force.
+	// cordons are those of the version in force.
 	cordons cordon.Set
 	follow  follower
 
@@ -79,7 +79,7 @@
 	local []msg.Message
 }
 
-// New returns an instance that knows nothing yet.
+// New returns an instance without any state.
 func New(o Options) *Instance {
 	return &Instance{
 		self: o.Self.Name, boot: o.Boot, without: o.Without,
@@ -90,11 +90,11 @@
 		pools:    map[string]*poolHome{},
 		lengths:  placement.NewLengths(),
 		orgs:     budget.NewHome(o.Self.Name + "-" + o.Boot),
-		suspects: suspect.NewList(strikeKeep),
+		suspects: suspect.NewList(strikeTTL),
 	}
 }
 
-// Handle takes one event and returns what to do about it.
+// Handle processes one event and returns the resulting actions.
 func (i *Instance) Handle(now time.Time, ev Event) []Action {
 	i.handle(now, ev)
 	for len(i.local) > 0 {
@@ -220,8 +220,8 @@
 
 func (i *Instance) count(group, name string) { i.emit(Count{Group: group, Name: name}) }
 
-// send delivers a message to an instance by name; messages to this instance
-// itself are handled before Handle returns.
+// send sends a message to an instance by name. Messages to this instance are handled before
+// Handle returns.
 func (i *Instance) send(to string, m msg.Message) {
 	if to == i.self {
 		i.local = append(i.local, m)
@@ -232,7 +232,7 @@
 	}
 }
 
-// broadcast sends a message to every other live instance.
+// broadcast sends a message to all other live instances.
 func (i *Instance) broadcast(m msg.Message) {
 	for _, name := range i.view.Entries() {
 		if name != i.self {
@@ -241,8 +241,7 @@
 	}
 }
 
-// sortedNames lists a map's keys in order, so that the same events give the
-// same actions.
+// sortedNames returns a map's keys in order, which makes iteration deterministic.
 func sortedNames[V any](m map[string]V) []string {
 	return slices.Sorted(maps.Keys(m))
 }
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -8,25 +8,24 @@
 )
 
 const (
-	// tellLeavingEvery is how often a draining instance tells the others.
-	tellLeavingEvery = 500 * time.Millisecond
-	// leaveLag is how long after the start of a drain another instance may
-	// still name the leaving one to callers: one that did not hear it and
-	// whose instance list lags. It adds to the time that callers keep an answer.
+	// leavingInterval is the interval of a draining instance's announcements.
+	leavingInterval = 500 * time.Millisecond
+	// leaveLag is how long after the start of a drain lagging instances may still send callers
+	// here, in addition to the lifetime of entry answers.
 	leaveLag = 5 * time.Second
 )
 
-// drainer is the state of leaving.
+// drainer is the state of a drain.
 type drainer struct {
 	since time.Time
 	told  time.Time
-	// closed is set once nothing runs and no caller can hold the address by
-	// an answer that is still kept: later callers are refused as not run.
+	// closed is set once nothing runs and no valid entry answer names this instance: later
+	// callers are refused as not run.
 	closed bool
 }
 
-// onDrain takes the instance out of the entry answers. It goes on serving for
-// as long as callers may keep an answer that names it.
+// onDrain removes the instance from entry answers. It continues to serve while earlier answers
+// are valid.
 func (i *Instance) onDrain(now time.Time) {
 	if !i.drain.since.IsZero() {
 		return
@@ -34,12 +33,11 @@
 	i.drain.since = now
 	i.view.SetSelfState(membership.Leaving)
 	i.emit(Log{Event: "draining"})
-	i.tellLeaving(now)
+	i.announceLeaving(now)
 }
 
-// tellLeaving tells every instance: the list lags, and an instance that still
-// names this one to callers would send them to an address that is gone.
-func (i *Instance) tellLeaving(now time.Time) {
+// announceLeaving announces the drain to all instances, as the list lags.
+func (i *Instance) announceLeaving(now time.Time) {
 	i.drain.told = now
 	i.broadcast(msg.Leaving{})
 }
@@ -48,8 +46,8 @@
 	if i.drain.since.IsZero() || i.drain.closed {
 		return
 	}
-	if now.Sub(i.drain.told) >= tellLeavingEvery {
-		i.tellLeaving(now)
+	if now.Sub(i.drain.told) >= leavingInterval {
+		i.announceLeaving(now)
 	}
 	if now.Sub(i.drain.since) < i.entryTTL()+leaveLag || i.unfinished(now) {
 		return
@@ -58,8 +56,8 @@
 	i.emit(Exit{})
 }
 
-// unfinished reports whether something would be cut off or lost by an exit: a
-// request, a record of a booking, or a chunk that is being returned.
+// unfinished reports whether an exit would lose something: a request, a booking's record, a
+// chunk being returned.
 func (i *Instance) unfinished(now time.Time) bool {
 	return len(i.requests) > 0 || i.writeBacksWait(now) || i.orgs.Moving()
 }
@@ -74,16 +72,16 @@
 // Leaving reports whether the instance is draining.
 func (i *Instance) Leaving() bool { return !i.drain.since.IsZero() }
 
-// Entries is the answer to a caller that asks where to connect.
+// Entries answers a caller that asks where to connect.
 type Entries struct {
 	Addresses []string
 	TTL       time.Duration
 }
 
-// Entries lists the callers' addresses of the live instances, those in this
-// instance's own data centre first. An instance that did not answer others is
-// left out, unless that would leave nobody. Callers of an organisation that is confined to
-// regions are named instances there and in this one's region only.
+// Entries lists callers' addresses of live instances, those of this data centre first.
+// Instances that do not answer others are omitted unless none would remain. Callers of an
+// organisation that is confined to regions get instances in these and in this one's region
+// only.
 func (i *Instance) Entries(now time.Time, apiKey string) Entries {
 	e := Entries{TTL: i.entryTTL()}
 	own := i.selfMember().DataCentre
@@ -107,7 +105,7 @@
 	return e
 }
 
-// mayConnect reports whether callers with a key may be sent to an instance of a data centre.
+// mayConnect reports whether callers with a key may be sent to instances in a data centre.
 func (i *Instance) mayConnect(apiKey, dataCentre string) bool {
 	if i.version == nil || apiKey == "" {
 		return true
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -23,10 +23,10 @@
 	ReasonPoison         = "poison"
 )
 
-// retryNotReady is when to come back to an instance that has no configuration.
+// retryNotReady is the Retry-After while there is no configuration.
 const retryNotReady = time.Second
 
-// onRequest accepts a caller's request or refuses it at once.
+// onRequest accepts or refuses a request.
 func (i *Instance) onRequest(now time.Time, e CallerRequest) {
 	r := &request{CallerRequest: e, version: i.version, started: now}
 	i.requests[r.ID] = r
@@ -63,9 +63,8 @@
 	return nil
 }
 
-// resolve finds the organisation and service as far as they are known here, so
-// that a repeat of a booking's key gets its recorded outcome even from an
-// instance that accepts nothing new.
+// resolve looks up organisation and service as far as known, so that a repeat of a booking's
+// key gets its outcome even from an instance that accepts nothing new.
 func (r *request) resolve() {
 	if r.NotRepeatable && r.authenticate() == nil {
 		r.findService()
--- a/internal/core/explain.go
+++ b/internal/core/explain.go
@@ -12,16 +12,16 @@
 // ringSize is how many records an instance keeps.
 const ringSize = 20_000
 
-// ring keeps the latest decisions for explain.
+// ring holds the latest decisions for explain.
 type ring struct {
 	records []record
 	next    int
-	// buf is where a line is written before it is kept.
+	// buf is reused to format lines.
 	buf []byte
 }
 
-// record is one decision. It is kept as text: values of other types would each
-// be an allocation of their own, ten times as large in all.
+// record is one decision. It is stored as text: as values it would take ten times the memory
+// and an allocation each.
 type record struct {
 	request string
 	line    string
@@ -51,8 +51,7 @@
 	return lines
 }
 
-// appendLine writes a decision as one line of key=value pairs, empty values left
-// out. Each request notes about six, so that it allocates nothing by itself.
+// appendLine formats a decision as key=value pairs without empty values. It does not allocate.
 func appendLine(b []byte, now time.Time, request, step string, pairs []any) []byte {
 	b = append(b, "time="...)
 	b = now.UTC().AppendFormat(b, time.RFC3339Nano)
@@ -81,8 +80,8 @@
 	}
 }
 
-// AskExplain asks the instance that a request id names for its decisions. The
-// answer comes as Explained with the same id.
+// AskExplain asks the instance named by a request id for its decisions. Explained answers with
+// the same id.
 func (i *Instance) AskExplain(id uint64, request string) []Action {
 	owner, _, _ := strings.Cut(request, ":")
 	if owner == i.self {
--- a/internal/core/failing.go
+++ b/internal/core/failing.go
@@ -6,19 +6,17 @@
 )
 
 const (
-	// failsMax is how many attempts in a row an upstream may break off before
-	// it is passed over.
-	failsMax = 3
-	// passOver and passOverMax bound how long: it doubles with each attempt
-	// that fails after that.
-	passOver    = 2 * time.Second
-	passOverMax = 30 * time.Second
+	// maxFailures is the number of consecutive failed attempts after which an upstream is
+	// avoided.
+	maxFailures = 3
+	// avoidMin and avoidMax bound the time for which it is avoided, which doubles with each
+	// further failure.
+	avoidMin = 2 * time.Second
+	avoidMax = 30 * time.Second
 )
 
-// failing counts the attempts that upstreams broke off in a row. An upstream
-// that answers its polls but fails each request at once always looks idle: it
-// would draw nearly all work, and most callers would see a failure although
-// the other upstreams are well. After the pause the next request tries it.
+// failing counts consecutive failures by upstream. One that answers polls but fails every
+// request at once looks idle and would attract nearly all work.
 type failing map[string]failure
 
 type failure struct {
@@ -36,13 +34,13 @@
 	}
 	x := f[upstream]
 	x.inRow++
-	if over := x.inRow - failsMax; over >= 0 {
-		x.until = now.Add(min(passOver<<min(over, 8), passOverMax))
+	if over := x.inRow - maxFailures; over >= 0 {
+		x.until = now.Add(min(avoidMin<<min(over, 8), avoidMax))
 	}
 	f[upstream] = x
 }
 
-// avoid lists the upstreams to pass over, in order.
+// avoid lists the upstreams to avoid, in order.
 func (f failing) avoid(now time.Time) []string {
 	var out []string
 	for name, x := range f {
--- a/internal/core/failure.go
+++ b/internal/core/failure.go
@@ -11,7 +11,7 @@
 // maxAttempts bounds the attempts of one request.
 const maxAttempts = 3
 
-// attemptFailed tries again elsewhere where that is safe, or ends the request.
+// attemptFailed retries on another upstream where that is safe, or ends the request.
 func (i *Instance) attemptFailed(now time.Time, r *request, e UpstreamFailed) {
 	r.run.failed = e.Sent
 	if !e.Sent {
@@ -31,9 +31,8 @@
 	i.tryAgain(now, r, e)
 }
 
-// mayTryAgain reports whether another attempt is safe and within the budgets.
-// A stream whose first token was delivered has no second attempt: its tokens
-// would be those of another generation.
+// mayTryAgain reports whether another attempt is safe and within the budgets. A stream that
+// has delivered a token cannot be retried: another generation has different tokens.
 func (i *Instance) mayTryAgain(now time.Time, r *request) bool {
 	if r.delivered() || r.gone || r.tries >= maxAttempts || now.Sub(r.started) >= r.service.Timeout.D() {
 		return false
@@ -45,7 +44,7 @@
 	return true
 }
 
-// delivered reports whether a token of the present generation has left.
+// delivered reports whether a token of the current generation has left.
 func (r *request) delivered() bool { return r.Stream && r.seq.Bound() }
 
 func (r *request) failure(e UpstreamFailed) Finish {
--- a/internal/core/follow.go
+++ b/internal/core/follow.go
@@ -17,21 +17,21 @@
 const (
 	// ConfigRow is the table key of the configuration in force.
 	ConfigRow = "config/current"
-	// followEvery is the time between two rounds of following.
-	followEvery = 500 * time.Millisecond
-	// configReaders is how many instances of each data centre read the row in
-	// every round; the others ask them.
+	// followInterval is the interval between rounds.
+	followInterval = 500 * time.Millisecond
+	// configReaders is the number of instances per data centre that read the row in each
+	// round; the others poll them.
 	configReaders = 2
-	// unsureAfter is the age of its confirmation at which an instance reads
-	// the row itself and asks the readers of every data centre.
+	// unsureAfter is the age of the confirmation from which an instance reads the row itself
+	// and polls the readers of every data centre.
 	unsureAfter = 1200 * time.Millisecond
-	// unsureReadEvery is how often an unsure instance reads.
-	unsureReadEvery = time.Second
-	// confirmFor is how long a confirmation lets an instance accept requests.
-	// It bounds how long an old version can be in force beside a new one.
-	confirmFor = 3 * time.Second
-	// askLost is when a question to a reader counts as unanswered.
-	askLost = time.Second
+	// unsureReadInterval is the interval of these reads.
+	unsureReadInterval = time.Second
+	// confirmTTL is how long a confirmation permits accepting requests. It bounds how long two
+	// versions can be in force.
+	confirmTTL = 3 * time.Second
+	// pollTimeout is the timeout of a poll.
+	pollTimeout = time.Second
 )
 
 // ConfigPointer is the value of ConfigRow.
@@ -40,9 +40,8 @@
 	Hash     string `json:"hash"`
 	ApplyID  string `json:"apply_id"`
 	Operator string `json:"operator"`
-	// Cordoned lists the data centres whose upstreams get no new work. To cordon one is a
-	// change of its own with the same hash: it is followed, confirmed and never reverted
-	// as the configuration is.
+	// Cordoned lists the cordoned data centres. A cordon is a version of its own with the same
+	// hash, so that it is followed and confirmed like a configuration and never reverted.
 	Cordoned []string `json:"cordoned,omitempty"`
 }
 
@@ -55,31 +54,29 @@
 // instance go on with the version that the change replaced.
 type follower struct {
 	round time.Time
-	// confirmed is the latest moment at which no newer version than the one
-	// held here was in force, for certain.
+	// confirmed is the latest time at which certainly no newer version was in force.
 	confirmed time.Time
 
-	// calls numbers reads and asks; sent holds those without an answer.
+	// calls numbers reads and polls; sent holds those in progress.
 	calls int64
 	sent  map[int64]configCall
-	// read is when the row was last asked for, down when the last read that
-	// failed had been sent; zero after one that succeeded.
+	// read is the time of the last read, down that of the last one that failed; zero after a
+	// success.
 	read time.Time
 	down time.Time
-	// answers holds the last answer of each instance that was asked.
+	// answers holds the last answer of each polled instance.
 	answers map[string]configAnswer
-	// heard is since when answers have come from each data centre without a
-	// longer pause.
+	// heard is the time since which each data centre has answered without interruption.
 	heard map[string]time.Time
-	// applied is when a change was last accepted through this instance.
+	// applied is the time of the last change accepted through this instance.
 	applied time.Time
 
 	want   wanted
 	object []byte
 }
 
-// newFollower returns a follower whose calls are numbered apart from those of
-// every other run of the instance: an answer to an earlier run may be late.
+// newFollower returns a follower whose calls are numbered apart from those of earlier runs,
+// whose answers may be late.
 func newFollower(boot string) follower {
 	const runBits = 32
 	first := int64(xxhash.Sum64String(boot) >> runBits << (runBits - 1))
@@ -91,7 +88,7 @@
 // An instance that was frozen or cut off may hold a version that has been
 // replaced: its callers would be served and charged by rules that are no longer
 // in force. It accepts requests only while a confirmation is younger than
-// confirmFor, so that a version is out of force everywhere that long after
+// confirmTTL, so that a version is out of force everywhere that long after
 // another was accepted; or while the table answers nobody, as then no change
 // can be accepted either.
 func (i *Instance) unready(now time.Time) string {
@@ -100,17 +97,16 @@
 		return ReasonLeaving
 	case i.version == nil:
 		return ReasonNotReady
-	case now.Sub(i.follow.confirmed) > confirmFor && !i.tableDownForAll(now):
+	case now.Sub(i.follow.confirmed) > confirmTTL && !i.tableDownForAll(now):
 		return ReasonUnconfirmed
 	}
 	return ""
 }
 
-// tableDown reports whether this instance's own reads fail and nobody
-// confirms.
+// tableDown reports whether this instance's reads fail and no other confirms.
 func (i *Instance) tableDown(now time.Time) bool {
 	f := &i.follow
-	return now.Sub(f.down) <= confirmFor && now.Sub(f.confirmed) > unsureAfter
+	return now.Sub(f.down) <= confirmTTL && now.Sub(f.confirmed) > unsureAfter
 }
 
 // tableDownForAll reports whether the table answers nobody: neither this
@@ -125,7 +121,7 @@
 	}
 	heard := map[string]bool{}
 	for name, a := range i.follow.answers {
-		if now.Sub(a.asked) > confirmFor {
+		if now.Sub(a.asked) > confirmTTL {
 			continue
 		}
 		if !a.down {
@@ -133,7 +129,7 @@
 		}
 		m, _ := i.view.Member(name)
 		since := i.follow.heard[m.DataCentre]
-		heard[m.DataCentre] = !since.IsZero() && now.Sub(since) >= askLost
+		heard[m.DataCentre] = !since.IsZero() && now.Sub(since) >= pollTimeout
 	}
 	own := i.selfMember().DataCentre
 	others := 0
@@ -156,7 +152,7 @@
 // make 20.
 func (i *Instance) tickFollow(now time.Time) {
 	f := &i.follow
-	if now.Sub(f.round) < followEvery {
+	if now.Sub(f.round) < followInterval {
 		return
 	}
 	f.round = now
@@ -164,7 +160,7 @@
 	own := i.readers(now, i.selfMember().DataCentre)
 	unsure := now.Sub(f.confirmed) > unsureAfter
 	switch {
-	case slices.Contains(own, i.self), unsure && now.Sub(f.read) >= unsureReadEvery:
+	case slices.Contains(own, i.self), unsure && now.Sub(f.read) >= unsureReadInterval:
 		i.readConfigRow(now)
 	case !unsure:
 		i.askConfig(now, own[f.calls%int64(len(own))])
@@ -173,7 +169,7 @@
 		i.askEveryDataCentre(now)
 	}
 	i.fetchAgain(now)
-	i.tellApplied(now)
+	i.announceApplied(now)
 }
 
 func (i *Instance) onConfigRow(now time.Time, e ReadResult) {
--- a/internal/core/guard.go
+++ b/internal/core/guard.go
@@ -10,16 +10,16 @@
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
-// guard is what a pool's home keeps to stop requests that crash upstreams.
+// guard is a pool home's state for stopping requests that crash upstreams.
 type guard struct {
 	verdicts map[string]*verdict
-	// prints maps granted and queued attempts to their fingerprints, running
-	// the fingerprints to their granted attempts.
+	// prints maps granted and queued attempts to fingerprints, running maps fingerprints to
+	// granted attempts.
 	prints  map[string]printed
 	running map[uint64][]string
 }
 
-// printed is an attempt's fingerprint and when its entry last spoke of it.
+// printed is an attempt's fingerprint and the time of its last announcement.
 type printed struct {
 	print uint64
 	seen  time.Time
@@ -37,8 +37,8 @@
 	g.prints[ask.Attempt] = p
 }
 
-// expire forgets the attempts whose entry has been silent for the window: by
-// then they are cancelled, or were never begun.
+// expire drops the attempts whose entry has been silent for the window: they were cancelled or
+// never started.
 func (g *guard) expire(now time.Time, window time.Duration) {
 	for attempt, p := range g.prints {
 		if now.Sub(p.seen) > window {
@@ -75,8 +75,8 @@
 	return slices.ContainsFunc(g.running[print], func(a string) bool { return a != attempt })
 }
 
-// pending reports whether an attempt with the fingerprint failed on an
-// upstream of which it is not known yet whether it crashed.
+// pending reports whether an attempt with the fingerprint failed on an upstream that may have
+// crashed.
 func (g *guard) pending(print uint64) bool {
 	for _, v := range g.verdicts {
 		if _, ran := v.ran[print]; ran && !v.over {
@@ -86,8 +86,8 @@
 	return false
 }
 
-// doubts lists the upstreams on which an attempt with the fingerprint failed
-// and that have not spoken since.
+// doubts lists the upstreams on which an attempt with the fingerprint failed and that have not
+// reported since.
 func (g *guard) doubts(print uint64) []string {
 	var out []string
 	for name, v := range g.verdicts {
@@ -99,8 +99,7 @@
 	return out
 }
 
-// screen decides whether an ask may go on to placement. It answers the ask
-// itself, or holds it, if not.
+// screen decides whether an ask may proceed to placement. If not, it answers or holds the ask.
 func (i *Instance) screen(now time.Time, h *poolHome, from string, m *msg.GrantAsk) bool {
 	if i.awaitVerdict(now, h, from, *m) {
 		return false
@@ -128,9 +127,8 @@
 	return true
 }
 
-// judgement is the verdict on a fingerprint. What failed on an upstream that
-// has said nothing since counts as struck until the upstream speaks: it may
-// have gone down with its whole machine.
+// judgement returns the verdict on a fingerprint. A failure on an upstream that has not
+// reported since counts as a strike: it may have gone down with its machine.
 func (i *Instance) judgement(now time.Time, h *poolHome, print uint64) suspect.Verdict {
 	v := i.suspects.Judge(now, print)
 	if v == suspect.Clean && len(h.guard.doubts(print)) > 0 {
@@ -139,17 +137,15 @@
 	return v
 }
 
-// mustWait reports whether a suspect may not run yet: one crash has happened,
-// and with a second copy beside this one there could be three. A home that has
-// just begun does not know yet what runs; the entries announce it within a
-// second. The entry asks again in a moment.
+// mustWait reports whether a suspect may not run yet: after one crash, a second copy beside
+// this one could make three. A new home first learns what runs from the entries, within a
+// second. The entry asks again.
 func (i *Instance) mustWait(now time.Time, h *poolHome, ask placement.Ask) bool {
 	return h.guard.beside(ask.Attempt, ask.Fingerprint) || h.guard.pending(ask.Fingerprint) ||
-		now.Sub(h.begun) < 2*announceEvery || i.mayBeSecond(h, ask.Fingerprint)
+		now.Sub(h.begun) < 2*announceInterval || i.mayBeSecond(h, ask.Fingerprint)
 }
 
-// mayBeSecond reports whether the fingerprint's strikes and doubts together
-// may be two crashes already.
+// mayBeSecond reports whether strikes and doubts of the fingerprint may amount to two crashes.
 func (i *Instance) mayBeSecond(h *poolHome, print uint64) bool {
 	struck := i.suspects.Upstreams(print)
 	n := len(struck)
@@ -178,8 +174,7 @@
 	}
 }
 
-// vetoes withdraws a grant that placement has just made from its queue, if the
-// fingerprint was struck while it waited there.
+// vetoes withdraws a grant from the queue whose fingerprint was struck while it waited.
 func (i *Instance) vetoes(now time.Time, h *poolHome, d placement.Decision) (placement.Decision, bool) {
 	p, ok := h.guard.prints[d.Attempt]
 	print := p.print
@@ -199,10 +194,9 @@
 	return d, false
 }
 
-// withSuspects lists the upstreams that a suspect must keep off: those that
-// run another suspect, and those that crashed under it, as long as the pool has
-// others. An innocent request must not be struck twice, neither beside the one
-// that does the harm nor by one worker that is itself faulty.
+// withSuspects lists the upstreams that a suspect must avoid: those that run another suspect
+// and those that crashed under it, as long as the pool has others. An innocent request must
+// not get two strikes from the harmful one beside it or from one faulty upstream.
 func (i *Instance) withSuspects(now time.Time, h *poolHome, print uint64) []string {
 	var out []string
 	for _, p := range h.guard.prints {
@@ -218,7 +212,7 @@
 	return slices.Compact(out)
 }
 
-// hasOther reports whether the pool has an upstream that is not in the list.
+// hasOther reports whether the pool has an upstream outside the list.
 func (h *poolHome) hasOther(v *config.Version, list []string) bool {
 	p := v.Pool(h.pool)
 	return p != nil && slices.ContainsFunc(p.Upstreams, func(u string) bool { return !slices.Contains(list, u) })
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -8,21 +8,20 @@
 	"mulberrylug.example/mulberrylug/internal/core/table"
 )
 
-// AskTurn asks the weight store for a turn to load a version; TurnAnswer
-// answers it.
+// AskTurn requests a turn to load a version from the weight store. TurnAnswer answers it.
 type AskTurn struct {
 	Upstream string
 	Model    string
 	Version  string
 }
 
-// SendOrder sends an order to an upstream; OrderAnswer answers it.
+// SendOrder sends an order to an upstream. OrderAnswer answers it.
 type SendOrder struct {
 	Upstream string
 	Address  string
 	Fence    int64
 	Version  string
-	// Before is the latest moment to send it; Timeout bounds the call.
+	// Before is the deadline for sending, Timeout bounds the call.
 	Before  time.Time
 	Timeout time.Duration
 }
@@ -34,7 +33,7 @@
 	OK       bool
 }
 
-// OrderAnswer tells how an order was received.
+// OrderAnswer is the result of an order.
 type OrderAnswer struct {
 	Upstream string
 	Fence    int64
@@ -60,7 +59,7 @@
 	return m.Name, m.Version
 }
 
-// order returns the machine that gives an upstream its orders.
+// order returns the state machine for an upstream's orders.
 func (i *Instance) order(h *poolHome, upstream string) *order.Machine {
 	m := h.orders[upstream]
 	if m == nil {
@@ -71,8 +70,8 @@
 	return m
 }
 
-// orderOnReport compares what an upstream runs with what it should run. It
-// reports whether the upstream must get no new work meanwhile.
+// orderOnReport compares what an upstream runs with what it should run, and reports whether it
+// must get no new work.
 func (i *Instance) orderOnReport(now time.Time, h *poolHome, r placement.Report) bool {
 	if i.version.Upstream(r.Upstream) == nil {
 		return false
@@ -119,8 +118,8 @@
 	})
 }
 
-// orderFor finds the machine of an upstream, or nil if this instance is not
-// its home any more.
+// orderFor returns the state machine of an upstream, or nil if this instance is no longer its
+// home.
 func (i *Instance) orderFor(upstream string) *order.Machine {
 	if h := i.homeOf(upstream); h != nil {
 		return h.orders[upstream]
--- a/internal/core/orghome.go
+++ b/internal/core/orghome.go
@@ -10,9 +10,9 @@
 	"mulberrylug.example/mulberrylug/internal/core/table"
 )
 
-// tidyEvery is how often accounts are looked through for reservations of dead
-// entries and for chunks to return.
-const tidyEvery = 5 * time.Second
+// tidyInterval is the interval between checks of accounts for reservations of dead entries and
+// chunks to return.
+const tidyInterval = 5 * time.Second
 
 func (i *Instance) onReserveAsk(now time.Time, from string, m msg.ReserveAsk) {
 	m.Ask.Entry = from
@@ -25,7 +25,7 @@
 	i.doBudget(i.orgs.Settle(now, m.Org, m.Request, config.Money(m.Used), m.Tokens))
 }
 
-// onDebited takes the result of a debit; id is "ORGANISATION/MOVE".
+// onDebited handles the result of a debit; id is "ORGANISATION/MOVE".
 func (i *Instance) onDebited(now time.Time, id string, res table.Result) {
 	org, move := cutMove(id)
 	i.orgs.SetStoreDown(i.store.down())
@@ -48,10 +48,10 @@
 	return id[:at], id[at+1:]
 }
 
-// tickBudgets lets the accounts be tidied. A draining instance is no home any
-// more, so that it returns its chunks before it leaves.
+// tickBudgets checks the accounts. A draining instance is no home any more and returns its
+// chunks.
 func (i *Instance) tickBudgets(now time.Time) {
-	if now.Sub(i.tidied) < tidyEvery {
+	if now.Sub(i.tidied) < tidyInterval {
 		return
 	}
 	i.tidied = now
--- a/internal/core/orphans.go
+++ b/internal/core/orphans.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// probeEvery is how often a home repeats its question who follows a
-	// generation, to those that have not answered.
-	probeEvery = 2 * time.Second
-	// probesMax bounds the generations that a home asks about at once.
-	probesMax = 256
+	// probeInterval is the interval at which a home repeats its question about a generation to
+	// instances that have not answered.
+	probeInterval = 2 * time.Second
+	// maxProbes bounds the generations that a home asks about at once.
+	maxProbes = 256
 )
 
 // orphans is a home's search for generations that no entry follows any more:
@@ -26,8 +26,8 @@
 // the other gets. A generation is cancelled once every instance in the list
 // has said that it does not follow it.
 type orphans struct {
-	// unclaimed maps generations in upstreams' reports that no entry has
-	// announced here to when they were first seen so.
+	// unclaimed maps generations in upstreams' reports that no entry has announced to the time
+	// of the first such report.
 	unclaimed map[string]sighting
 	probes    map[string]*probe
 }
@@ -37,7 +37,7 @@
 	since    time.Time
 }
 
-// probe is the question to every instance whether it follows a generation.
+// probe asks every instance whether it follows a generation.
 type probe struct {
 	upstream string
 	asked    time.Time
@@ -48,7 +48,7 @@
 	return orphans{unclaimed: map[string]sighting{}, probes: map[string]*probe{}}
 }
 
-// sighted takes the generations of an upstream's report.
+// sighted records the generations in an upstream's report.
 func (h *poolHome) sighted(now time.Time, r placement.Report) {
 	listed := map[string]bool{}
 	for _, g := range r.Gens {
@@ -69,7 +69,7 @@
 	}
 }
 
-// cancelOrphans looks for generations that nobody follows.
+// cancelOrphans searches for generations that no entry follows.
 func (i *Instance) cancelOrphans(now time.Time, h *poolHome) {
 	window := i.version.Config.Deployment.ResumeWindow.D()
 	for _, o := range h.home.Orphans(now, window) {
@@ -86,13 +86,12 @@
 }
 
 func (o *orphans) open(attempt, upstream string) {
-	if o.probes[attempt] == nil && len(o.probes) < probesMax {
+	if o.probes[attempt] == nil && len(o.probes) < maxProbes {
 		o.probes[attempt] = &probe{upstream: upstream}
 	}
 }
 
-// probe asks the instances that have not answered yet, each about all the
-// generations at once.
+// probe asks the instances that have not answered, each about all generations at once.
 func (i *Instance) probe(now time.Time, h *poolHome) {
 	instances := i.view.Instances()
 	asks := map[string][]string{}
@@ -113,7 +112,7 @@
 			i.cancelOrphan(h, attempt, p)
 			continue
 		}
-		if now.Sub(p.asked) < probeEvery {
+		if now.Sub(p.asked) < probeInterval {
 			continue
 		}
 		p.asked = now
@@ -137,8 +136,8 @@
 	}
 }
 
-// onFollowAsk says which attempts this instance follows for a caller, and
-// announces them to the home that did not know.
+// onFollowAsk answers which attempts this instance follows and announces them to the home that
+// did not know.
 func (i *Instance) onFollowAsk(now time.Time, from string, m msg.FollowAsk) {
 	a := msg.FollowAnswer{Pool: m.Pool, Attempts: m.Attempts}
 	told := msg.Announce{Pool: m.Pool}
@@ -173,9 +172,9 @@
 	}
 }
 
-// announced reports whether the request is told to the home of its pool: once
-// its caller has left it is not, so that the home ends it after the resume
-// window, unless the caller has come back elsewhere.
+// announced reports whether the request is announced to its pool's home. Without a caller it
+// is not, so that the home ends it after the resume window unless the caller came back
+// elsewhere.
 func (r *request) announced() bool {
 	return r.phase == running && len(r.place.pools) > 0 && !r.gone
 }
@@ -186,7 +185,7 @@
 	return msg.RunningAttempt{Ask: ask, Upstream: r.run.upstream, Tokens: r.seq.Next()}
 }
 
-// announce tells the pool's home about one attempt at once.
+// announce announces one attempt to its pool's home immediately.
 func (i *Instance) announce(now time.Time, r *request) {
 	i.send(r.place.home, msg.Announce{
 		Pool: r.currentPool().Name, Running: []msg.RunningAttempt{r.announcement(i, now)},
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -11,24 +11,22 @@
 )
 
 const (
-	// grantTTL bounds how long after the ask a grant may be used. Together
-	// with the age of the report behind it, it bounds how long a leaving
-	// upstream can still get new work.
+	// grantTTL is the validity of a grant from its ask. With the age of the report behind it,
+	// it bounds how long a leaving upstream can get new work.
 	grantTTL = time.Second
-	// askAgain is how often a queued request asks its home again, which
-	// shows either side that the other is alive.
-	askAgain = 400 * time.Millisecond
-	// missedMax is how many asks in a row may go without any answer.
-	missedMax = 2
-	// ReasonNoPoolHome refuses when no home of the pool answered.
+	// askInterval is the interval at which a queued request repeats its ask, which shows both
+	// sides that the other is alive.
+	askInterval = 400 * time.Millisecond
+	// maxMissed is the number of consecutive asks without an answer.
+	maxMissed = 2
+	// ReasonNoPoolHome: no home of the pool answered.
 	ReasonNoPoolHome = "no_pool_home"
-	// ReasonOtherRegions refuses when the service has no upstream in the regions that the
-	// request is confined to.
+	// ReasonOtherRegions: the service has no upstream in the allowed regions.
 	ReasonOtherRegions = "no_upstream_in_regions"
 )
 
-// poolHomeName returns the present home of a pool: in its data centre if it
-// has one, else in its region, else anywhere.
+// poolHomeName returns the current home of a pool: in its data centre if possible, otherwise
+// in its region, otherwise anywhere.
 func (i *Instance) poolHomeName(now time.Time, p *config.Pool) string {
 	homes := i.view.Homes(now, "pool/"+p.Name, 1, func(dc string) int {
 		switch {
@@ -82,17 +80,16 @@
 	r.place.home = home
 	r.place.asked = now
 	r.place.sent = append(r.place.sent, now)
-	i.wakeAt(r, now.Add(askAgain))
+	i.wakeAt(r, now.Add(askInterval))
 	i.send(home, msg.GrantAsk{
 		Pool: pool.Name, Ask: r.placementAsk(i, now), Number: len(r.place.sent),
 		Failed: r.place.failed, FailedBoot: r.place.failedBoot,
 	})
 }
 
-// lapses returns when a grant must no longer be used. It counts from the very
-// ask that the home had before it granted: counted from a later one, a grant
-// that was held up in a link would stay good for as long as the entry asks on,
-// and the upstream may have begun to leave since.
+// lapses returns when a grant expires. It counts from the ask that the home had received
+// before it granted: counted from a later one, a grant delayed in a link would stay valid
+// while the entry keeps asking, and the upstream may have begun to leave.
 func (r *request) lapses(m msg.GrantAnswer) time.Time {
 	if m.Number < 1 || m.Number > len(r.place.sent) {
 		return time.Time{}
@@ -109,12 +106,12 @@
 	}
 }
 
-// placeTimeout asks again. A home that stays silent is passed over.
+// placeTimeout repeats the ask, or skips a home that stays silent.
 func (i *Instance) placeTimeout(now time.Time, r *request) {
 	if r.place.heard.Before(r.place.asked) {
 		r.place.missed++
 	}
-	if r.place.missed >= missedMax {
+	if r.place.missed >= maxMissed {
 		i.count("retries_total", "pool_home_silent")
 		i.giveUpOn(now, r.place.home)
 		r.place.missed = 0
@@ -147,7 +144,7 @@
 	}
 }
 
-// lateGrant gives back a grant that nobody waits for any more.
+// lateGrant returns a grant that is no longer needed.
 func (i *Instance) lateGrant(r *request, from string, m msg.GrantAnswer) {
 	if m.Decision.Kind != placement.Granted {
 		return
@@ -159,9 +156,8 @@
 	i.send(from, msg.GrantEnd{Pool: m.Pool, Attempt: m.Decision.Attempt})
 }
 
-// useGrant dispatches, unless the grant has lapsed on its way: an entry that
-// was frozen wakes with an old view and must not send work to an upstream that
-// has begun to leave in the meantime.
+// useGrant dispatches unless the grant has expired: an entry that was frozen must not send
+// work to an upstream that has begun to leave.
 func (i *Instance) useGrant(now time.Time, r *request, m msg.GrantAnswer) {
 	lapses := r.lapses(m)
 	if !now.Before(lapses) {
@@ -186,9 +182,8 @@
 	i.dispatch(now, r)
 }
 
-// returnCordoned gives back a grant for a cordoned upstream. Its home has not heard of the
-// cordon yet: it is told and asked once more. One that grants the like again may take a
-// while to learn, and asking on would send messages back and forth for all that time.
+// returnCordoned returns a grant for a cordoned upstream. The home does not know of the
+// cordon: it is told and asked once more, but not again, as it may take a while to learn.
 func (i *Instance) returnCordoned(now time.Time, r *request, m msg.GrantAnswer) {
 	i.count("retries_total", "grant_cordoned")
 	i.send(r.place.home, msg.GrantEnd{Pool: m.Pool, Attempt: r.attempt})
@@ -220,7 +215,7 @@
 	i.refuse(now, r, Finish{Status: code, Reason: d.Reason, Step: "place", Peer: from, RetryAfter: d.RetryAfter})
 }
 
-// endGrant gives the request's grant or place in a queue back.
+// endGrant returns the request's grant or place in a queue.
 func (i *Instance) endGrant(r *request, failed bool) {
 	if r.place.home == "" {
 		return
--- a/internal/core/poolhome.go
+++ b/internal/core/poolhome.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// pollEvery is how often a home asks each of its upstreams for its load.
-	pollEvery = 250 * time.Millisecond
-	// homeIdle is how long a home that is asked nothing keeps polling.
+	// pollInterval is the interval at which a home polls each upstream's load.
+	pollInterval = 250 * time.Millisecond
+	// homeIdle is how long a home without asks continues to poll.
 	homeIdle = 10 * time.Second
 )
 
@@ -21,33 +21,33 @@
 type poolHome struct {
 	pool string
 	home *placement.Home
-	// version is the configuration version that the home decides by.
+	// version is the configuration version of its settings.
 	version int64
 	begun   time.Time
 	asked   time.Time
 	polled  time.Time
-	// entries maps attempts to the entry that asked.
+	// entries maps attempts to the requesting entries.
 	entries map[string]asker
 	boots   map[string]string
 	orders  map[string]*order.Machine
-	// crashed maps upstreams to the run that ended in their latest crash.
+	// crashed maps upstreams to the run that ended in their last crash.
 	crashed map[string]string
-	// leaving holds the upstreams that said so in their last report.
+	// leaving holds the upstreams whose last report said so.
 	leaving map[string]bool
 	guard   guard
 	failing failing
 	orphans orphans
 }
 
-// asker is the entry that asked for an attempt, and the number of its latest ask.
+// asker is an entry and the number of its last ask.
 type asker struct {
 	name string
 	asks int
 }
 
-// poolHomeFor returns the role for a pool, beginning it if need be. An
-// instance that is asked serves, whether or not it believes to be home: two
-// homes at once overcommit a little and break no promise.
+// poolHomeFor returns the role for a pool, creating it if needed. An instance that is asked
+// serves whether or not it considers itself the home: two homes at once overcommit slightly
+// and break no promise.
 func (i *Instance) poolHomeFor(now time.Time, name string) *poolHome {
 	h := i.pools[name]
 	if h == nil {
@@ -71,8 +71,7 @@
 	return h
 }
 
-// placementSettings are what a pool's home decides by. What was learnt of
-// answers' lengths outlives the homes, which come and go.
+// placementSettings returns the settings of a pool's home. Learned lengths outlive the homes.
 func (i *Instance) placementSettings(p *config.Pool) placement.Settings {
 	return placement.Settings{
 		Weights: i.version.Config.Deployment.Weights,
@@ -160,7 +159,7 @@
 		h := i.pools[name]
 		i.answerGrants(now, h, h.home.Tick(now))
 		i.tickVerdicts(now, h)
-		if now.Sub(h.polled) < pollEvery {
+		if now.Sub(h.polled) < pollInterval {
 			continue
 		}
 		if now.Sub(h.asked) > homeIdle {
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -9,7 +9,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/stream"
 )
 
-// phase is where a request stands.
+// phase is a request's state.
 type phase int
 
 const (
@@ -24,7 +24,7 @@
 	lookingUp
 )
 
-// request is one caller's request at its entry.
+// request is a caller's request at its entry.
 type request struct {
 	CallerRequest
 	org     *config.Organisation
@@ -32,10 +32,10 @@
 	version *config.Version
 	phase   phase
 	started time.Time
-	// wake is when onWake is due; the zero time means never.
+	// wake is when onWake is due; zero means never.
 	wake time.Time
 
-	// attempt is the id of the current attempt, tries how many there were.
+	// attempt is the id of the current attempt, tries their number.
 	attempt string
 	tries   int
 	exclude []string
@@ -49,12 +49,12 @@
 	text []byte
 	// ran is set once an earlier attempt may have reached an upstream.
 	ran bool
-	// gone is set once the caller's connection has ended, at goneAt.
+	// gone is set once the caller's connection ended, at goneAt.
 	gone   bool
 	goneAt time.Time
 }
 
-// reserveState is what the request holds of its organisation's budget.
+// reserveState is the reservation of the organisation's budget.
 type reserveState struct {
 	home   string
 	asks   int
@@ -62,46 +62,45 @@
 	held   bool
 }
 
-// placeState is the request's search for an upstream.
+// placeState is the search for an upstream.
 type placeState struct {
 	pools []*config.Pool
 	pool  int
 	home  string
 	asked time.Time
-	// sent holds when each ask was sent, for its number from 1.
+	// sent holds the time of each ask by its number from 1.
 	sent   []time.Time
 	heard  time.Time
 	missed int
-	// failed and failedBoot say where the attempt before this one failed.
+	// failed and failedBoot identify where the previous attempt failed.
 	failed     string
 	failedBoot string
-	// toldCordons is set once the home was told that what it grants is cordoned.
+	// toldCordons is set once the home was told that it grants cordoned upstreams.
 	toldCordons bool
 }
 
-// runState is the attempt that runs.
+// runState is the running attempt.
 type runState struct {
 	upstream string
 	address  string
-	// boot is the upstream's run, as its home or its own answer named it.
+	// boot is the upstream's run, as stated by its home or its answer.
 	boot string
-	// handle is signed with the first token that is delivered.
+	// handle is signed with the first delivered token.
 	handle   string
 	priority int
 	before   time.Time
 	progress time.Time
 	// link numbers the attempt's connections.
 	link int
-	// resumes counts the connections without progress, resumesAll all.
+	// resumes counts consecutive connections without progress, resumesAll all of them.
 	resumes    int
 	resumesAll int
-	// sent is set once the attempt was dispatched, failed once its upstream
-	// broke it off.
+	// sent is set once the attempt was dispatched, failed once its upstream broke it off.
 	sent   bool
 	failed bool
-	// readAt is when to read on after a pause; the zero time means no pause.
+	// readAt is when reading continues after a backoff; zero if there is none.
 	readAt time.Time
-	// produced is the upstream's own count of tokens, if counted.
+	// produced is the upstream's count of tokens, if counted.
 	produced int
 	counted  bool
 }
@@ -141,7 +140,7 @@
 	r.attempt = fmt.Sprintf("%s/%d", r.ID, r.tries)
 }
 
-// onWake is called when the request's timer is due.
+// onWake handles the request's timer.
 func (i *Instance) onWake(now time.Time, r *request) {
 	r.wake = time.Time{}
 	switch r.phase {
@@ -171,7 +170,7 @@
 	i.finish(now, r, f)
 }
 
-// finish ends a request and gives back what it holds.
+// finish ends a request and releases what it holds.
 func (i *Instance) finish(now time.Time, r *request, f Finish) {
 	f.Request = r.ID
 	if f.Outcome == NotRun && r.mayHaveRun() {
--- a/internal/core/reserve.go
+++ b/internal/core/reserve.go
@@ -10,28 +10,27 @@
 )
 
 const (
-	// askTimeout is how long a home may take to say anything before the next
-	// in rendezvous order is asked.
+	// askTimeout is how long a home may be silent before the next one in rendezvous order is
+	// asked.
 	askTimeout = 400 * time.Millisecond
-	// debitTimeout is how long a home that lives may take for a debit. It
-	// covers the table's own timeout, tried again. A slow table must not make
-	// its home look dead: it would be passed over in all its roles, and the
-	// next home would debit a chunk of its own.
+	// debitTimeout is how long a live home may take for a debit, including a retry of the
+	// table. A slow table must not make its home look dead: the next home would debit another
+	// chunk.
 	debitTimeout = 2500 * time.Millisecond
-	// askTries is how many homes are asked before the request is refused.
-	askTries = 3
-	// retryNoHome is when to come back after no home answered.
+	// maxHomes is the number of homes asked before the request is refused.
+	maxHomes = 3
+	// retryNoHome is the Retry-After when no home answered.
 	retryNoHome = 2 * time.Second
-	// ReasonNoBudgetHome refuses when no home of the organisation answered.
+	// ReasonNoBudgetHome: no home of the organisation answered.
 	ReasonNoBudgetHome = "no_budget_home"
 )
 
-// orgHomes lists the homes of an organisation in the order to ask.
+// orgHomes lists the homes of an organisation in rendezvous order.
 func (i *Instance) orgHomes(now time.Time, org string) []string {
-	return i.view.Homes(now, "org/"+org, askTries, func(string) int { return 0 })
+	return i.view.Homes(now, "org/"+org, maxHomes, func(string) int { return 0 })
 }
 
-// startAttempt begins an attempt by reserving its largest possible cost.
+// startAttempt starts an attempt by reserving its maximum cost.
 func (i *Instance) startAttempt(now time.Time, r *request) {
 	i.newAttempt(r)
 	r.reserve = reserveState{amount: r.maxCost()}
@@ -62,7 +61,7 @@
 
 func (i *Instance) askReserve(now time.Time, r *request) {
 	homes := i.orgHomes(now, r.org.Name)
-	if len(homes) == 0 || r.reserve.asks >= askTries {
+	if len(homes) == 0 || r.reserve.asks >= maxHomes {
 		i.refuse(now, r, Finish{
 			Status: status.ServiceUnavailable, Reason: ReasonNoBudgetHome,
 			Step: "reserve", Peer: r.reserve.home, RetryAfter: retryNoHome,
@@ -87,7 +86,7 @@
 	i.askReserve(now, r)
 }
 
-// giveUpOn passes over an instance that did not answer.
+// giveUpOn marks an instance that did not answer.
 func (i *Instance) giveUpOn(now time.Time, name string) {
 	if name == i.self {
 		return
@@ -119,7 +118,7 @@
 	i.startPlacing(now, r)
 }
 
-// returnLate gives back a reservation that nobody waits for any more.
+// returnLate returns a reservation that is no longer needed.
 func (i *Instance) returnLate(home string, a budget.Answer) {
 	if r := i.byAttempt(a.Request); r != nil && r.reserve.held && r.reserve.home == home {
 		return // a repeated answer to a reservation that is in use
@@ -128,8 +127,8 @@
 	i.send(home, msg.Settle{Org: a.Org, Request: a.Request})
 }
 
-// settle ends the attempt's reservation. A cost that is not known exactly is
-// counted at its maximum, so that the spend can't pass the limit.
+// settle ends the reservation. An unknown cost counts as the maximum, so that spending cannot
+// exceed the limit.
 func (i *Instance) settle(r *request, f Finish) {
 	if !r.reserve.held {
 		return
--- a/internal/core/resume.go
+++ b/internal/core/resume.go
@@ -12,28 +12,26 @@
 )
 
 const (
-	// resumeTries is how often in a row a generation without progress is read
-	// on from a new connection before the upstream counts as failed.
+	// resumeTries is the number of consecutive connections without progress after which the
+	// upstream counts as failed.
 	resumeTries = 5
-	// resumeBackoff raises the pauses between them: the first comes at once,
-	// the last after up to 2 s, so that a link may be down for some seconds.
+	// resumeBackoff multiplies the delays between them: from none to 2 s, so that a link may
+	// be down for some seconds.
 	resumeBackoff = 2
-	// resumesMax bounds how often one attempt is read on in all: an engine
-	// that cuts each connection after one token must not be dialled for ever.
-	resumesMax = 30
-	// cancelGrace is how much longer than the resume window an entry follows
-	// a generation whose caller has gone: the pool's home cancels it in the
-	// meantime, and the engine then tells its cost.
+	// maxResumes bounds the connections of one attempt in total.
+	maxResumes = 30
+	// cancelGrace is how much longer than the resume window an entry follows a generation
+	// without a caller. The pool's home cancels it in the meantime, which reveals its cost.
 	cancelGrace = 15 * time.Second
 )
 
 // Reasons of streams that end early.
 const (
-	// ReasonElsewhere ends a connection whose stream goes on at another.
+	// ReasonElsewhere: the stream continues on another connection.
 	ReasonElsewhere = "resumed_elsewhere"
-	// ReasonCancelled ends a stream whose generation was cancelled.
+	// ReasonCancelled: the generation was cancelled.
 	ReasonCancelled = "cancelled"
-	// ReasonCallerGone ends a request whose caller did not come back.
+	// ReasonCallerGone: the caller did not come back.
 	ReasonCallerGone = "caller_gone"
 )
 
@@ -50,7 +48,7 @@
 	return signed
 }
 
-// onResume reads on from a generation that a caller lost its connection to.
+// onResume continues a stream for a caller that lost its connection.
 func (i *Instance) onResume(now time.Time, e CallerResume) {
 	// The generation has run: a refusal to read on must not say otherwise.
 	r := &request{CallerRequest: CallerRequest{ID: e.ID, APIKey: e.APIKey, Stream: true}, version: i.version, started: now, ran: true}
@@ -76,9 +74,8 @@
 	return Finish{Status: status.BadRequest, Reason: ReasonBadHandle, Step: "resume"}
 }
 
-// adopt continues a generation that another entry, or this one, started. The
-// events get a handle that names this entry, so that the next adopter tells
-// this one.
+// adopt takes over a generation started by another entry or this one. Its events get a handle
+// that names this entry, which the next adopter notifies.
 func (i *Instance) adopt(now time.Time, r *request, h stream.Handle, next int) {
 	r.service = r.version.Service(h.Service)
 	r.attempt = h.Generation
@@ -100,9 +97,8 @@
 	i.readOn(now, r)
 }
 
-// tellAdopted makes the entry that followed the generation until now let go of
-// it. A lost message costs accuracy only: that entry settles the reservation
-// at its maximum once the resume window has passed.
+// tellAdopted tells the previous entry to let go of the generation. If the message is lost,
+// that entry settles the reservation at its maximum after the resume window.
 func (i *Instance) tellAdopted(now time.Time, r *request, h stream.Handle) {
 	for _, old := range i.requests {
 		if old != r && old.attempt == r.attempt {
@@ -121,8 +117,8 @@
 	}
 }
 
-// letGo ends a request whose generation another one follows now. What it holds
-// is the other's: it settles nothing, ends no grant and cancels nothing.
+// letGo ends a request whose generation another entry follows. It settles nothing, ends no
+// grant and cancels nothing.
 func (i *Instance) letGo(now time.Time, r *request) {
 	i.emit(CloseUpstream{Attempt: r.attempt})
 	r.reserve.held = false
@@ -132,9 +128,8 @@
 	})
 }
 
-// readOn reads the generation from its next token on a new connection. The
-// service's timeout bounds all connections together: an engine that shows life
-// but brings no token must not hold its caller for ever.
+// readOn reads the generation from its next token on a new connection. The service's timeout
+// bounds all connections together.
 func (i *Instance) readOn(now time.Time, r *request) {
 	left := r.service.Timeout.D() - now.Sub(r.started)
 	if left <= 0 {
@@ -159,12 +154,12 @@
 	})
 }
 
-// resumeOrFail reads on from a new connection: the old one may be dead while
-// the generation is well.
+// resumeOrFail reads on over a new connection, as the old one may be dead while the generation
+// is well.
 func (i *Instance) resumeOrFail(now time.Time, r *request, reason string) {
 	r.run.resumes++
 	r.run.resumesAll++
-	if r.run.resumes > resumeTries || r.run.resumesAll > resumesMax {
+	if r.run.resumes > resumeTries || r.run.resumesAll > maxResumes {
 		i.attemptFailed(now, r, UpstreamFailed{Sent: true, Step: "resume", Err: reason})
 		return
 	}
@@ -180,9 +175,9 @@
 	i.wakeAt(r, r.run.readAt)
 }
 
-// onCallerGone handles a caller whose connection ended. A stream lives on for
-// the resume window; anything else is given up, but a call that may not be
-// repeated is followed to its end, so that its outcome is recorded.
+// onCallerGone handles the end of a caller's connection. A stream is kept for the resume
+// window and a call that may not be repeated is followed to its end; anything else is given
+// up.
 func (i *Instance) onCallerGone(now time.Time, id string) {
 	r := i.requests[id]
 	if r == nil {
@@ -210,14 +205,13 @@
 	i.finish(now, r, Finish{Outcome: outcome, Status: status.ServiceUnavailable, Reason: ReasonCallerGone, Step: fmt.Sprint(r.phase)})
 }
 
-// abandonAfter is how long the entry follows a generation without a caller.
+// abandonAfter returns how long the entry follows a generation without a caller.
 func (i *Instance) abandonAfter(r *request) time.Duration {
 	return r.version.Config.Deployment.ResumeWindow.D() + cancelGrace
 }
 
-// abandon stops following a generation whose caller did not come back, and
-// whose home has not cancelled it either. It does not cancel: the caller may
-// have resumed at an instance whose message was lost.
+// abandon stops following a generation whose caller did not come back and that the home has
+// not cancelled. It does not cancel either: the caller may have resumed elsewhere.
 func (i *Instance) abandon(now time.Time, r *request) {
 	i.emit(CloseUpstream{Attempt: r.attempt})
 	r.place.home = "" // the home finds out by itself that nobody follows this
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -8,8 +8,8 @@
 	"mulberrylug.example/mulberrylug/internal/core/stream"
 )
 
-// progressTimeout is how long an attempt's connection may be silent. Engines
-// send a keep-alive every second while they compute.
+// progressTimeout is how long an attempt's connection may be silent. Engines send a keep-alive
+// every second.
 const progressTimeout = 4 * time.Second
 
 // dispatch sends the attempt to its upstream.
@@ -27,8 +27,8 @@
 	})
 }
 
-// quietLimit is how long the upstream may say nothing: plain services answer
-// whole, within their timeout.
+// quietLimit returns how long the upstream may be silent. Plain services answer whole, within
+// their timeout.
 func (i *Instance) quietLimit(r *request) time.Duration {
 	if r.engine() {
 		return progressTimeout
@@ -54,9 +54,8 @@
 	return r
 }
 
-// reading returns the request if the event came over its present connection.
-// What an earlier one still brings must not count as a failure of this one:
-// one gap would use up every resume, as the tokens behind it are on their way.
+// reading returns the request if the event arrived over its current connection. Late events of
+// an earlier one must not count as failures: one gap would use up every resume.
 func (i *Instance) reading(id, attempt string, link int, kind string) *request {
 	r := i.current(id, attempt, kind)
 	if r == nil {
@@ -104,16 +103,14 @@
 	}
 }
 
-// overrun ends an answer that passes its bound: an engine that ignores the
-// bound would go on producing what nobody has reserved the cost of.
+// overrun ends an answer that exceeds its limit: its cost was not reserved.
 func (i *Instance) overrun(now time.Time, r *request) {
 	i.emit(CloseUpstream{Attempt: r.attempt})
 	i.emit(Cancel{Address: r.run.address, Attempt: r.attempt})
 	i.done(now, r, "length")
 }
 
-// foreign gives up a generation whose id the engine has used again, after a
-// restart: what was delivered can't be continued.
+// foreign gives up a generation whose id the engine has reused after a restart.
 func (i *Instance) foreign(now time.Time, r *request) {
 	i.count("tokens_dropped_total", "foreign")
 	i.emit(CloseUpstream{Attempt: r.attempt})
@@ -152,9 +149,8 @@
 	})
 }
 
-// cancelled ends a request whose generation was cancelled: by the pool's home,
-// after the caller had been gone for the resume window. The engine says how
-// many tokens it produced, so that the cost is known.
+// cancelled ends a request whose generation the pool's home cancelled after the resume window.
+// The engine reports the tokens produced, so the cost is known.
 func (i *Instance) cancelled(now time.Time, r *request, e UpstreamEnd) {
 	r.run.produced = e.Tokens
 	r.run.counted = true
@@ -182,7 +178,7 @@
 	i.finish(now, r, f)
 }
 
-// runTimeout is called when an attempt may have been silent for too long.
+// runTimeout checks whether an attempt has been silent for too long.
 func (i *Instance) runTimeout(now time.Time, r *request) {
 	if r.gone && now.Sub(r.goneAt) >= i.abandonAfter(r) {
 		i.abandon(now, r)
@@ -205,7 +201,7 @@
 	i.resumeOrFail(now, r, "silent")
 }
 
-// nextCheck is when runTimeout has to look again.
+// nextCheck returns when runTimeout is due again.
 func (i *Instance) nextCheck(r *request, limit time.Duration) time.Time {
 	at := r.run.progress.Add(limit)
 	if r.gone {
--- a/internal/core/store.go
+++ b/internal/core/store.go
@@ -1,13 +1,11 @@
 package core
 
-// failuresDown is how many table calls in a row must fail before the table
-// counts as down. One lost answer is no outage.
+// failuresDown is the number of consecutive failed calls after which the table counts as down.
 const failuresDown = 2
 
-// store remembers whether the table answers. Without it, each booking of a long
-// outage would wait for a full timeout, hold its grant and its reservation
-// meanwhile, and be refused all the same. The poll of the configuration row
-// probes the table once a second, so that the end of the outage is noticed.
+// store records whether the table answers. During a long outage, bookings would otherwise each
+// wait for a timeout with their grant and reservation before they are refused. The poll of the
+// configuration row detects its end.
 type store struct{ failures int }
 
 func (s *store) heard(ok bool) {
--- a/internal/core/strikes.go
+++ b/internal/core/strikes.go
@@ -8,19 +8,18 @@
 )
 
 const (
-	// strikeKeep is how long a crash counts against a request's fingerprint.
-	strikeKeep = 10 * time.Minute
-	// strikesEvery is how often an instance asks one other, in turn, for the
-	// strikes that it knows; strikesFirst is how many it asks at its start.
-	strikesEvery = 5 * time.Second
-	strikesFirst = 3
-	// strikesTold bounds the strikes in one answer.
-	strikesTold = 512
+	// strikeTTL is how long a crash counts against a fingerprint.
+	strikeTTL = 10 * time.Minute
+	// strikeSyncInterval is the interval at which an instance asks another one, in turn, for
+	// its strikes; strikesFirst is the number asked at the start.
+	strikeSyncInterval = 5 * time.Second
+	strikesFirst       = 3
+	// maxStrikes bounds the strikes in an answer.
+	maxStrikes = 512
 )
 
-// strikeSync spreads strikes to instances that missed them: one that started
-// later, was cut off, or whose message was lost. Without it a request would
-// get a fresh pair of crashes from each home that takes over.
+// strikeSync distributes strikes to instances that missed them. Without it, each home that
+// takes over would allow a request two more crashes.
 type strikeSync struct {
 	asked time.Time
 	next  int
@@ -42,7 +41,7 @@
 }
 
 func (i *Instance) tickStrikes(now time.Time) {
-	if !i.strikes.asked.IsZero() && now.Sub(i.strikes.asked) < strikesEvery {
+	if !i.strikes.asked.IsZero() && now.Sub(i.strikes.asked) < strikeSyncInterval {
 		return
 	}
 	others := i.others()
@@ -60,8 +59,8 @@
 	}
 }
 
-// others lists the other live instances, those that follow this one in the
-// order of names first, so that not all ask the same one.
+// others lists the other live instances, starting after this one by name, so that not all ask
+// the same one.
 func (i *Instance) others() []string {
 	var before, after []string
 	for _, name := range i.view.Entries() {
@@ -77,7 +76,7 @@
 
 func (i *Instance) onStrikesAsk(now time.Time, from string) {
 	var m msg.Strikes
-	for _, s := range i.suspects.Recent(now, strikesTold) {
+	for _, s := range i.suspects.Recent(now, maxStrikes) {
 		m.List = append(m.List, msg.Strike{
 			Fingerprint: s.Fingerprint, Upstream: s.Crash.Upstream, Boot: s.Crash.Boot, Age: now.Sub(s.At),
 		})
--- a/internal/core/sweep.go
+++ b/internal/core/sweep.go
@@ -7,18 +7,16 @@
 )
 
 const (
-	// sweepPage is how many rows one read of the sweep takes, sweepEvery the
-	// pause between two of them and sweepPause the pause between two sweeps:
-	// 2 reads a second at most, whatever the number of instances.
+	// sweepPage is the number of rows per read, sweepEvery the interval between reads and
+	// sweepPause that between sweeps: at most 2 reads a second in all.
 	sweepPage  = 200
 	sweepEvery = 500 * time.Millisecond
 	sweepPause = 10 * time.Minute
-	// sweepKey picks the instance that sweeps.
+	// sweepKey selects the instance that sweeps.
 	sweepKey = "sweep/bookings"
 )
 
-// sweeper walks over the bookings' rows and deletes the expired ones, which
-// would else grow for ever.
+// sweeper deletes the expired rows of bookings.
 type sweeper struct {
 	due   time.Time
 	after string
@@ -35,8 +33,8 @@
 	i.emit(Scan{Op: opSweep, Prefix: booking.Prefix, After: i.sweep.after, Limit: sweepPage})
 }
 
-// sweeps reports whether this instance is the one to sweep. Two at once do no
-// harm: each deletion requires the version that was read.
+// sweeps reports whether this instance sweeps. Two at once are harmless: each deletion
+// requires the version that was read.
 func (i *Instance) sweeps(now time.Time) bool {
 	homes := i.view.Homes(now, sweepKey, 1, func(string) int { return 0 })
 	return len(homes) > 0 && homes[0] == i.self
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// timers is a heap of wake-up times of requests. A request that is set anew
-// leaves its old entry behind; whoever fires it compares with request.wake.
+// timers is a heap of requests' wake-up times. Rescheduling leaves the old entry, which is
+// compared with request.wake when it fires.
 type timers struct{ h timerHeap }
 
 type timer struct {
--- a/internal/core/verdict.go
+++ b/internal/core/verdict.go
@@ -12,27 +12,27 @@
 )
 
 const (
-	// verdictWait is how long a retry waits for the home to find out whether
-	// the upstream that failed it has crashed. A poll takes a round trip.
-	verdictWait = time.Second
-	// verdictKeep is how long a home remembers what ran on an upstream that
-	// failed and then said nothing: a machine that went down with its engine
-	// refuses no connection, and shows a new boot only once it is back.
-	verdictKeep = 2 * time.Minute
+	// verdictTimeout is how long a retry waits for the home to find out whether the failed
+	// upstream has crashed.
+	verdictTimeout = time.Second
+	// verdictTTL is how long a home remembers what ran on an upstream that failed and fell
+	// silent: a machine that went down refuses no connection and shows a new boot only once it
+	// is back.
+	verdictTTL = 2 * time.Minute
 )
 
-// verdict is what a home knows of an upstream that failed attempts, until it
-// learns whether the upstream has crashed.
+// verdict is a home's knowledge of an upstream that failed attempts, until it is known whether
+// it crashed.
 type verdict struct {
-	// opened is when the first attempt failed, since when the latest did: only
-	// a poll that was sent after it can clear the upstream.
+	// opened is when the first attempt failed, since when the last one did: only a poll sent
+	// after it can clear the upstream.
 	opened time.Time
 	since  time.Time
-	// asks are the retries that wait, ended the failed attempts whose grants
-	// are kept, so that the fingerprint still counts as running there.
+	// asks are the waiting retries, ended the failed attempts whose grants are kept so that
+	// the fingerprint counts as running there.
 	asks  []heldAsk
 	ended []msg.GrantEnd
-	// ran are the fingerprints of the attempts that failed there.
+	// ran holds the fingerprints of the failed attempts.
 	ran  map[uint64]string
 	over bool
 }
@@ -51,15 +51,14 @@
 	return v
 }
 
-// joins notes that an attempt with the fingerprint failed on a run.
+// joins records that an attempt with the fingerprint failed on a run.
 func (v *verdict) joins(now time.Time, print uint64, boot string) {
 	v.since = now
 	v.ran[print] = boot
 }
 
-// awaitVerdict holds a retry until it is known whether the upstream that
-// failed the attempt before it has crashed. Without this a request that
-// crashes upstreams would be on its next one before it had its first strike.
+// awaitVerdict holds a retry until it is known whether the previous upstream crashed.
+// Otherwise a request that crashes upstreams would reach the next one before its first strike.
 func (i *Instance) awaitVerdict(now time.Time, h *poolHome, from string, m msg.GrantAsk) bool {
 	if m.Failed == "" {
 		return false
@@ -95,8 +94,7 @@
 	v.asks = slices.DeleteFunc(v.asks, func(a heldAsk) bool { return a.ask.Ask.Attempt == attempt })
 }
 
-// keepFailed keeps the grant of an attempt that its upstream broke off, until
-// the verdict. It reports whether it did.
+// keepFailed keeps a failed attempt's grant until the verdict and reports whether it did.
 func (i *Instance) keepFailed(now time.Time, h *poolHome, m msg.GrantEnd) bool {
 	if !m.Failed || m.Boot == "" || i.version.PoolOf(m.Upstream) != h.pool {
 		return false
@@ -114,9 +112,8 @@
 	return true
 }
 
-// judge settles what waited for an upstream's report. A run that differs from
-// the one that an attempt failed on means that this one has crashed, also if
-// this home has taken over since and has never heard of it.
+// judge settles what waited for an upstream's report. A different run than the one that failed
+// means a crash, even to a home that has just taken over.
 func (i *Instance) judge(now time.Time, h *poolHome, upstream, boot string, asked time.Time) {
 	v := h.guard.verdicts[upstream]
 	if v == nil || asked.Before(v.since) {
@@ -130,7 +127,7 @@
 	i.letOn(now, h, v)
 }
 
-// letOn lets go of what waited for a verdict.
+// letOn releases what waited for a verdict.
 func (i *Instance) letOn(now time.Time, h *poolHome, v *verdict) {
 	ended, asks := v.ended, v.asks
 	v.ended, v.asks = nil, nil
@@ -143,24 +140,24 @@
 	}
 }
 
-// tickVerdicts ends the waits that have lasted long enough. A frozen or silent
-// upstream has not crashed, but the retries run beside no other suspect; and
-// what failed there is remembered, in case it comes back with a new run.
+// tickVerdicts ends waits after verdictTimeout. A frozen or silent upstream has not crashed,
+// but the retries run beside no other suspect, and what failed there is remembered in case it
+// returns with a new run.
 func (i *Instance) tickVerdicts(now time.Time, h *poolHome) {
 	for _, name := range sortedNames(h.guard.verdicts) {
 		v := h.guard.verdicts[name]
 		switch {
-		case now.Sub(v.opened) > verdictKeep:
+		case now.Sub(v.opened) > verdictTTL:
 			delete(h.guard.verdicts, name)
-		case !v.over && now.Sub(v.opened) > verdictWait:
+		case !v.over && now.Sub(v.opened) > verdictTimeout:
 			v.over = true
 			i.letOn(now, h, v)
 		}
 	}
 }
 
-// upstreamGone handles an upstream at whose address nothing listens any more:
-// it has crashed, unless it said before that it was leaving.
+// upstreamGone handles an upstream that refuses connections: it has crashed unless it had
+// announced its shutdown.
 func (i *Instance) upstreamGone(now time.Time, h *poolHome, name string) {
 	if m, ok := i.view.Member(name); !h.leaving[name] && (!ok || m.State != membership.Leaving) {
 		i.upstreamCrashed(now, h, name)
@@ -177,8 +174,7 @@
 	}
 }
 
-// upstreamCrashed gives every request that ran there a strike and tells every
-// instance, so that a request that crashes upstreams is stopped fleet-wide.
+// upstreamCrashed gives every request that ran there a strike, at every instance.
 func (i *Instance) upstreamCrashed(now time.Time, h *poolHome, name string) {
 	boot := h.boots[name]
 	ran := map[uint64]string{}
@@ -208,7 +204,7 @@
 	}
 }
 
-// sortedPrints lists the fingerprints whose run passes a test, in a fixed order.
+// sortedPrints lists the fingerprints whose run passes a test, in order.
 func sortedPrints(ran map[uint64]string, ok func(boot string) bool) []uint64 {
 	var out []uint64
 	for print, boot := range ran {
--- a/internal/core/writeback.go
+++ b/internal/core/writeback.go
@@ -9,22 +9,22 @@
 )
 
 const (
-	// backFirst and backMost bound the pause between two tries of a write.
-	backFirst = 250 * time.Millisecond
-	backMost  = 10 * time.Second
-	// backFor is how long a write is tried: past it, the row's own Until
-	// lets repeats of the key be answered "unknown".
-	backFor = time.Hour
-	// backRows bounds the writes that wait; a booking's answer may be large.
-	backRows = 4096
+	// writeBackMin and writeBackMax bound the interval between tries of a write.
+	writeBackMin = 250 * time.Millisecond
+	writeBackMax = 10 * time.Second
+	// writeBackTimeout is how long a write is tried. After it, the row's own Until lets
+	// repeats of the key be answered "unknown".
+	writeBackTimeout = time.Hour
+	// maxWriteBacks bounds the pending writes; a booking's answer may be large.
+	maxWriteBacks = 4096
 )
 
-// backWrite is a change of a booking's row that nobody waits for. It is tried
-// until the table answers.
+// backWrite is a change of a booking's row that is retried in the background until the table
+// answers.
 type backWrite struct {
 	tx table.Tx
-	// undo marks the removal of a claim that may land late: if the row has
-	// changed, what is left to undo is worked out anew.
+	// undo marks the removal of a claim that may land late: if the row has changed, the
+	// remaining undo is recomputed.
 	undo     bool
 	base     int64
 	attempt  string
@@ -37,19 +37,19 @@
 	busy  bool
 }
 
-// writeBacks are the waiting writes in the order of their arrival.
+// writeBacks are the pending writes in order of arrival.
 type writeBacks struct {
 	list []*backWrite
 	last int
 }
 
 func (i *Instance) writeBack(now time.Time, w backWrite) {
-	if len(i.backs.list) >= backRows {
+	if len(i.backs.list) >= maxWriteBacks {
 		i.count("bookings_total", "write_back_dropped")
 		return
 	}
 	i.backs.last++
-	w.id, w.since, w.pause = i.backs.last, now, backFirst
+	w.id, w.since, w.pause = i.backs.last, now, writeBackMin
 	i.backs.list = append(i.backs.list, &w)
 	i.tryWriteBack(&w)
 }
@@ -66,9 +66,9 @@
 	}
 	w.busy = false
 	switch {
-	case res.Status == table.Unknown && now.Sub(w.since) < backFor:
+	case res.Status == table.Unknown && now.Sub(w.since) < writeBackTimeout:
 		w.due = now.Add(w.pause)
-		w.pause = min(2*w.pause, backMost)
+		w.pause = min(2*w.pause, writeBackMax)
 		return
 	case res.Status == table.Unknown:
 		i.count("bookings_total", "write_back_dropped")
@@ -92,8 +92,7 @@
 	return 0, nil
 }
 
-// tickWriteBacks tries the due writes again, unless the table is known to be
-// down.
+// tickWriteBacks retries due writes unless the table is known to be down.
 func (i *Instance) tickWriteBacks(now time.Time) {
 	if i.store.down() {
 		return
@@ -106,8 +105,8 @@
 	}
 }
 
-// writeBacksWait reports whether a draining instance should stay for a write.
-// One that the table has not taken within a while may not come to pass at all.
+// writeBacksWait reports whether a draining instance should stay for a write that the table
+// may still accept.
 func (i *Instance) writeBacksWait(now time.Time) bool {
 	const most = 30 * time.Second
 	return len(i.backs.list) > 0 && now.Sub(i.backs.list[0].since) < most
