--- a/internal/apply/apply.go
+++ b/internal/apply/apply.go
@@ -20,7 +20,7 @@
 type Request struct {
 	Files    []config.File `json:"files"`
 	Operator string        `json:"operator"`
-	// ApplyID is unique to this apply: a lost answer is settled by it.
+	// ApplyID is unique to this apply and identifies it after a lost answer.
 	ApplyID string `json:"apply_id"`
 	// Base is the version that the operator changed, -1 for whichever is in force.
 	Base int64 `json:"base"`
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -154,7 +154,7 @@
 	// resumed is set while a resumed attempt has not delivered an event; redirect then holds
 	// the alternatives.
 	resumed bool
-	// offers counts the pools that were asked.
+	// offers counts the pools asked.
 	offers int
 	// grants counts the requests for grants after the first.
 	grants int
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -18,7 +18,7 @@
 // upstream and hold no memory.
 const readAhead = 0.1
 
-// readAheadNow returns the same, or what never holds a prompt back.
+// readAheadNow returns readAhead, or no bound if WaitAtHome is disabled.
 func readAheadNow(without mechanism.Set) float64 {
 	if without.Has(mechanism.WaitAtHome) {
 		return math.Inf(1)
