forward: an old configuration denies nothing for good

Keys are refused with a time to come back once the configuration is unconfirmed for too long; a missing route was final whatever the age. Change: a request whose route or key is not known gets 404 or 401 only while the configuration was confirmed within the time that new versions may take to be in force; after that 503 with a time to come back. Test: TestAnOldConfigurationDeniesNothing.

--- a/internal/core/forward/admit.go
+++ b/internal/core/forward/admit.go
@@ -34,7 +34,7 @@
 	}
 	rt := g.table.Find(r.Host, r.Path)
 	if rt == nil {
-		return nil, &Refusal{Status: status.NotFound, Reason: NoRoute}
+		return nil, g.deny(now, Refusal{Status: status.NotFound, Reason: NoRoute})
 	}
 	c := &Call{Request: r, Route: rt, Rank: rt.Rank, Arrived: now, ConfigVersion: g.table.Version}
 	var org *route.Organisation
@@ -90,20 +90,33 @@
 	return nil
 }
 
+// deny returns a refusal that is final only if the configuration is recent: a newer version may
+// have the route or key that this one lacks.
+func (g *Gate) deny(now time.Time, final Refusal) *Refusal {
+	if g.options.ConfigGoodFor == 0 || now.Sub(g.confirmed) <= g.options.ConfigGoodFor {
+		return &final
+	}
+	return &Refusal{Status: status.ServiceUnavailable, Reason: StaleConfig, RetryAfter: g.confirmedLater()}
+}
+
+// confirmedLater returns the Retry-After while the configuration is not confirmed.
+func (g *Gate) confirmedLater() time.Duration {
+	if g.alone {
+		return outageLater
+	}
+	return soon
+}
+
 // authenticate returns the organisation that owns the request's key. Without a recent
 // confirmation of the configuration the answer is a temporary refusal rather than an unknown
 // key: the key may be valid.
 func (g *Gate) authenticate(now time.Time, c *Call) (*route.Organisation, *Refusal) {
 	if !g.KeysGood(now) {
-		after := soon
-		if g.alone {
-			after = outageLater
-		}
-		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: StaleKeys, RetryAfter: after}
+		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: StaleKeys, RetryAfter: g.confirmedLater()}
 	}
 	org := g.table.Organisation(c.Key)
 	if org == nil {
-		return nil, &Refusal{Status: status.Unauthorized, Reason: UnknownKey}
+		return nil, g.deny(now, Refusal{Status: status.Unauthorized, Reason: UnknownKey})
 	}
 	c.Organisation = org.Name
 	if org.Rank != nil {
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -15,11 +15,14 @@
 
 var start = time.Unix(1000, 0)
 
-const revokeWithin = 5 * time.Second
+const (
+	revokeWithin = 5 * time.Second
+	applyWithin  = 3 * time.Second
+)
 
 func options() Options {
 	return Options{
-		DataCentre: "dc-a", KeysGoodFor: revokeWithin, RetryRatio: 0.2, RetrySlack: 100,
+		DataCentre: "dc-a", KeysGoodFor: revokeWithin, ConfigGoodFor: applyWithin, RetryRatio: 0.2, RetrySlack: 100,
 		RetryWindow: 10 * time.Second, Seed: 1,
 	}
 }
@@ -44,7 +47,11 @@
 // gate returns a gate that knows a configuration and some upstreams.
 func gate(t testing.TB, upstreams int) *Gate {
 	t.Helper()
-	g := New(options())
+	return gateWith(options(), upstreams)
+}
+
+func gateWith(o Options, upstreams int) *Gate {
+	g := New(o)
 	g.Adopt(route.NewTable(config(3)))
 	g.SetCordons(start, cordon.NewSet(1, nil))
 	g.Confirm(start)
@@ -76,7 +83,7 @@
 }
 
 func TestAdmission(t *testing.T) {
-	late := start.Add(revokeWithin)
+	late, old := start.Add(revokeWithin), start.Add(applyWithin+time.Millisecond)
 	for _, c := range []struct {
 		name   string
 		gate   *Gate
@@ -90,6 +97,7 @@
 		{"unknown key", gate(t, 1), start, func(r *Request) { r.Key = "other" }, 401, UnknownKey},
 		{"no key", gate(t, 1), start, func(r *Request) { r.Key = "" }, 401, UnknownKey},
 		{"keys not confirmed", gate(t, 1), late, nil, 503, StaleKeys},
+		{"no route in an old configuration", gate(t, 1), old, func(r *Request) { r.Path = "/none/" }, 503, StaleConfig},
 	} {
 		r := request("/once/1")
 		if c.change != nil {
@@ -130,6 +138,42 @@
 	}
 }
 
+// A route and a key are added while an instance gets no answers. Its configuration lacks them,
+// and a 404 or 401 would tell their callers to give up: once the configuration is older than
+// new ones may take to be in force, they are told to come back.
+func TestAnOldConfigurationDeniesNothing(t *testing.T) {
+	o := options()
+	o.KeysGoodFor = 0
+	g := gateWith(o, 1)
+	missing, stranger := request("/none/"), request("/once/1")
+	stranger.Key = "other"
+	for _, c := range []struct {
+		now  time.Time
+		want [2]Reason
+	}{
+		{start.Add(applyWithin), [2]Reason{NoRoute, UnknownKey}},
+		{start.Add(applyWithin + time.Millisecond), [2]Reason{StaleConfig, StaleConfig}},
+	} {
+		for k, r := range []Request{missing, stranger} {
+			_, refusal := g.Admit(c.now, r)
+			if refusal == nil || refusal.Reason != c.want[k] {
+				t.Errorf("after %v, request %d: %+v, want %s", c.now.Sub(start), k, refusal, c.want[k])
+			}
+			if c.want[k] == StaleConfig && refusal.RetryAfter == 0 {
+				t.Errorf("request %d is not told when to come back", k)
+			}
+		}
+		if _, refusal := g.Admit(c.now, request("/once/1")); refusal != nil {
+			t.Errorf("after %v a known key on a known route is refused: %+v", c.now.Sub(start), refusal)
+		}
+	}
+	now := start.Add(applyWithin + time.Second)
+	g.Confirm(now)
+	if _, refusal := g.Admit(now, missing); refusal == nil || refusal.Reason != NoRoute {
+		t.Errorf("%+v: a confirmed configuration must deny what it lacks", refusal)
+	}
+}
+
 // An answer from a stale copy of the store, or of an instance that lags, holds
 // an older configuration. Put in force, dropped routes and keys would work again.
 func TestConfigurationNeverGoesBack(t *testing.T) {
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -32,6 +32,9 @@
 	// KeysGoodFor is how long keys are accepted after the configuration was last confirmed; 0
 	// means forever.
 	KeysGoodFor time.Duration
+	// ConfigGoodFor is how long after its last confirmation the configuration is trusted to
+	// know every route and key; 0 means forever.
+	ConfigGoodFor time.Duration
 	// RetryRatio, RetrySlack and RetryWindow bound the retries of all instances together:
 	// ratio x requests + slack in each window.
 	RetryRatio  float64
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -42,7 +42,9 @@
 	NoService  Reason = "no_service"
 	UnknownKey Reason = "unknown_key"
 	StaleKeys  Reason = "keys_not_confirmed"
-	NoUpstream Reason = "no_upstream"
+	// StaleConfig: the configuration lacks the route or key, but may be outdated.
+	StaleConfig Reason = "configuration_not_confirmed"
+	NoUpstream  Reason = "no_upstream"
 	// Cordoned: all data centres that the request may use are cordoned.
 	Cordoned Reason = "cordoned"
 	// Cold: the remaining upstreams are cold and accept no more requests at present.
