hosted: a configuration is packed once for all receivers

Cause of the instance without answers: the store was away for eight seconds, all instances asked each other, and each version that came after it was sent whole to everyone, 130 KB with 1,432 routes, encoded anew for each receiver. A small machine (0.13 of a core, 10 Mbit/s) was busy with that: its heartbeats came so late that 37 peers took it for silent, and its own questions went unanswered twice. Ruled out: the store (others had the version 0.1 s after it was accepted); a lost connection (the links were open, reset only once found silent). An answer between two versions confirms none.

--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -5,7 +5,6 @@
 
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
-	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
 // Kinds of the messages among instances that live on a hosting platform. They
@@ -120,7 +119,7 @@
 	// knows too little of it to answer.
 	ListAge time.Duration
 	// Config is nil if the asker's version is the newest known.
-	Config *route.Config
+	Config PackedConfig
 	// Cordons is nil if the asker's version is the newest known; it was confirmed
 	// together with the configuration.
 	Cordons *cordon.Set
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -11,6 +11,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/watch"
@@ -143,7 +144,9 @@
 
 // update is a set of changes from a source; nil fields are unchanged.
 type update struct {
-	config  *route.Config
+	config *route.Config
+	// packed is the transfer form of config, nil if it was read from the store.
+	packed  msg.PackedConfig
 	cordons *cordon.Set
 }
 
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -119,7 +119,7 @@
 func options(s Settings) forward.Options {
 	o := forward.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Regions: s.Regions, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		Without: s.Without,
+		Without: s.Without, ConfigGoodFor: s.ApplyWithin,
 	}
 	if s.StrictRevocation {
 		o.KeysGoodFor = max(s.RevokeWithin-keyMargin, time.Millisecond)
@@ -168,7 +168,7 @@
 // adopted passes an update that is in force on to dependent instances and to the homes.
 func (i *Instance) adopted(u update) {
 	if u.config != nil {
-		i.server.decide(func(time.Time, *forward.Gate) { i.relay.config = u.config })
+		i.server.decide(func(time.Time, *forward.Gate) { i.relay.config = &sharedConfig{config: u.config, packed: u.packed} })
 	}
 	i.relay.tick()
 	if u.cordons != nil {
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -28,8 +28,27 @@
 
 	mu      sync.Mutex
 	waiting map[string]waitingAsk
-	// config is the configuration in force.
+	// config is the configuration in force. Guarded by the server's lock.
+	config *sharedConfig
+}
+
+// sharedConfig is a configuration with its transfer form, which all requesters share.
+type sharedConfig struct {
 	config *route.Config
+	// packed is as received, or packed on the first request if it was read from the store.
+	packed msg.PackedConfig
+	pack   sync.Once
+	err    error
+}
+
+// transfer returns the transfer form.
+func (s *sharedConfig) transfer() (msg.PackedConfig, error) {
+	s.pack.Do(func() {
+		if s.packed == nil {
+			s.packed, s.err = msg.PackConfig(s.config)
+		}
+	})
+	return s.packed, s.err
 }
 
 type waitingAsk struct {
@@ -88,14 +107,18 @@
 // answer returns what is newer than the requester's versions and whether anything is.
 func (r *relay) answer(m msg.SyncAsk) (a msg.SyncAnswer, updated bool) {
 	a = msg.SyncAnswer{Number: m.Number, ConfigAge: -1}
+	var newer *sharedConfig
 	r.server.decide(func(now time.Time, g *forward.Gate) {
 		if g.Table() == nil {
 			return
 		}
-		a.ConfigAge = max(now.Sub(g.Confirmed()), 0)
-		if g.Table().Version > m.Config && r.config != nil {
-			a.Config, updated = r.config, true
+		if version := g.Table().Version; version > m.Config {
+			if r.config == nil || r.config.config.Version != version {
+				return // just adopted: it must not confirm another version
+			}
+			newer, updated = r.config, true
 		}
+		a.ConfigAge = max(now.Sub(g.Confirmed()), 0)
 		if c := g.Cordons(); c.Version > m.Cordons {
 			a.Cordons, updated = &c, true
 		}
@@ -107,7 +130,16 @@
 		a.ListAge, a.List = max(now.Sub(g.Roster().Confirmed()), 0), share
 		updated = updated || share != nil
 	})
-	return a, updated
+	if newer == nil {
+		return a, updated
+	}
+	var err error
+	if a.Config, err = newer.transfer(); err != nil {
+		r.server.log.Error("configuration_not_packed", "version", newer.config.Version, "error", err)
+		// Without the configuration the answer must not confirm the requester's older one.
+		return msg.SyncAnswer{Number: m.Number, ConfigAge: -1}, true
+	}
+	return a, true
 }
 
 // asker polls other instances while this one does not read the store.
@@ -196,7 +228,16 @@
 	if m.ConfigAge < 0 {
 		return
 	}
-	f.adopt(asked.Add(-m.ConfigAge), update{config: m.Config, cordons: m.Cordons}, source)
+	u := update{cordons: m.Cordons}
+	if m.Config != nil {
+		c, err := m.Config.Unpack()
+		if err != nil {
+			f.sourceFailed(source, err.Error())
+			return
+		}
+		u.config, u.packed = c, m.Config
+	}
+	f.adopt(asked.Add(-m.ConfigAge), u, source)
 	if m.ListAge < 0 {
 		return
 	}
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -17,7 +17,7 @@
 const (
 	// protocolVersion is the first byte of every frame's body. Instances of
 	// different versions refuse each other's frames rather than misread them.
-	protocolVersion = 1
+	protocolVersion = 2
 	// maxFrame bounds a frame in bytes, so that a broken peer can't make
 	// this instance allocate without limit.
 	maxFrame = 1 << 20
--- a/internal/peer/size_test.go
+++ b/internal/peer/size_test.go
@@ -30,6 +30,15 @@
 	}
 }
 
+// packed returns the transfer form of a small configuration, which always has one.
+func packed(c *route.Config) msg.PackedConfig {
+	p, err := msg.PackConfig(c)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
 // samples are messages as they are at the target size; most bounds the frame
 // in bytes.
 func samples() []struct {
@@ -85,7 +94,7 @@
 		{"sync_ask", msg.SyncAsk{Number: 100_000, Config: 100_000, List: roster.Question{Version: 100_000}}, 40},
 		{"sync_answer_empty", msg.SyncAnswer{Number: 100_000, ConfigAge: time.Second}, 40},
 		{"sync_answer", msg.SyncAnswer{
-			Number: 100_000, ConfigAge: time.Second, Config: &route.Config{Version: 7},
+			Number: 100_000, ConfigAge: time.Second, Config: packed(&route.Config{Version: 7}),
 			List: &roster.Share{Version: 100_000, Groups: []roster.GroupCopy{{
 				Group: roster.Whole("assistant-12"),
 				List: []roster.Change{{ID: "engine-123", Version: 100_000, Valid: true, Entry: roster.Entry{
