hosted: log the rate limits that upstreams state in their responses

Each response of an upstream is now read for a stated limit: to a caller's request, late or not, an error, and to a call of this system. A change is logged with what this instance sent in the last 4 s, and upstream_rate_limits on the metrics address shows the present state.

No decision reads it yet.

--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -5,7 +5,8 @@
 // Each file covers one topic: admit.go accepts requests, choose.go selects the upstream,
 // cordon.go, cold.go and region.go restrict the choice, home.go handles grants of pool homes,
 // retry.go decides what follows a failed attempt, budget.go limits retries, load.go tracks the
-// load and health.go the failures of upstreams, and silence.go diagnoses silent streams.
+// load and health.go the failures of upstreams, limit.go tracks the rate limits that they state,
+// and silence.go diagnoses silent streams.
 package forward
 
 import (
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/health"
+	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
@@ -25,6 +26,10 @@
 	reportedAt time.Time
 	// backoffUntil is the end of the backoff after a failed dial; zero if there was none.
 	backoffUntil time.Time
+	// rateLimit is the rate limit that the upstream stated in its last response, sent counts this
+	// instance's recent requests to it.
+	rateLimit ratelimit.Limit
+	sent      ratelimit.Counter
 	// coldShare is this instance's share of the upstream's rate while it is cold, else nil.
 	coldShare *coldShare
 	health.Record
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -98,6 +98,7 @@
 	l := g.load(a.Upstream)
 	l.attempts++
 	l.tokens += a.tokens
+	l.sent.Add(a.Sent)
 }
 
 // Ended processes the outcome of the current attempt and returns the next step.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -297,3 +297,15 @@
 
 // Find returns the upstream with the given id, or nil.
 func (r *Roster) Find(id string) *Upstream { return r.byID[id] }
+
+// FindAt returns the upstream with the given address, or nil. An address can belong to an upstream
+// that is gone and to a later one: the later one is returned.
+func (r *Roster) FindAt(address string) *Upstream {
+	var found *Upstream
+	for _, u := range r.byID {
+		if u.Address == address && (found == nil || u.Born > found.Born) {
+			found = u
+		}
+	}
+	return found
+}
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -40,6 +40,7 @@
 		if err != nil {
 			return nil, Response{}, err
 		}
+		x.server.observeStatement(a.Upstream, resp)
 		ans := x.server.wire.DecodeResponse(resp, x.call.ID)
 		if ans.Matches {
 			return resp, ans, nil
--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -57,6 +57,7 @@
 		c.Close()
 		return callResponse{}, err
 	}
+	s.observeStatementFrom(address, resp)
 	got := callResponse{status: resp.StatusCode, closing: resp.Close}
 	got.body, err = io.ReadAll(io.LimitReader(resp.Body, maxCallResponse))
 	if err != nil || !c.Reusable(resp) {
--- a/internal/hosted/call_test.go
+++ b/internal/hosted/call_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"mulberrylug.example/mulberrylug/internal/conn"
+	"mulberrylug.example/mulberrylug/internal/core/forward"
 )
 
 // fakeWire supports only requests for an upstream's report, and decodes each response to an
@@ -38,7 +39,7 @@
 			}
 			requests++
 		}))
-		s := &server{wire: fakeWire{}, conns: conn.NewPool()}
+		s := &server{wire: fakeWire{}, conns: conn.NewPool(), gate: forward.New(forward.Options{})}
 		r, err := s.probeLeaving(t.Context(), strings.TrimPrefix(upstream.URL, "http://"))
 		if err != nil || r.Leaving != c.leaving || requests != len(c.closes) {
 			t.Errorf("upstream that %s: Leaving = %v after %d requests, error %v; want Leaving only after two closed connections in a row", c.name, r.Leaving, requests, err)
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -91,6 +91,7 @@
 		gate: gate, running: map[string]*exchange{},
 	}
 	m.Set("cordons", srv.cordonMetric())
+	m.Set("upstream_rate_limits", srv.rateLimitMetric())
 	i := &Instance{
 		settings: s, wire: wire, log: log, metrics: m, server: srv,
 		drained: make(chan struct{}),
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -112,6 +112,9 @@
 	AttemptHeaders(caller http.Header, c *forward.Call, a *forward.Attempt) http.Header
 	// DecodeResponse decodes the head of a response.
 	DecodeResponse(resp *http.Response, requestID string) Response
+	// DecodeStatement decodes what the upstream states about itself in the head of any response,
+	// also one to a call of this system.
+	DecodeStatement(resp *http.Response) forward.Statement
 	// CopyHeaders copies the headers of a response that are meant for the caller. The signature is
 	// copied only if signed is set; it must be unset if the status is not the upstream's.
 	CopyHeaders(to, from http.Header, signed bool)
