proctest: a failing test for upstreams that state a rate limit

Three instances under 45 requests a second; two of three upstreams state limits of 4.3 and 4.6 a second. Every instance logs both limits within 0.3 s, and the upstreams receive 62 and 59 requests in 4 s where 31 and 33 are allowed.

The check counts as the rule does: any window of 4 s that ends 3 s or more after the first statement, all requests of the instances that forwarded a response with the limit 0.5 s before, also those from before they did.

--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -120,6 +120,8 @@
 	// overrun is set when the upstream crashes because requests arrived at a higher rate
 	// while it was cold.
 	overrun bool
+	// limits is the history of the rate limits that the upstream states in its responses.
+	limits []StatedLimit
 }
 
 // Address returns the address at which instances connect to the upstream.
@@ -214,6 +216,7 @@
 	if w.closesConnections() {
 		rw.Header().Set("Connection", "close")
 	}
+	w.stateLimit(rw.Header())
 	switch {
 	case r.URL.Path == "/v1/kv-move":
 		w.serveMove(rw, r)
