peer, fleet: releases with and without rate limits run side by side

An instance closes the connection on which a message of an unknown kind arrives, and loses what is queued behind it. With the messages about rate limits, an instance of the last release would lose grants and heartbeats of this one as often as a permit is requested. So this release skips such a message (TestMessagesOfUnknownKindsAreIgnored, which failed before: the message behind the unknown one did not arrive within 20 s), and sends its own new kinds only to instances whose class says that they know them. The class stays one byte of the heartbeat, whose size has a bound.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -212,10 +212,16 @@
 	return f.self.Name
 }
 
-// StableHome is like Home but ignores suspicions: all instances that know the same live instances
-// agree on it.
-func (f *Fleet) StableHome(key, dataCentre string) string {
-	return cmp.Or(f.view.StableHome(key, near(dataCentre)), f.self.Name)
+// LimitHome returns the home of an upstream's rate limit among the instances that divide limits. It
+// ignores suspicions: all instances that know the same live instances agree on it.
+func (f *Fleet) LimitHome(upstream, dataCentre string) string {
+	return cmp.Or(f.view.StableHome("limit/"+upstream, near(dataCentre), f.DividesLimits), f.self.Name)
+}
+
+// DividesLimits reports whether an instance understands the messages about rate limits.
+func (f *Fleet) DividesLimits(name string) bool {
+	m := f.members[name]
+	return name == f.self.Name || m != nil && m.DividesLimits()
 }
 
 // near ranks a data centre before all others; "" ranks all alike.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -192,3 +192,21 @@
 		t.Error("heartbeat interval in a small fleet differs from minInterval to some data centre, want minInterval (400ms) to all")
 	}
 }
+
+// During an upgrade the home of a limit must be an instance that understands the requests to it.
+func TestInstancesOfAnEarlierReleaseAreNoHomesOfLimits(t *testing.T) {
+	f := fleetOf(0, 12)
+	for k := range 12 {
+		b := heartbeat(k)
+		if k%3 == 0 {
+			b.Class = msg.ClassWithLimits(b.Class)
+		}
+		f.OnHeartbeat(start, b)
+	}
+	for k := range 50 {
+		home := f.LimitHome(fmt.Sprintf("u%d", k), "")
+		if !f.DividesLimits(home) {
+			t.Errorf("%s is the home of a limit, want an instance that divides limits", home)
+		}
+	}
+}
--- a/internal/core/membership/homes.go
+++ b/internal/core/membership/homes.go
@@ -56,20 +56,21 @@
 // Instances in data centres of a lower rank come first, which callers use to prefer a data
 // centre and its region. Suspected instances come last among those of the same rank.
 func (v *View) Homes(now time.Time, key string, n int, rank func(dataCentre string) int) []string {
-	return v.homes(key, n, rank, func(name string) bool { return v.suspected(now, name) })
+	return v.homes(key, n, rank, func(string) bool { return true }, func(name string) bool { return v.suspected(now, name) })
 }
 
-// StableHome returns the first instance for a key, "" if there is none. It ignores suspicions, which
-// each instance has for itself: instances with the same list of live instances agree on the home.
-func (v *View) StableHome(key string, rank func(dataCentre string) int) string {
-	homes := v.homes(key, 1, rank, func(string) bool { return false })
+// StableHome returns the first instance for a key among those for which may returns true, "" if there
+// is none. It ignores suspicions, which each instance has for itself: instances with the same list of
+// live instances agree on the home.
+func (v *View) StableHome(key string, rank func(dataCentre string) int, may func(name string) bool) string {
+	homes := v.homes(key, 1, rank, may, func(string) bool { return false })
 	if len(homes) == 0 {
 		return ""
 	}
 	return homes[0]
 }
 
-func (v *View) homes(key string, n int, rank func(dataCentre string) int, suspected func(name string) bool) []string {
+func (v *View) homes(key string, n int, rank func(dataCentre string) int, may, suspected func(name string) bool) []string {
 	ranks := make([]int, len(v.rendezvous.dataCentres))
 	for k, dc := range v.rendezvous.dataCentres {
 		ranks[k] = 2 * rank(dc)
@@ -77,6 +78,9 @@
 	keyHash := xxhash.Sum64String(key)
 	best := make([]score, 0, n)
 	for k, c := range v.rendezvous.candidates {
+		if !may(c.name) {
+			continue
+		}
 		s := score{rank: ranks[c.dataCentre], hash: mix(c.hash ^ keyHash), at: k}
 		if suspected(c.name) {
 			s.rank++
--- a/internal/core/membership/homes_test.go
+++ b/internal/core/membership/homes_test.go
@@ -92,6 +92,8 @@
 	}
 }
 
+func anyInstance(string) bool { return true }
+
 // An instance that answered one other late must not lose a role of which there may be only one
 // holder: the others would still use it.
 func TestStableHomeIgnoresSuspicions(t *testing.T) {
@@ -102,9 +104,12 @@
 	}
 	now := time.Unix(1000, 0)
 	v.Update(now, members)
-	home := v.StableHome("limit/u", sameRank)
+	home := v.StableHome("limit/u", sameRank, anyInstance)
 	v.Suspect(now, home)
-	if got := v.StableHome("limit/u", sameRank); got != home {
+	if got := v.StableHome("limit/u", sameRank, anyInstance); got != home {
 		t.Errorf("home is %s after %s was suspected, want it unchanged", got, home)
 	}
+	if got := v.StableHome("limit/u", sameRank, func(name string) bool { return name != home }); got == home || got == "" {
+		t.Errorf("home is %q while %s may not be one, want another instance", got, home)
+	}
 }
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -49,15 +49,28 @@
 	// ReceivesYours is set if the sender has recently received heartbeats of the receiver. If it is
 	// not set, messages on the receiver's connection to the sender may be lost.
 	ReceivesYours bool
-	// Class is the capacity class of the sender's machine: the number of times that its link
-	// bandwidth in Mbit/s can be halved until it is less than 1. Instances of the highest class
-	// are preferred for work on behalf of others.
+	// Class is the capacity class of the sender's machine, the number of times that its link
+	// bandwidth in Mbit/s can be halved until it is less than 1, plus limitsClass since the release
+	// that divides rate limits. Instances of the highest class are preferred for work on behalf of
+	// others.
 	Class uint8
 	// WantsResponse is set to request a heartbeat from the receiver, because the sender has just
 	// started and must find the live instances.
 	WantsResponse bool
 }
 
+// limitsClass is added to the Class of instances that understand the messages about rate limits of
+// upstreams. An earlier release closes the connection on which one arrives. A field of its own would
+// lengthen every heartbeat for good.
+const limitsClass = 32
+
+// ClassWithLimits returns the class of an instance of this release whose machine has a capacity
+// class.
+func ClassWithLimits(capacity uint8) uint8 { return capacity + limitsClass }
+
+// DividesLimits reports whether the sender understands the messages about rate limits.
+func (h Heartbeat) DividesLimits() bool { return h.Class >= limitsClass }
+
 // JoinRequest requests the receiver's list of live instances. Like a heartbeat, it announces the
 // sender.
 type JoinRequest struct {
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -116,7 +116,7 @@
 		pools: map[string]*pool.Home{}, usedAt: map[string]time.Time{},
 	}
 	i.permits = newPermitHome(m, log, i.sendAny)
-	srv.homes = homeLink{homeOf: i.homeOf, limitHomeOf: i.limitHomeOf, send: i.sendAny, reportSilent: i.suspectHome, broadcast: i.broadcast}
+	srv.homes = homeLink{homeOf: i.homeOf, limitHomeOf: i.limitHomeOf, announceLimit: i.announceLimit, send: i.sendAny, reportSilent: i.suspectHome, broadcast: i.broadcast}
 	i.poller = &syncPoller{follower: i.follower, responses: make(chan syncResponse, 16), wake: make(chan struct{}, 1), neededGroups: i.neededGroups}
 	i.homes.onCreated = i.poller.wakeUp
 	return i
@@ -164,7 +164,7 @@
 	return msg.Heartbeat{
 		Name: i.settings.Name, DataCentre: i.settings.DataCentre, CallerAddress: i.settings.CallerAddress,
 		PeerAddress: net.JoinHostPort(i.settings.IP, strconv.Itoa(i.settings.PeerPort)),
-		Boot:        strconv.FormatUint(uint64(rand.Uint32()), 36), Class: i.settings.Class,
+		Boot:        strconv.FormatUint(uint64(rand.Uint32()), 36), Class: msg.ClassWithLimits(i.settings.Class),
 	}
 }
 
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -23,7 +23,7 @@
 func (i *Instance) limitHomeOf(upstream string) (home string) {
 	dataCentre := ""
 	i.server.decide(func(_ time.Time, g *forward.Gate) { dataCentre = g.DataCentreOf(upstream) })
-	i.peers.with(func(_ time.Time, v *fleet.Fleet) { home = v.StableHome("limit/"+upstream, dataCentre) })
+	i.peers.with(func(_ time.Time, v *fleet.Fleet) { home = v.LimitHome(upstream, dataCentre) })
 	return home
 }
 
@@ -51,6 +51,22 @@
 	}
 }
 
+// announceLimit sends a change of an upstream's rate limit to all other live instances that divide
+// limits.
+func (i *Instance) announceLimit(m msg.RateStatement) {
+	var live []string
+	i.peers.with(func(_ time.Time, v *fleet.Fleet) {
+		for _, name := range v.Live() {
+			if v.DividesLimits(name) {
+				live = append(live, name)
+			}
+		}
+	})
+	for _, name := range live {
+		i.peers.sendTo(name, m)
+	}
+}
+
 // onPeer handles a message from another instance.
 func (i *Instance) onPeer(from string, m msg.Message) {
 	if i.homes.handle(from, m) || i.permits.handle(from, m) {
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -18,6 +18,8 @@
 	// upstream.
 	homeOf      func(pool string) string
 	limitHomeOf func(upstream string) string
+	// announceLimit announces a change of an upstream's rate limit to all other instances.
+	announceLimit func(m msg.RateStatement)
 	// send delivers a message to an instance, including this one.
 	send func(to string, m msg.Message)
 	// reportSilent records that an instance did not respond as a home.
--- a/internal/hosted/statement.go
+++ b/internal/hosted/statement.go
@@ -33,7 +33,7 @@
 	s.homes.send(s.homes.limitHomeOf(u.ID), change.Report)
 	if change.Announce {
 		change.Report.Sent = 0 // each instance reports its own requests to the home
-		s.homes.broadcast(change.Report)
+		s.homes.announceLimit(change.Report)
 	}
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -69,7 +69,8 @@
 }
 
 // Decode reads one frame and returns the sender's name and the message. The error is io.EOF at
-// the end of the connection and wraps io.ErrUnexpectedEOF for a truncated frame.
+// the end of the connection and wraps io.ErrUnexpectedEOF for a truncated frame. After ErrKind the
+// next frame can be read.
 func Decode(r io.Reader) (from string, m msg.Message, err error) {
 	var head [headerSize]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -44,7 +44,7 @@
 }
 
 // A faulty or newer peer sends frames that this instance can't decode. Decode must return the
-// error for that kind of frame, so that the connection is closed. It must not misread a frame,
+// error for that kind of frame, so that the connection is closed or the frame skipped. It must not misread a frame,
 // wait for ever or allocate as much memory as the length field claims.
 func TestDecodeRefusesBadFrames(t *testing.T) {
 	good, err := Encode("entry-1", msg.Strike{Fingerprint: 7, Upstream: "engine-1"})
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -130,12 +130,19 @@
 	defer stop()
 	defer conn.Close()
 	r := bufio.NewReader(conn)
-	sender := ""
+	sender, warned := "", false
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 			return // the connection has ended
 		}
 		from, m, err := Decode(r)
+		if errors.Is(err, ErrKind) {
+			if !warned {
+				t.log.Warn("peer_message_unknown", "peer", from, "error", err)
+			}
+			sender, warned = from, true // a later release may send kinds that this one ignores
+			continue
+		}
 		if err != nil {
 			t.logEnd(conn, err)
 			if ctx.Err() == nil && sender != "" {
@@ -151,7 +158,7 @@
 // logEnd logs why a connection ended. Frames that can't be decoded are logged as warnings.
 func (t *Transport) logEnd(conn net.Conn, err error) {
 	level := hclog.Debug
-	if errors.Is(err, ErrVersion) || errors.Is(err, ErrKind) || errors.Is(err, ErrTooLarge) {
+	if errors.Is(err, ErrVersion) || errors.Is(err, ErrTooLarge) {
 		level = hclog.Warn
 	}
 	t.log.Log(level, "peer_connection_ended", "step", "receive", "peer", conn.RemoteAddr().String(), "error", err)
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -189,3 +189,23 @@
 	}
 	runtime.KeepAlive(queues)
 }
+
+// unknownMessage is a message of a kind that this release does not know.
+type unknownMessage struct{}
+
+func (unknownMessage) Kind() msg.Kind { return 200 }
+
+// A message of a kind that only a later release knows must not cost the messages around it.
+func TestMessagesOfUnknownKindsAreIgnored(t *testing.T) {
+	a, b := newTestTransport(t, "a"), newTestTransport(t, "b")
+	for _, m := range []msg.Message{msg.Settle{Tokens: 1}, unknownMessage{}, msg.Settle{Tokens: 2}} {
+		if err := a.Send("b", b.Address(), m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for want := 1; want <= 2; want++ {
+		if got := b.next(t).(msg.Settle).Tokens; got != want {
+			t.Errorf("message %d received, want %d", got, want)
+		}
+	}
+}
