forward: a broken stream is broken off, not refused, if it cannot be repeated

A caller of a resumable stream that broke off after its first events could get the body of a refusal behind them, as the end of a stream that looked complete: the next attempt needs a grant of the pool's home, and a refusal of the home, a silent home without another upstream and a grant that came too late all ended in a refusal, whatever had been delivered.

TestABrokenStreamIsNotRefusedAfterItsHead failed before in all three cases.

--- a/internal/core/forward/pools_test.go
+++ b/internal/core/forward/pools_test.go
@@ -133,3 +133,38 @@
 		t.Error("request sent to a removed upstream, want another one or a refusal")
 	}
 }
+
+// A resumable stream breaks off after its first events, and no pool has room for it. A refusal at
+// this point would be written into the stream, which would then look complete.
+func TestABrokenStreamIsNotRefusedAfterItsHead(t *testing.T) {
+	for name, end := range map[string]func(*Gate, *Call) Step{
+		"the home refuses": func(g *Gate, c *Call) Step {
+			s := Step{RequestGrant: true}
+			for s.RequestGrant {
+				s = g.HomeRefused(c, placement.ReasonQueueFull, time.Second)
+			}
+			return s
+		},
+		"the home is silent and no upstream is left": func(g *Gate, c *Call) Step {
+			for _, u := range g.roster.All() {
+				g.roster.MarkLeaving(start, u)
+			}
+			return g.HomeTimedOut(start, c)
+		},
+		"the grant arrives too late": func(g *Gate, c *Call) Step {
+			return g.Granted(c.Deadline, c.Deadline, c, msg.GrantResponse{Decision: placement.Decision{Kind: placement.Granted, Upstream: g.roster.All()[1].ID}, TTL: time.Second})
+		},
+	} {
+		g := largeGate(t)
+		c := admit(t, g, request("/resumable/1"))
+		g.Start(start, c)
+		g.Granted(start, start, c, msg.GrantResponse{Decision: placement.Decision{Kind: placement.Granted, Upstream: g.roster.All()[0].ID}, TTL: time.Second})
+		c.Progress(start, "1")
+		if s := g.Ended(start, c, Cut, true); !s.RequestGrant {
+			t.Fatalf("%s: next step %+v after the stream broke off, want a request for a grant", name, s)
+		}
+		if s := end(g, c); !s.Abort {
+			t.Errorf("%s: last step %+v, want the response broken off", name, s)
+		}
+	}
+}
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -201,8 +201,12 @@
 	return g.refuse(c, why, retryAfter)
 }
 
-// refuse refuses a call. Only a call that certainly did not run gets a status that promises this.
+// refuse refuses a call. Only a call that certainly did not run gets a status that promises this. A
+// response whose header was delivered is broken off, because a refusal would become a part of it.
 func (g *Gate) refuse(c *Call, why Reason, retryAfter time.Duration) Step {
+	if c.headerDelivered {
+		return Step{Abort: true, Why: why}
+	}
 	code := status.ServiceUnavailable
 	if c.mayHaveRun {
 		code, retryAfter = status.BadGateway, 0
