hosted: probes of a rate-limited upstream use only the rate that is left over

A pool's home and the check of silent streams ask upstreams for their state, once a second and more often while the store is silent. For an engine whose limit is a request in four seconds that alone exceeds it. A probe now needs a permit as well, which is granted only if a further request could still be sent at once; without one nothing is concluded about the upstream (TestProbesUseOnlyTheSpareRate).

New process tests: engines that state limits while their generations are placed by a home, and a service of which all upstreams are limited.

--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -69,7 +69,9 @@
 	limits map[roster.Run]*statedLimit
 	// announcedAt holds when this instance last announced that a limit began or ended.
 	announcedAt map[roster.Run]time.Time
-	suspects    *suspect.List
+	// lastProbe is the number of the last request for a permit to probe an upstream.
+	lastProbe int
+	suspects  *suspect.List
 	// instances is the number of instances that share the retry budget.
 	instances int
 	// peers are the live instances, including this one.
--- a/internal/core/forward/limit.go
+++ b/internal/core/forward/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -262,6 +263,18 @@
 	return m
 }
 
+// ProbePermit returns the request for a permit to probe an upstream; ok is false if none is needed.
+func (g *Gate) ProbePermit(now time.Time, u *roster.Upstream) (m msg.PermitRequest, ok bool) {
+	l := g.limits[u.Run()]
+	if l == nil {
+		return m, false
+	}
+	g.lastProbe++
+	return msg.PermitRequest{
+		ID: fmt.Sprintf("probe-%s-%d", g.options.Name, g.lastProbe), Limit: rateStatement(now, u.Run(), l.limit, l.heardAt), Spare: true,
+	}, true
+}
+
 // permitID identifies the request for a permit; it begins with the id of the request.
 func (c *Call) permitID() string { return c.ID + "/permit-" + strconv.Itoa(c.permitNumber) }
 
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -273,6 +273,8 @@
 	// MaxWait is the time for which the request may wait and still be served in time. MaxLateWait
 	// is the time for which it may wait at all. Both are 0 if it can be sent to another upstream.
 	MaxWait, MaxLateWait time.Duration
+	// Spare is set for a probe, which uses only the rate that nothing else uses.
+	Spare bool
 }
 
 // PermitResponse is the response to a PermitRequest. It is sent at once, and again when a queued
--- a/internal/core/permits/home.go
+++ b/internal/core/permits/home.go
@@ -140,7 +140,7 @@
 	}
 	u.lastUsed = now
 	h.decide(now, r, u, u.queue.Add(now, ratelimit.Request{
-		ID: m.ID, Instance: from, Rank: m.Rank, MaxWait: m.MaxWait, MaxLateWait: m.MaxLateWait,
+		ID: m.ID, Instance: from, Rank: m.Rank, MaxWait: m.MaxWait, MaxLateWait: m.MaxLateWait, Spare: m.Spare,
 	}))
 }
 
--- a/internal/core/ratelimit/queue.go
+++ b/internal/core/ratelimit/queue.go
@@ -25,6 +25,8 @@
 	// may wait at all; waits beyond MaxWait are accepted only if the upstream keeps up with the
 	// demand. Both are 0 if the request can be sent elsewhere.
 	MaxWait, MaxLateWait time.Duration
+	// Spare is set for a probe, which is granted only from the rate that nothing else uses.
+	Spare bool
 }
 
 // elsewhere reports whether the request can be sent to another upstream.
@@ -101,10 +103,13 @@
 		ahead, wait := q.expect(now, q.queued[k])
 		return []Decision{{Request: r, Outcome: Queued, Wait: wait, Ahead: ahead}}
 	}
+	w := &waiting{Request: r, arrived: now}
+	if r.Spare && !q.hasSpare(now) {
+		return []Decision{q.refuse(now, w, len(q.queued), 0)}
+	}
 	if !r.elsewhere() {
 		q.demand.Add(now)
 	}
-	w := &waiting{Request: r, arrived: now}
 	ahead, wait := q.expect(now, w)
 	if wait > q.acceptedWait(now, w) {
 		return []Decision{q.refuse(now, w, ahead, wait)}
@@ -117,6 +122,11 @@
 	return out
 }
 
+// hasSpare reports whether one more request leaves room for another one at once.
+func (q *Queue) hasSpare(now time.Time) bool {
+	return len(q.queued) == 0 && !q.bucket.openAt(minBurst).After(now)
+}
+
 // Drop removes a queued request whose caller has left.
 func (q *Queue) Drop(id string) {
 	q.queued = slices.DeleteFunc(q.queued, func(w *waiting) bool { return w.ID == id })
--- a/internal/core/ratelimit/queue_test.go
+++ b/internal/core/ratelimit/queue_test.go
@@ -183,3 +183,18 @@
 	))
 	props.TestingRun(t)
 }
+
+// A probe must not take the place of a request.
+func TestProbesUseOnlyTheSpareRate(t *testing.T) {
+	q := limitedQueue(1)
+	probe := Request{ID: "probe", Instance: "a", Spare: true}
+	if ds := q.Add(start.Add(1500*time.Millisecond), probe); ds[0].Outcome != Refused {
+		t.Errorf("a probe is %v while there is room for one request, want it refused", ds[0].Outcome)
+	}
+	if ds := q.Add(start.Add(3*time.Second), probe); ds[0].Outcome != Granted {
+		t.Errorf("a probe is %v on an idle upstream, want it granted", ds[0].Outcome)
+	}
+	if ds := q.Add(start.Add(3*time.Second), patient("request", "a", 1)); ds[0].Outcome != Granted {
+		t.Errorf("a request after the probe is %v, want it granted", ds[0].Outcome)
+	}
+}
--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -72,6 +72,9 @@
 
 // requestReport requests an upstream's report of its state.
 func (s *server) requestReport(ctx context.Context, address string) (Report, error) {
+	if err := s.permitProbe(ctx, address); err != nil {
+		return Report{}, err
+	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	got, err := s.call(ctx, address, s.wire.ReportCall())
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -38,8 +38,6 @@
 	// attempt, or "".
 	grants chan msg.GrantResponse
 	home   string
-	// permits receives the responses of the homes of rate limits.
-	permits chan msg.PermitResponse
 	// upstream is the last attempt's upstream. listAge is the age of the list of upstreams at
 	// admission. Both are logged.
 	upstream string
--- a/internal/hosted/home.go
+++ b/internal/hosted/home.go
@@ -173,6 +173,8 @@
 	h.metrics.Count("upstream_questions_total", name)
 	r, err := h.server.probeLeaving(context.Background(), target.Address)
 	switch {
+	case errors.Is(err, errNotPermitted):
+		return // nothing is known about the upstream
 	case errors.Is(err, errUnreadable):
 		h.log.Warn("upstream_report_unreadable", "upstream", target.ID, "pool", name, "error", err)
 		return
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -89,7 +89,7 @@
 	conns.Dialled = func() { m.Count("upstream_connections_total", "dialled") }
 	srv := &server{
 		wire: wire, conns: conns, bodies: newBodyBuffers(s.MemoryBytes), metrics: m, log: log,
-		gate: gate, running: map[string]*exchange{},
+		gate: gate, running: map[string]*exchange{}, permits: map[string]chan msg.PermitResponse{},
 	}
 	m.Set("cordons", srv.cordonMetric())
 	m.Set("upstream_rate_limits", srv.rateLimitMetric())
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -109,6 +110,8 @@
 	s := x.server
 	var m msg.PermitRequest
 	s.decide(func(now time.Time, g *forward.Gate) { m = g.PermitRequest(now, x.call) })
+	responses := s.awaitPermit(m.ID)
+	defer s.forgetPermit(m.ID)
 	home := s.homes.limitHomeOf(m.Limit.Upstream)
 	requestedAt := boottime.Now()
 	s.homes.send(home, m)
@@ -125,10 +128,7 @@
 		case <-repeat.C:
 			home, requestedAt = s.homes.limitHomeOf(m.Limit.Upstream), boottime.Now()
 			s.homes.send(home, m)
-		case a := <-x.permits:
-			if a.ID != m.ID {
-				continue // late response about another upstream
-			}
+		case a := <-responses:
 			if a.Outcome != ratelimit.Queued {
 				return x.onPermit(a, requestedAt)
 			}
@@ -166,16 +166,63 @@
 	return x.decideStep(func(now time.Time, g *forward.Gate) forward.Step { return g.PermitHomeSilent(now, x.call) })
 }
 
-// onPermitResponse passes a home's response to the waiting request.
+// awaitPermit returns the channel that receives the responses to a request for a permit until
+// forgetPermit.
+func (s *server) awaitPermit(id string) <-chan msg.PermitResponse {
+	responses := make(chan msg.PermitResponse, 4)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.permits[id] = responses
+	return responses
+}
+
+func (s *server) forgetPermit(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.permits, id)
+}
+
+// onPermitResponse passes a home's response to where it is awaited.
 func (s *server) onPermitResponse(m msg.PermitResponse) {
-	x := s.findExchange(requestOf(m.ID))
-	if x == nil {
-		return // the request has ended
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case s.permits[m.ID] <- m:
+	default: // nobody waits for it any more
+	}
+}
+
+// errNotPermitted reports that an upstream's rate limit leaves no room for a probe.
+var errNotPermitted = errors.New("the upstream's rate limit leaves no room for a probe")
+
+// permitProbe returns errNotPermitted if an upstream states a rate limit and there is no permit to
+// probe it.
+func (s *server) permitProbe(ctx context.Context, address string) error {
+	var m msg.PermitRequest
+	limited := false
+	s.decide(func(now time.Time, g *forward.Gate) {
+		if u := g.Roster().FindAt(address); u != nil {
+			m, limited = g.ProbePermit(now, u)
+		}
+	})
+	if !limited {
+		return nil
 	}
+	responses := s.awaitPermit(m.ID)
+	defer s.forgetPermit(m.ID)
+	ctx, cancel := context.WithTimeout(ctx, forward.PermitTimeout)
+	defer cancel()
+	s.homes.send(s.homes.limitHomeOf(m.Limit.Upstream), m)
 	select {
-	case x.permits <- m:
-	default: // the queue is full, as the request no longer waits for a response
+	case a := <-responses:
+		s.learnLimit(a.Limit, "permit")
+		if a.Outcome == ratelimit.Granted {
+			return nil
+		}
+	case <-ctx.Done():
 	}
+	s.metrics.Count("probes_not_permitted_total", m.Limit.Upstream)
+	return errNotPermitted
 }
 
 // learnLimit records a rate limit that its home has announced.
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -37,6 +37,8 @@
 	running     map[string]*exchange
 	announcedAt time.Time
 	announcedTo map[string]string
+	// permits holds where the responses to requests for permits are awaited, by id.
+	permits map[string]chan msg.PermitResponse
 }
 
 // decide runs a function on the gate while holding the lock.
@@ -86,7 +88,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.Deadline.Sub(call.Arrived))
 	defer cancel()
-	x := &exchange{server: s, w: w, r: r, body: b, call: call, ctx: ctx, started: time.Now(), grants: make(chan msg.GrantResponse, 4), permits: make(chan msg.PermitResponse, 4)}
+	x := &exchange{server: s, w: w, r: r, body: b, call: call, ctx: ctx, started: time.Now(), grants: make(chan msg.GrantResponse, 4)}
 	s.decide(func(now time.Time, g *forward.Gate) {
 		x.listAge = now.Sub(g.Roster().Confirmed())
 		s.metrics.Observe("belief_age_milliseconds", "list", x.listAge)
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/forward"
@@ -41,6 +42,9 @@
 	s.decide(func(now time.Time, _ *forward.Gate) { sentAt = now })
 	s.metrics.Count("upstream_questions_total", "silent_stream")
 	report, err := s.requestReport(ctx, address)
+	if errors.Is(err, errNotPermitted) {
+		return // the next query is due later
+	}
 	if err != nil {
 		s.log.Info("silent_upstream_unreachable", "address", address, "streams", len(silent), "error", err)
 		return
--- a/internal/proctest/hosted_limit_test.go
+++ b/internal/proctest/hosted_limit_test.go
@@ -10,10 +10,12 @@
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
 )
 
-// steadyLoad sends plain requests to the instances in turn at a fixed rate, and records the responses.
+// steadyLoad sends requests to the instances in turn at a fixed rate, and records the responses.
 type steadyLoad struct {
 	*fixture
 	interval time.Duration
+	// request returns the n-th request.
+	request func(id string, n int) call
 
 	mu         sync.Mutex
 	deliveries map[string]delivery
@@ -21,11 +23,29 @@
 	open       sync.WaitGroup
 }
 
-func newSteadyLoad(f *fixture, perSecond int) *steadyLoad {
-	return &steadyLoad{fixture: f, interval: time.Second / time.Duration(perSecond), deliveries: map[string]delivery{}, sentAt: map[string]time.Time{}}
+func newSteadyLoad(f *fixture, perSecond int, request func(id string, n int) call) *steadyLoad {
+	return &steadyLoad{
+		fixture: f, interval: time.Second / time.Duration(perSecond), request: request,
+		deliveries: map[string]delivery{}, sentAt: map[string]time.Time{},
+	}
+}
+
+// plainRequest returns a request to the plain service: two of three are bookings, one is a look-up.
+func plainRequest(id string, n int) call {
+	if n%3 == 2 {
+		return lookUp(id)
+	}
+	return booking(id)
+}
+
+// briefRequest returns a request for a generation that may be resumed.
+func briefRequest(id string, _ int) call {
+	c := generation(id)
+	c.path, c.timeout = hosting.PathBrief+"x", 6*time.Second
+	return c
 }
 
-// run sends requests for a duration. Two of three are bookings, one is a look-up.
+// run sends requests for a duration.
 func (l *steadyLoad) run(d time.Duration) {
 	t := time.NewTicker(l.interval)
 	defer t.Stop()
@@ -36,10 +56,7 @@
 		l.sentAt[id] = time.Now()
 		l.mu.Unlock()
 		m := l.machines[n%len(l.machines)]
-		c := booking(id)
-		if n%3 == 2 {
-			c = lookUp(id)
-		}
+		c := l.request(id, n)
 		l.open.Go(func() { l.send(m, c) })
 	}
 }
@@ -71,7 +88,7 @@
 func TestHostedRateLimitHoldsForAllInstancesTogether(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
-	l := newSteadyLoad(f, 45)
+	l := newSteadyLoad(f, 45, plainRequest)
 	l.run(2 * time.Second)
 	limitedAt := time.Now()
 	f.desk[0].SetLimit(4.3)
@@ -87,3 +104,77 @@
 		t.Errorf("%.0f%% of the requests were served, want at least 95%%: the third upstream has room for them", 100*served)
 	}
 }
+
+// Engines that state a rate limit must keep it although generations are granted by their pool's home,
+// retried and queued there. What they accept is used, and the rest is refused with a time to return.
+func TestHostedRateLimitOfEngines(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	l := newSteadyLoad(f, 12, briefRequest)
+	l.run(2 * time.Second)
+	limitedAt := time.Now()
+	for _, w := range f.pool {
+		w.SetLimit(1.5)
+	}
+	l.run(9 * time.Second)
+	l.open.Wait()
+	for _, w := range f.pool {
+		if problem := checkRateLimit(w, l.deliveries, nil, time.Now()); problem != "" {
+			t.Error(problem)
+		}
+	}
+	if served := l.servedSince(limitedAt); served < 0.25 {
+		t.Errorf("%.0f%% of the requests were served, want at least 25%%: the limits allow half of them", 100*served)
+	}
+	for id, d := range l.deliveries {
+		switch {
+		case d.result.status == http.StatusOK && d.result.body != streamBody(id):
+			t.Errorf("%s: status 200 with an incomplete stream", id)
+		case d.result.status == http.StatusServiceUnavailable && d.result.header.Get("Retry-After") == "":
+			t.Errorf("%s: refused without a Retry-After", id)
+		}
+	}
+}
+
+// While all upstreams of a service state limits, the rest of the requests is refused within the time
+// in which they could have been served, and limits that end are forgotten.
+func TestHostedRequestsBeyondAllLimitsAreRefused(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	l := newSteadyLoad(f, 45, plainRequest)
+	l.run(time.Second)
+	for _, w := range f.desk {
+		w.SetLimit(5)
+	}
+	l.run(8 * time.Second)
+	l.open.Wait()
+	for _, w := range f.desk {
+		if problem := checkRateLimit(w, l.deliveries, nil, time.Now()); problem != "" {
+			t.Error(problem)
+		}
+	}
+	refused, waits := 0, map[string]int{}
+	for id, d := range l.deliveries {
+		if d.result.status != http.StatusServiceUnavailable {
+			continue
+		}
+		refused++
+		waits[d.result.header.Get("Retry-After")]++
+		if took := d.at.Sub(l.sentAt[id]); took > 700*time.Millisecond {
+			t.Errorf("%s was refused after %v, want about its target of 300 ms at most", id, took)
+		}
+	}
+	if refused == 0 || len(waits) < refused/3 {
+		t.Errorf("%d requests were refused with %d different times to return, want them spread", refused, len(waits))
+	}
+	for _, w := range f.desk {
+		w.SetLimit(0)
+	}
+	l.run(time.Second)
+	freeAt := time.Now()
+	l.run(2 * time.Second)
+	l.open.Wait()
+	if served := l.servedSince(freeAt); served < 0.95 {
+		t.Errorf("%.0f%% of the requests were served a second after the limits ended, want nearly all", 100*served)
+	}
+}
