core: pool homes keep the rate limits that upstreams state on the project's own protocol

Upstreams now state a limit in any response (X-Rate-Limit) or in the load report (rate_limit). An entry passes the first on to the home of the pool, which paces its grants; every request needs one.

Homes of pools can overlap for longer than those of limits: an entry avoids one that responded late for 5 s and uses another meanwhile. So a bucket begins at half of the rate for 6 s, and again after 4 s without a request (TestPropertyAnIdleBucketBeginsCautiously).

The soak states, changes and withdraws limits of single upstreams and of whole services, and checks the rule.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,8 +13,9 @@
 //     the table.
 //   - Roles for other instances: poolhome.go and orghome.go are the homes of pools and
 //     organisations. guard.go, verdict.go and strikes.go stop requests that crash
-//     upstreams, avoid.go avoids upstreams that fail every request, orphans.go cancels
-//     generations that no entry follows, orders.go sends upstreams their orders.
+//     upstreams, avoid.go avoids upstreams that fail every request, limits.go keeps the rate
+//     limits that upstreams state, orphans.go cancels generations that no entry follows,
+//     orders.go sends upstreams their orders.
 //   - The instance itself: configsync.go, configpoll.go and configadopt.go keep the
 //     configuration current, cordons.go applies cordons, drain.go leaves without
 //     cutting off a request, explain.go records decisions.
@@ -135,6 +136,8 @@
 		i.onUpstreamResponse(now, e)
 	case UpstreamFailed:
 		i.onFailed(now, e)
+	case UpstreamStatement:
+		i.onStatement(now, e)
 	case UpstreamReport:
 		i.onReport(now, e)
 	case PollFailed:
@@ -178,6 +181,8 @@
 		i.onReserveResponse(now, from, m)
 	case msg.Settle:
 		i.onSettle(now, m)
+	case msg.RateStatement:
+		i.onRateStatement(now, from, m)
 	case msg.Strike:
 		i.onStrike(now, m)
 	case msg.StrikesRequest:
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -7,6 +7,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/membership"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
 	"mulberrylug.example/mulberrylug/internal/core/table"
 )
 
@@ -115,6 +116,20 @@
 	Err  string
 }
 
+// UpstreamStatement is what an upstream stated about itself in the head of a response to an attempt.
+// It is sent for a response that states something and for the first one that no longer does.
+type UpstreamStatement struct {
+	Upstream string
+	// Boot identifies the run of the upstream's process, "" if the response did not state it.
+	Boot string
+	// SentAt is the time at which the request was sent.
+	SentAt    time.Time
+	RateLimit ratelimit.Limit
+	// Unreadable is the error of a field that could not be decoded. The response then states
+	// nothing.
+	Unreadable string
+}
+
 // UpstreamReport is the load report of an upstream, the result of a Poll.
 type UpstreamReport struct {
 	Report placement.Report
@@ -185,6 +200,7 @@
 func (UpstreamEnd) event()        {}
 func (UpstreamResponse) event()   {}
 func (UpstreamFailed) event()     {}
+func (UpstreamStatement) event()  {}
 func (UpstreamReport) event()     {}
 func (PollFailed) event()         {}
 func (CommitResult) event()       {}
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -5,6 +5,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
+	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
 )
 
 // Home places work on the upstreams of one pool. It is not safe for concurrent use.
@@ -96,6 +97,18 @@
 	return h.drainQueue(now)
 }
 
+// SetRateLimit changes the rate limit of an upstream between two of its reports.
+func (h *Home) SetRateLimit(now time.Time, name string, l ratelimit.Limit) []Decision {
+	u := h.byName[name]
+	if u == nil {
+		return nil
+	}
+	u.report.RateLimit = l
+	u.limiter.SetLimit(now, l)
+	h.summarize(u)
+	return h.drainQueue(now)
+}
+
 // SetCordons sets the cordoned data centres. Their upstreams get no new work; running
 // generations continue.
 func (h *Home) SetCordons(now time.Time, s cordon.Set) []Decision {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -78,8 +78,10 @@
 	// MaxStarts limits the requests sent to the upstream in any second; 0 means no limit. It is
 	// set by the pool's home.
 	MaxStarts int `json:"-" msgpack:"-"`
-	// RateLimit is the limit that the upstream states for the requests of all instances together.
-	// It is set by the pool's home.
+	// StatedRate is the rate of requests per second that the upstream accepts from all instances
+	// together; nil if it states none.
+	StatedRate *float64 `json:"rate_limit,omitempty" msgpack:"-"`
+	// RateLimit is the limit to enforce. It is set by the pool's home.
 	RateLimit ratelimit.Limit `json:"-" msgpack:"-"`
 	// DataCentre is the upstream's location; "" if unknown.
 	DataCentre string `json:"data_centre,omitempty"`
--- a/internal/core/poolhome.go
+++ b/internal/core/poolhome.go
@@ -39,6 +39,7 @@
 	// leaving records for each upstream whether its last report, or the instance list at that time,
 	// said that it is leaving.
 	leaving  map[string]bool
+	limits   upstreamLimits
 	guard    crashGuard
 	failures upstreamFailures
 	orphans  orphans
@@ -59,7 +60,7 @@
 		p := i.version.Pool(name)
 		h = &poolHome{
 			pool: name, createdAt: now, entries: map[string]requester{}, boots: map[string]string{},
-			orders: map[string]*order.Machine{}, crashedBoots: map[string]string{}, leaving: map[string]bool{},
+			orders: map[string]*order.Machine{}, crashedBoots: map[string]string{}, leaving: map[string]bool{}, limits: upstreamLimits{},
 			guard: newCrashGuard(), failures: upstreamFailures{}, orphans: newOrphans(),
 			version: i.version.Number, home: placement.NewHome(i.placementSettings(p)),
 		}
@@ -207,6 +208,7 @@
 	name := e.Report.Upstream
 	if boot := h.boots[name]; boot != "" && boot != e.Report.Boot {
 		i.upstreamCrashed(now, h, name)
+		delete(h.limits, name)
 	}
 	h.boots[name] = e.Report.Boot
 	h.recordGenerations(now, e.Report)
@@ -214,6 +216,7 @@
 		e.Report.Leaving = true
 	}
 	h.leaving[name] = e.Report.Leaving
+	i.limitOnReport(h, &e)
 	if u := i.version.Upstream(name); u != nil {
 		e.Report.DataCentre = u.DataCentre
 	}
--- a/internal/core/ratelimit/bucket.go
+++ b/internal/core/ratelimit/bucket.go
@@ -8,10 +8,13 @@
 	// pauses in the demand.
 	burstTime = 150 * time.Millisecond
 	minBurst  = 2
-	// cautiousShare is the fraction of the limit that is used in the first Window. Before, the
-	// upstream received requests that this bucket did not count: from all instances without a
-	// limit, or from another instance that divided it.
+	// cautiousShare is the fraction of the limit that is used for cautiousTime after the limit was
+	// set and after a Window without a request. Before, the upstream may have received requests that
+	// this bucket did not count: from all instances without a limit, or from another instance that
+	// divided it. Some entries may use that one for a while yet: an instance that responded late is
+	// avoided for 5 s.
 	cautiousShare = 0.5
+	cautiousTime  = 6 * time.Second
 	// toleratedBefore is the part of a Window's limit that an upstream is assumed to bear beyond the
 	// cautious share, for requests that were sent before the limit was known; toleratedSlack is a
 	// number of requests beyond that. What was sent beyond both is a debt.
@@ -28,8 +31,8 @@
 	// debt.
 	tokens float64
 	at     time.Time
-	// fullRateAt is when the first Window ends.
-	fullRateAt time.Time
+	// fullRateAt is the end of cautiousTime. lastTake is the time of the last request.
+	fullRateAt, lastTake time.Time
 	// before is the number of requests that were sent before the limit was known.
 	before int
 }
@@ -37,7 +40,7 @@
 // SetLimit changes the limit.
 func (b *Bucket) SetLimit(now time.Time, l Limit) {
 	if !b.limit.Stated && l.Stated {
-		b.tokens, b.at, b.fullRateAt, b.before = 1, now, now.Add(Window), 0
+		b.tokens, b.at, b.fullRateAt, b.lastTake, b.before = 1, now, now.Add(cautiousTime), now, 0
 	}
 	b.refill(now)
 	b.limit = l
@@ -49,21 +52,29 @@
 
 // Take counts a request.
 func (b *Bucket) Take(now time.Time) {
-	if b.limit.Stated {
-		b.refill(now)
-		b.tokens--
+	if !b.limit.Stated {
+		return
+	}
+	b.refill(now)
+	if now.Sub(b.lastTake) > Window {
+		b.fullRateAt = now.Add(cautiousTime)
 	}
+	b.lastTake = now
+	b.tokens--
 }
 
 // CountBefore counts requests that an instance sent in the LookBack before it learned of the limit.
+// They delay others only as long as they are in the same Window.
 func (b *Bucket) CountBefore(now time.Time, n int) {
-	if !b.limit.Stated || !now.Before(b.fullRateAt) {
+	relevant := b.fullRateAt.Add(Window - LookBack - cautiousTime).Sub(now)
+	if !b.limit.Stated || relevant <= 0 {
 		return
 	}
 	b.refill(now)
 	debt := b.debt()
 	b.before += n
-	b.tokens -= b.debt() - debt
+	longest := 1 - b.limit.Rate()*cautiousShare*relevant.Seconds()
+	b.tokens = max(b.tokens-(b.debt()-debt), min(b.tokens, longest))
 }
 
 // debt returns the number of requests before the limit that the upstream is not assumed to bear.
--- a/internal/core/ratelimit/bucket_test.go
+++ b/internal/core/ratelimit/bucket_test.go
@@ -103,6 +103,47 @@
 	props.TestingRun(t)
 }
 
+// Some entries avoid the instance that divides a limit for 5 s at a time, because it responded late,
+// and use another one meanwhile. What both grant together must stay within the rule, however often.
+func TestPropertyAnIdleBucketBeginsCautiously(t *testing.T) {
+	p := testkit.Parameters()
+	p.MinSuccessfulTests = max(p.MinSuccessfulTests/10, 10)
+	props := gopter.NewProperties(p)
+	props.Property("a bucket in continuous use and one in use for 5 s at a time keep the rule", prop.ForAll(
+		func(rate float64, idle int, pauses []int) string {
+			limit, _ := Of(rate)
+			var first, second Bucket
+			first.SetLimit(start.Add(-time.Minute), limit)
+			second.SetLimit(start.Add(-time.Minute), limit)
+			now, since := start, start
+			period := 5*time.Second + Window + time.Duration(idle)*time.Millisecond
+			var sent []time.Time
+			for k := 0; now.Sub(start) < time.Minute; k++ {
+				now = now.Add(time.Duration(pauses[k%len(pauses)]) * time.Millisecond)
+				if now.Sub(since) >= period {
+					since = now
+				}
+				buckets := []*Bucket{&first}
+				if now.Sub(since) < 5*time.Second {
+					buckets = append(buckets, &second)
+				}
+				for _, b := range buckets {
+					if !b.OpenAt().After(now) {
+						b.Take(now)
+						sent = append(sent, now)
+					}
+				}
+			}
+			if n := most(sent); float64(n) > ruleFactor*limit.Rate()*Window.Seconds()+ruleSlack {
+				return "too many requests in a window"
+			}
+			return ""
+		},
+		gen.Float64Range(0.25, 20), gen.IntRange(1, 5000), gen.SliceOfN(50, gen.IntRange(1, 60)),
+	))
+	props.TestingRun(t)
+}
+
 // A limit that is lowered holds at once; one that is withdrawn holds nothing back.
 func TestBucketFollowsChanges(t *testing.T) {
 	var b Bucket
@@ -160,4 +201,8 @@
 	if at := b.OpenAt(); at.Sub(start) < 2*time.Second {
 		t.Errorf("after 26 requests in a second the next one has to wait for %v, want seconds", at.Sub(start))
 	}
+	b.CountBefore(start, 1000)
+	if at := b.OpenAt(); at.Sub(start) > Window {
+		t.Errorf("after 1,026 requests in a second the next one has to wait for %v, want no more than a window", at.Sub(start))
+	}
 }
--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -35,6 +35,8 @@
 const (
 	// soakCallers is the number of callers, each of which sends one request at a time.
 	soakCallers = 9
+	// behindRelay is the prefix of the ids of upstreams behind relays.
+	behindRelay = "behind-relay-"
 	// recoveryTimeout is the maximum time from the last fault until every instance serves requests.
 	recoveryTimeout = 8 * time.Second
 )
@@ -61,13 +63,15 @@
 	// revoked maps each revoked key to the time of its revocation.
 	revoked map[string]time.Time
 	served  int
+	// disturbances holds when instances were restarted or frozen.
+	disturbances []disturbance
 }
 
 // sentRequest is a request and the response that its caller received.
 type sentRequest struct {
 	call
-	sent   time.Time
-	result result
+	sent time.Time
+	delivery
 }
 
 func TestSoak(t *testing.T) {
@@ -110,7 +114,7 @@
 // addRelays adds an upstream of each service behind a relay.
 func (s *soak) addRelays() {
 	for _, service := range []string{hosting.Pool, hosting.Desk} {
-		k, r, err := s.AddBehindRelay("behind-relay-"+service, service, func(k *hosting.Worker) {
+		k, r, err := s.AddBehindRelay(behindRelay+service, service, func(k *hosting.Worker) {
 			k.Work = 10 * time.Millisecond
 			if service == hosting.Pool {
 				k.EventEvery, k.EventCount, k.CopyTime = 25*time.Millisecond, streamEvents, 30*time.Millisecond
@@ -152,6 +156,7 @@
 	// persistent connection breaks.
 	persistent := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
 	defer persistent.CloseIdleConnections()
+	newConnections := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
 	at := r.IntN(len(s.machines))
 	for k := 0; ; k++ {
 		select {
@@ -176,9 +181,13 @@
 		}
 		s.mu.Unlock()
 		a := sentRequest{call: c, sent: time.Now()}
+		m, transport := s.machines[at], persistent
 		if caller%2 == 0 || caller%3 == 2 {
-			a.result = s.do(s.machines[r.IntN(len(s.machines))], c)
-		} else if a.result = s.doOn(persistent, s.machines[at], c); a.result.err != nil {
+			m, transport = s.machines[r.IntN(len(s.machines))], newConnections
+		}
+		a.instance, a.result = m.Name, s.doOn(transport, m, c)
+		a.at = time.Now()
+		if a.result.err != nil {
 			at = r.IntN(len(s.machines))
 		}
 		s.mu.Lock()
@@ -195,7 +204,7 @@
 func (s *soak) injectFault() {
 	n := s.rand.IntN(len(s.procs))
 	upstream := append(append([]*hosting.Worker(nil), s.pool...), s.desk...)[s.rand.IntN(len(s.pool)+len(s.desk))]
-	switch s.rand.IntN(14) {
+	switch s.rand.IntN(18) {
 	case 0:
 		s.restart(syscall.SIGKILL)
 	case 1:
@@ -222,6 +231,14 @@
 		s.rotateKey()
 	case 12, 13:
 		s.disturbLink()
+	case 14, 15, 16:
+		s.changeLimit()
+	case 17:
+		for _, w := range s.limitable() {
+			if w.Service == upstream.Service {
+				s.limit(w)
+			}
+		}
 	case 11:
 		if err := s.process(n).signal(syscall.SIGHUP); err != nil {
 			s.t.Error(err)
@@ -229,6 +246,51 @@
 	}
 }
 
+// limitable returns the upstreams that may state a limit: those to which no relay delays requests.
+func (s *soak) limitable() (list []*hosting.Worker) {
+	for _, w := range append(append([]*hosting.Worker(nil), s.pool...), s.desk...) {
+		if !strings.HasPrefix(w.ID, behindRelay) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// changeLimit makes an upstream state a rate limit, another one, or none any more.
+func (s *soak) changeLimit() {
+	list := s.limitable()
+	w := list[s.rand.IntN(len(list))]
+	if s.rand.IntN(3) == 0 {
+		w.SetLimit(0)
+		return
+	}
+	s.limit(w)
+}
+
+// limit makes an upstream state a limit of at least a third of what it received in the last second.
+// After a stated limit the next one is half to twice as high.
+func (s *soak) limit(w *hosting.Worker) {
+	limits := w.Limits()
+	if n := len(limits); n > 0 && limits[n-1].PerSecond > 0 {
+		w.SetLimit(limits[n-1].PerSecond * (0.5 + 1.5*s.rand.Float64()))
+		return
+	}
+	recent := 0
+	for _, a := range w.Arrivals() {
+		if time.Since(a.At) < time.Second {
+			recent++
+		}
+	}
+	w.SetLimit(max(float64(recent)*(0.35+0.65*s.rand.Float64()), 1))
+}
+
+// disturb records that an instance is disturbed from a time until now.
+func (s *soak) disturb(n int, from time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disturbances = append(s.disturbances, disturbance{instance: s.machines[n].Name, from: from, to: time.Now()})
+}
+
 // restart ends an instance with a signal and starts it again. Other instances may be restarting at
 // the same time, but one always stays up.
 func (s *soak) restart(sig syscall.Signal) {
@@ -238,11 +300,12 @@
 	default:
 		return // all but one are restarting
 	}
-	p := s.process(n)
+	p, from := s.process(n), time.Now()
 	if err := p.signal(sig); err != nil {
 		s.t.Error(err)
 	}
 	s.restarts.Go(func() {
+		defer s.disturb(n, from)
 		select {
 		case <-p.ended:
 		case <-time.After(10 * time.Second):
@@ -266,6 +329,7 @@
 // freeze stops an instance for 0.2 to 1.5 s.
 func (s *soak) freeze(n int) {
 	p := s.process(n)
+	defer s.disturb(n, time.Now())
 	if err := p.signal(syscall.SIGSTOP); err != nil {
 		s.t.Error(err)
 	}
@@ -313,12 +377,18 @@
 	}
 	for _, w := range append(append([]*hosting.Worker(nil), s.pool...), s.desk...) {
 		w.SetFault(hosting.None)
+		if s.rand.IntN(2) == 0 {
+			w.SetLimit(0)
+		}
 	}
 }
 
 // waitRecovered clears all faults and waits until each instance serves a request.
 func (s *soak) waitRecovered() {
 	s.clearFaults()
+	for _, w := range s.limitable() {
+		w.SetLimit(0)
+	}
 	started := time.Now()
 	for k, m := range s.machines {
 		testkit.Eventually(s.t, recoveryTimeout, m.Name+" serves again", func() bool {
@@ -363,11 +433,25 @@
 			s.t.Errorf("request %s reached an upstream, but no caller sent it; want only requests that callers sent", id)
 		}
 	}
+	s.checkLimits()
 	if s.served == 0 {
 		s.t.Error("no request was served, want at least one: otherwise the test checks nothing")
 	}
 }
 
+// checkLimits checks that no upstream received more than the limits allow that it stated.
+func (s *soak) checkLimits() {
+	deliveries := map[string]delivery{}
+	for id, a := range s.requests {
+		deliveries[id] = a.delivery
+	}
+	for _, w := range s.Workers() {
+		if problem := checkRateLimit(w, deliveries, s.disturbances, time.Now()); problem != "" {
+			s.t.Error(problem)
+		}
+	}
+}
+
 // checkSuccess checks that a successful response is the complete response of one upstream.
 func checkSuccess(t *testing.T, a sentRequest, list []hosting.Arrival) {
 	t.Helper()
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -270,6 +270,9 @@
 		r = e.reports[0].report
 	}
 	r.Boot, r.Leaving, r.Version = e.boot, e.leaving, e.orders.current[orderVersion]
+	if rate := e.faults.RateLimit; rate > 0 {
+		r.StatedRate = &rate
+	}
 	return r
 }
 
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -31,6 +31,9 @@
 	RerunLost bool
 	// IgnoreMax doubles the maximum number of tokens that the caller set.
 	IgnoreMax bool
+	// RateLimit is the rate of requests per second that the engine states in its responses and its
+	// load report; 0 states none. It is not enforced.
+	RateLimit float64
 }
 
 // SetFaults replaces the faults of the streams that start from now on.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -18,6 +18,8 @@
 	// HeaderBoot carries the id of the engine's boot in the response to a request for a
 	// generation.
 	HeaderBoot = "X-Engine-Boot"
+	// HeaderRateLimit carries the rate limit that the engine states.
+	HeaderRateLimit = "X-Rate-Limit"
 )
 
 // keepAlive is the time without a token after which a stream carries a comment line.
@@ -49,6 +51,9 @@
 		return
 	}
 	faults := e.currentFaults()
+	if faults.RateLimit > 0 {
+		w.Header().Set(HeaderRateLimit, strconv.FormatFloat(faults.RateLimit, 'f', -1, 64))
+	}
 	if faults.FailAll {
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -146,13 +146,17 @@
 	return nil
 }
 
+// Workers returns all upstreams, including those that have ended.
+func (w *World) Workers() []*Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*Worker(nil), w.workers...)
+}
+
 // Arrivals returns the requests that arrived at all upstreams, by attempt id.
 func (w *World) Arrivals() map[string][]Arrival {
-	w.mu.Lock()
-	workers := append([]*Worker(nil), w.workers...)
-	w.mu.Unlock()
 	out := map[string][]Arrival{}
-	for _, k := range workers {
+	for _, k := range w.Workers() {
 		for _, a := range k.Arrivals() {
 			out[a.ID] = append(out[a.ID], a)
 		}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +20,9 @@
 // Idempotency-Key because HTTP libraries repeat requests that have that header.
 const HeaderBooking = "X-Booking-Key"
 
+// headerRateLimit carries the rate limit that the upstream states.
+const headerRateLimit = "X-Rate-Limit"
+
 // Faults selects the faults that the stand-in injects. The zero value injects none.
 type Faults struct {
 	// Delay is added before a call is executed.
@@ -31,6 +35,9 @@
 	// Redirect is the number of the next calls that are executed and get a
 	// redirect to the same path, which HTTP libraries follow by repeating the call.
 	Redirect int `json:"redirect"`
+	// RateLimit is the rate of requests per second that the upstream states in its responses and its
+	// load report; 0 states none. It is not enforced.
+	RateLimit float64 `json:"rate_limit"`
 }
 
 // Call is one executed call.
@@ -38,6 +45,8 @@
 	Path string
 	Key  string // booking key of HeaderBooking
 	Body string
+	// At is the time of the execution.
+	At time.Time
 }
 
 // Service is the stand-in for one upstream of a plain service.
@@ -107,6 +116,9 @@
 	s.mu.Lock()
 	s.activeCalls++
 	delay := s.faults.Delay
+	if s.faults.RateLimit > 0 {
+		w.Header().Set(headerRateLimit, strconv.FormatFloat(s.faults.RateLimit, 'f', -1, 64))
+	}
 	s.mu.Unlock()
 	defer s.endCall()
 	time.Sleep(delay)
@@ -149,6 +161,7 @@
 func (s *Service) execute(c Call) (n int, drop, hang bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	c.At = time.Now()
 	s.calls = append(s.calls, c)
 	switch {
 	case s.faults.LoseAnswers > 0:
@@ -167,6 +180,9 @@
 		Upstream: s.name, Boot: s.boot, Leaving: s.leaving, Capacity: s.maxCalls,
 		MaxBatch: s.maxCalls, Running: s.activeCalls, Used: s.activeCalls,
 	}
+	if rate := s.faults.RateLimit; rate > 0 {
+		r.StatedRate = &rate
+	}
 	s.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(r) // an error means that the caller has disconnected
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,6 +19,7 @@
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
 	"mulberrylug.example/mulberrylug/internal/prompt"
 )
 
@@ -35,6 +36,9 @@
 	// headerBoot carries the engine's boot id in the response to a generation request. The id
 	// identifies one run of the engine; its load report contains the same id.
 	headerBoot = "X-Engine-Boot"
+	// headerRateLimit carries, in any response, the rate of requests per second that the upstream
+	// accepts from all instances together.
+	headerRateLimit = "X-Rate-Limit"
 )
 
 // errGrantExpired means that the grant expired before the call could be sent.
@@ -54,6 +58,8 @@
 	mu sync.Mutex
 	// running holds the calls in progress by attempt id.
 	running map[string]*trackedCall
+	// limited holds the upstreams whose last response stated a rate limit.
+	limited map[string]bool
 }
 
 // trackedCall is a call in progress that can be cancelled.
@@ -72,6 +78,7 @@
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 		running: map[string]*trackedCall{},
+		limited: map[string]bool{},
 	}
 }
 
@@ -86,7 +93,7 @@
 		defer c.untrack(d.Attempt, t)
 		ctx, cancel := context.WithTimeout(ctx, d.Timeout)
 		defer cancel()
-		call := &call{d: d, sink: c.sink}
+		call := &call{d: d, sink: c.sink, observe: c.observe, sentAt: time.Now()}
 		if d.Engine {
 			call.generate(ctx, c.client(d))
 		} else {
@@ -193,6 +200,32 @@
 	return r, false, nil
 }
 
+// observe reports what an upstream states in the head of a response, and the first response that
+// states nothing any more.
+func (c *Client) observe(call *call, resp *http.Response) {
+	e := core.UpstreamStatement{Upstream: call.d.Upstream, Boot: resp.Header.Get(headerBoot), SentAt: call.sentAt}
+	if values := resp.Header.Values(headerRateLimit); len(values) > 0 {
+		rate, err := strconv.ParseFloat(values[0], 64)
+		limit, ok := ratelimit.Of(rate)
+		switch {
+		case err != nil && !errors.Is(err, strconv.ErrRange):
+			e.Unreadable = fmt.Sprintf("decode %s: %v", headerRateLimit, err)
+		case !ok:
+			e.Unreadable = fmt.Sprintf("decode %s: %q is not a rate", headerRateLimit, values[0])
+		}
+		e.RateLimit = limit
+	}
+	c.mu.Lock()
+	wasLimited := c.limited[e.Upstream]
+	if e.Unreadable == "" {
+		c.limited[e.Upstream] = e.RateLimit.Stated
+	}
+	c.mu.Unlock()
+	if wasLimited || e.RateLimit.Stated || e.Unreadable != "" {
+		c.sink(e)
+	}
+}
+
 // call is a dispatch in progress.
 type call struct {
 	d    core.Dispatch
@@ -202,6 +235,9 @@
 	sent bool
 	// boot is the boot id of the engine's run, "" until the engine has responded.
 	boot string
+	// observe reports what the head of the response states. sentAt is the time of the request.
+	observe func(c *call, resp *http.Response)
+	sentAt  time.Time
 }
 
 // request returns an HTTP request for the attempt, or errGrantExpired if the grant has expired.
@@ -247,6 +283,7 @@
 		return
 	}
 	defer resp.Body.Close()
+	c.observe(c, resp)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
 	if err != nil {
 		c.fail(ctx, "read", err)
@@ -268,6 +305,7 @@
 		return
 	}
 	defer resp.Body.Close()
+	c.observe(c, resp)
 	if resp.StatusCode != http.StatusOK {
 		c.fail(ctx, "status", statusError(c.d, resp.StatusCode))
 		return
