forward: a grant that expires while its call waits for a permit is requested again

A pool's home bounds how long a grant may be used, because an entry that does not list the upstream would not learn that it leaves. A permit may take longer. The wait is now bounded by the grant, and a grant that has expired is requested anew (TestAGrantThatExpiresBeforeThePermitIsNotUsed).

--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -104,7 +104,7 @@
 	if u == nil || !g.maySend(c, u) {
 		return g.send(now, c)
 	}
-	c.selfChosen = false
+	c.selfChosen, c.grantExpiresAt = false, requestedAt.Add(a.TTL)
 	return g.sendTo(now, c, u)
 }
 
--- a/internal/core/forward/limit.go
+++ b/internal/core/forward/limit.go
@@ -234,6 +234,9 @@
 	switch {
 	case c.Resuming():
 		c.permitMaxWait = min(resumeMaxWait, c.Deadline.Sub(now)-minTimeLeft)
+	case !c.selfChosen:
+		// The pool's home has chosen among all upstreams, and its grant expires.
+		c.permitMaxWait = max(c.grantExpiresAt.Sub(now)-PermitTimeout, 0)
 	case !g.hasUnlimited(now, c, u):
 		c.permitMaxWait = max(c.Arrived.Add(c.Route.Target).Sub(now), 0)
 		c.permitMaxLateWait = max(c.Deadline.Sub(now)-c.Route.Target, minTimeLeft)
@@ -287,7 +290,7 @@
 	switch {
 	case c.Resuming():
 		return g.resume(now, c)
-	case !g.maySend(c, u) || c.selfChosen && !g.available(now, c, u):
+	case !g.maySend(c, u) || c.selfChosen && !g.available(now, c, u) || !c.selfChosen && now.After(c.grantExpiresAt):
 		return g.withoutUpstream(now, c, u, busyRetryAfter)
 	}
 	return g.orFailAttempt(c, g.sendTo(now, c, u))
--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -210,3 +210,20 @@
 		t.Errorf("next step %+v, want the generation to continue at the source", s)
 	}
 }
+
+// A grant that expires while its call waits for a permit must not be used: the upstream may have
+// begun to leave, and an instance that does not list it would not know.
+func TestAGrantThatExpiresBeforeThePermitIsNotUsed(t *testing.T) {
+	g := largeGate(t)
+	c := admit(t, g, request("/stream/1"))
+	g.Start(start, c)
+	u := g.roster.All()[0]
+	g.ObserveStatement(start, u, start, limit(1))
+	s := g.Granted(start, start, c, msg.GrantResponse{Decision: placement.Decision{Kind: placement.Granted, Upstream: u.ID}, TTL: time.Second})
+	if m := g.PermitRequest(start, c); !s.RequestPermit || m.MaxWait <= 0 || m.MaxWait >= time.Second {
+		t.Fatalf("next step %+v with request %+v, want a permit within the validity of the grant", s, m)
+	}
+	if s = g.Permitted(start.Add(1100*time.Millisecond), c); !s.RequestGrant {
+		t.Errorf("next step %+v after the grant expired, want another grant", s)
+	}
+}
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -178,6 +178,8 @@
 	tried []*roster.Upstream
 	// selfChosen is set if this instance chose the upstream of the next attempt without a grant.
 	selfChosen bool
+	// grantExpiresAt is the end of the validity of the home's grant otherwise.
+	grantExpiresAt time.Time
 	// lastOutcome is the outcome of the last attempt. headerDelivered is set if a response header
 	// had been delivered to the caller by then.
 	lastOutcome     Outcome
