hosted: log that an upstream states in a response that it leaves

Each response is now read for it, and the first one of each run of an upstream is logged. No decision reads it yet.

Also copies what it logs of an upstream under the lock: the follower of the list may change the entry meanwhile.

--- a/internal/core/forward/limit.go
+++ b/internal/core/forward/limit.go
@@ -45,7 +45,11 @@
 type Statement struct {
 	// RateLimit is the rate of requests that the upstream accepts from all instances together.
 	RateLimit ratelimit.Limit
-	// Unreadable is set if a field could not be decoded. The response then states nothing.
+	// RateUnreadable is set if the rate limit could not be decoded. The last one then holds on.
+	RateUnreadable bool
+	// Leaving is set if the upstream states that it leaves.
+	Leaving bool
+	// Unreadable holds the errors of the fields that could not be decoded, for the log.
 	Unreadable error
 }
 
@@ -76,13 +80,13 @@
 	retryAfter   time.Duration
 }
 
-// ObserveStatement records what an upstream stated in a response to a request that was sent at
-// sentAt, and reports whether its rate limit has changed. sentAt is zero if that request is not
+// ObserveLimit records the rate limit that an upstream stated in a response to a request that was
+// sent at sentAt, and reports whether it has changed. sentAt is zero if that request is not
 // known, as for a late response to an earlier one. A limit ends only with a response to a request
 // that was sent after the limit was last heard: any other may have been written before.
-func (g *Gate) ObserveStatement(now time.Time, u *roster.Upstream, sentAt time.Time, s Statement) (LimitChange, bool) {
+func (g *Gate) ObserveLimit(now time.Time, u *roster.Upstream, sentAt time.Time, s Statement) (LimitChange, bool) {
 	known := g.limits[u.Run()]
-	if s.Unreadable != nil || known == nil && !s.RateLimit.Stated {
+	if s.RateUnreadable || known == nil && !s.RateLimit.Stated {
 		return LimitChange{}, false
 	}
 	if !s.RateLimit.Stated && !sentAt.After(known.heardAt) {
--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -19,7 +19,7 @@
 // limitAll makes every upstream of the gate state a limit.
 func limitAll(g *Gate) {
 	for _, u := range g.roster.All() {
-		g.ObserveStatement(start, u, start, limit(4.3))
+		g.ObserveLimit(start, u, start, limit(4.3))
 	}
 }
 
@@ -41,7 +41,7 @@
 		},
 		"a grant for an upstream that is not listed": func(g *Gate, c *Call) Step {
 			e := roster.Entry{ID: "other", Service: "desk", Address: "other:80", DataCentre: "dc-a", Born: 7}
-			g.ObserveStatement(start, &roster.Upstream{Entry: e}, start, limit(4.3))
+			g.ObserveLimit(start, &roster.Upstream{Entry: e}, start, limit(4.3))
 			return g.Granted(start, start, c, grant("other", &e))
 		},
 		"the entry's own choice while the home is silent": func(g *Gate, c *Call) Step {
@@ -90,21 +90,21 @@
 	g := gate(t, 1)
 	u := g.roster.Find("u0")
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	if c, changed := g.ObserveStatement(at(100), u, at(0), limit(4.3)); !changed || !c.To.Stated || !c.Report.Stated {
+	if c, changed := g.ObserveLimit(at(100), u, at(0), limit(4.3)); !changed || !c.To.Stated || !c.Report.Stated {
 		t.Fatalf("change %+v, want the begin of a limit", c)
 	}
 	for name, sentAt := range map[string]time.Time{"an earlier request": at(50), "an unknown request": {}} {
-		if _, changed := g.ObserveStatement(at(110), u, sentAt, Statement{}); changed {
+		if _, changed := g.ObserveLimit(at(110), u, sentAt, Statement{}); changed {
 			t.Errorf("the limit ended with a response to %s, want it to hold", name)
 		}
 	}
-	if _, changed := g.ObserveStatement(at(120), u, at(110), Statement{Unreadable: errTest}); changed {
+	if _, changed := g.ObserveLimit(at(120), u, at(110), Statement{RateUnreadable: true}); changed {
 		t.Error("the limit changed with a response that cannot be read, want it to hold")
 	}
-	if c, changed := g.ObserveStatement(at(130), u, at(110), limit(2)); !changed || c.To.PerSecond != 2 {
+	if c, changed := g.ObserveLimit(at(130), u, at(110), limit(2)); !changed || c.To.PerSecond != 2 {
 		t.Errorf("change %+v, want the lower limit", c)
 	}
-	if c, changed := g.ObserveStatement(at(200), u, at(140), Statement{}); !changed || c.To.Stated || c.Report.Age != 60*time.Millisecond {
+	if c, changed := g.ObserveLimit(at(200), u, at(140), Statement{}); !changed || c.To.Stated || c.Report.Age != 60*time.Millisecond {
 		t.Errorf("change %+v, want the end of the limit as of the request", c)
 	}
 	if _, changed := g.LearnLimit(at(210), msg.RateStatement{Upstream: "u0", Boot: "0", Stated: true, PerSecond: 2, Age: 80 * time.Millisecond}); !changed {
@@ -115,12 +115,6 @@
 	}
 }
 
-type testError struct{}
-
-func (testError) Error() string { return "test" }
-
-var errTest = testError{}
-
 // Another run of an upstream under the same id holds nothing of what the last one stated.
 func TestARestartedUpstreamHasNoLimit(t *testing.T) {
 	g := gate(t, 1)
@@ -137,7 +131,7 @@
 // which there is room.
 func TestCallsWithoutAPermit(t *testing.T) {
 	g := gate(t, 2)
-	g.ObserveStatement(start, g.roster.Find("u0"), start, limit(4.3))
+	g.ObserveLimit(start, g.roster.Find("u0"), start, limit(4.3))
 	for range 20 {
 		if s := g.Start(start, admit(t, g, request("/once/1"))); s.Send == nil || s.Send.Entry.ID != "u1" {
 			t.Fatalf("next step %+v, want the request sent to the upstream without a limit", s)
@@ -200,7 +194,7 @@
 		destination = g.roster.Find("u1")
 	}
 	c.Progress(start, "1")
-	g.ObserveStatement(start, destination, start, limit(1))
+	g.ObserveLimit(start, destination, start, limit(1))
 	g.Redirect(c, destination, "copy", &Attempt{Upstream: source.Upstream, CopyAt: "copy"})
 	s := g.Ended(start, c, Cut, true)
 	if m := g.PermitRequest(start, c); !s.RequestPermit || !c.Resuming() || m.MaxWait == 0 {
@@ -218,7 +212,7 @@
 	c := admit(t, g, request("/stream/1"))
 	g.Start(start, c)
 	u := g.roster.All()[0]
-	g.ObserveStatement(start, u, start, limit(1))
+	g.ObserveLimit(start, u, start, limit(1))
 	s := g.Granted(start, start, c, msg.GrantResponse{Decision: placement.Decision{Kind: placement.Granted, Upstream: u.ID}, TTL: time.Second})
 	if m := g.PermitRequest(start, c); !s.RequestPermit || m.MaxWait <= 0 || m.MaxWait >= time.Second {
 		t.Fatalf("next step %+v with request %+v, want a permit within the validity of the grant", s, m)
--- a/internal/core/forward/property_test.go
+++ b/internal/core/forward/property_test.go
@@ -34,7 +34,7 @@
 	}
 	now, ran, runs, sends, headerDelivered := start, false, 0, 0, false
 	for k := range draws[0] % 5 {
-		g.ObserveStatement(start, g.roster.Find(fmt.Sprintf("u%d", k)), start, limit(1))
+		g.ObserveLimit(start, g.roster.Find(fmt.Sprintf("u%d", k)), start, limit(1))
 	}
 	permitted := ""
 	s := g.Start(now, c)
--- a/internal/hosted/statement.go
+++ b/internal/hosted/statement.go
@@ -18,22 +18,34 @@
 		return
 	}
 	statement := s.wire.DecodeStatement(resp)
+	var from roster.Entry
+	var change forward.LimitChange
+	changed, leaves := false, false
+	s.decide(func(now time.Time, g *forward.Gate) {
+		from = u.Entry
+		change, changed = g.ObserveLimit(now, u, sentAt, statement)
+		leaves = statement.Leaving && g.ObserveLeaving(now, u)
+	})
 	if statement.Unreadable != nil {
 		s.metrics.Count("upstream_statements_total", "unreadable")
-		s.log.Warn("upstream_statement_unreadable", "upstream", u.ID, "error", statement.Unreadable)
-		return
+		s.log.Warn("upstream_statement_unreadable", "upstream", from.ID, "error", statement.Unreadable)
 	}
-	var change forward.LimitChange
-	changed := false
-	s.decide(func(now time.Time, g *forward.Gate) { change, changed = g.ObserveStatement(now, u, sentAt, statement) })
-	if !changed {
-		return
+	if changed {
+		s.reportLimit(change)
 	}
-	s.logLimit(change, "response")
-	s.homes.send(s.homes.limitHomeOf(u.ID), change.Report)
-	if change.Announce {
-		change.Report.Sent = 0 // each instance reports its own requests to the home
-		s.homes.announceLimit(change.Report)
+	if leaves {
+		s.metrics.Count("upstream_statements_total", "upstream_leaving")
+		s.log.Info("upstream_leaving", "upstream", from.ID, "service", from.Service, "address", from.Address, "born", from.Born, "source", "response")
+	}
+}
+
+// reportLimit reports a change of a rate limit to the home of the limit, and announces it.
+func (s *server) reportLimit(c forward.LimitChange) {
+	s.logLimit(c, "response")
+	s.homes.send(s.homes.limitHomeOf(c.Upstream.ID), c.Report)
+	if c.Announce {
+		c.Report.Sent = 0 // each instance reports its own requests to the home
+		s.homes.announceLimit(c.Report)
 	}
 }
 
--- a/internal/prooftest/limits/simulation_test.go
+++ b/internal/prooftest/limits/simulation_test.go
@@ -293,7 +293,7 @@
 	if _, known := u.told[i.name]; statement.RateLimit.Stated && !known {
 		u.told[i.name] = s.now
 	}
-	if change, changed := i.gate.ObserveStatement(s.now, a.Upstream, a.Sent, statement); changed {
+	if change, changed := i.gate.ObserveLimit(s.now, a.Upstream, a.Sent, statement); changed {
 		s.sendMessage(i, s.homeOf(u.entry.ID), change.Report)
 		s.announce(i, change)
 	}
