proctest: a failing test for an upstream that leaves while the store is silent

An upstream of the plain service states in its responses that it leaves, while the store that lists it is silent. All three instances log the statement within 0.3 s (upstream_leaving source=response) and go on sending: a request sent 2.05 s later still reaches it, 2 s are allowed.

--- a/internal/proctest/rules_test.go
+++ b/internal/proctest/rules_test.go
@@ -121,6 +121,36 @@
 	return ""
 }
 
+// drainBound is how long after an instance forwarded a response that says that an upstream leaves a
+// request that a caller sends to it may still reach that upstream.
+const drainBound = 2 * time.Second
+
+// checkDrain returns a description of a request that reached a leaving upstream too late, or "".
+// sentAt holds when the callers sent the requests.
+func checkDrain(w *hosting.Worker, deliveries map[string]delivery, sentAt map[string]time.Time, disturbances []disturbance) string {
+	told := map[string]time.Time{}
+	arrivals := w.Arrivals()
+	for _, a := range arrivals {
+		d, ok := deliveries[a.ID]
+		if !ok || d.result.header.Get("Server-Leaving") == "" {
+			continue
+		}
+		if at, known := told[d.instance]; !known || d.at.Before(at) {
+			told[d.instance] = d.at
+		}
+	}
+	for _, a := range arrivals {
+		instance := deliveries[a.ID].instance
+		at, ok := told[instance]
+		if !ok || !sentAt[a.ID].After(at.Add(drainBound)) || slices.ContainsFunc(disturbances, func(d disturbance) bool { return d.instance == instance && d.to.After(at) }) {
+			continue
+		}
+		return fmt.Sprintf("%s received %s from %s, sent %v after that instance had forwarded a response that says that it leaves; allowed are %v",
+			w.ID, a.ID, instance, sentAt[a.ID].Sub(at).Round(time.Millisecond), drainBound)
+	}
+	return ""
+}
+
 // toldAt returns when each instance first forwarded a response with the limit of an episode.
 func toldAt(arrivals []hosting.Arrival, deliveries map[string]delivery, e limitEpisode) map[string]time.Time {
 	told := map[string]time.Time{}
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -215,6 +215,7 @@
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	if w.closesConnections() {
 		rw.Header().Set("Connection", "close")
+		rw.Header().Set("Server-Leaving", "1")
 	}
 	w.stateLimit(rw.Header())
 	switch {
