forward, roster: an upstream that states that it leaves gets no new work

Plain services are chosen at the entry, and an entry learned only from the list, which the silent store could not show. The same held for engines when an entry chooses by itself, and for what homes learned from reports: they kept it to themselves.

Cause: what an upstream says in a response was forwarded and decided nothing.

Change: the first response or report that says so marks the run of the upstream as leaving at that instance, which tells all others; the homes of pools then move its generations away. The mark belongs to the run, not to the entry: one that expires and returns in an older form, or that is known from a grant only, is still leaving, while another run under the same id or address is not. A move under way to an upstream that begins to leave ends.

--- a/internal/core/forward/cordon.go
+++ b/internal/core/forward/cordon.go
@@ -97,8 +97,12 @@
 	return out
 }
 
-// MayMove reports whether a call's generation may be moved to a data centre.
-func (g *Gate) MayMove(c *Call, dataCentre string) bool { return g.mayUse(c, dataCentre) }
+// MayMove reports whether a call's generation may be moved to an upstream in a data centre: the
+// upstream is not known to leave, and the call may use the data centre.
+func (g *Gate) MayMove(c *Call, upstream, dataCentre string) bool {
+	u := g.roster.Find(upstream)
+	return g.mayUse(c, dataCentre) && (u == nil || u.TakesWork())
+}
 
 // mayResumeAt reports whether a moved generation may resume at an upstream.
 func (g *Gate) mayResumeAt(now time.Time, u *roster.Upstream) bool {
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -112,7 +112,7 @@
 func (g *Gate) unlistedUpstream(now time.Time, e roster.Entry) *roster.Upstream {
 	u := g.unlisted[e.ID]
 	if u == nil || u.Born != e.Born || u.Address != e.Address {
-		u = &roster.Upstream{Entry: e, FirstSeen: now}
+		u = &roster.Upstream{Entry: e, FirstSeen: now, LeavingSince: g.roster.LeftAt(e.Run())}
 		g.unlisted[e.ID] = u
 	}
 	return u
--- a/internal/core/forward/leaving.go
+++ b/internal/core/forward/leaving.go
@@ -6,12 +6,15 @@
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
-// ObserveLeaving records that an upstream stated in a response that it leaves. It reports whether
-// this was the first such statement of its run.
-func (g *Gate) ObserveLeaving(now time.Time, u *roster.Upstream) bool {
-	if _, known := g.leftAt[u.Run()]; known {
-		return false
+// LearnLeaving records that a run of an upstream has stated that it leaves, in a response to this
+// instance or to another one, and reports whether this was not known before. From then on the
+// upstream gets no new work of this instance, whatever the list says: the list may be old, as the
+// store may be silent.
+func (g *Gate) LearnLeaving(now time.Time, run roster.Run) bool {
+	known := !g.roster.LeftAt(run).IsZero()
+	g.roster.MarkRunLeaving(now, run)
+	if u := g.unlisted[run.ID]; u != nil && u.Run() == run && u.LeavingSince.IsZero() {
+		u.LeavingSince = now
 	}
-	g.leftAt[u.Run()] = now
-	return true
+	return !known
 }
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -26,6 +26,7 @@
 	KindPermitRequest
 	KindPermitResponse
 	KindPermitCancel
+	KindUpstreamLeaving
 )
 
 // Heartbeat announces that the sender is alive and at which addresses it can be reached.
@@ -242,6 +243,17 @@
 // Kind implements Message.
 func (MoveResult) Kind() Kind { return KindMoveResult }
 
+// UpstreamLeaving announces that an upstream has stated that it leaves. The store may be silent, and
+// the homes of pools move running generations away.
+type UpstreamLeaving struct {
+	Upstream string
+	// Boot identifies the process run of the upstream.
+	Boot string
+}
+
+// Kind implements Message.
+func (UpstreamLeaving) Kind() Kind { return KindUpstreamLeaving }
+
 // RateStatement reports the rate limit that an upstream stated in a response. The instance that
 // received the response sends it to the home of the upstream's limit when the limit has changed, and
 // to all instances when a limit begins or ends.
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -36,7 +36,7 @@
 	KindHeartbeat: "heartbeat", KindSyncRequest: "sync_ask", KindSyncResponse: "sync_answer",
 	KindMoveOrder: "move_order", KindMoveResult: "moved", KindUpstreamFailing: "failing", KindFirstToken: "begun", KindJoinRequest: "join_ask", KindJoinResponse: "join_answer",
 	KindPresences: "presences", KindPresenceRequest: "presence_ask",
-	KindRateStatement: "rate_stated", KindPermitRequest: "permit_ask", KindPermitResponse: "permit_answer", KindPermitCancel: "permit_cancel",
+	KindRateStatement: "rate_stated", KindPermitRequest: "permit_ask", KindPermitResponse: "permit_answer", KindPermitCancel: "permit_cancel", KindUpstreamLeaving: "upstream_leaving",
 }
 
 // Message kinds that are not in one of the ranges of numbers below. Numbers are never reused.
--- a/internal/core/roster/expiry.go
+++ b/internal/core/roster/expiry.go
@@ -80,6 +80,7 @@
 		r.rebuildIndexes()
 	}
 	r.dropTombstones(now)
+	r.dropLeft(now)
 	return left
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -113,6 +113,9 @@
 	droppedAt, reannouncedAt map[Group]time.Time
 	// joined holds the runs first listed since the last call of Joined.
 	joined []*Upstream
+	// leftAt holds when each run was first known to leave. A run that leaves does not come back,
+	// whatever a later form of its entry says.
+	leftAt map[Run]time.Time
 }
 
 // New returns an empty roster.
@@ -120,7 +123,7 @@
 	return &Roster{
 		byID: map[string]*Upstream{}, versions: map[string]int64{}, removedAt: map[string]time.Time{}, byService: map[string][]*Upstream{},
 		droppedAt: map[Group]time.Time{}, reannouncedAt: map[Group]time.Time{},
-		byGroup: map[Group][]*Upstream{}, completeGroups: map[Group]bool{}, changed: map[Group]int64{},
+		byGroup: map[Group][]*Upstream{}, completeGroups: map[Group]bool{}, changed: map[Group]int64{}, leftAt: map[Run]time.Time{},
 	}
 }
 
@@ -230,7 +233,7 @@
 		old.Entry, old.Version, old.ExpiresAt = c.Entry, c.Version, time.Time{}
 		old.ExtendWarmUp(now, c.Entry.ColdRemaining)
 		if beginsToLeave {
-			old.LeavingSince = now
+			r.MarkLeaving(now, old)
 			return old
 		}
 		return nil
@@ -238,8 +241,9 @@
 	u := &Upstream{Entry: c.Entry, Version: c.Version, FirstSeen: now}
 	u.ExtendWarmUp(now, c.Entry.ColdRemaining)
 	if c.Entry.Leaving {
-		u.LeavingSince = now
+		r.markLeft(now, u.Run())
 	}
+	u.LeavingSince = r.leftAt[u.Run()]
 	r.byID[c.ID] = u
 	r.joined = append(r.joined, u)
 	if old != nil {
@@ -268,16 +272,6 @@
 	return a.Born == b.Born && a.Address == b.Address && a.Service == b.Service
 }
 
-// MarkLeaving records a sign of shutdown that did not come from the list. It returns false if
-// the upstream was already known to be leaving.
-func (r *Roster) MarkLeaving(now time.Time, u *Upstream) bool {
-	if !u.LeavingSince.IsZero() {
-		return false
-	}
-	u.LeavingSince = now
-	return true
-}
-
 // rebuildIndexes rebuilds the lists of upstreams by service and by group, ordered by id.
 func (r *Roster) rebuildIndexes() {
 	r.byService, r.byGroup = map[string][]*Upstream{}, map[Group][]*Upstream{}
--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -85,6 +85,9 @@
 	if err != nil {
 		return Report{}, fmt.Errorf("%w: %w", errUnreadable, err)
 	}
+	if r.Leaving {
+		s.observeLeavingAt(address)
+	}
 	r.Closing = got.closing
 	return r, nil
 }
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -85,17 +85,18 @@
 	}
 	if !x.mayMove(mv.order) {
 		x.server.dropCopy(source.Entry.Address, first.Handle)
-		return msg.MoveNoRoom, errCordoned
+		return msg.MoveNoRoom, errUnavailable
 	}
 	return x.stopAndCopy(mv, source, first.Handle)
 }
 
-// errCordoned reports that the destination of a move was cordoned during the move.
-var errCordoned = errors.New("the destination of the move was cordoned")
+// errUnavailable reports that the destination of a move was cordoned or began to leave during the
+// move.
+var errUnavailable = errors.New("the destination of the move was cordoned or leaves")
 
 // mayMove reports whether a generation may still continue at a move's destination.
 func (x *exchange) mayMove(o msg.MoveOrder) (may bool) {
-	x.server.decide(func(_ time.Time, g *forward.Gate) { may = g.MayMove(x.call, o.ToDataCentre) })
+	x.server.decide(func(_ time.Time, g *forward.Gate) { may = g.MayMove(x.call, o.To, o.ToDataCentre) })
 	return may
 }
 
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -51,9 +51,9 @@
 	}
 }
 
-// announceLimit sends a change of an upstream's rate limit to all other live instances that divide
-// limits.
-func (i *Instance) announceLimit(m msg.RateStatement) {
+// announce sends what an upstream has stated to all other live instances whose release understands
+// that.
+func (i *Instance) announce(m msg.Message) {
 	var live []string
 	i.peers.with(func(_ time.Time, v *fleet.Fleet) {
 		for _, name := range v.Live() {
@@ -75,6 +75,8 @@
 	switch m := m.(type) {
 	case msg.PermitResponse:
 		i.server.onPermitResponse(m)
+	case msg.UpstreamLeaving:
+		i.server.learnLeaving(m, from)
 	case msg.RateStatement:
 		i.server.learnLimit(m, from)
 		if i.limitHomeOf(m.Upstream) == i.settings.Name {
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -18,8 +18,10 @@
 	// upstream.
 	homeOf      func(pool string) string
 	limitHomeOf func(upstream string) string
-	// announceLimit announces a change of an upstream's rate limit to all other instances.
-	announceLimit func(m msg.RateStatement)
+	// announce sends a statement of an upstream to all other instances that understand it.
+	announce func(m msg.Message)
+	// onLeaving is called when an upstream is newly known to leave.
+	onLeaving func()
 	// send delivers a message to an instance, including this one.
 	send func(to string, m msg.Message)
 	// reportSilent records that an instance did not respond as a home.
--- a/internal/hosted/statement.go
+++ b/internal/hosted/statement.go
@@ -3,9 +3,11 @@
 import (
 	"expvar"
 	"net/http"
+	"strconv"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 )
 
@@ -24,7 +26,7 @@
 	s.decide(func(now time.Time, g *forward.Gate) {
 		from = u.Entry
 		change, changed = g.ObserveLimit(now, u, sentAt, statement)
-		leaves = statement.Leaving && g.ObserveLeaving(now, u)
+		leaves = statement.Leaving && g.LearnLeaving(now, u.Run())
 	})
 	if statement.Unreadable != nil {
 		s.metrics.Count("upstream_statements_total", "unreadable")
@@ -34,8 +36,49 @@
 		s.reportLimit(change)
 	}
 	if leaves {
-		s.metrics.Count("upstream_statements_total", "upstream_leaving")
-		s.log.Info("upstream_leaving", "upstream", from.ID, "service", from.Service, "address", from.Address, "born", from.Born, "source", "response")
+		s.homes.announce(msg.UpstreamLeaving{Upstream: from.ID, Boot: strconv.FormatInt(from.Born, 10)})
+		s.onLeaving(from, "response")
+	}
+}
+
+// onLeaving processes that an upstream is newly known to leave.
+func (s *server) onLeaving(u roster.Entry, source string) {
+	s.metrics.Count("upstream_statements_total", "upstream_leaving")
+	s.log.Info("upstream_leaving", "upstream", u.ID, "service", u.Service, "address", u.Address, "born", u.Born, "source", source)
+	s.homes.onLeaving()
+}
+
+// learnLeaving processes that an upstream has stated to another instance that it leaves.
+func (s *server) learnLeaving(m msg.UpstreamLeaving, source string) {
+	born, err := strconv.ParseInt(m.Boot, 10, 64)
+	if err != nil {
+		s.log.Warn("peer_message_unreadable", "peer", source, "kind", m.Kind(), "error", err)
+		return
+	}
+	entry, first := roster.Entry{ID: m.Upstream, Born: born}, false
+	s.decide(func(now time.Time, g *forward.Gate) {
+		first = g.LearnLeaving(now, entry.Run())
+		if u := g.Roster().Find(entry.ID); u != nil && u.Run() == entry.Run() {
+			entry = u.Entry
+		}
+	})
+	if first {
+		s.onLeaving(entry, source)
+	}
+}
+
+// observeLeavingAt processes that the upstream at an address reports that it leaves.
+func (s *server) observeLeavingAt(address string) {
+	var from roster.Entry
+	first := false
+	s.decide(func(now time.Time, g *forward.Gate) {
+		if u := g.Roster().FindAt(address); u != nil {
+			from, first = u.Entry, g.LearnLeaving(now, u.Run())
+		}
+	})
+	if first {
+		s.homes.announce(msg.UpstreamLeaving{Upstream: from.ID, Boot: strconv.FormatInt(from.Born, 10)})
+		s.onLeaving(from, "report")
 	}
 }
 
@@ -45,7 +88,7 @@
 	s.homes.send(s.homes.limitHomeOf(c.Upstream.ID), c.Report)
 	if c.Announce {
 		c.Report.Sent = 0 // each instance reports its own requests to the home
-		s.homes.announceLimit(c.Report)
+		s.homes.announce(c.Report)
 	}
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -149,6 +149,7 @@
 	msg.KindPermitRequest:   decodeAs[msg.PermitRequest],
 	msg.KindPermitResponse:  decodeAs[msg.PermitResponse],
 	msg.KindPermitCancel:    decodeAs[msg.PermitCancel],
+	msg.KindUpstreamLeaving: decodeAs[msg.UpstreamLeaving],
 }
 
 func decodeAs[T msg.Message](b []byte) (msg.Message, error) {
--- a/internal/proctest/hosted_leaving_test.go
+++ b/internal/proctest/hosted_leaving_test.go
@@ -47,3 +47,27 @@
 		t.Errorf("%.0f%% of the requests were served, want at least 95%%: two upstreams stay", 100*served)
 	}
 }
+
+// An engine leaves while the store is silent, and stops soon after. Its generations must be moved
+// away in time, and it must get no new ones, although they are granted by a home.
+func TestHostedLeavingEngineIsEmptiedWhileTheStoreIsSilent(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.allowWithoutKeys(t)
+	l := newSteadyLoad(f, 10, func(id string, _ int) call { return generation(id) })
+	l.run(1500 * time.Millisecond)
+	f.Table.Set(hosting.Silent)
+	l.run(time.Second)
+	f.pool[0].Leave()
+	l.run(2500 * time.Millisecond)
+	f.pool[0].Crash()
+	l.run(time.Second)
+	l.open.Wait()
+	if problem := checkDrain(f.pool[0], l.deliveries, l.sentAt, nil); problem != "" {
+		t.Error(problem)
+	}
+	arrivals := f.Arrivals()
+	for id, d := range l.deliveries {
+		checkComplete(t, id, d.result, arrivals[id])
+	}
+}
