pool: a run of an upstream inherits nothing of the last one under its id

An engine that has stated that it leaves, and starts again under the same id without having been missing from the list, got no generations any more: the home of its pool kept the notice, and the evacuation, by id, and would have moved away what the new run was sent. Found by asking where else a leaving upstream is remembered; not seen in a run.

TestARestartedUpstreamGetsWorkAgain failed before: no generation of 30, and an order to move one away.

--- a/internal/core/pool/upstreams.go
+++ b/internal/core/pool/upstreams.go
@@ -36,6 +36,9 @@
 	seen := map[string]bool{}
 	for _, u := range l.Upstreams {
 		seen[u.ID] = true
+		if known := h.upstreams[u.ID]; known != nil && known.Run() != u.Run() {
+			h.forget(now, u.ID) // another run holds nothing of what the last one held or stated
+		}
 		if at, ok := h.ownNotices[u.ID]; ok && u.LeavingSince.IsZero() {
 			u.LeavingSince = at // the listing does not yet include the upstream's own notice
 		}
@@ -141,6 +144,11 @@
 		h.report(now, u)
 		return
 	}
+	h.forget(now, id)
+}
+
+// forget drops all state of an upstream.
+func (h *Home) forget(now time.Time, id string) {
 	for _, req := range h.placement.Remove(id) {
 		delete(h.entries, req.Attempt)
 	}
