core: an upstream that says in a response that it leaves gets no new work

A report that lags kept it in use.

An entry that reads it tells the home of the pool, which grants nothing to that run of the upstream whatever its reports say, and returns grants for it of a home that does not know. TestPromise5HomeObeysALeavingResponse and TestPromise5EntryReturnsAGrantForALeavingUpstream fail without.

--- a/internal/core/action.go
+++ b/internal/core/action.go
@@ -28,9 +28,11 @@
 type Dispatch struct {
 	Request string
 	Attempt string
-	// Upstream and Address are the upstream's name and network address.
+	// Upstream and Address are the upstream's name and network address. Boot identifies the run of
+	// its process, "" if unknown.
 	Upstream string
 	Address  string
+	Boot     string
 	// Engine is true for a generation, false for a plain call.
 	Engine bool
 	Method string
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,8 +13,8 @@
 //     the table.
 //   - Roles for other instances: poolhome.go and orghome.go are the homes of pools and
 //     organisations. guard.go, verdict.go and strikes.go stop requests that crash
-//     upstreams, avoid.go avoids upstreams that fail every request, limits.go keeps the rate
-//     limits that upstreams state, orphans.go cancels generations that no entry follows,
+//     upstreams, avoid.go avoids upstreams that fail every request, limits.go and leaves.go
+//     obey what upstreams state in responses, orphans.go cancels generations that no entry follows,
 //     orders.go sends upstreams their orders.
 //   - The instance itself: configsync.go, configpoll.go and configadopt.go keep the
 //     configuration current, cordons.go applies cordons, drain.go leaves without
@@ -78,6 +78,8 @@
 	tableHealth tableHealth
 	writeBacks  writeBacks
 	sweep       sweeper
+	// leavingUpstreams holds the runs of upstreams that have told this instance that they leave.
+	leavingUpstreams leavingUpstreams
 	// budgetsChecked is the time of the last check of the budget accounts.
 	budgetsChecked time.Time
 
@@ -99,6 +101,8 @@
 		lengths:  placement.NewLengths(),
 		orgs:     budget.NewHome(o.Self.Name + "-" + o.Boot),
 		suspects: suspect.NewList(strikeTTL),
+
+		leavingUpstreams: leavingUpstreams{},
 	}
 }
 
@@ -181,6 +185,8 @@
 		i.onReserveResponse(now, from, m)
 	case msg.Settle:
 		i.onSettle(now, m)
+	case msg.UpstreamLeaving:
+		i.onUpstreamLeaving(now, m)
 	case msg.RateStatement:
 		i.onRateStatement(now, from, m)
 	case msg.Strike:
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -125,8 +125,11 @@
 	// SentAt is the time at which the request was sent.
 	SentAt    time.Time
 	RateLimit ratelimit.Limit
-	// Unreadable is the error of a field that could not be decoded. The response then states
-	// nothing.
+	// RateUnreadable is set if the rate limit could not be decoded. The last one then holds on.
+	RateUnreadable bool
+	// Leaving is set if the upstream stated that it leaves.
+	Leaving bool
+	// Unreadable holds the errors of the fields that could not be decoded, for the log.
 	Unreadable string
 }
 
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -35,18 +35,22 @@
 	if e.Unreadable != "" {
 		i.count("upstream_statements_total", "unreadable")
 		i.emit(Log{Event: "upstream_statement_unreadable", Pairs: []any{"upstream", e.Upstream, "error", e.Unreadable}})
-		return
 	}
 	if i.version == nil || i.version.Pool(i.version.PoolOf(e.Upstream)) == nil {
 		return // the upstream is not in the configuration any more
 	}
+	home := i.poolHomeName(now, i.version.Pool(i.version.PoolOf(e.Upstream)))
+	if e.Leaving {
+		i.onUpstreamLeaves(e, home)
+	}
+	if e.RateUnreadable || home == "" {
+		return
+	}
 	m := msg.RateStatement{Upstream: e.Upstream, Boot: e.Boot, Stated: e.RateLimit.Stated, PerSecond: e.RateLimit.PerSecond}
 	if !m.Stated {
 		m.Age = now.Sub(e.SentAt)
 	}
-	if home := i.poolHomeName(now, i.version.Pool(i.version.PoolOf(e.Upstream))); home != "" {
-		i.send(home, m)
-	}
+	i.send(home, m)
 }
 
 // onRateStatement updates the limit of an upstream from a response to an attempt.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -175,6 +175,10 @@
 		i.returnCordonedGrant(now, r, m)
 		return
 	}
+	if i.leavingUpstreams.has(m.Decision.Upstream, m.Boot) {
+		i.returnLeavingGrant(now, r, m)
+		return
+	}
 	r.run = runState{
 		upstream: m.Decision.Upstream, address: m.Address, priority: m.Decision.Priority, boot: m.Boot,
 		sendBefore: expiry, lastProgress: now,
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -97,6 +97,18 @@
 	return h.drainQueue(now)
 }
 
+// MarkLeaving makes an upstream get no new work until its next report.
+func (h *Home) MarkLeaving(now time.Time, name string) []Decision {
+	u := h.byName[name]
+	if u == nil {
+		return nil
+	}
+	u.report.Leaving = true
+	h.summarize(u)
+	h.reserveForMoves(now)
+	return h.refuseUnplaceable(now)
+}
+
 // SetRateLimit changes the rate limit of an upstream between two of its reports.
 func (h *Home) SetRateLimit(now time.Time, name string, l ratelimit.Limit) []Decision {
 	u := h.byName[name]
--- a/internal/core/poolhome.go
+++ b/internal/core/poolhome.go
@@ -38,8 +38,10 @@
 	crashedBoots map[string]string
 	// leaving records for each upstream whether its last report, or the instance list at that time,
 	// said that it is leaving.
-	leaving  map[string]bool
-	limits   upstreamLimits
+	leaving map[string]bool
+	limits  upstreamLimits
+	// stopping holds the runs of upstreams of which an entry was told that they leave.
+	stopping leavingUpstreams
 	guard    crashGuard
 	failures upstreamFailures
 	orphans  orphans
@@ -60,7 +62,7 @@
 		p := i.version.Pool(name)
 		h = &poolHome{
 			pool: name, createdAt: now, entries: map[string]requester{}, boots: map[string]string{},
-			orders: map[string]*order.Machine{}, crashedBoots: map[string]string{}, leaving: map[string]bool{}, limits: upstreamLimits{},
+			orders: map[string]*order.Machine{}, crashedBoots: map[string]string{}, leaving: map[string]bool{}, limits: upstreamLimits{}, stopping: leavingUpstreams{},
 			guard: newCrashGuard(), failures: upstreamFailures{}, orphans: newOrphans(),
 			version: i.version.Number, home: placement.NewHome(i.placementSettings(p)),
 		}
@@ -215,6 +217,9 @@
 	if m, ok := i.view.Member(name); ok && m.State == membership.Leaving {
 		e.Report.Leaving = true
 	}
+	if h.stopping.has(name, e.Report.Boot) {
+		e.Report.Leaving = true
+	}
 	h.leaving[name] = e.Report.Leaving
 	i.limitOnReport(h, &e)
 	if u := i.version.Upstream(name); u != nil {
--- a/internal/core/run.go
+++ b/internal/core/run.go
@@ -21,7 +21,7 @@
 	i.count("attempts_total", r.service.Name)
 	i.wakeAt(r, now.Add(i.silenceTimeout(r)))
 	i.emit(Dispatch{
-		Request: r.ID, Attempt: r.attempt, Upstream: r.run.upstream, Address: r.run.address, Link: r.run.link,
+		Request: r.ID, Attempt: r.attempt, Upstream: r.run.upstream, Address: r.run.address, Boot: r.run.boot, Link: r.run.link,
 		Engine: r.isEngine(), Method: r.Method, Path: r.Path, Body: r.Body, MaxToken: r.MaxTokens, Key: r.IdempotencyKey,
 		Priority: r.run.priority, SendBefore: r.run.sendBefore, Timeout: r.service.Timeout.D(),
 	})
--- a/internal/prooftest/members/leave_test.go
+++ b/internal/prooftest/members/leave_test.go
@@ -172,3 +172,61 @@
 	f.handle(n, core.PeerMessage{From: home, Msg: reply})
 	return f.dispatched - before, true
 }
+
+// An upstream states in a response that it leaves, while its load report lags. The home that is told
+// of it must grant nothing there, whatever later reports say, until another run has started.
+func TestPromise5HomeObeysALeavingResponse(t *testing.T) {
+	f := newFleet()
+	f.warm()
+	f.handle(f.instances[0], core.PeerMessage{From: "i1", Msg: msg.UpstreamLeaving{Upstream: "e1", Boot: "1"}})
+	for n := range 6 {
+		f.requestGrant(fmt.Sprintf("i1:1:%d/1", n), 1)
+		f.run(300 * time.Millisecond)
+	}
+	for _, m := range f.grants {
+		if m.Decision.Upstream == "e1" {
+			t.Fatalf("%s was granted on e1, want no grant for a leaving upstream", m.Decision.Attempt)
+		}
+	}
+	if len(f.grants) == 0 {
+		t.Error("nothing was granted, want the other upstream to be used")
+	}
+	f.grants = nil
+	f.handle(f.instances[0], core.UpstreamReport{Report: placement.Report{Upstream: "e1", Boot: "2", Capacity: 100_000, MaxBatch: 2}, PolledAt: f.now})
+	f.requestGrant("i1:1:9/1", 1)
+	if len(f.grants) == 0 || f.grants[0].Decision.Upstream != "e1" {
+		t.Errorf("grants %+v, want one for the next run of the upstream", f.grants)
+	}
+}
+
+// An entry was told by an upstream that it leaves, and gets a grant for it of a home that does not
+// know that. It must return the grant.
+func TestPromise5EntryReturnsAGrantForALeavingUpstream(t *testing.T) {
+	tried := 0
+	for entry := range 3 {
+		f := newFleet()
+		n := f.instances[entry]
+		n.requests = 1 // so that the next request is a generation
+		f.submit(n, 1)
+		for try := 0; try < 200 && f.firstRequests[n.name].To == ""; try++ {
+			f.run(time.Millisecond)
+		}
+		home, request := f.firstGrantRequest(n)
+		if home == "" {
+			continue // this entry is itself the home
+		}
+		tried++
+		f.handle(n, core.UpstreamStatement{Upstream: "e1", Boot: "1", Leaving: true})
+		before := f.dispatched
+		f.handle(n, core.PeerMessage{From: home, Msg: msg.GrantResponse{
+			Pool: request.Pool, Address: "e1", Boot: "1", TTL: time.Second, Number: request.Number,
+			Decision: placement.Decision{Attempt: request.Request.Attempt, Kind: placement.Granted, Upstream: "e1"},
+		}})
+		if f.dispatched != before {
+			t.Errorf("%s sent work to e1 after e1 had told it that it leaves, want the grant returned", n.name)
+		}
+	}
+	if tried == 0 {
+		t.Error("no entry sent a request for a grant to another instance, want at least one")
+	}
+}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -20,6 +20,8 @@
 	HeaderBoot = "X-Engine-Boot"
 	// HeaderRateLimit carries the rate limit that the engine states.
 	HeaderRateLimit = "X-Rate-Limit"
+	// HeaderLeaving is "1" in the responses of an engine that leaves.
+	HeaderLeaving = "X-Leaving"
 )
 
 // keepAlive is the time without a token after which a stream carries a comment line.
@@ -54,6 +56,9 @@
 	if faults.RateLimit > 0 {
 		w.Header().Set(HeaderRateLimit, strconv.FormatFloat(faults.RateLimit, 'f', -1, 64))
 	}
+	if e.Leaving() {
+		w.Header().Set(HeaderLeaving, "1")
+	}
 	if faults.FailAll {
 		http.Error(w, "overloaded", http.StatusServiceUnavailable)
 		return
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -20,8 +20,11 @@
 // Idempotency-Key because HTTP libraries repeat requests that have that header.
 const HeaderBooking = "X-Booking-Key"
 
-// headerRateLimit carries the rate limit that the upstream states.
-const headerRateLimit = "X-Rate-Limit"
+// Headers with what the upstream states about itself: its rate limit, and "1" if it leaves.
+const (
+	headerRateLimit = "X-Rate-Limit"
+	headerLeaving   = "X-Leaving"
+)
 
 // Faults selects the faults that the stand-in injects. The zero value injects none.
 type Faults struct {
@@ -119,6 +122,9 @@
 	if s.faults.RateLimit > 0 {
 		w.Header().Set(headerRateLimit, strconv.FormatFloat(s.faults.RateLimit, 'f', -1, 64))
 	}
+	if s.leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
 	s.mu.Unlock()
 	defer s.endCall()
 	time.Sleep(delay)
--- a/internal/upstream/statement_test.go
+++ b/internal/upstream/statement_test.go
@@ -15,7 +15,9 @@
 	var status int
 	limit := ""
 	c, address, events := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
-		if limit != "" {
+		if limit == "leaving" {
+			w.Header().Set(headerLeaving, "1")
+		} else if limit != "" {
 			w.Header().Set(headerRateLimit, limit)
 		}
 		w.WriteHeader(status)
@@ -27,6 +29,7 @@
 		limit      string
 		stated     float64
 		unreadable bool
+		leaving    bool
 		none       bool
 	}{
 		{name: "a call without a limit", status: 200, none: true},
@@ -35,11 +38,12 @@
 		{name: "a rejected generation", engine: true, status: 503, limit: "3", stated: 3},
 		{name: "an unreadable limit", status: 200, limit: "-1", unreadable: true},
 		{name: "the first call without it", status: 200},
+		{name: "a failed call of a leaving upstream", status: 503, limit: "leaving", leaving: true},
 		{name: "the next call without it", status: 200, none: true},
 	} {
 		status, limit = step.status, step.limit
 		before := time.Now()
-		c.Run(context.Background(), core.Dispatch{Attempt: step.name, Upstream: "u", Address: address, Engine: step.engine, Method: http.MethodPost, Path: "/", Body: []byte("{}"), Timeout: testTimeout, Link: 1})
+		c.Run(context.Background(), core.Dispatch{Attempt: step.name, Upstream: "u", Boot: "run-7", Address: address, Engine: step.engine, Method: http.MethodPost, Path: "/", Body: []byte("{}"), Timeout: testTimeout, Link: 1})
 		e, ok := next(t, events).(core.UpstreamStatement)
 		switch {
 		case step.none:
@@ -47,7 +51,7 @@
 				t.Errorf("%s: event %+v, want no statement", step.name, e)
 			}
 			continue
-		case !ok || e.Upstream != "u" || e.RateLimit.PerSecond != step.stated || e.RateLimit.Stated != (step.stated > 0) || (e.Unreadable != "") != step.unreadable:
+		case !ok || e.Upstream != "u" || e.RateLimit.PerSecond != step.stated || e.RateLimit.Stated != (step.stated > 0) || (e.Unreadable != "") != step.unreadable || e.Leaving != step.leaving || e.Boot != "run-7":
 			t.Errorf("%s: event %+v, want a limit of %v", step.name, e, step.stated)
 		case e.SentAt.Before(before):
 			t.Errorf("%s: the request was sent at %v, want a time after %v", step.name, e.SentAt, before)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,6 +40,8 @@
 	// headerRateLimit carries, in any response, the rate of requests per second that the upstream
 	// accepts from all instances together.
 	headerRateLimit = "X-Rate-Limit"
+	// headerLeaving is "1" in the responses of an upstream that leaves.
+	headerLeaving = "X-Leaving"
 )
 
 // errGrantExpired means that the grant expired before the call could be sent.
@@ -203,7 +206,9 @@
 // observe reports what an upstream states in the head of a response, and the first response that
 // states nothing any more.
 func (c *Client) observe(call *call, resp *http.Response) {
-	e := core.UpstreamStatement{Upstream: call.d.Upstream, Boot: resp.Header.Get(headerBoot), SentAt: call.sentAt}
+	e := core.UpstreamStatement{
+		Upstream: call.d.Upstream, Boot: cmp.Or(resp.Header.Get(headerBoot), call.d.Boot), SentAt: call.sentAt, Leaving: resp.Header.Get(headerLeaving) == "1",
+	}
 	if values := resp.Header.Values(headerRateLimit); len(values) > 0 {
 		rate, err := strconv.ParseFloat(values[0], 64)
 		limit, ok := ratelimit.Of(rate)
@@ -213,7 +218,7 @@
 		case !ok:
 			e.Unreadable = fmt.Sprintf("decode %s: %q is not a rate", headerRateLimit, values[0])
 		}
-		e.RateLimit = limit
+		e.RateLimit, e.RateUnreadable = limit, e.Unreadable != ""
 	}
 	c.mu.Lock()
 	wasLimited := c.limited[e.Upstream]
@@ -221,7 +226,7 @@
 		c.limited[e.Upstream] = e.RateLimit.Stated
 	}
 	c.mu.Unlock()
-	if wasLimited || e.RateLimit.Stated || e.Unreadable != "" {
+	if wasLimited || e.RateLimit.Stated || e.Leaving || e.Unreadable != "" {
 		c.sink(e)
 	}
 }
