hosted: log that an upstream asks for a pause

Each response that turns a request away is now read for Retry-After, and logged with what was sent in an earlier pause. No decision reads it yet.

--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -69,6 +69,8 @@
 	limits map[roster.Run]*statedLimit
 	// announcedAt holds when this instance last announced that a limit began or ended.
 	announcedAt map[roster.Run]time.Time
+	// pauses holds the pauses that upstreams have asked for, by run.
+	pauses map[roster.Run]*pause
 	// lastProbe is the number of the last request for a permit to probe an upstream.
 	lastProbe int
 	suspects  *suspect.List
@@ -87,7 +89,7 @@
 func New(o Options) *Gate {
 	return &Gate{
 		options: o, roster: roster.New(), cordonedAt: map[string]time.Time{}, liftedAt: map[string]time.Time{}, loads: map[*roster.Upstream]*load{}, unlisted: map[string]*roster.Upstream{},
-		budgets: map[string]*budget{}, limits: map[roster.Run]*statedLimit{}, announcedAt: map[roster.Run]time.Time{}, suspects: suspect.NewList(strikeTTL),
+		budgets: map[string]*budget{}, limits: map[roster.Run]*statedLimit{}, announcedAt: map[roster.Run]time.Time{}, pauses: map[roster.Run]*pause{}, suspects: suspect.NewList(strikeTTL),
 		instances: 1, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)),
 	}
 }
--- a/internal/core/forward/limit.go
+++ b/internal/core/forward/limit.go
@@ -49,6 +49,9 @@
 	RateUnreadable bool
 	// Leaving is set if the upstream states that it leaves.
 	Leaving bool
+	// Pause is the time for which an upstream that turned a request away wants nothing from this
+	// instance; 0 if it does not ask for that.
+	Pause time.Duration
 	// Unreadable holds the errors of the fields that could not be decoded, for the log.
 	Unreadable error
 }
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -108,6 +108,9 @@
 	l.attempts++
 	l.tokens += a.tokens
 	l.sent.Add(a.Sent)
+	if p := g.pauses[a.Upstream.Run()]; p != nil && a.Sent.Before(p.until) {
+		p.sent++
+	}
 }
 
 // Ended processes the outcome of the current attempt and returns the next step.
--- a/internal/hosted/statement.go
+++ b/internal/hosted/statement.go
@@ -23,9 +23,13 @@
 	var from roster.Entry
 	var change forward.LimitChange
 	changed, leaves := false, false
+	paused := 0
 	s.decide(func(now time.Time, g *forward.Gate) {
 		from = u.Entry
 		change, changed = g.ObserveLimit(now, u, sentAt, statement)
+		if statement.Pause > 0 {
+			paused = g.ObservePause(now, u, statement.Pause)
+		}
 		leaves = statement.Leaving && g.LearnLeaving(now, u.Run())
 	})
 	if statement.Unreadable != nil {
@@ -35,6 +39,10 @@
 	if changed {
 		s.reportLimit(change)
 	}
+	if statement.Pause > 0 {
+		s.metrics.Count("upstream_statements_total", "upstream_paused")
+		s.log.Info("upstream_paused", "upstream", from.ID, "service", from.Service, "born", from.Born, "for", statement.Pause, "sent_in_pause", paused)
+	}
 	if leaves {
 		s.homes.announce(msg.UpstreamLeaving{Upstream: from.ID, Boot: strconv.FormatInt(from.Born, 10)})
 		s.onLeaving(from, "response")
