forward: pauses that upstreams ask for are kept

Cause: Retry-After in the response of an upstream was not read. A rejection counted as a failure, which weighs as much as a call or two in progress, so that an upstream that sheds load and answers at once looks idle beside busy ones.

Change: a 503 or 429 with Retry-After begins a pause of that upstream's run at that instance. It is checked where upstreams are chosen, also as a last resort, where a grant or a permit is used, where a moved generation goes on or would be moved to, and before probes. A grant for such an upstream is returned, and the next request for one excludes all that want a pause. If all do, callers are refused at once, and told different times to return; who was turned away while others have room is told to return in 0.1 s, not 0.5 s.

A grant that is not used is now returned to its home at once in all cases, instead of being dropped there after 3 s.

--- a/internal/core/forward/cold.go
+++ b/internal/core/forward/cold.go
@@ -129,6 +129,7 @@
 // may differ when an upstream is cold again.
 func (g *Gate) Tick(now time.Time) {
 	g.dropLimits(now)
+	g.dropPauses(now)
 	for u, l := range g.loads {
 		if l.coldShare != nil && !g.rateLimited(now, u) {
 			l.coldShare = nil
--- a/internal/core/forward/cordon.go
+++ b/internal/core/forward/cordon.go
@@ -98,14 +98,18 @@
 }
 
 // MayMove reports whether a call's generation may be moved to an upstream in a data centre: the
-// upstream is not known to leave, and the call may use the data centre.
-func (g *Gate) MayMove(c *Call, upstream, dataCentre string) bool {
+// upstream is not known to leave and has not asked this instance for a pause, and the call may use
+// the data centre.
+func (g *Gate) MayMove(now time.Time, c *Call, upstream, dataCentre string) bool {
 	u := g.roster.Find(upstream)
-	return g.mayUse(c, dataCentre) && (u == nil || u.TakesWork())
+	return g.mayUse(c, dataCentre) && (u == nil || u.TakesWork() && !g.paused(now, u.Run()))
 }
 
 // mayResumeAt reports whether a moved generation may resume at an upstream.
 func (g *Gate) mayResumeAt(now time.Time, u *roster.Upstream) bool {
+	if g.paused(now, u.Run()) {
+		return false
+	}
 	return !g.cordons.Has(u.DataCentre) || now.Sub(g.cordonedAt[u.DataCentre]) < resumeTimeout
 }
 
--- a/internal/core/forward/cordon_test.go
+++ b/internal/core/forward/cordon_test.go
@@ -115,7 +115,7 @@
 		g.Start(start, call)
 		to := g.Roster().Find("u01")
 		g.SetCordons(start, cordon.NewSet(2, []string{to.DataCentre}))
-		if g.MayMove(call, to.ID, to.DataCentre) {
+		if g.MayMove(start, call, to.ID, to.DataCentre) {
 			t.Error("MayMove allows a new move into the cordoned data centre, want it refused")
 		}
 		g.Redirect(call, to, "copy", nil)
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -33,7 +33,8 @@
 	for _, u := range c.tried {
 		req.Exclude = append(req.Exclude, u.ID)
 	}
-	req.Exclude = append(req.Exclude, c.withoutPermit...)
+	req.Exclude = append(req.Exclude, c.avoided...)
+	req.Exclude = append(req.Exclude, g.pausedOf(now)...)
 	return msg.GrantRequest{Pool: c.Pool, Request: req}
 }
 
@@ -105,6 +106,9 @@
 		return g.send(now, c)
 	}
 	c.selfChosen, c.grantExpiresAt = false, requestedAt.Add(a.TTL)
+	if g.paused(now, u.Run()) {
+		return g.avoid(now, c, u, Paused, busyRetryAfter)
+	}
 	return g.sendTo(now, c, u)
 }
 
@@ -157,7 +161,7 @@
 func (g *Gate) resume(now time.Time, c *Call) Step {
 	c.resumeTargets = slices.DeleteFunc(c.resumeTargets, func(a *Attempt) bool { return !g.mayResumeAt(now, a.Upstream) })
 	if len(c.resumeTargets) == 0 {
-		return g.failCall(c, Cordoned, 0, c.Events > 0)
+		return g.failCall(c, NoUpstream, 0, c.Events > 0)
 	}
 	left := c.Deadline.Sub(now)
 	if left < minTimeLeft {
--- a/internal/core/forward/limit.go
+++ b/internal/core/forward/limit.go
@@ -23,9 +23,9 @@
 	PermitTimeout = HomeTimeout
 	// PermitRetryInterval is the interval at which the request of a queued call is repeated.
 	PermitRetryInterval = GrantRetryInterval
-	// maxPermitRequests is the maximum number of upstreams from whose limits a permit is requested
-	// before the call is refused.
-	maxPermitRequests = 3
+	// maxAvoidances is the maximum number of chosen upstreams that do not take a call, for lack of a
+	// permit or because they have asked for a pause, before the call is refused.
+	maxAvoidances = 3
 	// limitedPenalty keeps calls away from rate-limited upstreams while others have little load.
 	limitedPenalty = 2.0
 	// refusalTTL is how long after a refusal no permit of the same upstream is requested for calls
@@ -297,10 +297,10 @@
 	switch {
 	case c.Resuming():
 		return g.resume(now, c)
-	case !g.maySend(c, u) || c.selfChosen && !g.available(now, c, u) || !c.selfChosen && now.After(c.grantExpiresAt):
-		return g.withoutUpstream(now, c, u, busyRetryAfter)
+	case !g.maySend(c, u) || g.paused(now, u.Run()) || c.selfChosen && !g.available(now, c, u) || !c.selfChosen && now.After(c.grantExpiresAt):
+		return g.avoid(now, c, u, NoUpstream, busyRetryAfter)
 	}
-	return g.orFailAttempt(c, g.sendTo(now, c, u))
+	return g.orFailAttempt(now, c, g.sendTo(now, c, u))
 }
 
 // PermitRefused processes the refusal of a permit: the call is sent elsewhere, or refused with the
@@ -318,7 +318,7 @@
 	if l := g.limits[u.Run()]; l != nil {
 		l.refusedUntil, l.refusedRank, l.retryAfter = now.Add(refusalTTL), c.Rank, retryAfter
 	}
-	return g.withoutUpstream(now, c, u, retryAfter)
+	return g.avoid(now, c, u, RateLimit, retryAfter)
 }
 
 // PermitHomeSilent processes that the home of a limit has not responded. It counts as a refusal for
@@ -327,19 +327,19 @@
 	return g.PermitRefused(now, c, busyRetryAfter)
 }
 
-// withoutUpstream returns the next step of a call that cannot be sent to the upstream for which it
-// requested a permit.
-func (g *Gate) withoutUpstream(now time.Time, c *Call, u *roster.Upstream, retryAfter time.Duration) Step {
-	c.permitRefusals++
+// avoid returns the next step of a call that a chosen upstream does not take, for a reason: it is sent
+// elsewhere, or refused after maxAvoidances.
+func (g *Gate) avoid(now time.Time, c *Call, u *roster.Upstream, why Reason, retryAfter time.Duration) Step {
+	c.avoidances++
 	switch {
-	case c.permitRefusals >= maxPermitRequests:
-		return g.orFailAttempt(c, g.refuse(c, RateLimit, retryAfter))
+	case c.avoidances >= maxAvoidances:
+		return g.orFailAttempt(now, c, g.refuse(c, why, retryAfter))
 	case g.placedByHome(c):
-		c.withoutPermit = append(c.withoutPermit, u.ID)
+		c.avoided = append(c.avoided, u.ID)
 		c.grantRetries++
-		return Step{RequestGrant: true}
+		return Step{RequestGrant: true, Why: why}
 	}
-	return g.orFailAttempt(c, g.nextStep(now, c))
+	return g.orFailAttempt(now, c, g.nextStep(now, c))
 }
 
 // permitRefused reports whether the permit of an upstream was refused a moment ago for a call of
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -58,7 +58,9 @@
 	Draining     Reason = "instance_leaving"
 	// RateLimit: the upstreams that could take the request accept no more requests at present
 	// because of the rate limits that they state.
-	RateLimit     Reason = "upstream_rate_limits"
+	RateLimit Reason = "upstream_rate_limits"
+	// Paused: the upstreams that could take the request have asked this instance for a pause.
+	Paused        Reason = "upstreams_paused"
 	Crashes       Reason = "crashes_upstreams"
 	OutOfTime     Reason = "out_of_time"
 	NoAttempts    Reason = "attempts_used"
@@ -188,14 +190,15 @@
 	// of the upstream for which there is a permit.
 	permitFor *roster.Upstream
 	permit    roster.Run
-	// permitNumber counts the requests for permits, permitRefusals those that were refused.
-	permitNumber   int
-	permitRefusals int
+	// permitNumber counts the requests for permits, avoidances the upstreams that did not take the
+	// call after they had been chosen.
+	permitNumber int
+	avoidances   int
 	// permitMaxWait and permitMaxLateWait are the accepted waits for the requested permit.
 	permitMaxWait, permitMaxLateWait time.Duration
-	// withoutPermit lists the upstreams that a pool's home granted and for which there was no
-	// permit.
-	withoutPermit []string
+	// avoided lists the upstreams that a pool's home granted and that did not take the call: for lack
+	// of a permit, or because they had asked for a pause.
+	avoided []string
 }
 
 // Current returns the attempt in progress, or nil.
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -32,6 +32,9 @@
 		return g.refuse(c, why, retryAfterFor(why, busyRetryAfter))
 	}
 	if g.placedByHome(c) {
+		if retryAfter := g.pausedRetryAfter(now, c); retryAfter > 0 {
+			return g.refuse(c, Paused, retryAfter)
+		}
 		if c.Pool == "" {
 			g.nextPool(c)
 		}
@@ -50,6 +53,9 @@
 		if retryAfter := g.limitRetryAfter(now, c); retryAfter > 0 {
 			return g.refuse(c, RateLimit, retryAfter)
 		}
+		if retryAfter := g.pausedRetryAfter(now, c); retryAfter > 0 {
+			return g.refuse(c, Paused, retryAfter)
+		}
 		why := cmp.Or(g.unavailableReason(c), NoUpstream)
 		return g.refuse(c, why, retryAfterFor(why, busyRetryAfter))
 	}
@@ -163,37 +169,47 @@
 	switch {
 	case c.mayHaveRun && !c.Route.Repeatable():
 		// This also applies if the last failure was a failed dial to a copy of the generation.
-		return g.failAttempt(c, o, Unrepeatable, headerDelivered)
+		return g.failAttempt(now, c, o, Unrepeatable, headerDelivered)
 	case !c.Replayable && o != NotSent:
-		return g.failAttempt(c, o, NotReplayable, headerDelivered)
+		return g.failAttempt(now, c, o, NotReplayable, headerDelivered)
 	case c.sends >= c.Route.MaxAttempts || g.options.Without.Has(mechanism.Retries) && o != NotSent:
-		return g.failAttempt(c, o, NoAttempts, headerDelivered)
+		return g.failAttempt(now, c, o, NoAttempts, headerDelivered)
 	case o != NotSent && !g.retryAllowed(now, c.Service):
-		return g.failAttempt(c, o, NoBudget, headerDelivered)
+		return g.failAttempt(now, c, o, NoBudget, headerDelivered)
 	}
 	c.grantRetries++
 	c.lastOutcome, c.headerDelivered = o, headerDelivered
-	return g.orFailAttempt(c, g.nextStep(now, c))
+	return g.orFailAttempt(now, c, g.nextStep(now, c))
 }
 
 // orFailAttempt returns the next step of a call. If that ends a call that was sent before, the call
 // ends as its last attempt did.
-func (g *Gate) orFailAttempt(c *Call, s Step) Step {
+func (g *Gate) orFailAttempt(now time.Time, c *Call, s Step) Step {
 	if c.lastOutcome == "" || s.Send != nil || s.RequestGrant || s.RequestPermit {
 		return s
 	}
-	return g.failAttempt(c, c.lastOutcome, s.Why, c.headerDelivered)
+	return g.failAttempt(now, c, c.lastOutcome, s.Why, c.headerDelivered)
 }
 
 // failAttempt ends a call after a failed attempt. The error response of an upstream is forwarded.
-func (g *Gate) failAttempt(c *Call, o Outcome, why Reason, headerDelivered bool) Step {
+func (g *Gate) failAttempt(now time.Time, c *Call, o Outcome, why Reason, headerDelivered bool) Step {
 	if o == Failed && !headerDelivered {
 		return Step{Relay: true, Why: why}
 	}
 	if o == Rejected && why == NoAttempts {
 		why = PoolFull
 	}
-	return g.failCall(c, why, retryAfterFor(why, busyRetryAfter), headerDelivered)
+	return g.failCall(c, why, g.retryAfterRejection(now, c, why), headerDelivered)
+}
+
+// retryAfterRejection returns the Retry-After of a call whose last attempt did not succeed. If only an
+// upstream that asked for a pause has turned it away, the others may take it at once.
+func (g *Gate) retryAfterRejection(now time.Time, c *Call, why Reason) time.Duration {
+	last := len(c.tried) - 1
+	if why != PoolFull || last < 0 || !g.paused(now, c.tried[last].Run()) {
+		return retryAfterFor(why, busyRetryAfter)
+	}
+	return cmp.Or(g.pausedRetryAfter(now, c), briefRetryAfter)
 }
 
 // failCall ends a call: it refuses the call, or breaks off a response whose header was delivered.
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -38,6 +38,8 @@
 	// attempt, or "".
 	grants chan msg.GrantResponse
 	home   string
+	// grant is the id of the grant in hand that no attempt uses yet, or "", and grantPool its pool.
+	grant, grantPool string
 	// upstream is the last attempt's upstream. listAge is the age of the list of upstreams at
 	// admission. Both are logged.
 	upstream string
@@ -60,12 +62,10 @@
 		switch {
 		case step.RequestGrant:
 			step = x.requestGrant()
+			x.returnUnusedGrant(step)
 		case step.RequestPermit:
-			grant := x.call.Grant()
 			step = x.requestPermit()
-			if step.Send == nil && !step.RequestPermit {
-				x.returnGrant(grant)
-			}
+			x.returnUnusedGrant(step)
 		case step.Send != nil:
 			step = x.tryUpstream(step.Send)
 		default:
@@ -79,6 +79,7 @@
 func (x *exchange) tryUpstream(a *forward.Attempt) forward.Step {
 	x.upstream = a.Entry.ID
 	grant := x.call.Grant()
+	x.grant = ""
 	outcome := x.sendAttempt(a)
 	if outcome != forward.Done {
 		x.awaitMove()
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -90,13 +90,13 @@
 	return x.stopAndCopy(mv, source, first.Handle)
 }
 
-// errUnavailable reports that the destination of a move was cordoned or began to leave during the
-// move.
-var errUnavailable = errors.New("the destination of the move was cordoned or leaves")
+// errUnavailable reports that the destination of a move was cordoned, began to leave or asked for a
+// pause during the move.
+var errUnavailable = errors.New("the destination of the move was cordoned, leaves or wants a pause")
 
 // mayMove reports whether a generation may still continue at a move's destination.
 func (x *exchange) mayMove(o msg.MoveOrder) (may bool) {
-	x.server.decide(func(_ time.Time, g *forward.Gate) { may = g.MayMove(x.call, o.To, o.ToDataCentre) })
+	x.server.decide(func(now time.Time, g *forward.Gate) { may = g.MayMove(now, x.call, o.To, o.ToDataCentre) })
 	return may
 }
 
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -192,19 +192,24 @@
 	}
 }
 
-// errNotPermitted reports that an upstream's rate limit leaves no room for a probe.
-var errNotPermitted = errors.New("the upstream's rate limit leaves no room for a probe")
+// errNotPermitted reports that an upstream's rate limit leaves no room for a probe, or that it has asked
+// for a pause.
+var errNotPermitted = errors.New("the upstream wants no probe at present")
 
-// permitProbe returns errNotPermitted if an upstream states a rate limit and there is no permit to
-// probe it.
+// permitProbe returns errNotPermitted if an upstream has asked for a pause, or states a rate limit and
+// there is no permit to probe it.
 func (s *server) permitProbe(ctx context.Context, address string) error {
 	var m msg.PermitRequest
-	limited := false
+	limited, paused := false, false
 	s.decide(func(now time.Time, g *forward.Gate) {
 		if u := g.Roster().FindAt(address); u != nil {
 			m, limited = g.ProbePermit(now, u)
+			paused = !g.MayProbe(now, u)
 		}
 	})
+	if paused {
+		return errNotPermitted
+	}
 	if !limited {
 		return nil
 	}
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -82,6 +82,7 @@
 		})
 	}
 	x.home = q.home
+	x.grant, x.grantPool = q.message.Request.Attempt, q.message.Pool
 	waited := boottime.Now().Sub(q.firstSentAt)
 	s.metrics.Observe("placement_milliseconds", x.call.Service, waited)
 	s.log.Info("placed", "request", x.call.ID, "home", q.home, "pool", x.call.Pool, "upstream", a.Decision.Upstream,
@@ -125,12 +126,14 @@
 	}
 }
 
-// returnGrant notifies the home that a grant is not used, because its upstream accepts no more
-// requests.
-func (x *exchange) returnGrant(attempt string) {
-	if x.call.Route.Generation && x.home != "" {
-		x.server.homes.send(x.home, msg.GrantEnd{Pool: x.call.Pool, Attempt: attempt, CallerDisconnected: true})
+// returnUnusedGrant notifies the home that the grant in hand is not used, unless the next step still
+// needs it: the granted upstream accepts no more requests of this instance.
+func (x *exchange) returnUnusedGrant(next forward.Step) {
+	if x.grant == "" || next.Send != nil || next.RequestPermit || next.RequestGrant && x.call.Grant() == x.grant {
+		return
 	}
+	x.server.homes.send(x.home, msg.GrantEnd{Pool: x.grantPool, Attempt: x.grant, CallerDisconnected: true})
+	x.grant = ""
 }
 
 // tokens estimates the number of tokens produced so far.
