core: pauses that upstreams ask for are kept on the project's own protocol

The entry now excludes such an upstream from its requests for grants, returns a grant for it, and refuses at once while all upstreams of a service want a pause (TestEntryKeepsPausesOfUpstreams, three safeguards).

The values of the three statements are decoded in one package for both protocols, which name the headers.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,8 +13,8 @@
 //     the table.
 //   - Roles for other instances: poolhome.go and orghome.go are the homes of pools and
 //     organisations. guard.go, verdict.go and strikes.go stop requests that crash
-//     upstreams, avoid.go avoids upstreams that fail every request, limits.go and leaves.go
-//     obey what upstreams state in responses, orphans.go cancels generations that no entry follows,
+//     upstreams, avoid.go avoids upstreams that fail every request, limits.go, leaves.go and
+//     pauses.go obey what upstreams state in responses, orphans.go cancels generations that no entry follows,
 //     orders.go sends upstreams their orders.
 //   - The instance itself: configsync.go, configpoll.go and configadopt.go keep the
 //     configuration current, cordons.go applies cordons, drain.go leaves without
@@ -80,6 +80,7 @@
 	sweep       sweeper
 	// leavingUpstreams holds the runs of upstreams that have told this instance that they leave.
 	leavingUpstreams leavingUpstreams
+	pauses           upstreamPauses
 	// budgetsChecked is the time of the last check of the budget accounts.
 	budgetsChecked time.Time
 
@@ -102,7 +103,7 @@
 		orgs:     budget.NewHome(o.Self.Name + "-" + o.Boot),
 		suspects: suspect.NewList(strikeTTL),
 
-		leavingUpstreams: leavingUpstreams{},
+		leavingUpstreams: leavingUpstreams{}, pauses: upstreamPauses{},
 	}
 }
 
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -129,6 +129,9 @@
 	RateUnreadable bool
 	// Leaving is set if the upstream stated that it leaves.
 	Leaving bool
+	// Pause is the time for which an upstream that turned the request away wants no new work from
+	// this instance; 0 if it does not ask for that.
+	Pause time.Duration
 	// Unreadable holds the errors of the fields that could not be decoded, for the log.
 	Unreadable string
 }
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -36,6 +36,9 @@
 		i.count("upstream_statements_total", "unreadable")
 		i.emit(Log{Event: "upstream_statement_unreadable", Pairs: []any{"upstream", e.Upstream, "error", e.Unreadable}})
 	}
+	if e.Pause > 0 {
+		i.onUpstreamPaused(now, e)
+	}
 	if i.version == nil || i.version.Pool(i.version.PoolOf(e.Upstream)) == nil {
 		return // the upstream is not in the configuration any more
 	}
@@ -70,14 +73,14 @@
 // enforce in the report.
 func (i *Instance) limitOnReport(h *poolHome, e *UpstreamReport) {
 	name, stated := e.Report.Upstream, ratelimit.Limit{}
-	if e.Report.StatedRate != nil {
-		limit, ok := ratelimit.Of(*e.Report.StatedRate)
-		if !ok {
-			i.count("upstream_statements_total", "unreadable")
-			i.emit(Log{Event: "upstream_statement_unreadable", Pairs: []any{"upstream", name, "error", "rate_limit is not a rate"}})
-			limit = h.limits[name].limit
-		}
-		stated = limit
+	switch rate := e.Report.StatedRate; {
+	case rate == nil:
+	case *rate >= 0:
+		stated = ratelimit.Of(*rate)
+	default:
+		i.count("upstream_statements_total", "unreadable")
+		i.emit(Log{Event: "upstream_statement_unreadable", Pairs: []any{"upstream", name, "error", "rate_limit is negative"}})
+		stated = h.limits[name].limit
 	}
 	if (stated.Stated || h.limits[name].limit.Stated) && h.limits.update(name, stated, e.PolledAt) {
 		i.logLimit(name, stated, "report")
--- a/internal/core/permits/home.go
+++ b/internal/core/permits/home.go
@@ -104,9 +104,8 @@
 		if !at.After(u.namedAt) || !at.After(u.endedAt) {
 			return false
 		}
-		limit, _ := ratelimit.Of(m.PerSecond)
 		u.namedAt, u.endedAt = at, time.Time{}
-		u.queue.SetLimit(now, limit)
+		u.queue.SetLimit(now, ratelimit.Of(m.PerSecond))
 		return true
 	}
 	if !at.After(u.namedAt.Add(ratelimit.StatementSlack)) || !u.endedAt.IsZero() {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/config"
@@ -64,7 +65,7 @@
 		})
 		return
 	}
-	i.requestGrant(now, r)
+	i.placeInOpenPools(now, r)
 }
 
 // requestGrant requests a grant from the current home of the current pool.
@@ -104,7 +105,7 @@
 func (r *request) placementRequest(i *Instance, now time.Time) placement.Request {
 	return placement.Request{
 		Attempt: r.attempt, Org: r.org.Name, Fingerprint: r.Fingerprint,
-		Prompt: r.Prompt, MaxOutput: r.MaxTokens, Prefix: r.Prefix, Exclude: r.excluded,
+		Prompt: r.Prompt, MaxOutput: r.MaxTokens, Prefix: r.Prefix, Exclude: slices.Concat(r.excluded, i.pauses.names(now)),
 		Suspect: i.suspects.Verdict(now, r.Fingerprint) == suspect.Suspected,
 		MaxWait: max(r.service.MaxWait.D()-now.Sub(r.started), 0),
 	}
@@ -179,6 +180,10 @@
 		i.returnLeavingGrant(now, r, m)
 		return
 	}
+	if i.pauses.has(now, m.Decision.Upstream, m.Boot) {
+		i.returnPausedGrant(now, r, m)
+		return
+	}
 	r.run = runState{
 		upstream: m.Decision.Upstream, address: m.Address, priority: m.Decision.Priority, boot: m.Boot,
 		sendBefore: expiry, lastProgress: now,
--- a/internal/core/ratelimit/bucket_test.go
+++ b/internal/core/ratelimit/bucket_test.go
@@ -38,7 +38,7 @@
 	props := gopter.NewProperties(testkit.Parameters())
 	props.Property("requests in any window keep the limit", prop.ForAll(
 		func(rate float64, pauses []int) string {
-			limit, _ := Of(rate)
+			limit := Of(rate)
 			var b Bucket
 			b.SetLimit(start, limit)
 			now := start
@@ -73,7 +73,7 @@
 	props := gopter.NewProperties(testkit.Parameters())
 	props.Property("an old and a new bucket together keep the rule", prop.ForAll(
 		func(rate float64, begin, overlap int, pauses []int) string {
-			limit, _ := Of(rate)
+			limit := Of(rate)
 			var old, next Bucket
 			old.SetLimit(start.Add(-time.Minute), limit)
 			now, took := start, start.Add(time.Duration(begin)*time.Millisecond)
@@ -111,7 +111,7 @@
 	props := gopter.NewProperties(p)
 	props.Property("a bucket in continuous use and one in use for 5 s at a time keep the rule", prop.ForAll(
 		func(rate float64, idle int, pauses []int) string {
-			limit, _ := Of(rate)
+			limit := Of(rate)
 			var first, second Bucket
 			first.SetLimit(start.Add(-time.Minute), limit)
 			second.SetLimit(start.Add(-time.Minute), limit)
@@ -165,11 +165,11 @@
 // An upstream that accepts nothing at all must still get a request now and then, or nobody learns
 // that its limit has ended.
 func TestALimitOfZeroAllowsARequestNowAndThen(t *testing.T) {
-	limit, ok := Of(0)
+	limit := Of(0)
 	var b Bucket
 	b.SetLimit(start, limit)
 	b.Take(start)
-	if wait := b.OpenAt().Sub(start); !ok || wait <= 0 || wait > 10*time.Second {
+	if wait := b.OpenAt().Sub(start); wait <= 0 || wait > 10*time.Second {
 		t.Errorf("the next request may be sent after %v, want a few seconds", wait)
 	}
 }
--- a/internal/core/ratelimit/limit.go
+++ b/internal/core/ratelimit/limit.go
@@ -4,10 +4,7 @@
 // limit.go defines the limit that an upstream states, counter.go counts recent requests.
 package ratelimit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// minRate is the lowest rate in requests per second that is enforced. An upstream that states
@@ -31,16 +28,12 @@
 	PerSecond float64
 }
 
-// Of returns the limit of an upstream that states a rate in requests per second. Rates that are
-// negative or no number are no limit; ok is then false.
-func Of(perSecond float64) (l Limit, ok bool) {
-	if math.IsNaN(perSecond) || perSecond < 0 {
-		return Limit{}, false
-	}
+// Of returns the limit of an upstream that states a rate in requests per second.
+func Of(perSecond float64) Limit {
 	if perSecond >= maxRate {
-		return Limit{}, true
+		return Limit{}
 	}
-	return Limit{Stated: true, PerSecond: perSecond}, true
+	return Limit{Stated: true, PerSecond: perSecond}
 }
 
 // Rate returns the rate to enforce in requests per second; it is meaningful only if the limit is
--- a/internal/proctest/rules_test.go
+++ b/internal/proctest/rules_test.go
@@ -167,7 +167,7 @@
 			continue
 		}
 		instance, from, to := deliveries[asked.ID].instance, asked.At.Add(pauseGrace), asked.At.Add(asked.Pause)
-		if excuses(disturbances, instance, asked.At, to) {
+		if instance == "" || excuses(disturbances, instance, asked.At, to) {
 			continue
 		}
 		n := 0
--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -204,7 +204,7 @@
 func (s *soak) injectFault() {
 	n := s.rand.IntN(len(s.procs))
 	upstream := append(append([]*hosting.Worker(nil), s.pool...), s.desk...)[s.rand.IntN(len(s.pool)+len(s.desk))]
-	switch s.rand.IntN(18) {
+	switch s.rand.IntN(22) {
 	case 0:
 		s.restart(syscall.SIGKILL)
 	case 1:
@@ -233,6 +233,15 @@
 		s.disturbLink()
 	case 14, 15, 16:
 		s.changeLimit()
+	case 18:
+		s.replaceDesk()
+	case 19, 20:
+		upstream.Shed(time.Duration(200+s.rand.IntN(4000)) * time.Millisecond)
+	case 21: // an upstream states all that it can, while the store is silent
+		s.Table.Set(hosting.Silent)
+		upstream.Shed(time.Duration(200+s.rand.IntN(2000)) * time.Millisecond)
+		s.changeLimit()
+		s.replaceDesk()
 	case 17:
 		for _, w := range s.limitable() {
 			if w.Service == upstream.Service {
@@ -350,6 +359,18 @@
 	})
 }
 
+// replaceDesk makes an upstream of the plain service leave and stop some seconds later, and adds another
+// one.
+func (s *soak) replaceDesk() {
+	k := s.rand.IntN(len(s.desk))
+	w := s.desk[k]
+	w.Leave()
+	time.AfterFunc(time.Duration(3000+s.rand.IntN(2000))*time.Millisecond, func() { w.Crash(); w.Vanish() })
+	s.desk[k] = s.addUpstream(s.t, fmt.Sprintf("desk-%d-%d", k, s.rand.IntN(1<<20)), hosting.Desk, func(k *hosting.Worker) {
+		k.Work = 10 * time.Millisecond
+	})
+}
+
 // rotateKey revokes the current key and configures another one.
 func (s *soak) rotateKey() {
 	s.mu.Lock()
@@ -377,6 +398,7 @@
 	}
 	for _, w := range append(append([]*hosting.Worker(nil), s.pool...), s.desk...) {
 		w.SetFault(hosting.None)
+		w.Shed(0)
 		if s.rand.IntN(2) == 0 {
 			w.SetLimit(0)
 		}
@@ -433,21 +455,28 @@
 			s.t.Errorf("request %s reached an upstream, but no caller sent it; want only requests that callers sent", id)
 		}
 	}
-	s.checkLimits()
+	s.checkStatements()
 	if s.served == 0 {
 		s.t.Error("no request was served, want at least one: otherwise the test checks nothing")
 	}
 }
 
-// checkLimits checks that no upstream received more than the limits allow that it stated.
-func (s *soak) checkLimits() {
-	deliveries := map[string]delivery{}
+// checkStatements checks that what upstreams stated in responses was obeyed: rate limits, leaving and
+// pauses.
+func (s *soak) checkStatements() {
+	deliveries, sentAt := map[string]delivery{}, map[string]time.Time{}
 	for id, a := range s.requests {
-		deliveries[id] = a.delivery
+		deliveries[id], sentAt[id] = a.delivery, a.sent
 	}
 	for _, w := range s.Workers() {
-		if problem := checkRateLimit(w, deliveries, s.disturbances, time.Now()); problem != "" {
-			s.t.Error(problem)
+		for _, problem := range []string{
+			checkRateLimit(w, deliveries, s.disturbances, time.Now()),
+			checkDrain(w, deliveries, sentAt, s.disturbances),
+			checkPauses(w, deliveries, s.disturbances),
+		} {
+			if problem != "" {
+				s.t.Error(problem)
+			}
 		}
 	}
 }
--- a/internal/prooftest/limits/simulation_test.go
+++ b/internal/prooftest/limits/simulation_test.go
@@ -281,7 +281,7 @@
 		s.after(workTime/2+time.Duration(s.rand.Int64N(int64(workTime))), func() {
 			statement := forward.Statement{}
 			if rate := u.rate(); rate > 0 {
-				statement.RateLimit, _ = ratelimit.Of(rate)
+				statement.RateLimit = ratelimit.Of(rate)
 			}
 			s.at(s.delay(), i, func() { s.respond(i, c, a, u, statement) })
 		})
--- a/internal/prooftest/members/leave_test.go
+++ b/internal/prooftest/members/leave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -230,3 +231,48 @@
 		t.Error("no entry sent a request for a grant to another instance, want at least one")
 	}
 }
+
+// An upstream has turned a request of an entry away and asked it for a pause. The home does not know
+// that. The entry must return a grant for it, ask for another one without it, and refuse its callers at
+// once while all upstreams of a service want a pause.
+func TestEntryKeepsPausesOfUpstreams(t *testing.T) {
+	tried := 0
+	for entry := range 3 {
+		f := newFleet()
+		n := f.instances[entry]
+		n.requests = 1 // so that the next request is a generation
+		f.submit(n, 1)
+		for try := 0; try < 200 && f.firstRequests[n.name].To == ""; try++ {
+			f.run(time.Millisecond)
+		}
+		home, request := f.firstGrantRequest(n)
+		if home == "" {
+			continue // this entry is itself the home
+		}
+		tried++
+		f.handle(n, core.UpstreamStatement{Upstream: "e1", Boot: "1", Pause: time.Minute})
+		before := f.dispatched
+		f.firstRequests = map[string]core.Send{}
+		f.handle(n, core.PeerMessage{From: home, Msg: msg.GrantResponse{
+			Pool: request.Pool, Address: "e1", Boot: "1", TTL: time.Second, Number: request.Number,
+			Decision: placement.Decision{Attempt: request.Request.Attempt, Kind: placement.Granted, Upstream: "e1"},
+		}})
+		if f.dispatched != before {
+			t.Errorf("%s sent work to e1, which had asked it for a pause; want the grant returned", n.name)
+		}
+		if _, again := f.firstGrantRequest(n); !slices.Contains(again.Request.Exclude, "e1") {
+			t.Errorf("%s requested another grant with %+v, want one that excludes e1", n.name, again.Request)
+		}
+		f.handle(n, core.UpstreamStatement{Upstream: "e2", Boot: "1", Pause: time.Minute})
+		f.firstRequests = map[string]core.Send{}
+		n.requests = 1
+		f.submit(n, 1)
+		f.run(50 * time.Millisecond)
+		if to, _ := f.firstGrantRequest(n); to != "" {
+			t.Errorf("%s requested a grant of %s while all upstreams want a pause, want the request refused", n.name, to)
+		}
+	}
+	if tried == 0 {
+		t.Error("no entry sent a request for a grant to another instance, want at least one")
+	}
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -41,6 +41,9 @@
 	// RateLimit is the rate of requests per second that the upstream states in its responses and its
 	// load report; 0 states none. It is not enforced.
 	RateLimit float64 `json:"rate_limit"`
+	// Shed is the pause in seconds that the upstream asks for while it rejects all calls with status
+	// 503; 0 accepts them.
+	Shed float64 `json:"shed"`
 }
 
 // Call is one executed call.
@@ -65,6 +68,8 @@
 	faults      Faults
 	calls       []Call
 	activeCalls int
+	// shed counts the calls rejected because of Faults.Shed.
+	shed int
 }
 
 // New returns an upstream that reports a capacity of maxCalls concurrent calls.
@@ -128,6 +133,9 @@
 	s.mu.Unlock()
 	defer s.endCall()
 	time.Sleep(delay)
+	if s.sheds(w) {
+		return
+	}
 	if s.takeRedirect() {
 		s.execute(Call{Path: r.URL.Path, Key: r.Header.Get(HeaderBooking), Body: string(body)})
 		http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect)
@@ -144,6 +152,26 @@
 	fmt.Fprintf(w, `{"worker":%q,"booking":%d}`, s.name, n)
 }
 
+// sheds rejects the call if the upstream sheds load, and reports whether it did.
+func (s *Service) sheds(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Shed <= 0 {
+		return false
+	}
+	s.shed++
+	w.Header().Set("Retry-After", strconv.FormatFloat(s.faults.Shed, 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// Shed returns the number of calls that were rejected because the upstream shed load.
+func (s *Service) Shed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shed
+}
+
 // takeRedirect reports whether the call is to be redirected, and if so reduces the number
 // of calls still to be redirected.
 func (s *Service) takeRedirect() bool {
--- a/internal/upstream/statement_test.go
+++ b/internal/upstream/statement_test.go
@@ -15,9 +15,13 @@
 	var status int
 	limit := ""
 	c, address, events := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
-		if limit == "leaving" {
+		switch limit {
+		case "leaving":
 			w.Header().Set(headerLeaving, "1")
-		} else if limit != "" {
+		case "pause":
+			w.Header().Set(headerRetryAfter, "2")
+		case "":
+		default:
 			w.Header().Set(headerRateLimit, limit)
 		}
 		w.WriteHeader(status)
@@ -30,6 +34,7 @@
 		stated     float64
 		unreadable bool
 		leaving    bool
+		pause      time.Duration
 		none       bool
 	}{
 		{name: "a call without a limit", status: 200, none: true},
@@ -39,6 +44,7 @@
 		{name: "an unreadable limit", status: 200, limit: "-1", unreadable: true},
 		{name: "the first call without it", status: 200},
 		{name: "a failed call of a leaving upstream", status: 503, limit: "leaving", leaving: true},
+		{name: "a call that is turned away", status: 503, limit: "pause", pause: 2 * time.Second},
 		{name: "the next call without it", status: 200, none: true},
 	} {
 		status, limit = step.status, step.limit
@@ -51,7 +57,7 @@
 				t.Errorf("%s: event %+v, want no statement", step.name, e)
 			}
 			continue
-		case !ok || e.Upstream != "u" || e.RateLimit.PerSecond != step.stated || e.RateLimit.Stated != (step.stated > 0) || (e.Unreadable != "") != step.unreadable || e.Leaving != step.leaving || e.Boot != "run-7":
+		case !ok || e.Upstream != "u" || e.RateLimit.PerSecond != step.stated || e.RateLimit.Stated != (step.stated > 0) || (e.Unreadable != "") != step.unreadable || e.Leaving != step.leaving || e.Pause != step.pause || e.Boot != "run-7":
 			t.Errorf("%s: event %+v, want a limit of %v", step.name, e, step.stated)
 		case e.SentAt.Before(before):
 			t.Errorf("%s: the request was sent at %v, want a time after %v", step.name, e.SentAt, before)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,7 +20,6 @@
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
-	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
 	"mulberrylug.example/mulberrylug/internal/prompt"
 )
 
@@ -37,11 +36,6 @@
 	// headerBoot carries the engine's boot id in the response to a generation request. The id
 	// identifies one run of the engine; its load report contains the same id.
 	headerBoot = "X-Engine-Boot"
-	// headerRateLimit carries, in any response, the rate of requests per second that the upstream
-	// accepts from all instances together.
-	headerRateLimit = "X-Rate-Limit"
-	// headerLeaving is "1" in the responses of an upstream that leaves.
-	headerLeaving = "X-Leaving"
 )
 
 // errGrantExpired means that the grant expired before the call could be sent.
@@ -204,29 +198,17 @@
 }
 
 // observe reports what an upstream states in the head of a response, and the first response that
-// states nothing any more.
+// states no rate limit any more.
 func (c *Client) observe(call *call, resp *http.Response) {
-	e := core.UpstreamStatement{
-		Upstream: call.d.Upstream, Boot: cmp.Or(resp.Header.Get(headerBoot), call.d.Boot), SentAt: call.sentAt, Leaving: resp.Header.Get(headerLeaving) == "1",
-	}
-	if values := resp.Header.Values(headerRateLimit); len(values) > 0 {
-		rate, err := strconv.ParseFloat(values[0], 64)
-		limit, ok := ratelimit.Of(rate)
-		switch {
-		case err != nil && !errors.Is(err, strconv.ErrRange):
-			e.Unreadable = fmt.Sprintf("decode %s: %v", headerRateLimit, err)
-		case !ok:
-			e.Unreadable = fmt.Sprintf("decode %s: %q is not a rate", headerRateLimit, values[0])
-		}
-		e.RateLimit, e.RateUnreadable = limit, e.Unreadable != ""
-	}
+	e := decodeStatement(resp)
+	e.Upstream, e.Boot, e.SentAt = call.d.Upstream, cmp.Or(resp.Header.Get(headerBoot), call.d.Boot), call.sentAt
 	c.mu.Lock()
 	wasLimited := c.limited[e.Upstream]
-	if e.Unreadable == "" {
+	if !e.RateUnreadable {
 		c.limited[e.Upstream] = e.RateLimit.Stated
 	}
 	c.mu.Unlock()
-	if wasLimited || e.RateLimit.Stated || e.Leaving || e.Unreadable != "" {
+	if wasLimited || e.RateLimit.Stated || e.Leaving || e.Pause > 0 || e.Unreadable != "" {
 		c.sink(e)
 	}
 }
