--- a/internal/prooftest/limits/simulation_test.go
+++ b/internal/prooftest/statements/simulation_test.go
@@ -1,7 +1,9 @@
-// Package limits tests the rule on rate limits with many instances in virtual time: whatever happens
-// to instances and messages, an upstream that states a limit receives from all instances together no
-// more than one and a half times the limit, and a few requests.
-package limits
+// Package statements tests with many instances in virtual time that what upstreams state in their
+// responses is obeyed, whatever happens to instances and messages: an upstream that states a rate limit
+// receives from all instances together no more than one and a half times the limit, and a few requests;
+// one that leaves gets no request that a caller sent later than two seconds after its instance was told;
+// and one that asks an instance for a pause gets at most two requests of it meanwhile.
+package statements
 
 import (
 	"cmp"
@@ -10,6 +12,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,13 +26,20 @@
 	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
-// Bounds of the rule.
+// Bounds of the rules.
 const (
 	window     = 4 * time.Second
 	grace      = 3 * time.Second
 	toldBefore = 500 * time.Millisecond
 	factor     = 1.5
 	slack      = 5
+	// drainBound is how long after an instance was told that an upstream leaves a caller's request
+	// may be sent to it that still reaches the upstream.
+	drainBound = 2 * time.Second
+	// pauseGrace is how long after an upstream asked for a pause requests may still reach it without
+	// being counted, pauseSlack the number of requests that may reach it from then on.
+	pauseGrace = 500 * time.Millisecond
+	pauseSlack = 2
 )
 
 const (
@@ -75,15 +85,26 @@
 type arrival struct {
 	at       time.Time
 	instance string
+	// sentAt is when the caller sent the request.
+	sentAt time.Time
+	// pause is the pause that the upstream asked the instance for when it turned the request away.
+	pause time.Duration
 }
 
-// upstream is a plain service that accepts every request.
+// upstream is a plain service that accepts every request unless it sheds load.
 type upstream struct {
 	entry    roster.Entry
 	steps    []step
 	arrivals []arrival
 	// told holds when each instance first received a response with the current limit.
 	told map[string]time.Time
+	// leaving is set once the upstream leaves. toldLeaving holds when each instance first received a
+	// response that says so.
+	leaving     bool
+	toldLeaving map[string]time.Time
+	// pause is the pause that the upstream asks for while it turns every request away; 0 if it does
+	// not.
+	pause time.Duration
 }
 
 func (u *upstream) rate() float64 {
@@ -149,7 +170,7 @@
 	}
 	for k := range upstreams {
 		id := fmt.Sprintf("u%d", k)
-		s.upstreams = append(s.upstreams, &upstream{told: map[string]time.Time{}, entry: roster.Entry{
+		s.upstreams = append(s.upstreams, &upstream{told: map[string]time.Time{}, toldLeaving: map[string]time.Time{}, entry: roster.Entry{
 			ID: id, Service: service, Address: id + ":80", DataCentre: "dc", Slots: 6, Born: 1,
 		}})
 	}
@@ -277,9 +298,13 @@
 func (s *simulation) send(i *instance, c *call, a *forward.Attempt) {
 	u := s.upstreams[slices.IndexFunc(s.upstreams, func(u *upstream) bool { return u.entry.ID == a.Entry.ID })]
 	s.after(s.delay(), func() {
-		u.arrivals = append(u.arrivals, arrival{at: s.now, instance: i.name})
-		s.after(workTime/2+time.Duration(s.rand.Int64N(int64(workTime))), func() {
-			statement := forward.Statement{}
+		pause, took := u.pause, workTime/2+time.Duration(s.rand.Int64N(int64(workTime)))
+		if pause > 0 {
+			took = time.Millisecond
+		}
+		u.arrivals = append(u.arrivals, arrival{at: s.now, instance: i.name, sentAt: c.sent, pause: pause})
+		s.after(took, func() {
+			statement := forward.Statement{Leaving: u.leaving, Pause: pause}
 			if rate := u.rate(); rate > 0 {
 				statement.RateLimit = ratelimit.Of(rate)
 			}
@@ -295,20 +320,32 @@
 	}
 	if change, changed := i.gate.ObserveLimit(s.now, a.Upstream, a.Sent, statement); changed {
 		s.sendMessage(i, s.homeOf(u.entry.ID), change.Report)
-		s.announce(i, change)
+		if change.Announce {
+			change.Report.Sent = 0
+			s.announce(i, change.Report)
+		}
+	}
+	if statement.Leaving {
+		if _, known := u.toldLeaving[i.name]; !known {
+			u.toldLeaving[i.name] = s.now
+		}
+		if i.gate.LearnLeaving(s.now, u.entry.Run()) {
+			s.announce(i, msg.UpstreamLeaving{Upstream: u.entry.ID, Boot: strconv.FormatInt(u.entry.Born, 10)})
+		}
+	}
+	if statement.Pause > 0 {
+		i.gate.ObservePause(s.now, a.Upstream, statement.Pause)
+		s.step(i, c, i.gate.Ended(s.now, c.Call, forward.Rejected, false))
+		return
 	}
 	s.step(i, c, i.gate.Ended(s.now, c.Call, forward.Done, true))
 }
 
-// announce sends a change to all other instances that count as alive.
-func (s *simulation) announce(i *instance, c forward.LimitChange) {
-	if !c.Announce {
-		return
-	}
-	c.Report.Sent = 0
+// announce sends a message to all other instances that count as alive.
+func (s *simulation) announce(i *instance, m msg.Message) {
 	for _, to := range s.instances {
 		if to != i && s.alive[to.name] {
-			s.sendMessage(i, to, c.Report)
+			s.sendMessage(i, to, m)
 		}
 	}
 }
@@ -351,6 +388,9 @@
 		if s.homeOf(m.Upstream) == i {
 			i.home.OnStatement(s.now, from, m)
 		}
+	case msg.UpstreamLeaving:
+		i.gate.LearnLeaving(s.now, roster.Run{ID: m.Upstream, Born: 1})
+		return
 	case msg.PermitRequest:
 		i.home.OnRequest(s.now, from, m)
 	case msg.PermitResponse:
@@ -451,9 +491,53 @@
 	return slices.ContainsFunc(i.disturbances, func(d span) bool { return d.from.Before(to) && d.to.Add(grace).After(from) })
 }
 
-// check returns a description of a violation of the rule by the requests until now to an upstream
-// that states a limit now, or "". It must be called before a limit ends.
+// check returns a description of a violation of a rule by the requests until now to an upstream, or "".
+// It must be called before a limit ends.
 func (s *simulation) check(u *upstream) string {
+	return cmp.Or(s.checkLimit(u), s.checkLeaving(u), s.checkPauses(u))
+}
+
+// checkLeaving checks that no request reached a leaving upstream that its caller sent too late.
+func (s *simulation) checkLeaving(u *upstream) string {
+	for _, a := range u.arrivals {
+		told, ok := u.toldLeaving[a.instance]
+		if ok && a.sentAt.After(told.Add(drainBound)) && !s.find(a.instance).disturbedSince(told) {
+			return fmt.Sprintf("%s received a request that was sent to %s %v after that was told that it leaves", u.entry.ID, a.instance, a.sentAt.Sub(told))
+		}
+	}
+	return ""
+}
+
+// checkPauses checks that an upstream received few requests from an instance that it had asked for a
+// pause.
+func (s *simulation) checkPauses(u *upstream) string {
+	for k, asked := range u.arrivals {
+		from, to, n := asked.at.Add(pauseGrace), asked.at.Add(asked.pause), 0
+		if asked.pause <= pauseGrace || s.find(asked.instance).excused(asked.at, to) {
+			continue
+		}
+		for _, a := range u.arrivals[k:] {
+			if a.at.After(to) {
+				break
+			}
+			if a.instance == asked.instance && a.at.After(from) {
+				n++
+			}
+		}
+		if n > pauseSlack {
+			return fmt.Sprintf("%s had asked %s for a pause of %v and received %d requests from it in that time", u.entry.ID, asked.instance, asked.pause, n)
+		}
+	}
+	return ""
+}
+
+// disturbedSince reports whether an instance was disturbed after a time.
+func (i *instance) disturbedSince(at time.Time) bool {
+	return slices.ContainsFunc(i.disturbances, func(d span) bool { return d.to.After(at) })
+}
+
+// checkLimit checks the requests to an upstream that states a limit now.
+func (s *simulation) checkLimit(u *upstream) string {
 	begun := s.episode(u)
 	if begun < 0 {
 		return ""
--- a/internal/prooftest/limits/limits_test.go
+++ b/internal/prooftest/statements/statements_test.go
@@ -1,4 +1,4 @@
-package limits
+package statements
 
 import (
 	"fmt"
@@ -13,15 +13,16 @@
 	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
-// Instances restart, freeze and lose packets, and homes of limits move, while upstreams state,
-// raise, lower and withdraw limits under bursts. No upstream may receive more than the rule allows.
-func TestPropertyRateLimitsHoldUnderFaults(t *testing.T) {
+// Instances restart, freeze and lose packets, and homes of limits move, while upstreams state, raise,
+// lower and withdraw limits, leave, and turn requests away and ask for pauses, under bursts. No rule may
+// be broken.
+func TestPropertyStatementsAreObeyedUnderFaults(t *testing.T) {
 	p := testkit.Parameters()
 	p.MinSuccessfulTests = max(p.MinSuccessfulTests/10, 10)
 	props := gopter.NewProperties(p)
-	props.Property("no upstream receives more than its limit allows", prop.ForAll(
+	props.Property("what upstreams state is obeyed", prop.ForAll(
 		func(seed uint64, instances, loss int, limited int, draws []int) string {
-			s := newSimulation(seed, instances, 3, 45)
+			s := newSimulation(seed, instances, 4, 60)
 			s.lossShare = float64(loss) / 100
 			s.runFor(2 * time.Second)
 			for _, u := range s.upstreams[:limited] {
@@ -54,7 +55,7 @@
 func (s *simulation) disturb(d int) string {
 	i := s.instances[d%len(s.instances)]
 	u := s.upstreams[d%len(s.upstreams)]
-	switch d % 8 {
+	switch d % 12 {
 	case 0:
 		s.restart(i, time.Duration(300+d%3000)*time.Millisecond)
 	case 1:
@@ -71,6 +72,18 @@
 		s.restart(s.homeOf(u.entry.ID), 2*time.Second)
 	case 6:
 		s.freeze(s.homeOf(u.entry.ID), 3*time.Second)
+	case 7:
+		if u != s.upstreams[0] { // one upstream stays
+			u.leaving = true
+		}
+	case 8, 9:
+		u.pause = time.Duration(d%5000) * time.Millisecond
+	case 10:
+		u.pause = 0
+	case 11: // all at once
+		u.pause = time.Duration(d%3000) * time.Millisecond
+		u.leaving = u != s.upstreams[0]
+		s.limit(u)
 	}
 	return ""
 }
