--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -16,10 +16,6 @@
 	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
-// permitTickInterval is the interval at which requests for permits are decided beside the times at
-// which a permit becomes free.
-const permitTickInterval = 100 * time.Millisecond
-
 // permitHome runs this instance's home of rate limits. Like the homes of pools, it decides whatever
 // it receives, whether or not this instance considers itself the home.
 type permitHome struct {
@@ -77,9 +73,9 @@
 	return true
 }
 
-// run decides queued requests when a permit becomes free.
+// run decides queued requests when a permit becomes free. It sleeps while none is queued.
 func (p *permitHome) run(ctx context.Context) error {
-	timer := time.NewTimer(permitTickInterval)
+	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
 		select {
@@ -93,15 +89,19 @@
 	}
 }
 
+// idlePause is the time until the next decision while no request is queued: the end of the state of
+// upstreams that nobody sends to.
+const idlePause = time.Minute
+
 // pause returns the time until the next decision.
 func (p *permitHome) pause() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := p.home.NextAt()
 	if next.IsZero() {
-		return permitTickInterval
+		return idlePause
 	}
-	return min(max(next.Sub(boottime.Now()), 0), permitTickInterval)
+	return max(next.Sub(boottime.Now()), 0)
 }
 
 // requestPermit requests a permit from the home of the limit of the call's next upstream, and
