--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,7 +13,7 @@
 //     the table.
 //   - Roles for other instances: poolhome.go and orghome.go are the homes of pools and
 //     organisations. guard.go, verdict.go and strikes.go stop requests that crash
-//     upstreams, avoid.go avoids upstreams that fail every request, limits.go, leaves.go and
+//     upstreams, avoid.go avoids upstreams that fail every request, limits.go, leaving.go and
 //     pauses.go obey what upstreams state in responses, orphans.go cancels generations that no entry follows,
 //     orders.go sends upstreams their orders.
 //   - The instance itself: configsync.go, configpoll.go and configadopt.go keep the
@@ -78,9 +78,9 @@
 	tableHealth tableHealth
 	writeBacks  writeBacks
 	sweep       sweeper
-	// leavingUpstreams holds the runs of upstreams that have told this instance that they leave.
-	leavingUpstreams leavingUpstreams
-	pauses           upstreamPauses
+	// leavingRuns holds the runs of upstreams that have told this instance that they leave.
+	leavingRuns leavingRuns
+	pauses      upstreamPauses
 	// budgetsChecked is the time of the last check of the budget accounts.
 	budgetsChecked time.Time
 
@@ -103,7 +103,7 @@
 		orgs:     budget.NewHome(o.Self.Name + "-" + o.Boot),
 		suspects: suspect.NewList(strikeTTL),
 
-		leavingUpstreams: leavingUpstreams{}, pauses: upstreamPauses{},
+		leavingRuns: leavingRuns{}, pauses: upstreamPauses{},
 	}
 }
 
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -7,7 +7,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/membership"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
-	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
+	"mulberrylug.example/mulberrylug/internal/core/statement"
 	"mulberrylug.example/mulberrylug/internal/core/table"
 )
 
@@ -117,23 +117,15 @@
 }
 
 // UpstreamStatement is what an upstream stated about itself in the head of a response to an attempt.
-// It is sent for a response that states something and for the first one that no longer does.
+// It is sent for a response that states something and for the first one that states no rate limit
+// any more.
 type UpstreamStatement struct {
 	Upstream string
-	// Boot identifies the run of the upstream's process, "" if the response did not state it.
+	// Boot identifies the run of the upstream's process, "" if it is not known.
 	Boot string
 	// SentAt is the time at which the request was sent.
-	SentAt    time.Time
-	RateLimit ratelimit.Limit
-	// RateUnreadable is set if the rate limit could not be decoded. The last one then holds on.
-	RateUnreadable bool
-	// Leaving is set if the upstream stated that it leaves.
-	Leaving bool
-	// Pause is the time for which an upstream that turned the request away wants no new work from
-	// this instance; 0 if it does not ask for that.
-	Pause time.Duration
-	// Unreadable holds the errors of the fields that could not be decoded, for the log.
-	Unreadable string
+	SentAt time.Time
+	statement.Statement
 }
 
 // UpstreamReport is the load report of an upstream, the result of a Poll.
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -5,8 +5,10 @@
 // Each file covers one topic: admit.go accepts requests, choose.go selects the upstream,
 // cordon.go, cold.go and region.go restrict the choice, home.go handles grants of pool homes,
 // retry.go decides what follows a failed attempt, budget.go limits retries, load.go tracks the
-// load and health.go the failures of upstreams, limit.go tracks the rate limits that they state,
-// and silence.go diagnoses silent streams.
+// load and health.go the failures of upstreams, and silence.go diagnoses silent streams.
+// What upstreams state about themselves in responses is obeyed in limit.go, which tracks their rate
+// limits, permit.go, which keeps them, and leaving.go and pause.go, which keep work away from
+// upstreams that leave or want a pause.
 package forward
 
 import (
--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -9,11 +9,12 @@
 	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/statement"
 )
 
 // limit returns the statement of a rate limit.
-func limit(perSecond float64) Statement {
-	return Statement{RateLimit: ratelimit.Limit{Stated: true, PerSecond: perSecond}}
+func limit(perSecond float64) statement.Statement {
+	return statement.Statement{RateLimit: ratelimit.Limit{Stated: true, PerSecond: perSecond}}
 }
 
 // limitAll makes every upstream of the gate state a limit.
@@ -94,17 +95,17 @@
 		t.Fatalf("change %+v, want the begin of a limit", c)
 	}
 	for name, sentAt := range map[string]time.Time{"an earlier request": at(50), "an unknown request": {}} {
-		if _, changed := g.ObserveLimit(at(110), u, sentAt, Statement{}); changed {
+		if _, changed := g.ObserveLimit(at(110), u, sentAt, statement.Statement{}); changed {
 			t.Errorf("the limit ended with a response to %s, want it to hold", name)
 		}
 	}
-	if _, changed := g.ObserveLimit(at(120), u, at(110), Statement{RateUnreadable: true}); changed {
+	if _, changed := g.ObserveLimit(at(120), u, at(110), statement.Statement{RateUnreadable: true}); changed {
 		t.Error("the limit changed with a response that cannot be read, want it to hold")
 	}
 	if c, changed := g.ObserveLimit(at(130), u, at(110), limit(2)); !changed || c.To.PerSecond != 2 {
 		t.Errorf("change %+v, want the lower limit", c)
 	}
-	if c, changed := g.ObserveLimit(at(200), u, at(140), Statement{}); !changed || c.To.Stated || c.Report.Age != 60*time.Millisecond {
+	if c, changed := g.ObserveLimit(at(200), u, at(140), statement.Statement{}); !changed || c.To.Stated || c.Report.Age != 60*time.Millisecond {
 		t.Errorf("change %+v, want the end of the limit as of the request", c)
 	}
 	if _, changed := g.LearnLimit(at(210), msg.RateStatement{Upstream: "u0", Boot: "0", Stated: true, PerSecond: 2, Age: 80 * time.Millisecond}); !changed {
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -19,6 +19,9 @@
 	// attemptTimeShare is the fraction of the remaining time after which an idempotent call is
 	// retried at another upstream.
 	attemptTimeShare = 0.4
+	// maxAvoidances is the maximum number of chosen upstreams that do not take a call, for lack of a
+	// permit or because they have asked for a pause, before the call is refused.
+	maxAvoidances = 3
 	// busyRetryAfter is the Retry-After if the pool is full or no upstream can take the call.
 	busyRetryAfter = 500 * time.Millisecond
 )
@@ -191,6 +194,21 @@
 	return g.failAttempt(now, c, c.lastOutcome, s.Why, c.headerDelivered)
 }
 
+// avoid returns the next step of a call that a chosen upstream does not take, for a reason: it is sent
+// elsewhere, or refused after maxAvoidances.
+func (g *Gate) avoid(now time.Time, c *Call, u *roster.Upstream, why Reason, retryAfter time.Duration) Step {
+	c.avoidances++
+	switch {
+	case c.avoidances >= maxAvoidances:
+		return g.orFailAttempt(now, c, g.refuse(c, why, retryAfter))
+	case g.placedByHome(c):
+		c.avoided = append(c.avoided, u.ID)
+		c.grantRetries++
+		return Step{RequestGrant: true, Why: why}
+	}
+	return g.orFailAttempt(now, c, g.nextStep(now, c))
+}
+
 // failAttempt ends a call after a failed attempt. The error response of an upstream is forwarded.
 func (g *Gate) failAttempt(now time.Time, c *Call, o Outcome, why Reason, headerDelivered bool) Step {
 	if o == Failed && !headerDelivered {
--- a/internal/core/leaves.go
+++ b/internal/core/leaving.go
@@ -6,21 +6,21 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
-// leavingUpstreams holds, by upstream, the boot of the run that has stated in a response that it
+// leavingRuns holds, by upstream, the boot of the run that has stated in a response that it
 // leaves. Load reports and the instance list may show that later. A run that leaves does not come
 // back; another run has another boot.
-type leavingUpstreams map[string]string
+type leavingRuns map[string]string
 
 // has reports whether a run of an upstream has stated that it leaves.
-func (l leavingUpstreams) has(name, boot string) bool { return boot != "" && l[name] == boot }
+func (l leavingRuns) has(name, boot string) bool { return boot != "" && l[name] == boot }
 
-// onUpstreamLeaves records that an upstream stated in a response that it leaves, and notifies the home
+// onLeavingStatement records that an upstream stated in a response that it leaves, and notifies the home
 // of its pool, which grants no more work there.
-func (i *Instance) onUpstreamLeaves(e UpstreamStatement, home string) {
-	if e.Boot == "" || i.leavingUpstreams.has(e.Upstream, e.Boot) {
+func (i *Instance) onLeavingStatement(e UpstreamStatement, home string) {
+	if e.Boot == "" || i.leavingRuns.has(e.Upstream, e.Boot) {
 		return
 	}
-	i.leavingUpstreams[e.Upstream] = e.Boot
+	i.leavingRuns[e.Upstream] = e.Boot
 	i.count("upstream_statements_total", "upstream_leaving")
 	i.emit(Log{Event: "upstream_leaving", Pairs: []any{"upstream", e.Upstream, "boot", e.Boot, "source", "response"}})
 	if home != "" {
@@ -31,10 +31,10 @@
 // onUpstreamLeaving stops grants for an upstream of which an entry was told that it leaves.
 func (i *Instance) onUpstreamLeaving(now time.Time, m msg.UpstreamLeaving) {
 	h := i.homeOf(m.Upstream)
-	if h == nil || m.Boot != h.boots[m.Upstream] || h.stopping.has(m.Upstream, m.Boot) {
+	if h == nil || m.Boot != h.boots[m.Upstream] || h.leavingRuns.has(m.Upstream, m.Boot) {
 		return
 	}
-	h.stopping[m.Upstream] = m.Boot
+	h.leavingRuns[m.Upstream] = m.Boot
 	i.sendDecisions(now, h, h.home.MarkLeaving(now, m.Upstream))
 }
 
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -32,9 +32,9 @@
 
 // onStatement passes what an upstream stated to an attempt on to the home of its pool.
 func (i *Instance) onStatement(now time.Time, e UpstreamStatement) {
-	if e.Unreadable != "" {
+	if e.Unreadable != nil {
 		i.count("upstream_statements_total", "unreadable")
-		i.emit(Log{Event: "upstream_statement_unreadable", Pairs: []any{"upstream", e.Upstream, "error", e.Unreadable}})
+		i.emit(Log{Event: "upstream_statement_unreadable", Pairs: []any{"upstream", e.Upstream, "error", e.Unreadable.Error()}})
 	}
 	if e.Pause > 0 {
 		i.onUpstreamPaused(now, e)
@@ -44,7 +44,7 @@
 	}
 	home := i.poolHomeName(now, i.version.Pool(i.version.PoolOf(e.Upstream)))
 	if e.Leaving {
-		i.onUpstreamLeaves(e, home)
+		i.onLeavingStatement(e, home)
 	}
 	if e.RateUnreadable || home == "" {
 		return
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -176,7 +176,7 @@
 		i.returnCordonedGrant(now, r, m)
 		return
 	}
-	if i.leavingUpstreams.has(m.Decision.Upstream, m.Boot) {
+	if i.leavingRuns.has(m.Decision.Upstream, m.Boot) {
 		i.returnLeavingGrant(now, r, m)
 		return
 	}
--- a/internal/core/poolhome.go
+++ b/internal/core/poolhome.go
@@ -40,11 +40,11 @@
 	// said that it is leaving.
 	leaving map[string]bool
 	limits  upstreamLimits
-	// stopping holds the runs of upstreams of which an entry was told that they leave.
-	stopping leavingUpstreams
-	guard    crashGuard
-	failures upstreamFailures
-	orphans  orphans
+	// leavingRuns holds the runs of upstreams of which an entry was told that they leave.
+	leavingRuns leavingRuns
+	guard       crashGuard
+	failures    upstreamFailures
+	orphans     orphans
 }
 
 // requester is an entry and the number of its last grant request for an attempt.
@@ -62,7 +62,7 @@
 		p := i.version.Pool(name)
 		h = &poolHome{
 			pool: name, createdAt: now, entries: map[string]requester{}, boots: map[string]string{},
-			orders: map[string]*order.Machine{}, crashedBoots: map[string]string{}, leaving: map[string]bool{}, limits: upstreamLimits{}, stopping: leavingUpstreams{},
+			orders: map[string]*order.Machine{}, crashedBoots: map[string]string{}, leaving: map[string]bool{}, limits: upstreamLimits{}, leavingRuns: leavingRuns{},
 			guard: newCrashGuard(), failures: upstreamFailures{}, orphans: newOrphans(),
 			version: i.version.Number, home: placement.NewHome(i.placementSettings(p)),
 		}
@@ -217,7 +217,7 @@
 	if m, ok := i.view.Member(name); ok && m.State == membership.Leaving {
 		e.Report.Leaving = true
 	}
-	if h.stopping.has(name, e.Report.Boot) {
+	if h.leavingRuns.has(name, e.Report.Boot) {
 		e.Report.Leaving = true
 	}
 	h.leaving[name] = e.Report.Leaving
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -11,6 +11,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/statement"
 )
 
 // ErrChangesExpired reports that the store no longer holds the requested changes, so that the full
@@ -114,7 +115,7 @@
 	DecodeResponse(resp *http.Response, requestID string) Response
 	// DecodeStatement decodes what the upstream states about itself in the head of any response,
 	// also one to a call of this system.
-	DecodeStatement(resp *http.Response) forward.Statement
+	DecodeStatement(resp *http.Response) statement.Statement
 	// CopyHeaders copies the headers of a response that are meant for the caller. The signature is
 	// copied only if signed is set; it must be unset if the status is not the upstream's.
 	CopyHeaders(to, from http.Header, signed bool)
--- a/internal/hosted/statement.go
+++ b/internal/hosted/statement.go
@@ -19,29 +19,29 @@
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	statement := s.wire.DecodeStatement(resp)
+	stated := s.wire.DecodeStatement(resp)
 	var from roster.Entry
 	var change forward.LimitChange
 	changed, leaves := false, false
 	paused := 0
 	s.decide(func(now time.Time, g *forward.Gate) {
 		from = u.Entry
-		change, changed = g.ObserveLimit(now, u, sentAt, statement)
-		if statement.Pause > 0 {
-			paused = g.ObservePause(now, u, statement.Pause)
+		change, changed = g.ObserveLimit(now, u, sentAt, stated)
+		if stated.Pause > 0 {
+			paused = g.ObservePause(now, u, stated.Pause)
 		}
-		leaves = statement.Leaving && g.LearnLeaving(now, u.Run())
+		leaves = stated.Leaving && g.LearnLeaving(now, u.Run())
 	})
-	if statement.Unreadable != nil {
+	if stated.Unreadable != nil {
 		s.metrics.Count("upstream_statements_total", "unreadable")
-		s.log.Warn("upstream_statement_unreadable", "upstream", from.ID, "error", statement.Unreadable)
+		s.log.Warn("upstream_statement_unreadable", "upstream", from.ID, "error", stated.Unreadable)
 	}
 	if changed {
 		s.reportLimit(change)
 	}
-	if statement.Pause > 0 {
+	if stated.Pause > 0 {
 		s.metrics.Count("upstream_statements_total", "upstream_paused")
-		s.log.Info("upstream_paused", "upstream", from.ID, "service", from.Service, "born", from.Born, "for", statement.Pause, "sent_in_pause", paused)
+		s.log.Info("upstream_paused", "upstream", from.ID, "service", from.Service, "born", from.Born, "for", stated.Pause, "sent_in_pause", paused)
 	}
 	if leaves {
 		s.homes.announce(msg.UpstreamLeaving{Upstream: from.ID, Boot: strconv.FormatInt(from.Born, 10)})
--- a/internal/proctest/hosted_limit_test.go
+++ b/internal/proctest/hosted_limit_test.go
@@ -83,6 +83,16 @@
 	return float64(served) / float64(max(sent, 1))
 }
 
+// checkLimits checks that no upstream received more than its limit allows.
+func (l *steadyLoad) checkLimits(t *testing.T, upstreams []*hosting.Worker) {
+	t.Helper()
+	for _, w := range upstreams {
+		if problem := checkRateLimit(w, l.deliveries, nil, time.Now()); problem != "" {
+			t.Error(problem)
+		}
+	}
+}
+
 // Upstreams that state a rate limit must not receive more than it allows from all instances
 // together, while another upstream has room for the rest.
 func TestHostedRateLimitHoldsForAllInstancesTogether(t *testing.T) {
@@ -95,11 +105,7 @@
 	f.desk[1].SetLimit(4.6)
 	l.run(7 * time.Second)
 	l.open.Wait()
-	for _, w := range f.desk[:2] {
-		if problem := checkRateLimit(w, l.deliveries, nil, time.Now()); problem != "" {
-			t.Error(problem)
-		}
-	}
+	l.checkLimits(t, f.desk[:2])
 	if served := l.servedSince(limitedAt); served < 0.95 {
 		t.Errorf("%.0f%% of the requests were served, want at least 95%%: the third upstream has room for them", 100*served)
 	}
@@ -118,11 +124,7 @@
 	}
 	l.run(9 * time.Second)
 	l.open.Wait()
-	for _, w := range f.pool {
-		if problem := checkRateLimit(w, l.deliveries, nil, time.Now()); problem != "" {
-			t.Error(problem)
-		}
-	}
+	l.checkLimits(t, f.pool)
 	if served := l.servedSince(limitedAt); served < 0.25 {
 		t.Errorf("%.0f%% of the requests were served, want at least 25%%: the limits allow half of them", 100*served)
 	}
@@ -148,11 +150,7 @@
 	}
 	l.run(8 * time.Second)
 	l.open.Wait()
-	for _, w := range f.desk {
-		if problem := checkRateLimit(w, l.deliveries, nil, time.Now()); problem != "" {
-			t.Error(problem)
-		}
-	}
+	l.checkLimits(t, f.desk)
 	refused, waits := 0, map[string]int{}
 	for id, d := range l.deliveries {
 		if d.result.status != http.StatusServiceUnavailable {
--- a/internal/prooftest/members/leave_test.go
+++ b/internal/prooftest/members/leave_test.go
@@ -13,6 +13,7 @@
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/statement"
 	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
@@ -200,29 +201,42 @@
 	}
 }
 
+// waitingEntry starts a fleet in which an entry has requested a grant of another instance. It returns the
+// entry, and a function that gives it a grant for e1 in response. It returns no entry if that instance is
+// the home itself.
+func waitingEntry(entry int) (f *fleet, n *fleetInstance, grant func()) {
+	f = newFleet()
+	n = f.instances[entry]
+	n.requests = 1 // so that the next request is a generation
+	f.submit(n, 1)
+	for try := 0; try < 200 && f.firstRequests[n.name].To == ""; try++ {
+		f.run(time.Millisecond)
+	}
+	home, request := f.firstGrantRequest(n)
+	if home == "" {
+		return f, nil, nil
+	}
+	return f, n, func() {
+		f.handle(n, core.PeerMessage{From: home, Msg: msg.GrantResponse{
+			Pool: request.Pool, Address: "e1", Boot: "1", TTL: time.Second, Number: request.Number,
+			Decision: placement.Decision{Attempt: request.Request.Attempt, Kind: placement.Granted, Upstream: "e1"},
+		}})
+	}
+}
+
 // An entry was told by an upstream that it leaves, and gets a grant for it of a home that does not
 // know that. It must return the grant.
 func TestPromise5EntryReturnsAGrantForALeavingUpstream(t *testing.T) {
 	tried := 0
 	for entry := range 3 {
-		f := newFleet()
-		n := f.instances[entry]
-		n.requests = 1 // so that the next request is a generation
-		f.submit(n, 1)
-		for try := 0; try < 200 && f.firstRequests[n.name].To == ""; try++ {
-			f.run(time.Millisecond)
-		}
-		home, request := f.firstGrantRequest(n)
-		if home == "" {
-			continue // this entry is itself the home
+		f, n, grant := waitingEntry(entry)
+		if n == nil {
+			continue
 		}
 		tried++
-		f.handle(n, core.UpstreamStatement{Upstream: "e1", Boot: "1", Leaving: true})
+		f.handle(n, core.UpstreamStatement{Upstream: "e1", Boot: "1", Statement: statement.Statement{Leaving: true}})
 		before := f.dispatched
-		f.handle(n, core.PeerMessage{From: home, Msg: msg.GrantResponse{
-			Pool: request.Pool, Address: "e1", Boot: "1", TTL: time.Second, Number: request.Number,
-			Decision: placement.Decision{Attempt: request.Request.Attempt, Kind: placement.Granted, Upstream: "e1"},
-		}})
+		grant()
 		if f.dispatched != before {
 			t.Errorf("%s sent work to e1 after e1 had told it that it leaves, want the grant returned", n.name)
 		}
@@ -233,37 +247,27 @@
 }
 
 // An upstream has turned a request of an entry away and asked it for a pause. The home does not know
-// that. The entry must return a grant for it, ask for another one without it, and refuse its callers at
+// that. The entry must return a grant for it, request another one without it, and refuse its callers at
 // once while all upstreams of a service want a pause.
 func TestEntryKeepsPausesOfUpstreams(t *testing.T) {
 	tried := 0
 	for entry := range 3 {
-		f := newFleet()
-		n := f.instances[entry]
-		n.requests = 1 // so that the next request is a generation
-		f.submit(n, 1)
-		for try := 0; try < 200 && f.firstRequests[n.name].To == ""; try++ {
-			f.run(time.Millisecond)
-		}
-		home, request := f.firstGrantRequest(n)
-		if home == "" {
-			continue // this entry is itself the home
+		f, n, grant := waitingEntry(entry)
+		if n == nil {
+			continue
 		}
 		tried++
-		f.handle(n, core.UpstreamStatement{Upstream: "e1", Boot: "1", Pause: time.Minute})
+		f.handle(n, core.UpstreamStatement{Upstream: "e1", Boot: "1", Statement: statement.Statement{Pause: time.Minute}})
 		before := f.dispatched
 		f.firstRequests = map[string]core.Send{}
-		f.handle(n, core.PeerMessage{From: home, Msg: msg.GrantResponse{
-			Pool: request.Pool, Address: "e1", Boot: "1", TTL: time.Second, Number: request.Number,
-			Decision: placement.Decision{Attempt: request.Request.Attempt, Kind: placement.Granted, Upstream: "e1"},
-		}})
+		grant()
 		if f.dispatched != before {
 			t.Errorf("%s sent work to e1, which had asked it for a pause; want the grant returned", n.name)
 		}
 		if _, again := f.firstGrantRequest(n); !slices.Contains(again.Request.Exclude, "e1") {
 			t.Errorf("%s requested another grant with %+v, want one that excludes e1", n.name, again.Request)
 		}
-		f.handle(n, core.UpstreamStatement{Upstream: "e2", Boot: "1", Pause: time.Minute})
+		f.handle(n, core.UpstreamStatement{Upstream: "e2", Boot: "1", Statement: statement.Statement{Pause: time.Minute}})
 		f.firstRequests = map[string]core.Send{}
 		n.requests = 1
 		f.submit(n, 1)
--- a/internal/prooftest/statements/simulation_test.go
+++ b/internal/prooftest/statements/simulation_test.go
@@ -24,6 +24,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/statement"
 )
 
 // Bounds of the rules.
@@ -304,28 +305,28 @@
 		}
 		u.arrivals = append(u.arrivals, arrival{at: s.now, instance: i.name, sentAt: c.sent, pause: pause})
 		s.after(took, func() {
-			statement := forward.Statement{Leaving: u.leaving, Pause: pause}
+			stated := statement.Statement{Leaving: u.leaving, Pause: pause}
 			if rate := u.rate(); rate > 0 {
-				statement.RateLimit = ratelimit.Of(rate)
+				stated.RateLimit = ratelimit.Of(rate)
 			}
-			s.at(s.delay(), i, func() { s.respond(i, c, a, u, statement) })
+			s.at(s.delay(), i, func() { s.respond(i, c, a, u, stated) })
 		})
 	})
 }
 
 // respond processes a response at the instance that sent the request.
-func (s *simulation) respond(i *instance, c *call, a *forward.Attempt, u *upstream, statement forward.Statement) {
-	if _, known := u.told[i.name]; statement.RateLimit.Stated && !known {
+func (s *simulation) respond(i *instance, c *call, a *forward.Attempt, u *upstream, stated statement.Statement) {
+	if _, known := u.told[i.name]; stated.RateLimit.Stated && !known {
 		u.told[i.name] = s.now
 	}
-	if change, changed := i.gate.ObserveLimit(s.now, a.Upstream, a.Sent, statement); changed {
+	if change, changed := i.gate.ObserveLimit(s.now, a.Upstream, a.Sent, stated); changed {
 		s.sendMessage(i, s.homeOf(u.entry.ID), change.Report)
 		if change.Announce {
 			change.Report.Sent = 0
 			s.announce(i, change.Report)
 		}
 	}
-	if statement.Leaving {
+	if stated.Leaving {
 		if _, known := u.toldLeaving[i.name]; !known {
 			u.toldLeaving[i.name] = s.now
 		}
@@ -333,8 +334,8 @@
 			s.announce(i, msg.UpstreamLeaving{Upstream: u.entry.ID, Boot: strconv.FormatInt(u.entry.Born, 10)})
 		}
 	}
-	if statement.Pause > 0 {
-		i.gate.ObservePause(s.now, a.Upstream, statement.Pause)
+	if stated.Pause > 0 {
+		i.gate.ObservePause(s.now, a.Upstream, stated.Pause)
 		s.step(i, c, i.gate.Ended(s.now, c.Call, forward.Rejected, false))
 		return
 	}
--- a/internal/upstream/statement.go
+++ b/internal/upstream/statement.go
@@ -1,13 +1,14 @@
 package upstream
 
 import (
-	"errors"
 	"net/http"
 
-	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/statement"
 )
 
+// statementNames are the names of the headers in which upstreams state something about themselves.
+var statementNames = statement.Names{RateLimit: headerRateLimit, Leaving: headerLeaving, Pause: headerRetryAfter}
+
 // Headers in which an upstream states something about itself.
 const (
 	// headerRateLimit carries, in any response, the rate of requests per second that the upstream
@@ -21,20 +22,7 @@
 )
 
 // decodeStatement decodes what an upstream states about itself in the head of a response.
-func decodeStatement(resp *http.Response) (e core.UpstreamStatement) {
-	var limitErr, leavingErr, pauseErr error
-	h := resp.Header
-	if len(h.Values(headerRateLimit)) > 0 {
-		e.RateLimit, limitErr = statement.RateLimit(h.Get(headerRateLimit))
-		e.RateUnreadable = limitErr != nil
-	}
-	e.Leaving, leavingErr = statement.Leaving(h.Get(headerLeaving))
-	rejects := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-	if rejects && len(h.Values(headerRetryAfter)) > 0 {
-		e.Pause, pauseErr = statement.Pause(h.Get(headerRetryAfter))
-	}
-	if err := errors.Join(limitErr, leavingErr, pauseErr); err != nil {
-		e.Unreadable = err.Error()
-	}
-	return e
+func decodeStatement(resp *http.Response) statement.Statement {
+	rejected := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	return statementNames.Decode(resp.Header, rejected)
 }
--- a/internal/upstream/statement_test.go
+++ b/internal/upstream/statement_test.go
@@ -57,7 +57,7 @@
 				t.Errorf("%s: event %+v, want no statement", step.name, e)
 			}
 			continue
-		case !ok || e.Upstream != "u" || e.RateLimit.PerSecond != step.stated || e.RateLimit.Stated != (step.stated > 0) || (e.Unreadable != "") != step.unreadable || e.Leaving != step.leaving || e.Pause != step.pause || e.Boot != "run-7":
+		case !ok || e.Upstream != "u" || e.RateLimit.PerSecond != step.stated || e.RateLimit.Stated != (step.stated > 0) || (e.Unreadable != nil) != step.unreadable || e.Leaving != step.leaving || e.Pause != step.pause || e.Boot != "run-7":
 			t.Errorf("%s: event %+v, want a limit of %v", step.name, e, step.stated)
 		case e.SentAt.Before(before):
 			t.Errorf("%s: the request was sent at %v, want a time after %v", step.name, e.SentAt, before)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -200,15 +200,16 @@
 // observe reports what an upstream states in the head of a response, and the first response that
 // states no rate limit any more.
 func (c *Client) observe(call *call, resp *http.Response) {
-	e := decodeStatement(resp)
-	e.Upstream, e.Boot, e.SentAt = call.d.Upstream, cmp.Or(resp.Header.Get(headerBoot), call.d.Boot), call.sentAt
+	e := core.UpstreamStatement{
+		Upstream: call.d.Upstream, Boot: cmp.Or(resp.Header.Get(headerBoot), call.d.Boot), SentAt: call.sentAt, Statement: decodeStatement(resp),
+	}
 	c.mu.Lock()
 	wasLimited := c.limited[e.Upstream]
 	if !e.RateUnreadable {
 		c.limited[e.Upstream] = e.RateLimit.Stated
 	}
 	c.mu.Unlock()
-	if wasLimited || e.RateLimit.Stated || e.Leaving || e.Pause > 0 || e.Unreadable != "" {
+	if wasLimited || e.RateLimit.Stated || e.Leaving || e.Pause > 0 || e.Unreadable != nil {
 		c.sink(e)
 	}
 }
