hosted: an instance that starts learns what upstreams have stated

An instance knew of a rate limit or a leave only from an announcement, or from a response of its own. One that starts after the announcement has neither: at a roll-out every new instance would send to a limited upstream until its first response, which may take a generation's time to begin. The rule excuses the instance; the upstream pays. Those that it asks for the members now tell it what they know, once for each of its runs, and only instances whose release understands it.

--- a/internal/core/forward/limit.go
+++ b/internal/core/forward/limit.go
@@ -171,6 +171,19 @@
 	return out
 }
 
+// Statements returns what upstreams have stated and still holds, for an instance that starts: before
+// its first response of each upstream it would otherwise send to them as if they stated nothing.
+func (g *Gate) Statements(now time.Time) []msg.Message {
+	var out []msg.Message
+	for run, l := range g.limits {
+		out = append(out, rateStatement(now, run, l.limit, l.heardAt))
+	}
+	for _, run := range g.roster.Left() {
+		out = append(out, msg.UpstreamLeaving{Upstream: run.ID, Boot: strconv.FormatInt(run.Born, 10)})
+	}
+	return out
+}
+
 // RateLimit returns the rate limit of a run of an upstream.
 func (g *Gate) RateLimit(run roster.Run) ratelimit.Limit {
 	if l := g.limits[run]; l != nil {
--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -222,3 +222,27 @@
 		t.Errorf("next step %+v after the grant expired, want another grant", s)
 	}
 }
+
+// An instance that starts must keep what the others know, before its own first response.
+func TestStatementsAreHandedOnToAnotherInstance(t *testing.T) {
+	from, to := gate(t, 3), gate(t, 3)
+	from.ObserveLimit(start, from.roster.Find("u0"), start, limit(4.3))
+	from.LearnLeaving(start, from.roster.Find("u1").Run())
+	for _, m := range from.Statements(start) {
+		switch m := m.(type) {
+		case msg.RateStatement:
+			to.LearnLimit(start, m)
+		case msg.UpstreamLeaving:
+			to.LearnLeaving(start, from.roster.Find(m.Upstream).Run())
+		}
+	}
+	if got := to.RateLimit(to.roster.Find("u0").Run()); got.PerSecond != 4.3 {
+		t.Errorf("limit %+v, want 4.3 a second", got)
+	}
+	if u := to.roster.Find("u1"); u.LeavingSince.IsZero() {
+		t.Error("the leaving upstream is not known to leave")
+	}
+	if s := to.Start(start, admit(t, to, request("/once/1"))); s.Send == nil || s.Send.Entry.ID != "u2" {
+		t.Errorf("next step %+v, want the request sent to the upstream that states nothing", s)
+	}
+}
--- a/internal/core/roster/leaving.go
+++ b/internal/core/roster/leaving.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // leftTTL is how long it is kept that a run of an upstream leaves after its entry was removed. An
 // entry that expired can return, also in an older form, until its upstream has stopped.
@@ -38,6 +42,9 @@
 // LeftAt returns when a run was first known to leave; zero if it is not.
 func (r *Roster) LeftAt(run Run) time.Time { return r.leftAt[run] }
 
+// Left lists the runs that are known to leave.
+func (r *Roster) Left() []Run { return slices.Collect(maps.Keys(r.leftAt)) }
+
 // dropLeft drops the runs that left long ago and are not listed.
 func (r *Roster) dropLeft(now time.Time) {
 	for run, at := range r.leftAt {
--- a/internal/hosted/fleet.go
+++ b/internal/hosted/fleet.go
@@ -32,6 +32,9 @@
 	// must be notified of the running generations immediately.
 	onPeerLost func()
 
+	// statements returns what upstreams have stated, for an instance that starts.
+	statements func() []msg.Message
+
 	// seeds are the addresses of instances that a starting one asks for members; seedAddress is
 	// this instance's own address among them, or "".
 	seeds       []string
@@ -43,11 +46,13 @@
 	joinDone chan struct{}
 	joinOnce sync.Once
 
-	// mu guards fleet, which is the view of the instances, and heartbeatsSentAt, which holds the
-	// time of the last regular heartbeats to each data centre.
+	// mu guards the rest: fleet is the view of the instances, heartbeatsSentAt the time of the last
+	// regular heartbeats to each data centre, and informed holds, by name, the boot of the
+	// instances that this one has told what upstreams had stated when they started.
 	mu               sync.Mutex
 	fleet            *fleet.Fleet
 	heartbeatsSentAt map[string]time.Time
+	informed         map[string]string
 }
 
 // with runs a function on the view while holding the lock.
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -46,6 +46,7 @@
 	return &peers{
 		store: store, transport: transport, metrics: metrics.NewMetrics(), log: hclog.NewNullLogger(), onPeerLost: func() {},
 		state: func() (bool, bool, bool) { return true, false, true }, fleet: fleet.New(boottime.Now(), self, nil, 0), heartbeatsSentAt: map[string]time.Time{}, joinDone: make(chan struct{}), joinResponses: make(chan msg.JoinResponse, 1),
+		statements: func() []msg.Message { return nil }, informed: map[string]string{},
 	}
 }
 
@@ -93,3 +94,58 @@
 		}
 	}
 }
+
+// An instance that starts has received no response yet: without the statements of the others it would
+// send to rate-limited and leaving upstreams as if they were not. It must get them once in each of
+// its runs, and an earlier release, which closes the connection on such messages, never.
+func TestAStartingInstanceLearnsWhatUpstreamsHaveStated(t *testing.T) {
+	received := make(chan msg.Message, 16)
+	joiner, err := peer.Listen("127.0.0.1:0", "joiner", func(_ string, m msg.Message) { received <- m }, hclog.NewNullLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newTestPeers(t, &memberStore{})
+	for _, transport := range []*peer.Transport{f.transport, joiner} {
+		go func() {
+			if err := transport.Serve(t.Context()); t.Context().Err() == nil {
+				t.Error(err)
+			}
+		}()
+	}
+	f.statements = func() []msg.Message {
+		return []msg.Message{msg.RateStatement{Upstream: "limited", Boot: "1", Stated: true, PerSecond: 2}, msg.UpstreamLeaving{Upstream: "leaving", Boot: "1"}}
+	}
+	asks := func(boot string, class uint8) (statements int) {
+		sender := testRow("joiner").Heartbeat
+		sender.PeerAddress, sender.Boot, sender.Class = joiner.Address(), boot, class
+		f.onJoinRequest(msg.JoinRequest{Sender: sender})
+		f.send(sender, msg.Leaving{}) // the last message
+		for {
+			select {
+			case m := <-received:
+				switch m.(type) {
+				case msg.RateStatement, msg.UpstreamLeaving:
+					statements++
+				case msg.Leaving:
+					return statements
+				}
+			case <-time.After(5 * time.Second):
+				t.Fatal("the messages have not arrived")
+			}
+		}
+	}
+	for _, c := range []struct {
+		name, boot string
+		class      uint8
+		want       int
+	}{
+		{"starts", "a", msg.ClassWithLimits(0), 2},
+		{"asks again", "a", msg.ClassWithLimits(0), 0},
+		{"restarts", "b", msg.ClassWithLimits(0), 2},
+		{"restarts with an earlier release", "c", 0, 0},
+	} {
+		if got := asks(c.boot, c.class); got != c.want {
+			t.Errorf("an instance that %s got %d statements, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -98,7 +98,8 @@
 		drained: make(chan struct{}),
 	}
 	i.peers = &peers{
-		store: store, metrics: m, log: log, state: i.state, onPeerLost: srv.announceRunning, heartbeatsSentAt: map[string]time.Time{},
+		store: store, metrics: m, log: log, state: i.state, onPeerLost: srv.announceRunning, statements: srv.statements,
+		heartbeatsSentAt: map[string]time.Time{}, informed: map[string]string{},
 		seeds: s.Seeds, seedAddress: s.SeedAddress, joinResponses: make(chan msg.JoinResponse, 16), joinDone: make(chan struct{}),
 		fleet: fleet.New(boottime.Now(), i.ownHeartbeat(), s.Regions, s.Without),
 	}
--- a/internal/hosted/join.go
+++ b/internal/hosted/join.go
@@ -125,6 +125,31 @@
 	var response msg.JoinResponse
 	f.with(func(_ time.Time, v *fleet.Fleet) { response = v.JoinResponse(m, ready) })
 	f.send(m.Sender, response)
+	f.sendStatements(m.Sender)
+}
+
+// sendStatements tells an instance that has started what upstreams have stated, once.
+func (f *peers) sendStatements(to msg.Heartbeat) {
+	if !to.DividesLimits() {
+		return
+	}
+	f.mu.Lock()
+	done := f.informed[to.Name] == to.Boot
+	f.mu.Unlock()
+	if done {
+		return
+	}
+	statements := f.statements()
+	if len(statements) == 0 {
+		return
+	}
+	f.mu.Lock()
+	f.informed[to.Name] = to.Boot
+	f.mu.Unlock()
+	f.log.Info("statements_sent", "to", to.Name, "boot", to.Boot, "count", len(statements))
+	for _, m := range statements {
+		f.send(to, m)
+	}
 }
 
 // onJoinResponse handles a list of members.
--- a/internal/hosted/statement.go
+++ b/internal/hosted/statement.go
@@ -90,6 +90,12 @@
 	}
 }
 
+// statements returns what upstreams have stated and still holds.
+func (s *server) statements() (out []msg.Message) {
+	s.decide(func(now time.Time, g *forward.Gate) { out = g.Statements(now) })
+	return out
+}
+
 // reportLimit reports a change of a rate limit to the home of the limit, and announces it.
 func (s *server) reportLimit(c forward.LimitChange) {
 	s.logLimit(c, "response")
