ratelimit: a low limit is used in full

A bucket that nobody has asked for 4 s begins cautiously, at half of the limit, as another instance may have granted meanwhile. At 0.25 requests a second 4 s pass between two grants, so that such a limit was used at half of its rate for good, although requests were queued all the time. A bucket now counts as idle only if a request could have been sent and none was.

--- a/internal/core/ratelimit/bucket.go
+++ b/internal/core/ratelimit/bucket.go
@@ -15,6 +15,9 @@
 	// avoided for 5 s.
 	cautiousShare = 0.5
 	cautiousTime  = 6 * time.Second
+	// idleMargin is how long after a request could have been sent it is still sent in turn: at a low
+	// rate a Window passes between two.
+	idleMargin = 250 * time.Millisecond
 	// toleratedBefore is the part of a Window's limit that an upstream is assumed to bear beyond the
 	// cautious share, for requests that were sent before the limit was known; toleratedSlack is a
 	// number of requests beyond that. What was sent beyond both is a debt.
@@ -31,8 +34,9 @@
 	// debt.
 	tokens float64
 	at     time.Time
-	// fullRateAt is the end of cautiousTime. lastTake is the time of the last request.
-	fullRateAt, lastTake time.Time
+	// fullRateAt is the end of cautiousTime. lastTake is the time of the last request, openSince the
+	// time from which on the next one could be sent.
+	fullRateAt, lastTake, openSince time.Time
 	// before is the number of requests that were sent before the limit was known.
 	before int
 }
@@ -40,7 +44,8 @@
 // SetLimit changes the limit.
 func (b *Bucket) SetLimit(now time.Time, l Limit) {
 	if !b.limit.Stated && l.Stated {
-		b.tokens, b.at, b.fullRateAt, b.lastTake, b.before = 1, now, now.Add(cautiousTime), now, 0
+		b.tokens, b.at, b.before = 1, now, 0
+		b.fullRateAt, b.lastTake, b.openSince = now.Add(cautiousTime), now, now
 	}
 	b.refill(now)
 	b.limit = l
@@ -56,11 +61,19 @@
 		return
 	}
 	b.refill(now)
-	if now.Sub(b.lastTake) > Window {
-		b.fullRateAt = now.Add(cautiousTime)
-	}
-	b.lastTake = now
+	b.endIdle(now)
 	b.tokens--
+	b.lastTake, b.openSince = now, now
+	if at := b.OpenAt(); at.After(now) {
+		b.openSince = at
+	}
+}
+
+// endIdle reduces the rate for cautiousTime if nobody has sent for a Window although the rate allowed it.
+func (b *Bucket) endIdle(now time.Time) {
+	if now.Sub(b.lastTake) > Window && now.Sub(b.openSince) > idleMargin {
+		b.fullRateAt, b.lastTake, b.openSince = now.Add(cautiousTime), now, now
+	}
 }
 
 // CountBefore counts requests that an instance sent in the LookBack before it learned of the limit.
--- a/internal/core/ratelimit/bucket_test.go
+++ b/internal/core/ratelimit/bucket_test.go
@@ -206,3 +206,20 @@
 		t.Errorf("after 1,026 requests in a second the next one has to wait for %v, want no more than a window", at.Sub(start))
 	}
 }
+
+// At a low rate a window passes between two requests. An upstream that is asked all the time must not
+// get less than its limit for that.
+func TestALowRateIsUsed(t *testing.T) {
+	var b Bucket
+	b.SetLimit(start, Of(0.25))
+	sent := 0
+	for now := start; now.Sub(start) < 2*time.Minute; now = now.Add(10 * time.Millisecond) {
+		if !b.OpenAt().After(now) {
+			b.Take(now)
+			sent++
+		}
+	}
+	if sent < 27 {
+		t.Errorf("%d requests in two minutes at 0.25 a second, want 27 or more", sent)
+	}
+}
