placement: the wait for engines that are all limited is not underestimated

If every engine of a pool states a rate limit, a request whose wait exceeds the accepted one is to be refused at once. The estimate summed fractions of permits of several engines and left out the reduced rate after the beginning of a limit: requests were queued for the whole accepted wait and refused only then. It is now computed from the buckets themselves.

--- a/internal/core/placement/wait.go
+++ b/internal/core/placement/wait.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
+	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
 )
 
 const (
@@ -75,7 +76,7 @@
 // limitedWait returns how long a request waits if every upstream that takes it states a rate limit:
 // until the requests ahead have been started at these rates. It is 0 if an upstream has no limit.
 func (h *Home) limitedWait(now time.Time, req *Request, ahead int) time.Duration {
-	rate, startable := 0.0, 0.0
+	var limiters []*ratelimit.Bucket
 	for _, u := range h.upstreams {
 		if !u.takesWork(now) || !u.allowed(req, nil) {
 			continue
@@ -83,13 +84,12 @@
 		if !u.limiter.Limit().Stated {
 			return 0
 		}
-		rate += u.limiter.Limit().Rate()
-		startable += u.limiter.Startable(now)
+		limiters = append(limiters, &u.limiter)
 	}
-	if rate == 0 {
+	if len(limiters) == 0 {
 		return 0
 	}
-	return seconds(max(float64(ahead+1)-startable, 0) / rate)
+	return ratelimit.Wait(now, ahead+1, limiters)
 }
 
 // prefillRate returns the total prefill throughput of the pool in tokens a second.
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -10,6 +10,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/ratelimit"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 )
@@ -47,9 +48,10 @@
 	prefillUntil   map[string]time.Time
 	// storeAge is the age of the store's last reply.
 	storeAge time.Duration
-	// cordons and coldRate are passed to the home in each listing.
-	cordons  cordon.Set
-	coldRate float64
+	// cordons, coldRate and rateLimits are passed to the home in each listing.
+	cordons    cordon.Set
+	coldRate   float64
+	rateLimits map[string]ratelimit.Limit
 }
 
 func newSim(t *testing.T, upstreams int) *sim {
@@ -80,7 +82,7 @@
 func (s *sim) confirmed() time.Time { return s.now.Add(-s.storeAge) }
 
 func (s *sim) sync() {
-	s.home.Sync(s.now, Listing{Answered: s.confirmed(), Upstreams: s.list, Cordons: s.cordons, ColdRate: s.coldRate})
+	s.home.Sync(s.now, Listing{Answered: s.confirmed(), Upstreams: s.list, Cordons: s.cordons, ColdRate: s.coldRate, RateLimits: s.rateLimits})
 	s.deliverMessages()
 }
 
--- a/internal/core/ratelimit/bucket.go
+++ b/internal/core/ratelimit/bucket.go
@@ -1,6 +1,9 @@
 package ratelimit
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 const (
 	// burstTime is the time at the limited rate for which an unused rate is kept, minBurst the
@@ -25,6 +28,9 @@
 	toleratedSlack  = 2
 	// LookBack is how long before an instance learned of a limit its requests count as sent before.
 	LookBack = time.Second
+	// waitStep is the precision of Wait, maxWait the longest wait that it tells apart.
+	waitStep = 10 * time.Millisecond
+	maxWait  = 5 * time.Minute
 )
 
 // Bucket is a token bucket for the requests to one upstream. The zero value has no limit.
@@ -113,10 +119,28 @@
 	return b.at.Add(seconds(missing / (rate * cautiousShare)))
 }
 
-// Startable returns the number of requests that may be sent at once.
-func (b *Bucket) Startable(now time.Time) float64 {
-	b.refill(now)
-	return max(b.tokens, 0)
+// startableBy returns the number of requests that may be sent until a time from now on.
+func (b *Bucket) startableBy(until time.Time) int {
+	cautious := min(max(b.fullRateAt.Sub(b.at), 0), until.Sub(b.at))
+	full := until.Sub(b.at) - cautious
+	return int(max(b.tokens+b.limit.Rate()*(cautiousShare*cautious.Seconds()+full.Seconds()), 0))
+}
+
+// Wait returns when n requests from now on may have been sent through several buckets, all of which
+// have a limit: a duration from now of at most maxWait.
+func Wait(now time.Time, n int, buckets []*Bucket) time.Duration {
+	startableBy := func(d time.Duration) (sum int) {
+		for _, b := range buckets {
+			sum += b.startableBy(now.Add(d))
+		}
+		return sum
+	}
+	for _, b := range buckets {
+		b.refill(now)
+		b.endIdle(now)
+	}
+	steps := sort.Search(int(maxWait/waitStep), func(k int) bool { return startableBy(time.Duration(k)*waitStep) >= n })
+	return time.Duration(steps) * waitStep
 }
 
 // refill adds the tokens since the last refill.
--- a/internal/core/ratelimit/bucket_test.go
+++ b/internal/core/ratelimit/bucket_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -223,3 +224,36 @@
 		t.Errorf("%d requests in two minutes at 0.25 a second, want 27 or more", sent)
 	}
 }
+
+// Callers whose wait is underestimated wait for nothing: they are refused only at its end.
+func TestPropertyTheWaitForSeveralBucketsIsExact(t *testing.T) {
+	props := gopter.NewProperties(testkit.Parameters())
+	props.Property("the n-th request is sent after the predicted wait", prop.ForAll(
+		func(rates []float64, taken, n int) string {
+			buckets := make([]*Bucket, len(rates))
+			for k, rate := range rates {
+				buckets[k] = &Bucket{}
+				buckets[k].SetLimit(start, Of(rate))
+			}
+			now := start.Add(time.Duration(taken) * time.Second)
+			wait, sentAt := Wait(now, n, buckets), now
+			for sent := 0; sent < n && sentAt.Sub(now) < maxWait; {
+				for _, b := range buckets {
+					for !b.OpenAt().After(sentAt) {
+						b.Take(sentAt)
+						sent++
+					}
+				}
+				if sent < n {
+					sentAt = sentAt.Add(waitStep)
+				}
+			}
+			if d := (wait - sentAt.Sub(now)).Abs(); d > waitStep {
+				return fmt.Sprintf("predicted %v, sent after %v", wait, sentAt.Sub(now))
+			}
+			return ""
+		},
+		gen.SliceOfN(3, gen.Float64Range(0.25, 60)), gen.IntRange(0, 10), gen.IntRange(1, 50),
+	))
+	props.TestingRun(t)
+}
