--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -199,20 +199,24 @@
 // permitProbe returns errNotPermitted if an upstream has asked for a pause, or states a rate limit and
 // there is no permit to probe it.
 func (s *server) permitProbe(ctx context.Context, address string) error {
+	var id string
 	var m msg.PermitRequest
 	limited, paused := false, false
 	s.decide(func(now time.Time, g *forward.Gate) {
 		if u := g.Roster().FindAt(address); u != nil {
+			id, paused = u.ID, !g.MayProbe(now, u)
 			m, limited = g.ProbePermit(now, u)
-			paused = !g.MayProbe(now, u)
 		}
 	})
-	if paused {
-		return errNotPermitted
-	}
-	if !limited {
+	if !paused && (!limited || s.awaitProbePermit(ctx, m)) {
 		return nil
 	}
+	s.metrics.Count("probes_not_permitted_total", id)
+	return errNotPermitted
+}
+
+// awaitProbePermit requests the permit for a probe and reports whether it was granted.
+func (s *server) awaitProbePermit(ctx context.Context, m msg.PermitRequest) bool {
 	responses := s.awaitPermit(m.ID)
 	defer s.forgetPermit(m.ID)
 	ctx, cancel := context.WithTimeout(ctx, forward.PermitTimeout)
@@ -221,13 +225,10 @@
 	select {
 	case a := <-responses:
 		s.learnLimit(a.Limit, "permit")
-		if a.Outcome == ratelimit.Granted {
-			return nil
-		}
+		return a.Outcome == ratelimit.Granted
 	case <-ctx.Done():
+		return false
 	}
-	s.metrics.Count("probes_not_permitted_total", m.Limit.Upstream)
-	return errNotPermitted
 }
 
 // learnLimit records a rate limit that its home has announced.
