core: callers that are refused for pauses return one after the other

On the project's own protocol, callers that were refused in the last second of a pause were all told to return at its end. The time is now spread by the attempt, like the times of the hosted entry.

--- a/internal/core/pauses.go
+++ b/internal/core/pauses.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"mulberrylug.example/mulberrylug/internal/core/config"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/status"
@@ -108,9 +110,19 @@
 func (i *Instance) placeInOpenPools(now time.Time, r *request) {
 	open, retryAfter := i.withoutPaused(now, r.place.pools[r.place.poolIndex:])
 	if len(open) == 0 {
+		retryAfter += spread(r.attempt, retryAfter/2)
 		i.refuse(now, r, Finish{Status: status.ServiceUnavailable, Reason: ReasonPaused, Step: "place", RetryAfter: retryAfter})
 		return
 	}
 	r.place.pools, r.place.poolIndex = open, 0
 	i.requestGrant(now, r)
 }
+
+// spread returns a duration of less than most that depends on the attempt: callers that are refused
+// until the same time must not return all at once.
+func spread(attempt string, most time.Duration) time.Duration {
+	if most <= 0 {
+		return 0
+	}
+	return time.Duration(xxhash.Sum64String(attempt) % uint64(most))
+}
--- a/internal/core/pauses_test.go
+++ b/internal/core/pauses_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -31,3 +32,18 @@
 		t.Errorf("%v want a pause after 4 s and %d are kept, want b alone", got, len(p))
 	}
 }
+
+// Callers that are refused until the end of the same pause must not all return at once.
+func TestRefusalsOfAPauseAreSpread(t *testing.T) {
+	different := map[time.Duration]bool{}
+	for k := range 100 {
+		d := spread(fmt.Sprintf("attempt-%d", k), 500*time.Millisecond)
+		if d < 0 || d >= 500*time.Millisecond {
+			t.Errorf("spread by %v, want less than 0.5 s", d)
+		}
+		different[d/(50*time.Millisecond)] = true
+	}
+	if len(different) < 8 {
+		t.Errorf("100 callers return in %d of 10 parts of the time, want 8 or more", len(different))
+	}
+}
