--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -27,14 +27,15 @@
 	soakSeed     = flag.Uint64("soak.seed", 1, "first seed of the soak test")
 	soakSeeds    = flag.Int("soak.seeds", 1, "number of consecutive seeds")
 	soakDuration = flag.Duration("soak.for", 6*time.Second, "duration of the fault injection for each seed")
+	soakSize     = flag.Int("soak.instances", 3, "number of instances")
 )
 
 // soakRegressions are seeds that failed in the past, each with its cause.
 var soakRegressions = []uint64{}
 
 const (
-	// soakCallers is the number of callers, each of which sends one request at a time.
-	soakCallers = 9
+	// soakCallers is the number of callers for each instance. Each sends one request at a time.
+	soakCallers = 3
 	// behindRelay is the prefix of the ids of upstreams behind relays.
 	behindRelay = "behind-relay-"
 	// recoveryTimeout is the maximum time from the last fault until every instance serves requests.
@@ -90,12 +91,16 @@
 		requests: map[string]sentRequest{}, key: hosting.Key, revoked: map[string]time.Time{},
 	}
 	s.addRelays()
+	for len(s.machines) < *soakSize {
+		s.addInstance(t, fmt.Sprintf("entry-%d", len(s.machines)))
+	}
+	s.waitReady(t)
 	s.restartable = make(chan int, len(s.procs))
 	for n := range len(s.procs) - 1 {
 		s.restartable <- n
 	}
 	var callers sync.WaitGroup
-	for k := range soakCallers {
+	for k := range soakCallers * len(s.machines) {
 		r := rand.New(rand.NewPCG(seed, uint64(k)+100))
 		callers.Go(func() { s.sendRequests(k, r) })
 	}
