proctest: a statement counts as that of the upstream whose response was delivered

The trace: c5-78 was sent to that upstream, whose link was cut, and then to desk-0, which leaves and whose response was delivered (sends=2, upstream=desk-0). behind-relay-desk never left. The checks of leaving and of limits took the header of any response to a request that had reached an upstream for that upstream's own.

The stand-in names itself in its responses now, and the checks require the name.

--- a/internal/proctest/rules_test.go
+++ b/internal/proctest/rules_test.go
@@ -31,6 +31,12 @@
 	result   result
 }
 
+// isOf reports whether the delivered response is an upstream's: a request that reached it may have been
+// sent to another one afterwards.
+func (d delivery) isOf(w *hosting.Worker) bool {
+	return d.result.header.Get(hosting.HeaderWorker) == w.ID
+}
+
 // disturbance is a time during which an instance was restarted, frozen or cut off.
 type disturbance struct {
 	instance string
@@ -94,7 +100,7 @@
 	arrivals := w.Arrivals()
 	slices.SortFunc(arrivals, func(a, b hosting.Arrival) int { return a.At.Compare(b.At) })
 	for _, e := range limitEpisodes(w.Limits(), end) {
-		told := toldAt(arrivals, deliveries, e)
+		told := toldAt(w, arrivals, deliveries, e)
 		first := 0
 		for last, a := range arrivals {
 			if a.At.Before(e.from.Add(limitGrace)) || a.At.After(e.to) {
@@ -132,7 +138,7 @@
 	arrivals := w.Arrivals()
 	for _, a := range arrivals {
 		d, ok := deliveries[a.ID]
-		if !ok || d.result.header.Get("Server-Leaving") == "" {
+		if !ok || !d.isOf(w) || d.result.header.Get("Server-Leaving") == "" {
 			continue
 		}
 		if at, known := told[d.instance]; !known || d.at.Before(at) {
@@ -184,11 +190,11 @@
 }
 
 // toldAt returns when each instance first forwarded a response with the limit of an episode.
-func toldAt(arrivals []hosting.Arrival, deliveries map[string]delivery, e limitEpisode) map[string]time.Time {
+func toldAt(w *hosting.Worker, arrivals []hosting.Arrival, deliveries map[string]delivery, e limitEpisode) map[string]time.Time {
 	told := map[string]time.Time{}
 	for _, a := range arrivals {
 		d, ok := deliveries[a.ID]
-		if !ok || d.result.header.Get("Server-Limit") == "" || d.at.Before(e.from) {
+		if !ok || !d.isOf(w) || d.result.header.Get("Server-Limit") == "" || d.at.Before(e.from) {
 			continue
 		}
 		if at, known := told[d.instance]; !known || d.at.Before(at) {
--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -31,7 +31,9 @@
 )
 
 // soakRegressions are seeds that failed in the past, each with its cause.
-var soakRegressions = []uint64{}
+var soakRegressions = []uint64{
+	3031, // a request was sent to a second upstream, whose statement counted as the first one's
+}
 
 const (
 	// soakCallers is the number of callers for each instance. Each sends one request at a time.
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -226,8 +226,12 @@
 // Vanish deletes the upstream's row from the list.
 func (w *Worker) Vanish() { w.table.Remove("servers", w.ID) }
 
+// HeaderWorker is the header of responses that names the upstream, for the checks of tests.
+const HeaderWorker = "Standin-Worker"
+
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set(HeaderWorker, w.ID)
 	if w.closesConnections() {
 		rw.Header().Set("Connection", "close")
 		rw.Header().Set("Server-Leaving", "1")
