forward: a permit is used although other calls are refused one

A refusal of a permit keeps calls of the same urgency from asking for the same upstream for 50 ms. A call that got its permit in that time was refused, too, and the permit was lost: in an overload there is always such a refusal, so that limits were used in part only and callers were refused after they had waited. Found while a failure of TestHostedRequestsBeyondAllLimitsAreRefused was traced, in runs of that test alone: load-51 has permit_granted and request_ended reason=upstream_rate_limits in the same millisecond, 1.1 s after it was sent.

What keeps a call from using a permit is now what the upstream wants, not what others were refused.

--- a/internal/core/forward/choose.go
+++ b/internal/core/forward/choose.go
@@ -97,19 +97,19 @@
 // available reports whether an upstream accepts a call at present. A rate-limited upstream also
 // requires a permit.
 func (g *Gate) available(now time.Time, c *Call, u *roster.Upstream) bool {
-	return g.maySend(c, u) && !g.load(u).inBackoff(now) && g.hasRoom(now, c, u)
+	return g.maySend(c, u) && !g.load(u).inBackoff(now) && g.wantsCalls(now, u) && !g.permitRefused(now, c, u)
 }
 
-// hasRoom reports whether nothing that an upstream has stated about itself forbids a call now.
-func (g *Gate) hasRoom(now time.Time, c *Call, u *roster.Upstream) bool {
-	return !g.coldAllowedAt(now, u).After(now) && !g.permitRefused(now, c, u) && !g.paused(now, u.Run())
+// wantsCalls reports whether neither the start nor a pause of an upstream keeps calls away from it now.
+func (g *Gate) wantsCalls(now time.Time, u *roster.Upstream) bool {
+	return !g.coldAllowedAt(now, u).After(now) && !g.paused(now, u.Run())
 }
 
 // fallbackUpstream returns an upstream that is in backoff after a failed dial, or nil: trying it
 // is better than refusing the call.
 func (g *Gate) fallbackUpstream(now time.Time, c *Call) *roster.Upstream {
 	for _, u := range g.roster.UpstreamsOf(c.Service) {
-		if g.maySend(c, u) && !slices.Contains(c.tried, u) && g.hasRoom(now, c, u) {
+		if g.maySend(c, u) && !slices.Contains(c.tried, u) && g.wantsCalls(now, u) && !g.permitRefused(now, c, u) {
 			return u
 		}
 	}
--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -246,3 +246,17 @@
 		t.Errorf("next step %+v, want the request sent to the upstream that states nothing", s)
 	}
 }
+
+// A granted permit is used, although another call was refused one of the same upstream meanwhile: while
+// callers send more than the upstream accepts, there is always such a refusal.
+func TestAPermitIsUsedDespiteOtherRefusals(t *testing.T) {
+	g := gate(t, 1)
+	limitAll(g)
+	granted, refused := admit(t, g, request("/once/1")), admit(t, g, request("/once/1"))
+	g.Start(start, granted)
+	g.Start(start, refused)
+	g.PermitRefused(start, refused, time.Second)
+	if s := g.Permitted(start.Add(refusalTTL/2), granted); s.Send == nil {
+		t.Errorf("next step %+v, want the request sent", s)
+	}
+}
--- a/internal/core/forward/permit.go
+++ b/internal/core/forward/permit.go
@@ -100,12 +100,23 @@
 	switch {
 	case c.Resuming():
 		return g.resume(now, c)
-	case !g.maySend(c, u) || g.paused(now, u.Run()) || c.selfChosen && !g.available(now, c, u) || !c.selfChosen && now.After(c.grantExpiresAt):
+	case !g.mayUsePermit(now, c, u):
 		return g.avoid(now, c, u, NoUpstream, busyRetryAfter)
 	}
 	return g.orFailAttempt(now, c, g.sendTo(now, c, u))
 }
 
+// mayUsePermit reports whether an upstream still accepts a call for which there is a permit.
+func (g *Gate) mayUsePermit(now time.Time, c *Call, u *roster.Upstream) bool {
+	if !g.maySend(c, u) || g.paused(now, u.Run()) {
+		return false
+	}
+	if c.selfChosen {
+		return g.wantsCalls(now, u)
+	}
+	return !now.After(c.grantExpiresAt)
+}
+
 // PermitRefused processes the refusal of a permit: the call is sent elsewhere, or refused with the
 // Retry-After that the home gave. A home that did not respond counts as a refusal.
 func (g *Gate) PermitRefused(now time.Time, c *Call, retryAfter time.Duration) Step {
