ratelimit: a request that was accepted late is not refused while it waits

The home of a limit accepts waits beyond a call's target while the upstream keeps up with the demand. When the demand was seen to be too high, it refused also those that it had accepted, after up to a second of waiting. The accepted wait is now decided on arrival; what arrives later is refused at once. More urgent requests may still push one out.

--- a/internal/core/ratelimit/queue.go
+++ b/internal/core/ratelimit/queue.go
@@ -72,6 +72,8 @@
 type waiting struct {
 	Request
 	arrived time.Time
+	// maxWait is the accepted wait at its arrival.
+	maxWait time.Duration
 }
 
 // Queue grants the requests to one upstream at its rate: the most urgent first, the instances in
@@ -111,7 +113,7 @@
 		q.demand.Add(now)
 	}
 	ahead, wait := q.expect(now, w)
-	if wait > q.acceptedWait(now, w) {
+	if w.maxWait = q.acceptedWait(now, r); wait > w.maxWait {
 		return []Decision{q.refuse(now, w, ahead, wait)}
 	}
 	q.queued = append(q.queued, w)
@@ -158,7 +160,7 @@
 	kept := q.queued[:0]
 	for _, w := range q.queued {
 		wait := q.waitBehind(now, len(kept))
-		if now.Sub(w.arrived)+wait > q.acceptedWait(now, w) {
+		if now.Sub(w.arrived)+wait > w.maxWait {
 			out = append(out, q.refuse(now, w, len(kept), wait))
 			continue
 		}
@@ -204,11 +206,11 @@
 // acceptedWait returns the longest wait that is accepted for a request. While callers send more
 // than the upstream accepts, a request that waits beyond MaxWait is late and makes the following
 // ones late, too.
-func (q *Queue) acceptedWait(now time.Time, w *waiting) time.Duration {
+func (q *Queue) acceptedWait(now time.Time, r Request) time.Duration {
 	if float64(q.demand.Total(now)) > q.bucket.limit.Rate()*Window.Seconds() {
-		return w.MaxWait
+		return r.MaxWait
 	}
-	return max(w.MaxWait, w.MaxLateWait)
+	return max(r.MaxWait, r.MaxLateWait)
 }
 
 // refuse returns a refusal. Callers that cannot go elsewhere are told to return one after the
--- a/internal/core/ratelimit/queue_test.go
+++ b/internal/core/ratelimit/queue_test.go
@@ -117,6 +117,41 @@
 	}
 }
 
+// When callers begin to send three times as much as the upstream accepts, those that can't be served must
+// be refused on arrival, and few may be served late: a late request makes the following ones late.
+func TestQueueRefusesOnArrivalWhenOverloadBegins(t *testing.T) {
+	q := &Queue{}
+	q.SetLimit(start, Limit{Stated: true, PerSecond: 5})
+	arrived := map[string]time.Time{}
+	late, inTime := 0, 0
+	record := func(now time.Time, ds []Decision) {
+		for _, d := range ds {
+			switch wait := now.Sub(arrived[d.ID]); {
+			case d.Outcome == Refused && wait > 0:
+				t.Errorf("%s was refused after %v, want on arrival", d.ID, wait)
+			case d.Outcome == Granted && wait > 310*time.Millisecond:
+				late++
+			case d.Outcome == Granted:
+				inTime++
+			}
+		}
+	}
+	const step = 10 * time.Millisecond
+	for k := range 1000 {
+		now := start.Add(time.Duration(k) * step)
+		record(now, q.Tick(now))
+		if k%7 == 0 { // 14 requests a second
+			id := fmt.Sprint(k)
+			arrived[id] = now
+			record(now, q.Add(now, Request{ID: id, Instance: "a", MaxWait: 300 * time.Millisecond, MaxLateWait: 2 * time.Second}))
+		}
+	}
+	t.Logf("served in time %d, late %d", inTime, late)
+	if late > 10 || inTime < 25 {
+		t.Errorf("%d were served late and %d in time, want at most 10 and at least 25", late, inTime)
+	}
+}
+
 // Whatever arrives, every request gets a final decision, nobody waits longer than accepted, and no
 // window has more grants than the limit.
 func TestPropertyQueueDecidesEveryRequestInTime(t *testing.T) {
