hosted: logs and metrics tell how late a configuration took effect, and why

An instance accepted a key 2.05 s after its revocation. The logs did not tell how old the state of an instance was as it adopted a version, which queries had failed before, or whether a response was dropped because it came late.

--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -118,13 +118,18 @@
 }
 
 // Confirm records that the configuration was the newest at queriedAt, when the confirming query was
-// sent.
-func (g *Gate) Confirm(queriedAt time.Time) {
-	if queriedAt.After(g.confirmedAt) {
-		g.confirmedAt = queriedAt
+// sent. It reports whether that is later than all earlier confirmations.
+func (g *Gate) Confirm(queriedAt time.Time) bool {
+	if !queriedAt.After(g.confirmedAt) {
+		return false
 	}
+	g.confirmedAt = queriedAt
+	return true
 }
 
+// ConfigGoodFor returns the time within which a new configuration must be in force; 0 means no limit.
+func (g *Gate) ConfigGoodFor() time.Duration { return g.options.ConfigGoodFor }
+
 // Confirmed returns the latest time at which the configuration is known to have been the newest.
 func (g *Gate) Confirmed() time.Time { return g.confirmedAt }
 
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -73,6 +73,7 @@
 	readInterval time.Duration
 	// divideServices is set if large services are divided into groups.
 	divideServices bool
+	freshness      *freshness
 
 	// mu guards the fields up to lastSource.
 	mu    sync.Mutex
@@ -111,7 +112,7 @@
 		sentAt := boottime.Now()
 		read, err := f.store.Config(ctx)
 		if err != nil {
-			f.sourceFailed(watch.Store, err.Error())
+			f.sourceFailed(watch.Store, err.Error(), boottime.Now().Sub(sentAt))
 			f.storeFailed(ctx, "configuration", err)
 			sleep(ctx, retryBackoff)
 			return
@@ -147,7 +148,7 @@
 	}
 	f.configVersion = read.Version
 	f.sourceResponded(watch.Store, 0)
-	f.adopt(sentAt, update{config: read.Config, cordons: f.changedCordons(read)}, "store")
+	f.adopt(sentAt, sentAt, update{config: read.Config, cordons: f.changedCordons(read)}, watch.Store)
 }
 
 // update is a set of changes from a source; nil fields are unchanged.
@@ -159,14 +160,19 @@
 	cordons *cordon.Set
 }
 
-// adopt applies an update and confirms the current state as of the given time. Configuration and
-// cordons change in one step, so that no request is admitted under one without the other.
-func (f *follower) adopt(asOf time.Time, u update, source string) {
+// adopt applies an update and confirms the current state as of the given time. sentAt is the time at
+// which the query was sent. Configuration and cordons change in one step, so that no request is
+// admitted under one without the other.
+func (f *follower) adopt(sentAt, asOf time.Time, u update, from string) {
+	source := sourceName(from)
 	adopted, cordoned := false, false
 	c := u.config
 	var version int64
 	var before, cordons cordon.Set
+	var unconfirmed, took time.Duration
+	first, confirmed := false, false
 	f.server.decide(func(now time.Time, g *forward.Gate) {
+		first, unconfirmed, took = g.Confirmed().IsZero(), now.Sub(g.Confirmed()), now.Sub(sentAt)
 		before = g.Cordons()
 		if u.cordons != nil {
 			cordoned = g.SetCordons(now, *u.cordons)
@@ -178,7 +184,7 @@
 		if g.Table() == nil || c != nil && c.Version < g.Table().Version {
 			return
 		}
-		g.Confirm(asOf)
+		confirmed = g.Confirm(asOf)
 		version = g.Table().Version
 	})
 	if cordoned {
@@ -186,8 +192,16 @@
 	}
 	if adopted {
 		f.metrics.Count("configurations_total", "adopted")
+		if first {
+			unconfirmed = 0
+		}
 		f.log.Info("configuration_adopted", "version", version, "source", source, "routes", len(c.Routes),
-			"services", len(c.Services), "organisations", len(c.Organisations))
+			"services", len(c.Services), "organisations", len(c.Organisations),
+			"unconfirmed_for", unconfirmed.Round(time.Millisecond), "query_took", took.Round(time.Millisecond))
+		f.freshness.adopted(version, source, unconfirmed, took)
+	}
+	if confirmed {
+		f.freshness.confirmed(source, unconfirmed)
 	}
 	switch {
 	case !adopted && !cordoned:
@@ -334,8 +348,18 @@
 	}
 }
 
-// tick drops expired entries.
+// tick drops expired entries and checks how old the configuration is.
 func (f *follower) tick() {
+	source, unconfirmed := "", time.Duration(0)
+	f.server.decide(func(now time.Time, g *forward.Gate) {
+		if g.Table() != nil {
+			unconfirmed = now.Sub(g.Confirmed())
+		}
+	})
+	f.mu.Lock()
+	source = sourceName(f.lastSource)
+	f.mu.Unlock()
+	f.freshness.check(source, unconfirmed)
 	f.changeRoster("lapse", func(now time.Time, g *forward.Gate) []*roster.Upstream { return g.Roster().Tick(now) })
 }
 
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -125,6 +125,7 @@
 		store: store, server: srv, metrics: m, log: log, onLeaving: func() { i.homes.sync() }, isHome: func() bool { return len(i.homes.poolNames()) > 0 },
 		onAdopted: i.onAdopted, peers: i.peers, relay: i.relay, watch: watch.New(keys), readInterval: readIntervalFor(keys),
 		divideServices: !s.Without.Has(mechanism.Parts), regions: s.Regions,
+		freshness: &freshness{metrics: m, log: log, bound: srv.configBound},
 	}
 	i.homes = &homes{
 		server: srv, metrics: m, log: log, self: s.Name, send: i.peers.sendTo, deliverLocal: i.onPeer, dataCentreOf: i.peers.dataCentreOf, without: s.Without, ways: s.Ways,
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -216,11 +216,12 @@
 		case <-a.wake:
 			return
 		case <-timeout.C:
-			a.follower.sourceFailed(source, "no answer")
+			a.follower.sourceFailed(source, "no answer", boottime.Now().Sub(sentAt))
 			return
 		case got := <-a.responses:
 			if got.from != source || got.Number != q.Number {
-				continue // late response to an earlier poll
+				a.countLate(got) // response to an earlier poll
+				continue
 			}
 			a.apply(ctx, source, sentAt, got.SyncResponse, full)
 			return
@@ -228,6 +229,16 @@
 	}
 }
 
+// countLate counts a response that arrived after its poll had ended, and is not used.
+func (a *syncPoller) countLate(got syncResponse) {
+	what := "confirmation"
+	if got.Config != nil {
+		what = "configuration"
+	}
+	a.follower.metrics.Count("late_responses_total", what)
+	a.follower.log.Info("response_late", "source", got.from, "number", got.Number, "last_number", a.lastNumber, "holds", what)
+}
+
 // apply applies a source's response; sentAt is the time at which the poll was sent, and full is
 // set if the poll requested the full list.
 func (a *syncPoller) apply(ctx context.Context, source string, sentAt time.Time, m msg.SyncResponse, full bool) {
@@ -244,12 +255,12 @@
 	if m.Config != nil {
 		c, err := m.Config.Unpack()
 		if err != nil {
-			f.sourceFailed(source, err.Error())
+			f.sourceFailed(source, err.Error(), boottime.Now().Sub(sentAt))
 			return
 		}
 		u.config, u.packed = c, m.Config
 	}
-	f.adopt(sentAt.Add(-m.ConfigAge), u, source)
+	f.adopt(sentAt, sentAt.Add(-m.ConfigAge), u, source)
 	if m.ListAge < 0 {
 		return
 	}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -128,6 +128,12 @@
 	return s.leaving
 }
 
+// configBound returns the time within which a new configuration must be in force; 0 means no limit.
+func (s *server) configBound() (bound time.Duration) {
+	s.decide(func(_ time.Time, g *forward.Gate) { bound = g.ConfigGoodFor() })
+	return bound
+}
+
 func (s *server) track(x *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -48,12 +48,14 @@
 	return source
 }
 
-// sourceFailed records that a source did not respond or that its response was unusable.
-func (f *follower) sourceFailed(source, why string) {
+// sourceFailed records that a source did not respond or that its response was unusable, and how long
+// the query took.
+func (f *follower) sourceFailed(source, why string, took time.Duration) {
+	f.freshness.queryFailed(sourceName(source), took)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.metrics.Count("source_failures_total", sourceName(source))
-	f.log.Info("source_failed", "source", sourceName(source), "why", why)
+	f.log.Info("source_failed", "source", sourceName(source), "why", why, "took", took.Round(time.Millisecond))
 	f.watch.Failed(boottime.Now(), source)
 	if source == watch.Store {
 		go f.peers.sendHeartbeats() // the other instances must choose another reader soon
