standin/hosting: faults of the store for single instances take effect

Tests and the soak made the store refuse or ignore single instances, told apart by the source address of their connections. A connection to any address of the loopback range comes from 127.0.0.1, so that these faults never had an effect: all 63 calls in TestHostedRevocation came from there, and its isolated instance reached the store.

Each instance now has its own address of the table.

--- a/internal/hosted/slow_test.go
+++ b/internal/hosted/slow_test.go
@@ -63,10 +63,7 @@
 // newRig starts engines, a plain upstream and one instance, and waits until it is ready.
 func newRig(t *testing.T, engines int, change func(*hosted.Settings)) *rig {
 	t.Helper()
-	w, err := hosting.NewWorld(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
+	w := hosting.NewWorld(t.TempDir())
 	t.Cleanup(w.Close)
 	w.Configure(func(c map[string]any) {
 		for _, r := range c["routes"].([]map[string]any) {
@@ -80,6 +77,7 @@
 		}))
 	}
 	r.add(t, "desk", hosting.Desk, func(k *hosting.Worker) { k.Work = 300 * time.Millisecond })
+	var err error
 	if r.machine, err = w.Machine("entry"); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/proctest/hosted_cordon_test.go
+++ b/internal/proctest/hosted_cordon_test.go
@@ -108,8 +108,8 @@
 		{name: "store unresponsive right after", after: func(_ *testing.T, f *fixture) { f.Table.Set(hosting.Silent) }},
 		{name: "store without history", before: func(_ *testing.T, f *fixture) { f.Table.Forget() }},
 		{name: "store refuses some instances", before: func(_ *testing.T, f *fixture) {
-			f.Table.SetFor(f.machines[0].IP, hosting.Busy)
-			f.Table.SetFor(f.machines[1].IP, hosting.Silent)
+			f.Table.SetFor(f.machines[0].Name, hosting.Busy)
+			f.Table.SetFor(f.machines[1].Name, hosting.Silent)
 		}},
 		{name: "all killed right after", after: func(t *testing.T, f *fixture) {
 			for _, p := range f.procs {
--- a/internal/proctest/hosted_slow_test.go
+++ b/internal/proctest/hosted_slow_test.go
@@ -55,10 +55,7 @@
 // steadily must be complete, and small requests must be served meanwhile.
 func TestHostedSlowCallersDoNotExhaustMemory(t *testing.T) {
 	t.Parallel()
-	w, err := hosting.NewWorld(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
+	w := hosting.NewWorld(t.TempDir())
 	t.Cleanup(w.Close)
 	f := &fixture{World: w}
 	w.Configure(nil)
--- a/internal/proctest/hosted_test.go
+++ b/internal/proctest/hosted_test.go
@@ -221,7 +221,7 @@
 	t.Parallel()
 	f := newFixture(t)
 	isolated := f.machines[0]
-	f.Table.SetFor(isolated.IP, hosting.Silent)
+	f.Table.SetFor(isolated.Name, hosting.Silent)
 	time.Sleep(500 * time.Millisecond)
 	f.Configure(func(c map[string]any) {
 		c["tenants"] = []map[string]any{{"name": hosting.Owner, "api_keys": []string{"key-two"}}}
--- a/internal/proctest/hosted_world_test.go
+++ b/internal/proctest/hosted_world_test.go
@@ -51,10 +51,7 @@
 // the instances alternate between the build under test and the build of -proctest.other.
 func newFixtureOfBuild(t *testing.T, build string) *fixture {
 	t.Helper()
-	base, err := hosting.NewWorld(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
+	base := hosting.NewWorld(t.TempDir())
 	t.Cleanup(base.Close)
 	f := &fixture{World: base, builds: builds{fixed: build}}
 	base.Configure(nil)
@@ -90,10 +87,7 @@
 // configuration.
 func newFixtureWithDataCentres(t *testing.T, dataCentres map[string]string, perDataCentre int, prepare func(*hosting.World)) *fixture {
 	t.Helper()
-	base, err := hosting.NewWorld(t.TempDir())
-	if err != nil {
-		t.Fatal(err)
-	}
+	base := hosting.NewWorld(t.TempDir())
 	t.Cleanup(base.Close)
 	base.Zones = dataCentres
 	f := &fixture{World: base}
--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -227,7 +227,7 @@
 	case 3:
 		s.Table.Set([]hosting.Mode{hosting.Busy, hosting.Silent, hosting.Lost}[s.rand.IntN(3)])
 	case 4:
-		s.Table.SetFor(s.machines[n].IP, []hosting.Mode{hosting.Busy, hosting.Silent}[s.rand.IntN(2)])
+		s.Table.SetFor(s.machines[n].Name, []hosting.Mode{hosting.Busy, hosting.Silent}[s.rand.IntN(2)])
 	case 5, 6:
 		s.clearFaults()
 	case 7:
@@ -442,7 +442,7 @@
 		r.SetDown(false)
 	}
 	for _, m := range s.machines {
-		s.Table.SetFor(m.IP, hosting.Well)
+		s.Table.SetFor(m.Name, hosting.Well)
 	}
 	for _, w := range append(append([]*hosting.Worker(nil), s.pool...), s.desk...) {
 		w.SetFault(hosting.None)
--- a/internal/standin/hosting/table.go
+++ b/internal/standin/hosting/table.go
@@ -60,7 +60,7 @@
 	// trimmedTo is the version up to which the history has been dropped.
 	trimmedTo int64
 	mode      Mode
-	// callerModes holds the modes set for single callers, by IP address.
+	// callerModes holds the modes set for single instances, by name.
 	callerModes map[string]Mode
 	calls       map[string]int // number of calls by path
 	startedAt   time.Time
@@ -117,11 +117,18 @@
 	t.mode = m
 }
 
-// SetFor changes the mode for the callers from one IP address.
-func (t *Table) SetFor(ip string, m Mode) {
+// SetFor changes the mode for the calls of one instance, which HandlerFor serves.
+func (t *Table) SetFor(instance string, m Mode) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.callerModes[ip] = m
+	t.callerModes[instance] = m
+}
+
+// HandlerFor returns the handler of one instance's calls. Each instance needs an address of the
+// table of its own: all connections within the loopback range come from 127.0.0.1, so that their
+// source does not tell instances apart.
+func (t *Table) HandlerFor(instance string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { t.serve(w, r, instance) })
 }
 
 // Forget drops the history of changes. A feed that resumes from an earlier version then
@@ -141,16 +148,12 @@
 	return t.calls[path]
 }
 
-// ServeHTTP implements http.Handler.
-func (t *Table) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ip, _, _ := strings.Cut(r.RemoteAddr, ":")
+// serve serves a call of an instance.
+func (t *Table) serve(w http.ResponseWriter, r *http.Request, instance string) {
 	t.mu.Lock()
 	t.calls[r.URL.Path]++
-	mode := t.mode
-	if m, ok := t.callerModes[ip]; ok {
-		mode = m
-	}
 	t.mu.Unlock()
+	mode := t.modeFor(instance)
 	if t.applyMode(w, r, mode) {
 		return
 	}
@@ -158,7 +161,7 @@
 	case "/v1/rows-get":
 		t.serveGet(w, r)
 	case "/v1/rows-feed":
-		t.serveFeed(w, r)
+		t.serveFeed(w, r, instance)
 	case "/v1/rows-tx":
 		t.serveTransaction(w, r, mode)
 	default:
@@ -166,6 +169,16 @@
 	}
 }
 
+// modeFor returns the mode that applies to the calls of an instance.
+func (t *Table) modeFor(instance string) Mode {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m, ok := t.callerModes[instance]; ok {
+		return m
+	}
+	return t.mode
+}
+
 // applyMode fails or delays a call as the mode requires. It returns true if the call has
 // ended and must not be served.
 func (t *Table) applyMode(w http.ResponseWriter, r *http.Request, mode Mode) bool {
@@ -215,7 +228,7 @@
 
 // serveFeed responds with the changes of a table after a version. If there are none, it
 // waits for a change for at most wait_ms.
-func (t *Table) serveFeed(w http.ResponseWriter, r *http.Request) {
+func (t *Table) serveFeed(w http.ResponseWriter, r *http.Request, instance string) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
@@ -242,10 +255,7 @@
 		t.mu.Unlock()
 		select {
 		case <-changed:
-			t.mu.Lock()
-			mode := t.mode
-			t.mu.Unlock()
-			if t.applyMode(w, r, mode) {
+			if t.applyMode(w, r, t.modeFor(instance)) {
 				return // the mode changed while the call waited
 			}
 		case <-r.Context().Done():
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -33,6 +33,9 @@
 	DefaultRegion = "region-a"
 	// RevokeWithin is the maximum time for a revocation, as the instances' settings say.
 	RevokeWithin = 3 * time.Second
+	// ApplyWithin is the maximum time until a configuration is in force, as the instances' settings
+	// say.
+	ApplyWithin = 2 * time.Second
 	// heartbeatInterval is the interval at which upstreams renew their rows.
 	heartbeatInterval = 300 * time.Millisecond
 )
@@ -42,11 +45,12 @@
 type World struct {
 	Table *Table
 	// Dir holds the settings files.
-	Dir   string
-	store *standin.Server
+	Dir string
 
 	mu      sync.Mutex
 	workers []*Worker
+	// stores holds the servers of the table, one for each instance.
+	stores  []*standin.Server
 	version int64
 	// seeds holds the control addresses of the first instances, at most maxSeeds.
 	seeds []string
@@ -64,19 +68,18 @@
 // maxSeeds is the maximum number of seed addresses in a settings file.
 const maxSeeds = 3
 
-// NewWorld starts a table store. Settings files are written to dir.
-func NewWorld(dir string) (*World, error) {
-	w := &World{Table: NewTable(), Dir: dir, Zones: map[string]string{DefaultZone: DefaultRegion}}
-	var err error
-	w.store, err = standin.Start("127.0.0.1:0", w.Table)
-	return w, err
+// NewWorld returns a platform with an empty table store. Settings files are written to dir.
+func NewWorld(dir string) *World {
+	return &World{Table: NewTable(), Dir: dir, Zones: map[string]string{DefaultZone: DefaultRegion}}
 }
 
 // Close stops the table store and the upstreams.
 func (w *World) Close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.store.Close()
+	for _, s := range w.stores {
+		s.Close()
+	}
 	for _, k := range w.workers {
 		k.server.Close()
 	}
@@ -244,7 +247,12 @@
 		return Machine{}, err
 	}
 	control := fmt.Sprintf("%s:%d", ip, ports[4])
+	store, err := standin.Start("127.0.0.1:0", w.Table.HandlerFor(name))
+	if err != nil {
+		return Machine{}, err
+	}
 	w.mu.Lock()
+	w.stores = append(w.stores, store)
 	if len(w.seeds) < maxSeeds {
 		w.seeds = append(w.seeds, control)
 	}
@@ -258,7 +266,7 @@
 	if err != nil {
 		return Machine{}, err
 	}
-	text := fmt.Sprintf(settingsText, name, ip, zone, w.Zones[zone], zones, m.Callers, m.Ready, m.Entries, control, seeds, ports[3], ports[3]+1, RevokeWithin.Milliseconds(), w.store.Address())
+	text := fmt.Sprintf(settingsText, name, ip, zone, w.Zones[zone], zones, m.Callers, m.Ready, m.Entries, control, seeds, ports[3], ports[3]+1, ApplyWithin.Milliseconds(), RevokeWithin.Milliseconds(), store.Address())
 	return m, os.WriteFile(m.Settings, []byte(text), 0o600)
 }
 
@@ -278,7 +286,7 @@
 bounds:
   drain_ms: 2000
   grace_s: 8
-  config_apply_ms: 2000
+  config_apply_ms: %d
   strict_revocation: true
   revoke_ms: %d
   retry_budget_ratio: 0.2
