hosted: a configuration can be sent as soon as it is in force

Between the moment at which a version took effect and the one at which it could be sent to other instances, polls were answered without a confirmation. Their senders took the instance for one that has just started and skipped it for 0.3 s: during a change of the configuration a reader could lose all instances that follow it.

Both now happen in one step under the same lock. The test fails when the step is taken out: the response holds neither the version nor a confirmation.

--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -63,8 +63,8 @@
 	onLeaving func()
 	// isHome reports whether this instance is home of a pool.
 	isHome func() bool
-	// onAdopted is called with each update that was put in force.
-	onAdopted func(update)
+	// onAdopted is called when a configuration or cordons were put in force; cordoned is set for cordons.
+	onAdopted func(cordoned bool)
 	// regions maps each data centre to its region.
 	regions map[string]string
 	peers   *peers
@@ -179,7 +179,9 @@
 		}
 		cordons = g.Cordons()
 		if c != nil {
-			adopted = g.Adopt(route.NewTable(*c))
+			if adopted = g.Adopt(route.NewTable(*c)); adopted {
+				f.relay.config = &sharedConfig{config: c, packed: u.packed}
+			}
 		}
 		if g.Table() == nil || c != nil && c.Version < g.Table().Version {
 			return
@@ -203,15 +205,9 @@
 	if confirmed {
 		f.freshness.confirmed(source, unconfirmed)
 	}
-	switch {
-	case !adopted && !cordoned:
-		return
-	case !adopted:
-		u.config = nil
-	case !cordoned:
-		u.cordons = nil
+	if adopted || cordoned {
+		f.onAdopted(cordoned)
 	}
-	f.onAdopted(u)
 }
 
 // followList keeps the list of upstreams current until the context ends.
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -189,14 +189,11 @@
 	return i.ready(), i.server.isLeaving(), i.follower.readsStore()
 }
 
-// onAdopted forwards an update that is now in force to the instances that poll this one and to
-// the homes.
-func (i *Instance) onAdopted(u update) {
-	if u.config != nil {
-		i.server.decide(func(time.Time, *forward.Gate) { i.relay.config = &sharedConfig{config: u.config, packed: u.packed} })
-	}
+// onAdopted forwards an update that is now in force to the instances that poll this one and, if it has
+// other cordons, to the homes.
+func (i *Instance) onAdopted(cordoned bool) {
 	i.relay.tick()
-	if u.cordons != nil {
+	if cordoned {
 		i.homes.sync()
 		i.poller.wakeUp() // this instance may need other groups of services now
 	}
--- a/internal/hosted/relay_test.go
+++ b/internal/hosted/relay_test.go
@@ -12,6 +12,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
 // newTestRelay returns a relay with a configuration of the given version in force, which cannot
@@ -50,6 +51,21 @@
 	}
 }
 
+// A poll arrives while a new configuration takes effect. A response that confirms nothing would make its
+// sender skip this instance for a while, and so must not be possible once the configuration is in force.
+func TestAConfigurationCanBeSentAsSoonAsItIsInForce(t *testing.T) {
+	r := newTestRelay(4)
+	f := &follower{
+		server: r.server, relay: r, metrics: metrics.NewMetrics(), log: hclog.NewNullLogger(), onAdopted: func(bool) {},
+		freshness: &freshness{metrics: metrics.NewMetrics(), log: hclog.NewNullLogger(), bound: func() time.Duration { return 0 }},
+	}
+	now := boottime.Now()
+	f.adopt(now, now, update{config: &route.Config{Version: 5}}, "store")
+	if a, updated := r.response(msg.SyncRequest{Number: 1, Config: 4}); !updated || a.Config == nil || a.ConfigAge < 0 {
+		t.Errorf("response right after version 5 took effect = %+v, want version 5 and a confirmation", a)
+	}
+}
+
 // A small machine that packed a large configuration for each of forty receivers would not respond
 // for seconds. All receivers must share one packed form, and a configuration that was received
 // must be passed on in the form received.
