watch: a change is in force within one bound at every instance that reaches the store

What callers saw: a revoked key was accepted 2.05 s after the revocation, where 2.0 s are promised.

Cause: instances turned to their sources one after the other, each until its time limit. Without a path to the store the reader took 0.6 + 0.5 s to notice, each instance that replaced it 0.5 to 0.7 s more, and after 2 s it claimed to be able to read the store again without having tried. Those that poll an instance waited 0.9 s for each silent one, accepted states of up to 2.8 s, and dropped responses that came later. Each limit was chosen by itself; together they exceed the bound as soon as two or three instances fail at once.

Change: the decisions move from the goroutines of hosted to core/watch, without I/O. Follower keeps one query open at its usual source. Once the last confirmation is half of the bound old it queries one further source each 0.1 s, without waiting for the others, and finally the store. Held answers the queries of others as soon as the reader confirms the state, and states the age as of the arrival of the query, so that states are at most one read old anywhere. Late responses count as of their query. An instance that failed to read the store probes it before it says that it can. Timing derives every interval from the bound, and a test adds them up. Ages that are negative go only to instances whose release understands them.

Why this is enough: what is in force at an instance is at most as old as its last confirmation, and an instance in touch obtains one from the store itself before the bound has passed, whatever the others do.

Tests: FromRelay and the higher age that a relay's confirmation was allowed are gone, as confirmations reach relays and those behind them at once; TestOneInstanceReadsTheStoreForAll checks the purpose of that rule, that instances behind a relay do not read the store, with real relays. In a small fleet the store comes after other instances in the order of preference, because overdue confirmations now bring it in earlier.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -249,6 +249,13 @@
 	return name == f.self.Name || m != nil && m.UnderstandsLoad()
 }
 
+// UnderstandsNegativeAges reports whether an instance understands negative ages in responses to its
+// queries.
+func (f *Fleet) UnderstandsNegativeAges(name string) bool {
+	m := f.members[name]
+	return m != nil && m.UnderstandsNegativeAges()
+}
+
 // near ranks a data centre before all others; "" ranks all alike.
 func near(dataCentre string) func(dc string) int {
 	return func(dc string) int {
--- a/internal/core/fleet/join.go
+++ b/internal/core/fleet/join.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/watch"
 )
 
 const (
@@ -184,6 +185,6 @@
 
 // MustRegister reports whether this instance needs a row in the store. Instances whose seeds
 // do not respond find readers and relays there.
-func (f *Fleet) MustRegister(now time.Time, s Sources) bool {
+func (f *Fleet) MustRegister(now time.Time, s watch.Choice) bool {
 	return s.IsSource && now.Sub(f.started) >= registerAfter
 }
--- a/internal/core/fleet/sources.go
+++ b/internal/core/fleet/sources.go
@@ -17,6 +17,9 @@
 	// readerCount is the number of designated readers: the reader of the store, and the standby
 	// that takes over when the reader fails.
 	readerCount = 2
+	// candidateCount is the number of readers and of instances that succeed them. In a large fleet these
+	// also find out for the others whether the store responds again.
+	candidateCount = 2 * readerCount
 	// readersKey is the rendezvous key by which readers are chosen.
 	readersKey = "store-readers"
 	// relayFleetSize is the minimum size of a large fleet, in which instances query a relay of
@@ -34,29 +37,20 @@
 	relaysKey = "list-relays"
 )
 
-// Sources describes where an instance gets updates from.
-type Sources struct {
-	// Choice lists the sources that the instance may query.
-	watch.Choice
-	// IsSource is set if other instances get their updates from this one, so that it needs the
-	// complete data.
-	IsSource bool
-	// FromRelay is set if this instance gets its updates from a relay.
-	FromRelay bool
-}
-
 // Sources returns where this instance gets updates from: the reader from the store, the
 // standby and the relays from the reader, and the others from a relay of their data centre
 // or, in a small fleet, from the reader. Homes of pools query the reader directly, because
 // they must know of leaving upstreams before other instances do.
-func (f *Fleet) Sources(now time.Time, isHome bool) Sources {
-	readers := f.Readers(now)
-	rank := slices.Index(readers, f.self.Name)
-	s := Sources{Choice: watch.Choice{
-		Reads: rank == 0, Standby: rank > 0, Large: f.large(), Others: f.rotated(f.live), Designated: f.withoutSelf(readers),
-	}}
-	if rank >= 0 || !s.Large {
-		s.IsSource = rank >= 0
+func (f *Fleet) Sources(now time.Time, isHome bool) watch.Choice {
+	order := f.readerOrder(now)
+	rank := slices.Index(order, f.self.Name)
+	readers := order[:min(len(order), readerCount)]
+	s := watch.Choice{
+		Reads: rank == 0, Standby: rank > 0 && rank < readerCount, Large: f.large(),
+		Designated: f.withoutSelf(readers), Successors: f.withoutSelf(order[len(readers):]), Others: f.rotated(f.live),
+	}
+	s.Candidate = !s.Large || rank >= 0 || !f.self.StoreReachable && f.isCandidate(now)
+	if s.IsSource = s.Reads || s.Standby; s.IsSource || !s.Large {
 		return s
 	}
 	near := f.relays(now, f.self.DataCentre)
@@ -67,7 +61,6 @@
 		s.Designated = append(s.Designated, f.rotated(near)...)
 		return s
 	}
-	s.FromRelay = len(near) > 0
 	s.Designated = append(f.rotated(near), s.Designated...)
 	return s
 }
@@ -91,11 +84,22 @@
 	return append(others[first:len(others):len(others)], others[:first]...)
 }
 
-// Readers lists the reader and the standby: the instances on the largest machines, in
-// rendezvous order, among those that can read the store. If no instance can, the list is
-// empty, and instances that would query a reader query the store instead.
+// Readers lists the reader and the standby. If no instance can read the store, the list is empty, and
+// instances that would query a reader query the store instead.
 func (f *Fleet) Readers(now time.Time) []string {
-	return f.largest(now, readersKey, readerCount, func(b msg.Heartbeat) bool { return b.StoreReachable })
+	order := f.readerOrder(now)
+	return order[:min(len(order), readerCount)]
+}
+
+// readerOrder lists the reader, the standby and those that succeed them: the instances on the largest
+// machines, in rendezvous order, among those that can read the store.
+func (f *Fleet) readerOrder(now time.Time) []string {
+	return f.largest(now, readersKey, candidateCount, func(b msg.Heartbeat) bool { return b.StoreReachable })
+}
+
+// isCandidate reports whether this instance would be among the first readers if it could read the store.
+func (f *Fleet) isCandidate(now time.Time) bool {
+	return slices.Contains(f.largest(now, readersKey, candidateCount, func(msg.Heartbeat) bool { return true }), f.self.Name)
 }
 
 // relays lists the relays of a data centre.
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -55,7 +55,7 @@
 	// Class is the capacity class of the sender's machine, the number of times that its link
 	// bandwidth in Mbit/s can be halved until it is less than 1, plus limitsClass since the release
 	// that divides rate limits, plus loadClass since the release that exchanges the messages in
-	// load.go. Instances of the highest class are preferred for work on behalf of others.
+	// load.go, plus agesClass since the release that states negative ages. Instances of the highest class are preferred for work on behalf of others.
 	Class uint8
 	// WantsResponse is set to request a heartbeat from the receiver, because the sender has just
 	// started and must find the live instances.
@@ -71,9 +71,13 @@
 // load.go.
 const loadClass = 64
 
+// agesClass is added, for the same reason, to the Class of instances that understand negative ages in a
+// SyncResponse.
+const agesClass = 128
+
 // ClassOfRelease returns the class of an instance of this release whose machine has a capacity class,
 // which is less than limitsClass.
-func ClassOfRelease(capacity uint8) uint8 { return capacity + limitsClass + loadClass }
+func ClassOfRelease(capacity uint8) uint8 { return capacity + limitsClass + loadClass + agesClass }
 
 // Capacity returns the capacity class of the sender's machine.
 func (h Heartbeat) Capacity() uint8 { return h.Class % limitsClass }
@@ -81,6 +85,9 @@
 // UnderstandsLoad reports whether the sender understands the messages in load.go.
 func (h Heartbeat) UnderstandsLoad() bool { return h.Class >= loadClass }
 
+// UnderstandsNegativeAges reports whether the sender understands negative ages in a SyncResponse.
+func (h Heartbeat) UnderstandsNegativeAges() bool { return h.Class >= agesClass }
+
 // DividesLimits reports whether the sender understands the messages about rate limits.
 func (h Heartbeat) DividesLimits() bool { return h.Class >= limitsClass }
 
@@ -151,12 +158,11 @@
 type SyncResponse struct {
 	// Number is the number of the SyncRequest.
 	Number int64
-	// ConfigAge is the age of the sender's confirmation of its configuration: the time since it
-	// sent the request whose response last confirmed it. It is negative if the sender has no
-	// configuration.
+	// ConfigAge is the age of the sender's confirmation of its configuration as of when the
+	// SyncRequest arrived, from AgeAt. It is NoAge if the sender has no configuration.
 	ConfigAge time.Duration
-	// ListAge is the same for the list of upstreams. It is negative if the sender lacks some of
-	// the requested groups.
+	// ListAge is the same for the list of upstreams. It is NoAge if the sender lacks some of the
+	// requested groups.
 	ListAge time.Duration
 	// Config is nil if the requester has the newest version known to the sender.
 	Config PackedConfig
@@ -167,6 +173,21 @@
 	List *roster.ListUpdate
 }
 
+// NoAge is an age in a SyncResponse that confirms nothing.
+const NoAge time.Duration = -1
+
+// AgeAt returns the age of a confirmation as of when a request arrived. It is negative if the
+// confirmation is newer, as after a long hold: the requester, which knows only when it sent the
+// request, may count on the time of the hold. To a requester that does not understand
+// negative ages such a confirmation is stated as of the arrival.
+func AgeAt(arrived, confirmed time.Time, negative bool) time.Duration {
+	age := arrived.Sub(confirmed)
+	if age == NoAge || age < 0 && !negative {
+		return 0
+	}
+	return age
+}
+
 // MoveOrder instructs an entry to move a running generation to another upstream.
 type MoveOrder struct {
 	Pool    string
--- a/internal/core/watch/watch.go
+++ b/internal/core/watch/watch.go
@@ -1,14 +1,25 @@
-// Package watch chooses the source from which an instance gets updates of the configuration and
-// the list of upstreams: the platform's store, or another instance that reads the store. Calls to
-// the store are priced, so only a few instances read it. The others query these instances, and
-// the store only if none of them responds.
+// Package watch decides how an instance follows the configuration and the list of upstreams: which
+// sources it queries and when, and when it responds to the queries of other instances. A source is the
+// platform's store, or another instance that reads the store. Calls to the store are priced, so only
+// a few instances read it, and the others query these.
+//
+// What is in force at an instance is at most as old as its last confirmation: the time as of which it
+// is known to have been the newest state of the store. An instance whose confirmation becomes overdue
+// queries further sources, and finally the store itself, without waiting for those that it has
+// queried before. Therefore the failures of other instances, however many, do not add up, and every
+// instance that reaches the store has a change in force within one bound, from which all intervals and
+// time limits derive (timing.go).
 //
 // An instance that is cut off from the store can still confirm its configuration through other
-// instances. The age of a response counts from the time when the query was sent, so that late or
-// repeated responses confirm nothing.
+// instances. A confirmation counts from the time when its query was sent, so that late or repeated
+// responses confirm nothing that is not true.
+//
+// timing.go holds the intervals, watch.go chooses among sources, follower.go decides on queries and
+// held.go on the responses to them. The package does no I/O.
 package watch
 
 import (
+	"slices"
 	"time"
 )
 
@@ -16,67 +27,51 @@
 const Store = ""
 
 const (
-	// PeerTimeout is how long an instance waits for the response of another instance. Without an
-	// update, that instance responds after PeerHold.
-	PeerTimeout = 900 * time.Millisecond
-	// PeerHold is the maximum time for which an instance holds a query while it has no update.
-	PeerHold = 400 * time.Millisecond
-	// backoff is how long an unresponsive or outdated source is skipped.
-	backoff = 2 * time.Second
 	// startBackoff is how long a source is skipped that has just started and has no data yet.
 	startBackoff = 300 * time.Millisecond
-	// maxOthers is the maximum number of instances in Choice.Others that are tried. They follow the
-	// designated instances and, in a small fleet, the store.
+	// maxOthers is the maximum number of instances in Choice.Others that are preferred before the store.
 	maxOthers = 6
-	// maxConfirmationAge is the maximum age of a source's confirmation before another source is
-	// tried. Each query of a reader to the store takes up to a second.
-	maxConfirmationAge = 2200 * time.Millisecond
-	// RelayExtraAge is added to the maximum age if the source is a relay, because the reader
-	// holds the relay's queries for up to PeerHold.
-	RelayExtraAge = PeerHold + 200*time.Millisecond
-	// keyAgeShare limits the maximum age to this fraction of the time for which keys are accepted
-	// after a confirmation.
-	keyAgeShare = 0.6
+	// maxOthersOverdue is used instead once the confirmation is overdue, so that the store is queried
+	// before the bound has passed.
+	maxOthersOverdue = 2
 )
 
-// Watch chooses among sources and skips those that failed. It is not safe for concurrent use.
-type Watch struct {
-	// maxAge is the maximum age of a confirmation before another source is tried.
-	maxAge time.Duration
+// preferences holds the sources that failed and are skipped for a while.
+type preferences struct {
 	// skipUntil holds the end of the backoff of each source that failed.
 	skipUntil map[string]time.Time
 }
 
-// New returns a Watch that skips no source. keysGoodFor is how long keys are accepted after a
-// confirmation; 0 means forever.
-func New(keysGoodFor time.Duration) *Watch {
-	w := &Watch{maxAge: maxConfirmationAge, skipUntil: map[string]time.Time{}}
-	if keysGoodFor > 0 {
-		w.maxAge = min(maxConfirmationAge, time.Duration(keyAgeShare*float64(keysGoodFor)))
-	}
-	return w
-}
-
 // Choice lists the sources that an instance may use.
 type Choice struct {
 	// Reads is set if the instance is a reader, which reads the store for all others. Standby is
 	// set if the instance takes over when a reader fails.
 	Reads   bool
 	Standby bool
+	// IsSource is set if other instances get their updates from this one, so that it needs the
+	// complete data.
+	IsSource bool
+	// Candidate is set if the instance finds out for others whether the store responds again.
+	Candidate bool
 	// Large is set in a large fleet, where only a few instances may read the store.
 	Large bool
-	// Designated lists the designated sources, in order of preference. Others lists all other live
-	// instances, in a rotation that differs between instances.
-	Designated, Others []string
+	// Designated lists the designated sources, in order of preference. Successors lists the instances
+	// that follow the standby in the order of readers. Others lists all other live instances, in a
+	// rotation that differs between instances.
+	Designated, Successors, Others []string
 }
 
-// Source returns the source to query next: the first one that is not being skipped, or else the
-// one whose backoff ends first.
-func (w *Watch) Source(now time.Time, c Choice) string {
-	sources := sourceOrder(c)
+// queriesStoreEarly reports whether the instance is one of the few that query the store as soon as the
+// designated sources fail. If all did, hundreds of instances would read the store at once.
+func (c Choice) queriesStoreEarly() bool { return c.Standby || c.IsSource }
+
+// preferred returns the source to query: the first one that is not being skipped, or else the one whose
+// backoff ends first.
+func (p *preferences) preferred(now time.Time, c Choice) string {
+	sources := preferenceOrder(c)
 	best, until := Store, time.Time{}
 	for k, source := range sources {
-		at, skipped := w.skipUntil[source]
+		at, skipped := p.skipUntil[source]
 		if !skipped || !now.Before(at) {
 			return source
 		}
@@ -87,51 +82,44 @@
 	return best
 }
 
-// sourceOrder lists the sources in order of preference. The store comes first for a reader, the
-// designated instances for the others. The store follows, and then arbitrary instances, one of
-// which may reach the store when this instance does not. In a large fleet the store comes last,
-// except for the standby, because otherwise hundreds of instances would read the full list of
-// upstreams at once if a few relays failed.
-func sourceOrder(c Choice) []string {
-	var sources []string
-	storeFirst := c.Reads || len(c.Designated) == 0
-	if storeFirst {
-		sources = append(sources, Store)
-	}
-	sources = append(sources, c.Designated...)
-	storeNext := !storeFirst && (c.Standby || !c.Large)
-	if storeNext {
-		sources = append(sources, Store)
-	}
-	sources = append(sources, c.Others[:min(len(c.Others), maxOthers)]...)
-	if !storeFirst && !storeNext {
-		sources = append(sources, Store)
+// preferenceOrder lists the sources in order of preference. The store comes first for a reader, the
+// designated instances for the others. Arbitrary instances follow, one of which may reach the store when
+// this instance does not.
+func preferenceOrder(c Choice) []string {
+	others := c.Others[:min(len(c.Others), maxOthers)]
+	switch {
+	case c.Reads || len(c.Designated) == 0:
+		return slices.Concat([]string{Store}, c.Designated, others)
+	case c.queriesStoreEarly():
+		return slices.Concat(c.Designated, []string{Store}, others)
 	}
-	return sources
+	return slices.Concat(c.Designated, others, []string{Store})
 }
 
-// Skipped reports whether a source is being skipped.
-func (w *Watch) Skipped(now time.Time, source string) bool { return now.Before(w.skipUntil[source]) }
-
-// Failed records that a source did not respond. The source is skipped for a while.
-func (w *Watch) Failed(now time.Time, source string) { w.skipUntil[source] = now.Add(backoff) }
-
-// OnResponse records a source's response and reports whether its confirmation is recent enough;
-// otherwise the source is skipped for a while. age is the age of the confirmation, negative if
-// the source has no data. relayed is set if the source is a relay.
-func (w *Watch) OnResponse(now time.Time, source string, age time.Duration, relayed bool) bool {
-	maxAge := w.maxAge
-	if relayed {
-		maxAge += RelayExtraAge
-	}
+// overdueOrder lists the sources in the order in which they are queried once the confirmation is overdue.
+// In a small fleet the store follows the instances that query it early, in a large one it comes last.
+func overdueOrder(c Choice) []string {
+	others := c.Others[:min(len(c.Others), maxOthersOverdue)]
 	switch {
-	case age < 0:
-		w.skipUntil[source] = now.Add(startBackoff)
-		return false
-	case age > maxAge:
-		w.skipUntil[source] = now.Add(backoff)
-		return false
+	case c.Reads || len(c.Designated) == 0:
+		return slices.Concat([]string{Store}, c.Designated, c.Successors, others)
+	case c.queriesStoreEarly():
+		return slices.Concat(c.Designated, []string{Store}, c.Successors, others)
+	case c.Large:
+		return slices.Concat(c.Designated, c.Successors, others, []string{Store})
 	}
-	delete(w.skipUntil, source)
-	return true
+	return slices.Concat(c.Designated, c.Successors, []string{Store}, others)
+}
+
+// skipped reports whether a source is being skipped.
+func (p *preferences) skipped(now time.Time, source string) bool {
+	return now.Before(p.skipUntil[source])
+}
+
+// skip skips a source for some time.
+func (p *preferences) skip(now time.Time, source string, d time.Duration) {
+	p.skipUntil[source] = now.Add(d)
 }
+
+// clear ends the backoff of a source.
+func (p *preferences) clear(source string) { delete(p.skipUntil, source) }
--- a/internal/hosted/fleet.go
+++ b/internal/hosted/fleet.go
@@ -10,6 +10,7 @@
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/watch"
 	"mulberrylug.example/mulberrylug/internal/metrics"
 	"mulberrylug.example/mulberrylug/internal/peer"
 )
@@ -215,7 +216,13 @@
 
 // sources returns the sources from which this instance may get updates; isHome is set if this
 // instance is home of a pool.
-func (f *peers) sources(isHome bool) (s fleet.Sources) {
+func (f *peers) sources(isHome bool) (s watch.Choice) {
 	f.with(func(now time.Time, v *fleet.Fleet) { s = v.Sources(now, isHome) })
 	return s
 }
+
+// understandsNegativeAges reports whether an instance understands negative ages in responses.
+func (f *peers) understandsNegativeAges(name string) (ok bool) {
+	f.with(func(_ time.Time, v *fleet.Fleet) { ok = v.UnderstandsNegativeAges(name) })
+	return ok
+}
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -9,7 +9,6 @@
 
 	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
-	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
@@ -19,31 +18,15 @@
 )
 
 const (
-	// configInterval is the maximum interval between reads of the configuration, and so the
-	// maximum delay until a new configuration is in force at the instance that reads it.
-	// At all instances the guaranteed maximum is two seconds.
-	configInterval = 600 * time.Millisecond
-	// readsPerValidity is the number of reads of the configuration within the time for which
-	// keys are accepted after a confirmation. For the instances that poll the reader, a hold of
-	// the same length as the read interval is added, so that three failed reads in a row are
-	// tolerated.
-	readsPerValidity = 6
-	// listPollTimeout limits a long poll for changes of the list, because its connection may
-	// stop delivering data: leaving upstreams must get no work after two seconds.
-	listPollTimeout = time.Second
 	// minListInterval is the minimum interval between polls of the list.
 	minListInterval = 100 * time.Millisecond
-	// staleBackoff is the delay after a response that confirms too old a state. It keeps
-	// hundreds of instances that poll each other from overloading their machines, and is short
-	// compared with the validity of keys.
-	staleBackoff = 150 * time.Millisecond
-	// retryBackoff is the delay after a failed call to the store.
+	// retryBackoff is the delay after a failed read of the list.
 	retryBackoff = 150 * time.Millisecond
 	// sourcesInterval is the interval at which the candidate sources are recomputed. A source
 	// that does not respond is skipped immediately, before the next computation.
 	sourcesInterval = 200 * time.Millisecond
-	// listPerEntry extends minListInterval for each entry of the list, because every entry is
-	// renewed, and thereby changes, about once a second.
+	// listPerEntry extends minListInterval for each entry of the list, up to Timing.ReadInterval,
+	// because every entry is renewed, and thereby changes, about once a second.
 	listPerEntry = 200 * time.Microsecond
 	// maxChangeLogLines is the maximum number of log lines about upstreams that joined, and of
 	// those about upstreams that left, per response.
@@ -69,21 +52,23 @@
 	regions map[string]string
 	peers   *peers
 	relay   *relay
-	// readInterval is the interval between reads of the configuration.
-	readInterval time.Duration
+	// listWanted receives a value if the list must be read although the store is not the
+	// preferred source.
+	listWanted chan struct{}
 	// divideServices is set if large services are divided into groups.
 	divideServices bool
 	freshness      *freshness
 
-	// mu guards the fields up to lastSource.
-	mu    sync.Mutex
-	watch *watch.Watch
+	// mu guards the fields up to lastSource. queries decides on the queries, as timing says.
+	mu      sync.Mutex
+	timing  watch.Timing
+	queries *watch.Follower
 	// storeUp is set while the store responds.
 	storeUp bool
 	// sources are the candidates for updates as of sourcesAt.
-	sources   fleet.Sources
+	sources   watch.Choice
 	sourcesAt time.Time
-	// lastSource is the source that was chosen last.
+	// lastSource is the preferred source as of the last check.
 	lastSource string
 
 	// configVersion and listVersion are the store's versions in the latest responses with the
@@ -94,61 +79,21 @@
 	lastCordonErrors string
 }
 
-// readIntervalFor returns the interval between reads of the configuration, which also limits the
-// hold of other instances' long polls. keys is the time for which keys are accepted after a
-// confirmation; 0 means forever.
-func readIntervalFor(keys time.Duration) time.Duration {
-	if keys == 0 {
-		return configInterval
-	}
-	return min(configInterval, keys/readsPerValidity)
-}
-
-// followConfig keeps the configuration current until the context ends. It polls the row in the
-// store instead of a feed of changes: a feed can stall, and its silence must not confirm that
-// keys are still valid.
-func (f *follower) followConfig(ctx context.Context) error {
-	return f.whileStoreIsSource(ctx, func() {
-		sentAt := boottime.Now()
-		read, err := f.store.Config(ctx)
-		if err != nil {
-			f.sourceFailed(watch.Store, err.Error(), boottime.Now().Sub(sentAt))
-			f.storeFailed(ctx, "configuration", err)
-			sleep(ctx, retryBackoff)
-			return
-		}
-		f.applyConfig(sentAt, read)
-		sleep(ctx, f.readInterval)
-	})
-}
-
-// whileStoreIsSource repeats a step while the store is this instance's source, until the context
-// ends.
-func (f *follower) whileStoreIsSource(ctx context.Context, step func()) error {
-	f.peers.awaitJoined(ctx)
-	for ctx.Err() == nil {
-		if f.source() == watch.Store {
-			step()
-		} else {
-			sleep(ctx, sourceCheckInterval)
-		}
-	}
-	return ctx.Err()
-}
-
 // applyConfig applies a response of the store; sentAt is the time at which the read was sent. It
-// ignores a response older than the known configuration or cordons.
-func (f *follower) applyConfig(sentAt time.Time, read ConfigResponse) {
+// ignores a response older than the known configuration or cordons, and then returns false. The row is
+// read instead of a feed of changes: a feed can stall, and its silence must not confirm that keys are
+// still valid.
+func (f *follower) applyConfig(sentAt time.Time, read ConfigResponse) bool {
 	var cordonsVersion int64
 	f.server.decide(func(_ time.Time, g *forward.Gate) { cordonsVersion = g.Cordons().Version })
 	if read.Version < max(f.configVersion, cordonsVersion) {
 		f.metrics.Count("stale_answers_total", "configuration")
 		f.log.Warn("configuration_answer_stale", "version", read.Version, "known", max(f.configVersion, cordonsVersion))
-		return
+		return false
 	}
 	f.configVersion = read.Version
-	f.sourceResponded(watch.Store, 0)
 	f.adopt(sentAt, sentAt, update{config: read.Config, cordons: f.changedCordons(read)}, watch.Store)
+	return true
 }
 
 // update is a set of changes from a source; nil fields are unchanged.
@@ -202,31 +147,59 @@
 			"unconfirmed_for", unconfirmed.Round(time.Millisecond), "query_took", took.Round(time.Millisecond))
 		f.freshness.adopted(version, source, unconfirmed, took)
 	}
-	if confirmed {
-		f.freshness.confirmed(source, unconfirmed)
-	}
 	if adopted || cordoned {
 		f.onAdopted(cordoned)
 	}
+	if confirmed {
+		f.freshness.confirmed(source, unconfirmed)
+		f.relay.onConfirmed(asOf)
+	}
 }
 
-// followList keeps the list of upstreams current until the context ends.
+// followList keeps the list of upstreams current until the context ends. It reads the list while the
+// store is the preferred source, or once if that is requested.
 func (f *follower) followList(ctx context.Context) error {
-	return f.whileStoreIsSource(ctx, func() {
-		began := time.Now()
-		full := f.listVersion == 0 || !f.listIsComplete()
-		if err := f.readList(ctx, full); err != nil {
-			f.listVersion = 0
-			if full {
-				f.storeFailed(ctx, "list", err)
-				sleep(ctx, retryBackoff)
-			} else {
-				f.metrics.Count("store_failures_total", "list")
-			}
-			return
+	f.peers.awaitJoined(ctx)
+	for ctx.Err() == nil {
+		if f.source() == watch.Store {
+			f.readListStep(ctx, f.listVersion == 0 || !f.listIsComplete())
+			continue
 		}
+		check := time.NewTimer(sourceCheckInterval)
+		select {
+		case <-ctx.Done():
+		case <-check.C:
+		case <-f.listWanted:
+			f.readListStep(ctx, true)
+		}
+		check.Stop()
+	}
+	return ctx.Err()
+}
+
+// readListStep reads the full list or its changes, and waits until the next read may begin.
+func (f *follower) readListStep(ctx context.Context, full bool) {
+	began := time.Now()
+	err := f.readList(ctx, full)
+	switch {
+	case err == nil:
 		sleep(ctx, f.listInterval()-time.Since(began))
-	})
+	case full:
+		f.listVersion = 0
+		f.storeFailed(ctx, "list", err)
+		sleep(ctx, retryBackoff)
+	default:
+		f.listVersion = 0
+		f.metrics.Count("store_failures_total", "list")
+	}
+}
+
+// wantList requests that the list is read although the store is not the preferred source.
+func (f *follower) wantList() {
+	select {
+	case f.listWanted <- struct{}{}:
+	default: // a request is already pending
+	}
 }
 
 // listIsComplete reports whether every upstream is known. An instance that has polled other
@@ -241,7 +214,7 @@
 	f.server.decide(func(_ time.Time, g *forward.Gate) {
 		d = minListInterval + time.Duration(g.Roster().Len())*listPerEntry
 	})
-	return d
+	return min(d, f.currentTiming().ReadInterval)
 }
 
 // readList reads the full list, or its changes. A failed read of changes does not mean that the
@@ -253,7 +226,7 @@
 	if full {
 		read, err = f.store.List(ctx)
 	} else {
-		read, err = f.store.ListSince(ctx, f.listVersion, listPollTimeout)
+		read, err = f.store.ListSince(ctx, f.listVersion, f.currentTiming().ListWait)
 	}
 	if err != nil {
 		return err
--- a/internal/hosted/freshness.go
+++ b/internal/hosted/freshness.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"mulberrylug.example/mulberrylug/internal/core/watch"
 	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
@@ -28,8 +29,36 @@
 	// took. skipped is the number of those beyond maxFailedSteps.
 	failed  []string
 	skipped int
-	// overdue is set while the state has been unconfirmed for longer than the bound.
-	overdue bool
+	// overdue is set while the state has been unconfirmed for longer than the bound, and further while
+	// further sources are queried because the confirmation is overdue.
+	overdue, further bool
+}
+
+// furtherQueried records a query of a further source because the confirmation, which has the given age, is
+// overdue. It logs the first one.
+func (f *freshness) furtherQueried(source string, age time.Duration) {
+	label := "instance"
+	if source == sourceName(watch.Store) {
+		label = "store"
+	}
+	f.metrics.Count("further_queries_total", label)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.further {
+		f.further = true
+		f.log.Info("confirmation_overdue", "queried", source, "age", age.Round(time.Millisecond), "failed", strings.Join(f.failed, ","))
+	}
+}
+
+// lateResponse records a response that arrived after its source had counted as unresponsive or another
+// query had replaced its own. It is used if its query is still known.
+func (f *freshness) lateResponse(got syncResponse, used bool) {
+	holds := "confirmation"
+	if got.Config != nil {
+		holds = "configuration"
+	}
+	f.metrics.Count("late_responses_total", holds)
+	f.log.Info("response_late", "source", got.from, "number", got.Number, "holds", holds, "used", used)
 }
 
 // queryFailed records a failed query of a source.
@@ -65,7 +94,7 @@
 	if f.overdue {
 		f.log.Info("configuration_confirmed_again", "source", source, "unconfirmed_for", unconfirmed.Round(time.Millisecond))
 	}
-	f.overdue, f.failed, f.skipped = false, nil, 0
+	f.overdue, f.further, f.failed, f.skipped = false, false, nil, 0
 }
 
 // check logs once that the state has been unconfirmed for longer than the bound.
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -72,7 +72,7 @@
 	follower *follower
 	peers    *peers
 	relay    *relay
-	poller   *syncPoller
+	poller   *poller
 	homes    *homes
 	permits  *permitHome
 	// traffic counts the bytes of callers', upstreams' and other instances' connections. connections
@@ -91,7 +91,7 @@
 func New(s Settings, wire Wire, store Store, log hclog.Logger) *Instance {
 	m := metrics.NewMetrics()
 	o := options(s)
-	keys := o.KeysGoodFor
+	timing := timingFor(s, o.KeysGoodFor)
 	conns := conn.NewPool()
 	conns.Traffic = &conn.Traffic{}
 	o.Seed = rand.Uint64()
@@ -117,13 +117,12 @@
 		seeds: s.Seeds, seedAddress: s.SeedAddress, joinResponses: make(chan msg.JoinResponse, 16), joinDone: make(chan struct{}),
 		fleet: fleet.New(boottime.Now(), i.ownHeartbeat(), s.Regions, s.Without),
 	}
-	i.relay = &relay{
-		server: srv, send: i.peers.sendTo, maxHold: min(watch.PeerHold, readIntervalFor(keys)),
-		mayBeSource: func() bool { return !i.peers.hasJoined() || i.follower.isSource() }, held: map[string]heldPoll{},
-	}
+	i.relay = newRelay(srv, timing)
+	i.relay.send, i.relay.understandsNegativeAges = i.peers.sendTo, i.peers.understandsNegativeAges
+	i.relay.mayBeSource = func() bool { return !i.peers.hasJoined() || i.follower.isSource() }
 	i.follower = &follower{
 		store: store, server: srv, metrics: m, log: log, onLeaving: func() { i.homes.sync() }, isHome: func() bool { return len(i.homes.poolNames()) > 0 },
-		onAdopted: i.onAdopted, peers: i.peers, relay: i.relay, watch: watch.New(keys), readInterval: readIntervalFor(keys),
+		onAdopted: i.onAdopted, peers: i.peers, relay: i.relay, timing: timing, queries: watch.NewFollower(timing, rand.Int64N(1<<40)), listWanted: make(chan struct{}, 1),
 		divideServices: !s.Without.Has(mechanism.Parts), regions: s.Regions,
 		freshness: &freshness{metrics: m, log: log, bound: srv.configBound},
 	}
@@ -133,7 +132,7 @@
 	}
 	i.permits = newPermitHome(m, log, i.sendAny)
 	srv.homes = homeLink{homeOf: i.homeOf, limitHomeOf: i.limitHomeOf, understandsLoad: i.understandsLoad, announce: i.announce, onLeaving: i.homes.sync, send: i.sendAny, reportSilent: i.suspectHome, broadcast: i.broadcast}
-	i.poller = &syncPoller{follower: i.follower, responses: make(chan syncResponse, 16), wake: make(chan struct{}, 1), neededGroups: i.neededGroups}
+	i.poller = &poller{follower: i.follower, responses: make(chan syncResponse, 16), reads: make(chan storeRead), wake: make(chan struct{}, 1), neededGroups: i.neededGroups}
 	i.homes.onCreated = i.poller.wakeUp
 	return i
 }
@@ -150,6 +149,12 @@
 	return o
 }
 
+// timingFor returns the intervals and time limits for following the store. A shorter limit on new
+// configurations, on leaving upstreams or on keys shortens all of them.
+func timingFor(s Settings, keysGoodFor time.Duration) watch.Timing {
+	return watch.NewTiming(watch.ShortestBound(s.ApplyWithin, s.DrainWithin, keysGoodFor))
+}
+
 // Reload applies changed settings. Changes of addresses and of the name need a restart, which
 // is logged.
 func (i *Instance) Reload(s Settings) {
@@ -163,6 +168,9 @@
 		g.Configure(options(s))
 		i.settings.Grace, i.settings.MaxEntryTTL = s.Grace, s.MaxEntryTTL
 	})
+	timing := timingFor(s, options(s).KeysGoodFor)
+	i.follower.setTiming(timing)
+	i.relay.setTiming(timing)
 	restart := s.CallerAddress != old.CallerAddress || s.ReadyAddress != old.ReadyAddress ||
 		s.DirectoryAddress != old.DirectoryAddress || s.Name != old.Name || s.StoreAddress != old.StoreAddress
 	i.log.Info("reloaded", "changed", true, "grace", s.Grace, "revoke_within", s.RevokeWithin,
@@ -186,7 +194,7 @@
 
 // state returns the state of this instance that its heartbeats announce.
 func (i *Instance) state() (ready, leaving, reads bool) {
-	return i.ready(), i.server.isLeaving(), i.follower.readsStore()
+	return i.ready(), i.server.isLeaving(), i.follower.reachesStore()
 }
 
 // onAdopted forwards an update that is now in force to the instances that poll this one and, if it has
@@ -328,8 +336,7 @@
 	return []task.Task{
 		{Name: "join", Run: i.peers.join},
 		{Name: "sweep", Run: i.peers.sweep},
-		{Name: "asker", Run: i.poller.run},
-		{Name: "configuration", Run: i.follower.followConfig},
+		{Name: "poller", Run: i.poller.run},
 		{Name: "list", Run: i.follower.followList},
 		{Name: "permits", Run: i.permits.run},
 		task.Every("heartbeats", tickInterval, func(context.Context) {
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -1,35 +1,32 @@
 package hosted
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
-	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/watch"
 )
 
-// homeHold is the maximum time for which the long polls of a home are held. It limits the age of
-// the home's state, and so the delay until the home detects an outage.
-const homeHold = 150 * time.Millisecond
-
 // relay responds to the polls of instances that do not read the store.
 type relay struct {
 	server *server
 	send   func(to string, m msg.Message)
-	// maxHold is the maximum time for which a poll is held while there is no update.
-	maxHold time.Duration
+	// understandsNegativeAges reports whether a requester does.
+	understandsNegativeAges func(name string) bool
 	// mayBeSource reports whether other instances use this one as a source, or whether that is
 	// unknown because the members are not known yet.
 	mayBeSource func() bool
 
-	// mu guards held, which holds the waiting poll of each requester by name.
-	mu   sync.Mutex
-	held map[string]heldPoll
+	// mu guards the waiting polls, the time of the last confirmation for which they were checked, and
+	// minAdvance, the difference of confirmations for which they are checked again.
+	mu         sync.Mutex
+	held       *watch.Held[msg.SyncRequest]
+	checkedFor time.Time
+	minAdvance time.Duration
 	// config is the configuration in force. Guarded by the server's lock.
 	config *sharedConfig
 }
@@ -55,31 +52,73 @@
 	return s.packed, s.err
 }
 
-// heldPoll is a poll that waits for an update. If there is none before the time until, the
-// response is sent then.
-type heldPoll struct {
-	message msg.SyncRequest
-	until   time.Time
+// newRelay returns a relay without a configuration.
+func newRelay(s *server, t watch.Timing) *relay {
+	r := &relay{server: s, held: watch.NewHeld[msg.SyncRequest](t)}
+	r.setTiming(t)
+	return r
+}
+
+// setTiming replaces the time limits.
+func (r *relay) setTiming(t watch.Timing) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held.SetTiming(t)
+	r.minAdvance = t.ReadInterval / 2
 }
 
 // handlePoll responds to a poll immediately if there is an update, or if it must not be held.
 // Otherwise it holds the poll.
 func (r *relay) handlePoll(from string, m msg.SyncRequest) {
-	if response, updated := r.response(m); updated {
-		r.send(from, response)
+	arrived, confirmed := boottime.Now(), r.confirmed()
+	response, updated := r.response(from, m, arrived)
+	if updated || r.hasNews(arrived, from, confirmed) {
+		r.respond(from, response, confirmed)
 		return
 	}
 	if !r.mayHold() {
-		r.send(from, msg.SyncResponse{Number: m.Number, ConfigAge: -1})
+		r.send(from, msg.SyncResponse{Number: m.Number, ConfigAge: msg.NoAge})
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	hold := r.maxHold
-	if m.Hold > 0 {
-		hold = min(hold, m.Hold)
+	r.held.Add(arrived, from, m, m.Hold, confirmed)
+}
+
+// hasNews reports whether a poll must not be held because its sender has not been told of the last
+// confirmation.
+func (r *relay) hasNews(now time.Time, from string, confirmed time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.held.HasNews(now, from, confirmed)
+}
+
+// respond sends a response, of a state that was confirmed at the given time or later.
+func (r *relay) respond(to string, m msg.SyncResponse, confirmed time.Time) {
+	r.mu.Lock()
+	r.held.Told(to, confirmed)
+	r.mu.Unlock()
+	r.send(to, m)
+}
+
+// confirmed returns the time as of which the state of this instance was last confirmed.
+func (r *relay) confirmed() (at time.Time) {
+	r.server.decide(func(_ time.Time, g *forward.Gate) { at = g.Confirmed() })
+	return at
+}
+
+// onConfirmed responds to the polls that wait for a newer confirmation than they would have got when
+// they arrived.
+func (r *relay) onConfirmed(asOf time.Time) {
+	r.mu.Lock()
+	advanced := asOf.Sub(r.checkedFor) >= r.minAdvance
+	if advanced {
+		r.checkedFor = asOf
+	}
+	r.mu.Unlock()
+	if advanced {
+		r.tick()
 	}
-	r.held[from] = heldPoll{message: m, until: time.Now().Add(hold)}
 }
 
 // mayHold reports whether a poll may be held. An instance without a configuration, which has
@@ -89,31 +128,29 @@
 	return ok || r.mayBeSource()
 }
 
-// tick responds to held polls for which there is an update or whose time has passed.
+// tick responds to held polls for which there is an update or a newer confirmation, and to those whose
+// time has passed.
 func (r *relay) tick() {
 	r.mu.Lock()
-	waiting := make(map[string]heldPoll, len(r.held))
-	for name, w := range r.held {
-		waiting[name] = w
-	}
+	waiting := r.held.Waiting()
 	r.mu.Unlock()
-	for name, w := range waiting {
-		response, updated := r.response(w.message)
-		if !updated && time.Now().Before(w.until) {
-			continue
-		}
+	for _, q := range waiting {
+		confirmed := r.confirmed()
+		response, updated := r.response(q.From, q.Message, q.Arrived)
 		r.mu.Lock()
-		if r.held[name].message.Number == w.message.Number {
-			delete(r.held, name)
-		}
+		due := (updated || r.held.IsDue(boottime.Now(), q, confirmed)) && r.held.Remove(q)
 		r.mu.Unlock()
-		r.send(name, response)
+		if due {
+			r.respond(q.From, response, confirmed)
+		}
 	}
 }
 
 // response returns the updates since the requester's versions and reports whether there are any.
-func (r *relay) response(m msg.SyncRequest) (a msg.SyncResponse, updated bool) {
-	a = msg.SyncResponse{Number: m.Number, ConfigAge: -1}
+// arrived is the time at which the request arrived.
+func (r *relay) response(from string, m msg.SyncRequest, arrived time.Time) (a msg.SyncResponse, updated bool) {
+	a = msg.SyncResponse{Number: m.Number, ConfigAge: msg.NoAge}
+	negative := r.understandsNegativeAges(from)
 	var newer *sharedConfig
 	r.server.decide(func(now time.Time, g *forward.Gate) {
 		if g.Table() == nil {
@@ -125,16 +162,16 @@
 			}
 			newer, updated = r.config, true
 		}
-		a.ConfigAge = max(now.Sub(g.Confirmed()), 0)
+		a.ConfigAge = msg.AgeAt(arrived, g.Confirmed(), negative)
 		if c := g.Cordons(); c.Version > m.Cordons {
 			a.Cordons, updated = &c, true
 		}
 		share, ok := g.Roster().Respond(now, m.List)
 		if !ok {
-			a.ListAge = -1
+			a.ListAge = msg.NoAge
 			return
 		}
-		a.ListAge, a.List = max(now.Sub(g.Roster().Confirmed()), 0), share
+		a.ListAge, a.List = msg.AgeAt(arrived, g.Roster().Confirmed(), negative), share
 		updated = updated || share != nil
 	})
 	if newer == nil {
@@ -144,152 +181,7 @@
 	if a.Config, err = newer.packOnce(); err != nil {
 		r.server.log.Error("configuration_not_packed", "version", newer.config.Version, "error", err)
 		// Without the configuration, the response must not confirm the requester's older one.
-		return msg.SyncResponse{Number: m.Number, ConfigAge: -1}, true
+		return msg.SyncResponse{Number: m.Number, ConfigAge: msg.NoAge}, true
 	}
 	return a, true
 }
-
-// syncPoller polls another instance for updates while this one does not read the store.
-type syncPoller struct {
-	follower  *follower
-	responses chan syncResponse
-	// neededGroups returns the groups of divided services that this instance needs.
-	neededGroups func(*forward.Gate) []roster.Group
-	// wake interrupts a poll when another group is needed.
-	wake chan struct{}
-	// lastNumber is the number of the latest poll, by which its response is recognised.
-	lastNumber int64
-}
-
-// syncResponse is a response to a poll and the instance that sent it.
-type syncResponse struct {
-	from string
-	msg.SyncResponse
-}
-
-// run polls until the context ends.
-func (a *syncPoller) run(ctx context.Context) error {
-	a.follower.peers.awaitJoined(ctx)
-	for ctx.Err() == nil {
-		source := a.follower.source()
-		if source == watch.Store {
-			sleep(ctx, sourceCheckInterval)
-			continue
-		}
-		a.poll(ctx, source)
-	}
-	return ctx.Err()
-}
-
-// wakeUp interrupts the current poll, so that the next one starts immediately.
-func (a *syncPoller) wakeUp() {
-	select {
-	case a.wake <- struct{}{}:
-	default: // a wake-up is already pending
-	}
-}
-
-// poll polls one instance and applies its response, which confirms the state as of the time at
-// which the poll was sent.
-func (a *syncPoller) poll(ctx context.Context, source string) {
-	a.lastNumber++
-	full := a.follower.isSource()
-	q := msg.SyncRequest{Number: a.lastNumber}
-	if a.follower.isHome() {
-		q.Hold = homeHold
-	}
-	a.follower.server.decide(func(_ time.Time, g *forward.Gate) {
-		q.List = g.Roster().Request(a.neededGroups(g), full)
-		q.Cordons = g.Cordons().Version
-		if g.Table() != nil {
-			q.Config = g.Table().Version
-		}
-	})
-	sentAt := boottime.Now()
-	a.follower.peers.sendTo(source, q)
-	timeout := time.NewTimer(watch.PeerTimeout)
-	defer timeout.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-a.wake:
-			return
-		case <-timeout.C:
-			a.follower.sourceFailed(source, "no answer", boottime.Now().Sub(sentAt))
-			return
-		case got := <-a.responses:
-			if got.from != source || got.Number != q.Number {
-				a.countLate(got) // response to an earlier poll
-				continue
-			}
-			a.apply(ctx, source, sentAt, got.SyncResponse, full)
-			return
-		}
-	}
-}
-
-// countLate counts a response that arrived after its poll had ended, and is not used.
-func (a *syncPoller) countLate(got syncResponse) {
-	what := "confirmation"
-	if got.Config != nil {
-		what = "configuration"
-	}
-	a.follower.metrics.Count("late_responses_total", what)
-	a.follower.log.Info("response_late", "source", got.from, "number", got.Number, "last_number", a.lastNumber, "holds", what)
-}
-
-// apply applies a source's response; sentAt is the time at which the poll was sent, and full is
-// set if the poll requested the full list.
-func (a *syncPoller) apply(ctx context.Context, source string, sentAt time.Time, m msg.SyncResponse, full bool) {
-	f := a.follower
-	if !f.sourceResponded(source, m.ConfigAge) {
-		// During an outage the state of every instance is old. Other instances may be polled,
-		// with a backoff.
-		defer sleep(ctx, staleBackoff)
-	}
-	if m.ConfigAge < 0 {
-		return
-	}
-	u := update{cordons: m.Cordons}
-	if m.Config != nil {
-		c, err := m.Config.Unpack()
-		if err != nil {
-			f.sourceFailed(source, err.Error(), boottime.Now().Sub(sentAt))
-			return
-		}
-		u.config, u.packed = c, m.Config
-	}
-	f.adopt(sentAt, sentAt.Add(-m.ConfigAge), u, source)
-	if m.ListAge < 0 {
-		return
-	}
-	f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(sentAt.Add(-m.ListAge)) })
-	if m.List != nil {
-		a.applyList(source, *m.List, full)
-	}
-}
-
-// applyList applies a list received from another instance, and drops the groups that are not
-// needed here unless full is set.
-func (a *syncPoller) applyList(source string, share roster.ListUpdate, full bool) {
-	f := a.follower
-	var before, after int64
-	f.changeRoster(source, func(now time.Time, g *forward.Gate) []*roster.Upstream {
-		r := g.Roster()
-		_, before = r.Layout()
-		left := r.Adopt(now, share)
-		_, after = r.Layout()
-		if full {
-			return left
-		}
-		known := r.Len()
-		if use := a.neededGroups(g); r.Keep(use) {
-			f.log.Info("groups_kept", "groups", len(use), "upstreams_before", known, "upstreams", r.Len(), "division", after)
-		}
-		return left
-	})
-	if before != after {
-		f.server.announceRunning() // the homes of the new pools do not know the running generations
-	}
-}
