proctest: the soak checks that configurations are in force in time

Until now it checked only the longer limit on revocations that holds at isolated instances too. It now records when the store failed, for all or for single instances, and reports a revoked key that runs at an instance which was neither disturbed nor without the store for 3 s.

--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -70,8 +70,11 @@
 	// revoked maps each revoked key to the time of its revocation.
 	revoked map[string]time.Time
 	served  int
-	// disturbances holds when instances were restarted or frozen.
-	disturbances []disturbance
+	// disturbances holds when instances were restarted or frozen. storeFaults holds when the store had a
+	// fault for an instance, or for all with the name "", and storeFaultSince when the present ones began.
+	disturbances    []disturbance
+	storeFaults     []disturbance
+	storeFaultSince map[string]time.Time
 }
 
 // sentRequest is a request and the response that its caller received.
@@ -94,7 +97,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		fixture: newFixture(t), t: t, rand: rand.New(rand.NewPCG(seed, seed)), loadRand: rand.New(rand.NewPCG(seed, seed+1)), stop: make(chan struct{}),
-		requests: map[string]sentRequest{}, key: hosting.Key, revoked: map[string]time.Time{},
+		requests: map[string]sentRequest{}, key: hosting.Key, revoked: map[string]time.Time{}, storeFaultSince: map[string]time.Time{},
 	}
 	s.addRelays()
 	for len(s.machines) < *soakSize {
@@ -225,13 +228,15 @@
 	case 2:
 		s.freeze(n)
 	case 3:
-		s.Table.Set([]hosting.Mode{hosting.Busy, hosting.Silent, hosting.Lost}[s.rand.IntN(3)])
+		s.failStore([]hosting.Mode{hosting.Busy, hosting.Silent, hosting.Lost}[s.rand.IntN(3)])
 	case 4:
 		s.Table.SetFor(s.machines[n].Name, []hosting.Mode{hosting.Busy, hosting.Silent}[s.rand.IntN(2)])
+		s.beginStoreFault(s.machines[n].Name)
 	case 5, 6:
 		s.clearFaults()
 	case 7:
 		s.Table.Forget()
+		s.storeFaults = append(s.storeFaults, disturbance{from: time.Now(), to: time.Now()})
 	case 8:
 		faults := []hosting.Fault{
 			hosting.Full, hosting.Fails, hosting.LostAnswer, hosting.Mute, hosting.Cuts,
@@ -251,7 +256,7 @@
 	case 19, 20:
 		upstream.Shed(time.Duration(200+s.rand.IntN(4000)) * time.Millisecond)
 	case 21: // an upstream states all that it can, while the store is silent
-		s.Table.Set(hosting.Silent)
+		s.failStore(hosting.Silent)
 		upstream.Shed(time.Duration(200+s.rand.IntN(2000)) * time.Millisecond)
 		s.changeLimit()
 		s.replaceDesk()
@@ -434,6 +439,33 @@
 	s.mu.Unlock()
 }
 
+// failStore makes the store fail for all instances that have no fault of their own.
+func (s *soak) failStore(m hosting.Mode) {
+	s.Table.Set(m)
+	s.beginStoreFault("")
+}
+
+// beginStoreFault records that the store begins to fail for an instance, or for all with the name "".
+func (s *soak) beginStoreFault(instance string) {
+	if _, failing := s.storeFaultSince[instance]; !failing {
+		s.storeFaultSince[instance] = time.Now()
+	}
+}
+
+// endStoreFaults records that the store responds to all instances.
+func (s *soak) endStoreFaults() {
+	for instance, from := range s.storeFaultSince {
+		s.storeFaults = append(s.storeFaults, disturbance{instance: instance, from: from, to: time.Now()})
+	}
+	clear(s.storeFaultSince)
+}
+
+// inTouch reports whether an instance was not disturbed, and reached the store, for some time before a
+// moment, so that every configuration must be in force there in time.
+func (s *soak) inTouch(instance string, at time.Time) bool {
+	return !excuses(s.disturbances, instance, at, at) && !excuses(s.storeFaults, instance, at, at) && !excuses(s.storeFaults, "", at, at)
+}
+
 // clearFaults ends the lasting faults of the store, the relays and the upstreams.
 func (s *soak) clearFaults() {
 	s.Table.Set(hosting.Well)
@@ -444,6 +476,7 @@
 	for _, m := range s.machines {
 		s.Table.SetFor(m.Name, hosting.Well)
 	}
+	s.endStoreFaults()
 	for _, w := range append(append([]*hosting.Worker(nil), s.pool...), s.desk...) {
 		w.SetFault(hosting.None)
 		w.Shed(0)
@@ -493,6 +526,9 @@
 		if revoked && a.sent.After(revokedAt.Add(hosting.RevokeWithin)) && countRuns(list) > 0 {
 			s.t.Errorf("%s ran with a key that had been revoked %v before it was sent, want a refusal", id, a.sent.Sub(revokedAt))
 		}
+		if revoked && a.sent.After(revokedAt.Add(hosting.ApplyWithin)) && countRuns(list) > 0 && s.inTouch(a.instance, a.sent) {
+			s.t.Errorf("%s ran at %s, which was in touch, with a key that had been revoked %v before it was sent, want a refusal", id, a.instance, a.sent.Sub(revokedAt))
+		}
 		for _, arrival := range list {
 			if arrival.Header.Get("Tenant") != hosting.Owner || arrival.Header.Get("Credential") != "" {
 				s.t.Errorf("%s reached %s with headers %v, want the organisation and no key", id, arrival.Worker, arrival.Header)
