hosted: the list is read only while the store responds; responses take their state in one step

In an outage the store became the preferred source of instances that had failed to read it, and each of them went on to read the list every 0.15 s. The list is now read once a read of the configuration has succeeded.

Responses to polls take updates, confirmation and ages under one lock, instead of up to three for each held poll ten times a second; ages are adapted to an earlier release as they are sent.

--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -177,15 +177,24 @@
 const NoAge time.Duration = -1
 
 // AgeAt returns the age of a confirmation as of when a request arrived. It is negative if the
-// confirmation is newer, as after a long hold: the requester, which knows only when it sent the
-// request, may count on the time of the hold. To a requester that does not understand
-// negative ages such a confirmation is stated as of the arrival.
-func AgeAt(arrived, confirmed time.Time, negative bool) time.Duration {
-	age := arrived.Sub(confirmed)
-	if age == NoAge || age < 0 && !negative {
-		return 0
+// confirmation is newer, as after a long hold: the requester knows only when it sent the request, and
+// may count on the time of the hold.
+func AgeAt(arrived, confirmed time.Time) time.Duration {
+	if age := arrived.Sub(confirmed); age != NoAge {
+		return age
 	}
-	return age
+	return 0
+}
+
+// WithoutNegativeAges returns the response for a requester that does not understand negative ages: newer
+// confirmations are stated as of when the request arrived.
+func (r SyncResponse) WithoutNegativeAges() SyncResponse {
+	for _, age := range []*time.Duration{&r.ConfigAge, &r.ListAge} {
+		if *age != NoAge {
+			*age = max(*age, 0)
+		}
+	}
+	return r
 }
 
 // MoveOrder instructs an entry to move a running generation to another upstream.
--- a/internal/core/watch/bound_test.go
+++ b/internal/core/watch/bound_test.go
@@ -299,7 +299,7 @@
 
 func (x *node) respond(to string, p poll, arrived time.Time) {
 	x.held.Told(to, x.confirmed)
-	age, version, from := msg.AgeAt(arrived, x.confirmed, true), x.version, x.name
+	age, version, from := msg.AgeAt(arrived, x.confirmed), x.version, x.name
 	x.send(to, func(y *node) {
 		sentAt, _, ok := y.follower.Sent(from, p.number)
 		if y.name == *dbg {
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -6,8 +6,8 @@
 	// staleBackoff is the delay before the next query after a response that confirms too old a state.
 	// It keeps hundreds of instances that query each other from overloading their machines.
 	staleBackoff = 150 * time.Millisecond
-	// lateTTL is how long the response to a query is accepted. It exceeds the longest time for which an
-	// instance is suspended in practice without being replaced.
+	// lateTTL is how long the response to a query is accepted. An instance that is suspended for longer
+	// is forgotten by the others.
 	lateTTL = 30 * time.Second
 	// rareProbes is how many times less often instances probe the store that are not among the first to
 	// become readers, so that hundreds of them do not overload a store that has an outage.
--- a/internal/core/watch/timing.go
+++ b/internal/core/watch/timing.go
@@ -49,7 +49,8 @@
 	// sources of others, so that these get a confirmation from them and need not read the store.
 	Overdue       time.Duration
 	SourceOverdue time.Duration
-	Step          time.Duration
+	// Step is the interval between queries of further sources.
+	Step time.Duration
 	// MaxAge is the maximum age of a source's confirmation before another source is preferred.
 	MaxAge time.Duration
 	// Backoff is how long an unresponsive or outdated source is not preferred.
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -115,9 +115,12 @@
 	var version int64
 	var before, cordons cordon.Set
 	var unconfirmed, took time.Duration
-	first, confirmed := false, false
+	confirmed := false
 	f.server.decide(func(now time.Time, g *forward.Gate) {
-		first, unconfirmed, took = g.Confirmed().IsZero(), now.Sub(g.Confirmed()), now.Sub(sentAt)
+		took = now.Sub(sentAt)
+		if !g.Confirmed().IsZero() {
+			unconfirmed = now.Sub(g.Confirmed())
+		}
 		before = g.Cordons()
 		if u.cordons != nil {
 			cordoned = g.SetCordons(now, *u.cordons)
@@ -139,9 +142,6 @@
 	}
 	if adopted {
 		f.metrics.Count("configurations_total", "adopted")
-		if first {
-			unconfirmed = 0
-		}
 		f.log.Info("configuration_adopted", "version", version, "source", source, "routes", len(c.Routes),
 			"services", len(c.Services), "organisations", len(c.Organisations),
 			"unconfirmed_for", unconfirmed.Round(time.Millisecond), "query_took", took.Round(time.Millisecond))
@@ -157,11 +157,11 @@
 }
 
 // followList keeps the list of upstreams current until the context ends. It reads the list while the
-// store is the preferred source, or once if that is requested.
+// store is the preferred source and responds, or once if that is requested.
 func (f *follower) followList(ctx context.Context) error {
 	f.peers.awaitJoined(ctx)
 	for ctx.Err() == nil {
-		if f.source() == watch.Store {
+		if f.source() == watch.Store && f.reachesStore() {
 			f.readListStep(ctx, f.listVersion == 0 || !f.listIsComplete())
 			continue
 		}
@@ -226,7 +226,10 @@
 	if full {
 		read, err = f.store.List(ctx)
 	} else {
-		read, err = f.store.ListSince(ctx, f.listVersion, f.currentTiming().ListWait)
+		timing := f.currentTiming()
+		limited, cancel := context.WithTimeout(ctx, timing.ListWait+timing.StoreTimeout)
+		defer cancel()
+		read, err = f.store.ListSince(limited, f.listVersion, timing.ListWait)
 	}
 	if err != nil {
 		return err
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -31,7 +31,7 @@
 
 // storeRead is the outcome of a read of the configuration in the store.
 type storeRead struct {
-	number int64
+	query watch.Query
 	ConfigResponse
 	err error
 }
@@ -91,10 +91,7 @@
 // send sends a query.
 func (p *poller) send(ctx context.Context, q watch.Query) {
 	if q.Source == watch.Store {
-		if q.List {
-			p.follower.wantList()
-		}
-		go p.readStore(ctx, q.Number)
+		go p.readStore(ctx, q)
 		return
 	}
 	m := msg.SyncRequest{Number: q.Number, Hold: q.Hold}
@@ -110,33 +107,36 @@
 }
 
 // readStore reads the configuration in the store.
-func (p *poller) readStore(ctx context.Context, number int64) {
+func (p *poller) readStore(ctx context.Context, q watch.Query) {
 	limited, cancel := context.WithTimeout(ctx, p.follower.currentTiming().StoreTimeout)
 	defer cancel()
 	read, err := p.follower.store.Config(limited)
 	select {
 	case <-ctx.Done():
-	case p.reads <- storeRead{number: number, ConfigResponse: read, err: err}:
+	case p.reads <- storeRead{query: q, ConfigResponse: read, err: err}:
 	}
 }
 
 // applyRead applies the store's response.
 func (p *poller) applyRead(ctx context.Context, got storeRead) {
-	f := p.follower
-	sentAt, _, ok := f.querySent(watch.Store, got.number)
+	f, number := p.follower, got.query.Number
+	sentAt, _, ok := f.querySent(watch.Store, number)
 	if !ok {
 		return
 	}
 	if got.err != nil {
-		f.queryFailed(watch.Store, got.number, got.err.Error())
+		f.queryFailed(watch.Store, number, got.err.Error())
 		f.storeFailed(ctx, "configuration", got.err)
 		return
 	}
-	asOf := sentAt
 	if !f.applyConfig(sentAt, got.ConfigResponse) {
-		asOf = time.Time{}
+		f.queryAnswered(number, time.Time{})
+		return
+	}
+	f.queryAnswered(number, sentAt)
+	if got.query.List {
+		f.wantList() // the store responds to this instance
 	}
-	f.queryAnswered(got.number, asOf)
 }
 
 // apply applies an instance's response.
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -67,11 +67,11 @@
 	r.minAdvance = t.ReadInterval / 2
 }
 
-// handlePoll responds to a poll immediately if there is an update, or if it must not be held.
-// Otherwise it holds the poll.
+// handlePoll responds to a poll immediately if there is an update, or a confirmation of which its sender
+// has not been told, or if the poll must not be held. Otherwise it holds the poll.
 func (r *relay) handlePoll(from string, m msg.SyncRequest) {
-	arrived, confirmed := boottime.Now(), r.confirmed()
-	response, updated := r.response(from, m, arrived)
+	arrived := boottime.Now()
+	response, confirmed, updated := r.response(m, arrived)
 	if updated || r.hasNews(arrived, from, confirmed) {
 		r.respond(from, response, confirmed)
 		return
@@ -85,28 +85,24 @@
 	r.held.Add(arrived, from, m, m.Hold, confirmed)
 }
 
-// hasNews reports whether a poll must not be held because its sender has not been told of the last
-// confirmation.
+// hasNews reports whether the sender of a poll has not been told of a recent confirmation.
 func (r *relay) hasNews(now time.Time, from string, confirmed time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.held.HasNews(now, from, confirmed)
 }
 
-// respond sends a response, of a state that was confirmed at the given time or later.
+// respond sends a response, whose state was confirmed at the given time.
 func (r *relay) respond(to string, m msg.SyncResponse, confirmed time.Time) {
 	r.mu.Lock()
 	r.held.Told(to, confirmed)
 	r.mu.Unlock()
+	if !r.understandsNegativeAges(to) {
+		m = m.WithoutNegativeAges()
+	}
 	r.send(to, m)
 }
 
-// confirmed returns the time as of which the state of this instance was last confirmed.
-func (r *relay) confirmed() (at time.Time) {
-	r.server.decide(func(_ time.Time, g *forward.Gate) { at = g.Confirmed() })
-	return at
-}
-
 // onConfirmed responds to the polls that wait for a newer confirmation than they would have got when
 // they arrived.
 func (r *relay) onConfirmed(asOf time.Time) {
@@ -135,8 +131,7 @@
 	waiting := r.held.Waiting()
 	r.mu.Unlock()
 	for _, q := range waiting {
-		confirmed := r.confirmed()
-		response, updated := r.response(q.From, q.Message, q.Arrived)
+		response, confirmed, updated := r.response(q.Message, q.Arrived)
 		r.mu.Lock()
 		due := (updated || r.held.IsDue(boottime.Now(), q, confirmed)) && r.held.Remove(q)
 		r.mu.Unlock()
@@ -146,11 +141,10 @@
 	}
 }
 
-// response returns the updates since the requester's versions and reports whether there are any.
-// arrived is the time at which the request arrived.
-func (r *relay) response(from string, m msg.SyncRequest, arrived time.Time) (a msg.SyncResponse, updated bool) {
+// response returns the updates since the requester's versions, the time as of which the state was
+// confirmed, and whether there are any updates. arrived is the time at which the request arrived.
+func (r *relay) response(m msg.SyncRequest, arrived time.Time) (a msg.SyncResponse, confirmed time.Time, updated bool) {
 	a = msg.SyncResponse{Number: m.Number, ConfigAge: msg.NoAge}
-	negative := r.understandsNegativeAges(from)
 	var newer *sharedConfig
 	r.server.decide(func(now time.Time, g *forward.Gate) {
 		if g.Table() == nil {
@@ -162,7 +156,8 @@
 			}
 			newer, updated = r.config, true
 		}
-		a.ConfigAge = msg.AgeAt(arrived, g.Confirmed(), negative)
+		confirmed = g.Confirmed()
+		a.ConfigAge = msg.AgeAt(arrived, confirmed)
 		if c := g.Cordons(); c.Version > m.Cordons {
 			a.Cordons, updated = &c, true
 		}
@@ -171,17 +166,17 @@
 			a.ListAge = msg.NoAge
 			return
 		}
-		a.ListAge, a.List = msg.AgeAt(arrived, g.Roster().Confirmed(), negative), share
+		a.ListAge, a.List = msg.AgeAt(arrived, g.Roster().Confirmed()), share
 		updated = updated || share != nil
 	})
 	if newer == nil {
-		return a, updated
+		return a, confirmed, updated
 	}
 	var err error
 	if a.Config, err = newer.packOnce(); err != nil {
 		r.server.log.Error("configuration_not_packed", "version", newer.config.Version, "error", err)
 		// Without the configuration, the response must not confirm the requester's older one.
-		return msg.SyncResponse{Number: m.Number, ConfigAge: msg.NoAge}, true
+		return msg.SyncResponse{Number: m.Number, ConfigAge: msg.NoAge}, time.Time{}, true
 	}
-	return a, true
+	return a, confirmed, true
 }
