--- a/internal/conn/dial.go
+++ b/internal/conn/dial.go
@@ -77,6 +77,19 @@
 	ProbeFailed
 )
 
+// String returns the result as it is logged.
+func (p ProbeResult) String() string {
+	switch p {
+	case Listening:
+		return "listening"
+	case Refused:
+		return "refused"
+	case TimedOut:
+		return "timed_out"
+	}
+	return "failed"
+}
+
 // Probe attempts to connect to an address and reports the result.
 func Probe(address string, timeout time.Duration) ProbeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/internal/hosted/crash.go
+++ b/internal/hosted/crash.go
@@ -22,7 +22,8 @@
 		return
 	}
 	go func() {
-		if p := conn.Probe(a.Entry.Address, crashProbeTimeout); p != conn.Refused && p != conn.TimedOut {
+		probed := conn.Probe(a.Entry.Address, crashProbeTimeout)
+		if probed != conn.Refused && probed != conn.TimedOut {
 			return
 		}
 		crash := suspect.Crash{Upstream: a.Entry.ID, Boot: strconv.FormatInt(a.Entry.Born, 10)}
@@ -34,7 +35,7 @@
 			return
 		}
 		s.metrics.Count("strikes_total", c.Service)
-		s.log.Info("strike", "request", c.ID, "print", c.Fingerprint, "upstream", crash.Upstream, "boot", crash.Boot)
+		s.log.Info("strike", "request", c.ID, "print", c.Fingerprint, "upstream", crash.Upstream, "boot", crash.Boot, "probe", probed)
 		s.homes.broadcast(msg.Strike{Fingerprint: c.Fingerprint, Upstream: crash.Upstream, Boot: crash.Boot})
 	}()
 }
@@ -60,6 +61,7 @@
 		return
 	}
 	s.metrics.Count("upstreams_failing_total", "told")
+	s.log.Info("upstream_failing_announced", "request", c.ID, "upstream", a.Entry.ID, "outcome", o)
 	s.homes.broadcast(msg.UpstreamFailing{Upstream: a.Entry.ID, Born: a.Entry.Born})
 }
 
