--- a/internal/conn/dial.go
+++ b/internal/conn/dial.go
@@ -90,15 +90,30 @@
 	return "failed"
 }
 
+// DialFunc makes a connection to an address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Probe attempts to connect to an address and reports the result.
 func Probe(address string, timeout time.Duration) ProbeResult {
+	return DialFunc(dial).Probe(address, timeout)
+}
+
+// Probe attempts to connect to an address in this way and reports the result.
+func (d DialFunc) Probe(address string, timeout time.Duration) ProbeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	c, err := Dialer().DialContext(ctx, "tcp", address)
+	c, err := d(ctx, address)
+	if err == nil {
+		c.Close()
+	}
+	return resultOf(err)
+}
+
+// resultOf returns what the error of an attempt to connect shows.
+func resultOf(err error) ProbeResult {
 	var netErr net.Error
 	switch {
 	case err == nil:
-		c.Close()
 		return Listening
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return Refused
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -40,6 +41,8 @@
 type Pool struct {
 	mu   sync.Mutex
 	idle map[string][]*Conn
+	// Dial makes new connections. It must be set before the first Get.
+	Dial DialFunc
 	// Dialled is called after each new connection, to count new connections.
 	Dialled func()
 	// Traffic counts the bytes of all connections of the pool. It must be set before the first Get.
@@ -48,7 +51,7 @@
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*Conn{}, Dialled: func() {}, Traffic: &Traffic{}}
+	return &Pool{idle: map[string][]*Conn{}, Dial: dial, Dialled: func() {}, Traffic: &Traffic{}}
 }
 
 // Get returns an idle connection that is still usable, or dials a new one.
@@ -63,7 +66,7 @@
 		}
 		c.Close()
 	}
-	raw, err := dial(ctx, address)
+	raw, err := p.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
@@ -131,7 +134,7 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(*net.TCPConn)
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/hosted/crash.go
+++ b/internal/hosted/crash.go
@@ -22,7 +22,7 @@
 		return
 	}
 	go func() {
-		probed := conn.Probe(a.Entry.Address, crashProbeTimeout)
+		probed := s.conns.Dial.Probe(a.Entry.Address, crashProbeTimeout)
 		if probed != conn.Refused && probed != conn.TimedOut {
 			return
 		}
