--- /dev/null
+++ b/internal/hosted/export_test.go
@@ -0,0 +1,6 @@
+package hosted
+
+import "mulberrylug.example/mulberrylug/internal/conn"
+
+// SetDial replaces how an instance connects to upstreams. It must be called before Serve.
+func (i *Instance) SetDial(d conn.DialFunc) { i.server.conns.Dial = d }
