--- a/internal/conn/dial.go
+++ b/internal/conn/dial.go
@@ -46,10 +46,12 @@
 
 // setAckTimeout limits how long sent bytes may wait for an acknowledgement, by TCP_USER_TIMEOUT.
 // Accepted connections inherit the option from their listener.
-func setAckTimeout(_, _ string, raw syscall.RawConn) error {
+func setAckTimeout(_, _ string, raw syscall.RawConn) error { return setAckTimeoutOf(raw, ackTimeout) }
+
+func setAckTimeoutOf(raw syscall.RawConn, d time.Duration) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return fmt.Errorf("set acknowledgement timeout: %w", err)
@@ -60,6 +62,20 @@
 	return nil
 }
 
+// SetAckTimeout sets how long bytes sent on a connection may wait for an acknowledgement. It does nothing
+// if the connection is no socket.
+func SetAckTimeout(c net.Conn, d time.Duration) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("set acknowledgement timeout: %w", err)
+	}
+	return setAckTimeoutOf(raw, d)
+}
+
 // ProbeResult is the state of a process as shown by an attempt to connect to its address.
 type ProbeResult int
 
@@ -106,11 +122,11 @@
 	if err == nil {
 		c.Close()
 	}
-	return resultOf(err)
+	return ResultOf(err)
 }
 
-// resultOf returns what the error of an attempt to connect shows.
-func resultOf(err error) ProbeResult {
+// ResultOf returns what the error of an attempt to connect shows.
+func ResultOf(err error) ProbeResult {
 	var netErr net.Error
 	switch {
 	case err == nil:
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -70,11 +70,18 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.newConn(raw, address), nil
+}
+
+func (p *Pool) newConn(raw net.Conn, address string) *Conn {
 	p.Dialled()
 	r := bufio.NewReaderSize(p.Traffic.Reader(raw), readBufferSize)
-	return &Conn{Conn: raw, r: r, traffic: p.Traffic, address: address}, nil
+	return &Conn{Conn: raw, r: r, traffic: p.Traffic, address: address}
 }
 
+// Adopt keeps a new connection to an address for the next exchange.
+func (p *Pool) Adopt(raw net.Conn, address string) { p.Put(p.newConn(raw, address), 0) }
+
 func (p *Pool) pop(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -107,16 +114,25 @@
 
 // Sweep closes idle connections that have expired.
 func (p *Pool) Sweep() {
+	now := time.Now()
+	p.drop(func(c *Conn) bool { return !now.Before(c.idleUntil) })
+}
+
+// Drop closes the idle connections that match.
+func (p *Pool) Drop(match func(address string, c net.Conn) bool) {
+	p.drop(func(c *Conn) bool { return match(c.address, c.Conn) })
+}
+
+func (p *Pool) drop(match func(c *Conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.idleUntil) {
-				kept = append(kept, c)
-			} else {
+			if match(c) {
 				c.Close()
+			} else {
+				kept = append(kept, c)
 			}
 		}
 		if len(kept) == 0 {
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -199,7 +199,7 @@
 	for k := range 12 {
 		b := heartbeat(k)
 		if k%3 == 0 {
-			b.Class = msg.ClassOfRelease(b.Class)
+			b.Class = msg.ClassOfRelease(uint8(b.Class))
 		}
 		f.OnHeartbeat(start, b)
 	}
--- a/internal/core/fleet/presence_test.go
+++ b/internal/core/fleet/presence_test.go
@@ -43,7 +43,7 @@
 	}
 	for k := range n {
 		b := heartbeat(k)
-		b.Name, b.DataCentre, b.Class = fmt.Sprintf("i%03d", k), fmt.Sprintf("dc%d", k%simDCs), uint8(5+k%3)
+		b.Name, b.DataCentre, b.Class = fmt.Sprintf("i%03d", k), fmt.Sprintf("dc%d", k%simDCs), uint16(5+k%3)
 		s.views[b.Name] = New(start, b, nil, 0)
 		s.names = append(s.names, b.Name)
 	}
--- a/internal/core/mechanism/mechanism.go
+++ b/internal/core/mechanism/mechanism.go
@@ -80,6 +80,8 @@
 	LargeHomes
 	// ReadAhead: responses are read only as fast as their callers read them.
 	ReadAhead
+	// Tunnels: requests are not sent through other instances when the own path to an upstream is lost.
+	Tunnels
 	mechanismCount
 )
 
@@ -90,7 +92,7 @@
 	Fairness: "fairness", EarlyRefusal: "early_refusal", Retries: "retries", Relays: "relays", Parts: "parts",
 	RareHeartbeats: "rare_heartbeats", SilenceProbes: "silence_probes",
 	StatedSpeeds: "stated_speeds", Urgency: "urgency", Deferrals: "deferrals", PlainAdmission: "plain_admission",
-	RoomWeights: "room_weights", LargeHomes: "large_homes", ReadAhead: "read_ahead",
+	RoomWeights: "room_weights", LargeHomes: "large_homes", ReadAhead: "read_ahead", Tunnels: "tunnels",
 }
 
 // String returns the name of the mechanism in settings, logs and tables.
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -29,6 +29,8 @@
 	KindRankedGrantRequest
 	KindUpstreamSpeed
 	KindInstanceLoad
+	KindTunnelRequest
+	KindTunnelResponse
 )
 
 // Heartbeat announces that the sender is alive and at which addresses it can be reached.
@@ -55,8 +57,10 @@
 	// Class is the capacity class of the sender's machine, the number of times that its link
 	// bandwidth in Mbit/s can be halved until it is less than 1, plus limitsClass since the release
 	// that divides rate limits, plus loadClass since the release that exchanges the messages in
-	// load.go, plus agesClass since the release that states negative ages. Instances of the highest class are preferred for work on behalf of others.
-	Class uint8
+	// load.go, plus agesClass since the release that states negative ages, plus tunnelsClass since the
+	// release that opens tunnels. Instances of the highest class are preferred for work on behalf of
+	// others. Earlier releases decode the low 8 bits only.
+	Class uint16
 	// WantsResponse is set to request a heartbeat from the receiver, because the sender has just
 	// started and must find the live instances.
 	WantsResponse bool
@@ -75,12 +79,17 @@
 // SyncResponse.
 const agesClass = 128
 
+// tunnelsClass is added, for the same reason, to the Class of instances that open tunnels to upstreams.
+const tunnelsClass = 256
+
 // ClassOfRelease returns the class of an instance of this release whose machine has a capacity class,
 // which is less than limitsClass.
-func ClassOfRelease(capacity uint8) uint8 { return capacity + limitsClass + loadClass + agesClass }
+func ClassOfRelease(capacity uint8) uint16 {
+	return uint16(capacity) + limitsClass + loadClass + agesClass + tunnelsClass
+}
 
 // Capacity returns the capacity class of the sender's machine.
-func (h Heartbeat) Capacity() uint8 { return h.Class % limitsClass }
+func (h Heartbeat) Capacity() uint8 { return uint8(h.Class % limitsClass) }
 
 // UnderstandsLoad reports whether the sender understands the messages in load.go.
 func (h Heartbeat) UnderstandsLoad() bool { return h.Class >= loadClass }
@@ -88,6 +97,9 @@
 // UnderstandsNegativeAges reports whether the sender understands negative ages in a SyncResponse.
 func (h Heartbeat) UnderstandsNegativeAges() bool { return h.Class >= agesClass }
 
+// OpensTunnels reports whether the sender opens tunnels to upstreams.
+func (h Heartbeat) OpensTunnels() bool { return h.Class >= tunnelsClass }
+
 // DividesLimits reports whether the sender understands the messages about rate limits.
 func (h Heartbeat) DividesLimits() bool { return h.Class >= limitsClass }
 
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -38,6 +38,7 @@
 	KindPresences: "presences", KindPresenceRequest: "presence_ask",
 	KindRateStatement: "rate_stated", KindPermitRequest: "permit_ask", KindPermitResponse: "permit_answer", KindPermitCancel: "permit_cancel", KindUpstreamLeaving: "upstream_leaving",
 	KindRankedGrantRequest: "ranked_grant_request", KindUpstreamSpeed: "upstream_speed", KindInstanceLoad: "instance_load",
+	KindTunnelRequest: "tunnel_request", KindTunnelResponse: "tunnel_response",
 }
 
 // Message kinds that are not in one of the ranges of numbers below. Numbers are never reused.
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -312,3 +312,29 @@
 	}
 	return found
 }
+
+// Neighbour returns the address of another upstream than the one at an address that takes work, chosen by
+// pick among those of the same data centre if there are any; "" if there is no other one.
+func (r *Roster) Neighbour(address string, pick func(n int) int) string {
+	dataCentre := ""
+	if u := r.FindAt(address); u != nil {
+		dataCentre = u.DataCentre
+	}
+	var near, far []string
+	for _, u := range r.All() {
+		switch {
+		case u.Address == address || !u.TakesWork():
+		case u.DataCentre == dataCentre:
+			near = append(near, u.Address)
+		default:
+			far = append(far, u.Address)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	return near[pick(len(near))]
+}
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -7,7 +7,6 @@
 	"strconv"
 	"time"
 
-	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/memory"
@@ -45,9 +44,10 @@
 		if err != nil {
 			return nil, Response{}, err
 		}
+		x.server.paths.heard(c, a.Entry.Address)
 		ans := x.server.wire.DecodeResponse(resp, x.call.ID)
 		if ans.Matches {
-			a.Responded = boottime.Now()
+			x.server.decide(func(now time.Time, _ *forward.Gate) { a.Responded = now })
 			x.server.observeStatement(a.Upstream, a.Sent, resp)
 			return resp, ans, nil
 		}
--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -57,8 +57,10 @@
 	resp, err := c.ReadResponse(call.Method)
 	if err != nil {
 		c.Close()
+		go s.paths.checkSilent(address)
 		return callResponse{}, err
 	}
+	s.paths.heard(c, address)
 	s.observeStatementFrom(address, sentAt, resp)
 	got := callResponse{status: resp.StatusCode, closing: resp.Close}
 	got.body, err = io.ReadAll(io.LimitReader(resp.Body, maxCallResponse))
--- a/internal/hosted/call_test.go
+++ b/internal/hosted/call_test.go
@@ -6,8 +6,12 @@
 	"strings"
 	"testing"
 
+	"github.com/hashicorp/go-hclog"
+
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
 // fakeWire supports only requests for an upstream's report, and decodes each response to an
@@ -40,6 +44,7 @@
 			requests++
 		}))
 		s := &server{wire: fakeWire{}, conns: conn.NewPool(), gate: forward.New(forward.Options{})}
+		s.paths = pathsWithoutPeers(s)
 		r, err := s.probeLeaving(t.Context(), strings.TrimPrefix(upstream.URL, "http://"))
 		if err != nil || r.Leaving != c.leaving || requests != len(c.closes) {
 			t.Errorf("upstream that %s: Leaving = %v after %d requests, error %v; want Leaving only after two closed connections in a row", c.name, r.Leaving, requests, err)
@@ -47,3 +52,10 @@
 		upstream.Close()
 	}
 }
+
+// pathsWithoutPeers returns the paths of an instance that is alone.
+func pathsWithoutPeers(s *server) *paths {
+	p := newPaths(s, metrics.NewMetrics(), hclog.NewNullLogger())
+	p.tunnelPeers = func(string, map[string]int) []msg.Heartbeat { return nil }
+	return p
+}
--- a/internal/hosted/drain.go
+++ b/internal/hosted/drain.go
@@ -18,7 +18,7 @@
 	go i.waitDrained()
 }
 
-// waitDrained closes drained once no request is in progress, at the earliest when callers no
+// waitDrained closes drained once no request and no tunnel is in progress, at the earliest when callers no
 // longer use this instance's address, or when the grace period is almost over.
 func (i *Instance) waitDrained() {
 	began := time.Now()
@@ -26,7 +26,7 @@
 		time.Sleep(50 * time.Millisecond)
 		since := time.Since(began)
 		lingered := since > lingerTTLs*directoryTTL+time.Second
-		if lingered && i.server.openRequests() == 0 || since > i.current().Grace-drainMargin {
+		if lingered && i.server.openRequests() == 0 && i.tunnels.open.Load() == 0 || since > i.current().Grace-drainMargin {
 			close(i.drained)
 			return
 		}
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -11,6 +11,7 @@
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/reach"
 )
 
 // errOtherRequest reports a response that belongs to another request on the connection.
@@ -161,7 +162,9 @@
 	stop := context.AfterFunc(x.ctx, func() { c.Close() })
 	defer stop()
 	x.setConn(c)
+	silent := time.AfterFunc(reach.SilenceLimit, func() { x.checkSilent(a) })
 	outcome, err := x.roundTrip(c, a)
+	silent.Stop()
 	x.setConn(nil)
 	if err != nil {
 		x.lastErr = err
@@ -172,6 +175,16 @@
 	return outcome
 }
 
+// checkSilent checks the path to the upstream of an attempt that is still in progress and has got no
+// response.
+func (x *exchange) checkSilent(a *forward.Attempt) {
+	waiting := false
+	x.server.decide(func(time.Time, *forward.Gate) { waiting = x.call.Current() == a && a.Responded.IsZero() })
+	if waiting {
+		x.server.paths.checkSilent(a.Entry.Address)
+	}
+}
+
 func (x *exchange) setConn(c *conn.Conn) {
 	x.server.decide(func(time.Time, *forward.Gate) { x.conn = c })
 }
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -115,7 +115,7 @@
 	f.statements = func() []msg.Message {
 		return []msg.Message{msg.RateStatement{Upstream: "limited", Boot: "1", Stated: true, PerSecond: 2}, msg.UpstreamLeaving{Upstream: "leaving", Boot: "1"}}
 	}
-	asks := func(boot string, class uint8) (statements int) {
+	asks := func(boot string, class uint16) (statements int) {
 		sender := testRow("joiner").Heartbeat
 		sender.PeerAddress, sender.Boot, sender.Class = joiner.Address(), boot, class
 		f.onJoinRequest(msg.JoinRequest{Sender: sender})
@@ -136,7 +136,7 @@
 	}
 	for _, c := range []struct {
 		name, boot string
-		class      uint8
+		class      uint16
 		want       int
 	}{
 		{"starts", "a", msg.ClassOfRelease(0), 2},
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -75,6 +75,8 @@
 	poller   *poller
 	homes    *homes
 	permits  *permitHome
+	paths    *paths
+	tunnels  *tunnels
 	// traffic counts the bytes of callers', upstreams' and other instances' connections. connections
 	// returns the share of callers' connections that is in use.
 	traffic     *conn.Traffic
@@ -101,6 +103,7 @@
 		wire: wire, conns: conns, memory: newMemoryAccount(s.MemoryBytes, m, log), readAhead: !s.Without.Has(mechanism.ReadAhead), metrics: m, log: log,
 		gate: gate, running: map[string]*exchange{}, permits: map[string]chan msg.PermitResponse{},
 	}
+	srv.paths = newPaths(srv, m, log)
 	m.Set("cordons", srv.cordonMetric())
 	m.Set("upstream_rate_limits", srv.rateLimitMetric())
 	i := &Instance{
@@ -109,6 +112,9 @@
 		traffic: conns.Traffic, heap: newHeapUse(s.MemoryBytes), connections: func() float64 { return 0 },
 		usage: fleet.NewUsage(s.Machine()),
 	}
+	i.paths = srv.paths
+	i.paths.tunnelPeers, i.paths.open = i.tunnelPeers, i.openTunnel
+	i.tunnels = newTunnels(srv, i.paths, callerConnections(s.MaxDescriptors))
 	m.Set("instance_load_ratio", i.loadMetric())
 	m.Set("directory_weights", i.weightsMetric())
 	i.peers = &peers{
@@ -295,6 +301,7 @@
 	peers.OnDropped = func(to string, frames int) { i.metrics.Add("peer_lost_messages_total", to, int64(frames)) }
 	peers.OnConnectionEnded = i.peers.linkEnded
 	peers.OnQueued = i.countSent
+	peers.OnTunnel = i.tunnels.serve
 	peers.Memory = messageMemory{i.server.memory}
 	i.peers.transport = peers
 	tree.Add(peers)
@@ -346,7 +353,11 @@
 		task.Every("homes", syncInterval, func(context.Context) { i.homes.sync() }),
 		task.Every("announcements", announceCheckInterval, func(context.Context) { i.server.sendDueAnnouncements() }),
 		task.Every("silent streams", silenceCheckInterval, i.server.checkSilentStreams),
-		task.Every("idle connections", idleCheckInterval, func(context.Context) { i.server.conns.Sweep() }),
+		task.Every("idle connections", idleCheckInterval, func(context.Context) {
+			i.server.conns.Sweep()
+			i.dropTunnelsThroughLeaving()
+		}),
+		task.Every("lost paths", pathProbeInterval, i.paths.probeLost),
 		task.Every("load", loadInterval, func(context.Context) {
 			i.measureLoad()
 			i.updateWeights()
--- a/internal/hosted/load.go
+++ b/internal/hosted/load.go
@@ -57,12 +57,16 @@
 	i.usage.Observe(time.Now(), c)
 	percent, resource := i.usage.Load()
 	i.usageMu.Unlock()
+	name := resource.String()
+	if i.paths.isolated() {
+		percent, name = 100, "paths" // without a path to upstreams it has no room of its own
+	}
 	var m msg.InstanceLoad
 	var to []string
 	var step fleet.LevelStep
 	i.peers.with(func(now time.Time, v *fleet.Fleet) { m, to, step = v.ObserveOwnLoad(now, percent) })
 	if step == fleet.LevelChanged {
-		i.log.Info("instance_load", "percent", m.Percent, "measured", percent, "resource", resource, "told", len(to))
+		i.log.Info("instance_load", "percent", m.Percent, "measured", percent, "resource", name, "told", len(to))
 	}
 	for _, name := range to {
 		i.peers.sendTo(name, m)
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -26,6 +26,7 @@
 	metrics *metrics.Metrics
 	log     hclog.Logger
 	homes   homeLink
+	paths   *paths
 	// readAhead is set if responses are read ahead of callers that read slowly.
 	readAhead bool
 
--- a/internal/hosted/statement_test.go
+++ b/internal/hosted/statement_test.go
@@ -32,10 +32,12 @@
 	g.Roster().Update(boottime.Now(), []roster.Change{{ID: "u0", Version: 1, Valid: true, Entry: roster.Entry{
 		ID: "u0", Service: "pool", Address: address, DataCentre: "dc-a", Born: 7,
 	}}}, 1)
-	return &server{
+	s := &server{
 		wire: silentWire{}, conns: conn.NewPool(), gate: g, metrics: metrics.NewMetrics(), log: hclog.NewNullLogger(),
 		homes: homeLink{onLeaving: func() {}},
 	}
+	s.paths = pathsWithoutPeers(s)
+	return s
 }
 
 // A probe is a request like any other: an upstream that has asked this instance for a pause must not
--- a/internal/hosted/uplink_test.go
+++ b/internal/hosted/uplink_test.go
@@ -33,7 +33,6 @@
 	machines []hosting.Machine
 	uplinks  []*uplink.Uplink
 	logs     []*syncBuffer
-	sent     int
 }
 
 // newFleetRig starts upstreams and instances in two data centres and waits until all instances serve.
@@ -85,6 +84,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.CPUShare, s.MemoryBytes = 0, 0 // unknown, as the instances share one process
 	log, up := &syncBuffer{}, uplink.New()
 	i := hosted.New(s, platform.Wire{}, platform.NewStore(s.StoreAddress), hclog.New(&hclog.LoggerOptions{Output: log}))
 	i.SetDial(up.Dial)
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -150,6 +150,8 @@
 	msg.KindPermitResponse:  decodeAs[msg.PermitResponse],
 	msg.KindPermitCancel:    decodeAs[msg.PermitCancel],
 	msg.KindUpstreamLeaving: decodeAs[msg.UpstreamLeaving],
+	msg.KindTunnelRequest:   decodeAs[msg.TunnelRequest],
+	msg.KindTunnelResponse:  decodeAs[msg.TunnelResponse],
 
 	msg.KindRankedGrantRequest: decodeAs[msg.RankedGrantRequest],
 	msg.KindUpstreamSpeed:      decodeAs[msg.UpstreamSpeed],
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -50,6 +50,9 @@
 	// OnConnectionEnded is called when a connection from another instance has ended, with the name
 	// of that instance. It must be set before Serve.
 	OnConnectionEnded func(from string)
+	// OnTunnel handles a request for a tunnel. The connection is closed when it returns. It must be set
+	// before Serve.
+	OnTunnel func(from string, m msg.TunnelRequest, t *Tunnel)
 	// Memory is where the memory of queued messages is reserved. It must be set before the first
 	// Send.
 	Memory Memory
@@ -71,6 +74,7 @@
 func Listen(address, self string, handle Handler, log hclog.Logger) (*Transport, error) {
 	t := &Transport{
 		self: self, handle: handle, log: log, links: map[string]*link{}, Memory: unlimited{}, Traffic: &conn.Traffic{},
+		OnTunnel:  func(string, msg.TunnelRequest, *Tunnel) {},
 		OnDropped: func(string, int) {}, OnQueued: func(string, msg.Kind, int) {}, OnConnectionEnded: func(string) {},
 	}
 	return t, t.ListenAlso(address)
@@ -156,6 +160,10 @@
 			return
 		}
 		sender = from
+		if req, ok := m.(msg.TunnelRequest); ok {
+			t.serveTunnel(from, req, conn, r)
+			return
+		}
 		t.handle(from, m)
 	}
 }
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -21,6 +21,8 @@
 type testTransport struct {
 	*Transport
 	received chan msg.Message
+	// address is that of the upstream to which it opens tunnels.
+	address string
 }
 
 // newTestTransport starts a transport for the instance with the given name.
