--- a/internal/hosted/crash.go
+++ b/internal/hosted/crash.go
@@ -4,42 +4,61 @@
 	"strconv"
 	"time"
 
-	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
-// crashProbeTimeout limits the dial that distinguishes a crashed upstream from a broken
-// connection.
-const crashProbeTimeout = 300 * time.Millisecond
+// brokenOff reports whether an attempt ended without showing whether the upstream or the path to it was
+// the reason.
+func brokenOff(o forward.Outcome) bool { return o == forward.Lost || o == forward.Cut }
 
-// suspectCrash checks whether an upstream whose attempt broke off has crashed. If it has, a
-// strike against the request is recorded at every instance, because some requests crash every
-// upstream that runs them. Leaving and cold upstreams are not checked.
-func (s *server) suspectCrash(c *forward.Call, a *forward.Attempt, o forward.Outcome) {
-	if o != forward.Lost && o != forward.Cut || s.isLeavingUpstream(a) || s.isCold(a) {
+// assessFailure finds out whether the upstream of an attempt that broke off was the reason, and only then
+// tells others: the upstream accepts connections of this instance and gave no usable response, or it is
+// down. What is due to this instance's own path says nothing about the upstream.
+func (x *exchange) assessFailure(a *forward.Attempt, o forward.Outcome, grant string, endsGrant bool) {
+	s := x.server
+	if !brokenOff(o) || s.isLeavingUpstream(a) {
 		return
 	}
+	call, home, report := x.call, x.home, msg.GrantEnd{}
+	if endsGrant {
+		report = x.grantEnd(grant, a, o)
+		report.Upstream, report.Failed = a.Entry.ID, true
+	}
+	cold := s.isCold(a)
 	go func() {
-		probed := s.conns.Dial.Probe(a.Entry.Address, crashProbeTimeout)
-		if probed != conn.Refused && probed != conn.TimedOut {
+		f := s.paths.check(a.Entry.Address)
+		s.log.Info("failure_assessed", "request", call.ID, "upstream", a.Entry.ID, "outcome", o, "finding", f)
+		if f != findingDown && f != findingListening {
 			return
 		}
-		crash := suspect.Crash{Upstream: a.Entry.ID, Boot: strconv.FormatInt(a.Entry.Born, 10)}
-		first := false
-		s.decide(func(now time.Time, g *forward.Gate) {
-			first = g.Strike(now, suspect.Strike{Fingerprint: c.Fingerprint, Crash: crash, At: now})
-		})
-		if !first {
-			return
+		if home != "" && endsGrant {
+			s.sendGrantEnd(home, a, report)
+		}
+		s.announceFailing(call, a, o)
+		if f == findingDown && !cold { // a cold upstream crashes under too many requests, not by one
+			s.strike(call, a)
 		}
-		s.metrics.Count("strikes_total", c.Service)
-		s.log.Info("strike", "request", c.ID, "print", c.Fingerprint, "upstream", crash.Upstream, "boot", crash.Boot, "probe", probed)
-		s.homes.broadcast(msg.Strike{Fingerprint: c.Fingerprint, Upstream: crash.Upstream, Boot: crash.Boot})
 	}()
 }
 
+// strike records that an upstream crashed while it ran a request, at every instance, because some requests
+// crash every upstream that runs them.
+func (s *server) strike(c *forward.Call, a *forward.Attempt) {
+	crash := suspect.Crash{Upstream: a.Entry.ID, Boot: strconv.FormatInt(a.Entry.Born, 10)}
+	first := false
+	s.decide(func(now time.Time, g *forward.Gate) {
+		first = g.Strike(now, suspect.Strike{Fingerprint: c.Fingerprint, Crash: crash, At: now})
+	})
+	if !first {
+		return
+	}
+	s.metrics.Count("strikes_total", c.Service)
+	s.log.Info("strike", "request", c.ID, "print", c.Fingerprint, "upstream", crash.Upstream, "boot", crash.Boot)
+	s.homes.broadcast(msg.Strike{Fingerprint: c.Fingerprint, Upstream: crash.Upstream, Boot: crash.Boot})
+}
+
 // isCold reports whether an attempt's upstream is cold. A cold upstream crashes under too many
 // requests, and then no single request is the cause.
 func (s *server) isCold(a *forward.Attempt) (cold bool) {
@@ -57,7 +76,7 @@
 // skips calls that a pool's home has placed, since the home is notified of the end of every
 // attempt.
 func (s *server) announceFailing(c *forward.Call, a *forward.Attempt, o forward.Outcome) {
-	if o != forward.Lost || c.Pool != "" || s.isLeavingUpstream(a) {
+	if o != forward.Lost || c.Pool != "" {
 		return
 	}
 	s.metrics.Count("upstreams_failing_total", "told")
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -98,11 +98,11 @@
 		return g.Ended(now, x.call, outcome, x.headSent)
 	})
 	x.logAttempt(a, outcome, next)
-	x.server.suspectCrash(x.call, a, outcome)
-	x.server.announceFailing(x.call, a, outcome)
-	if !x.continues(next) {
+	ends := !x.continues(next)
+	if ends {
 		x.endGrant(grant, a, outcome)
 	}
+	x.assessFailure(a, outcome, grant, ends)
 	return next
 }
 
--- a/internal/hosted/home.go
+++ b/internal/hosted/home.go
@@ -183,8 +183,11 @@
 		h.log.Warn("upstream_report_unreadable", "upstream", target.ID, "pool", name, "error", err)
 		return
 	case err != nil:
-		h.log.Info("upstream_silent", "upstream", target.ID, "pool", name, "error", err)
-		h.withHome(name, func(now time.Time, p *pool.Home) { p.Unreachable(now, target.ID) })
+		f := h.server.paths.check(target.Address)
+		h.log.Info("upstream_silent", "upstream", target.ID, "pool", name, "finding", f, "error", err)
+		if f == findingDown || f == findingListening {
+			h.withHome(name, func(now time.Time, p *pool.Home) { p.Unreachable(now, target.ID) })
+		}
 		return
 	}
 	h.passSpeed(name, target)
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"errors"
 	"maps"
 	"strings"
 	"time"
@@ -120,22 +121,41 @@
 	return x.decideStep(func(now time.Time, g *forward.Gate) forward.Step { return g.Expired(now, x.call, x.headSent) })
 }
 
-// endGrant notifies the home that an attempt has ended.
+// endGrant notifies the home that an attempt has ended. It does not name the upstream as long as the
+// reason of a failure is not known: the home would withhold it from all entries.
 func (x *exchange) endGrant(attempt string, a *forward.Attempt, o forward.Outcome) {
 	if !x.call.Route.Generation || x.home == "" {
 		return
 	}
-	s := x.server
-	end := msg.GrantEnd{
+	end := x.grantEnd(attempt, a, o)
+	switch {
+	case o == forward.NotSent:
+		if end.Unreachable = errors.Is(x.lastErr, errUpstreamDown); !end.Unreachable {
+			end.Upstream = ""
+		}
+	case brokenOff(o):
+		end.Upstream = ""
+	}
+	x.server.sendGrantEnd(x.home, a, end)
+}
+
+// grantEnd returns the notification that an attempt has ended.
+func (x *exchange) grantEnd(attempt string, a *forward.Attempt, o forward.Outcome) msg.GrantEnd {
+	return msg.GrantEnd{
 		Pool: x.call.Pool, Attempt: attempt, Tokens: x.tokens(),
 		Failed: o != forward.Done && o != forward.Cancelled, CallerDisconnected: o == forward.Cancelled,
-		Upstream: a.Entry.ID, Unreachable: o == forward.NotSent,
+		Upstream: a.Entry.ID,
 	}
-	s.homes.send(x.home, end)
+}
+
+// sendGrantEnd sends a notification to the home that granted an attempt, and to the home of now if that is
+// another one: the upstream may belong to another pool since the layout changed, and its pool may have
+// another home, which knows the attempt from announcements and would count it for some seconds more.
+func (s *server) sendGrantEnd(granter string, a *forward.Attempt, end msg.GrantEnd) {
+	s.homes.send(granter, end)
+	granted := end.Pool
 	s.decide(func(_ time.Time, g *forward.Gate) { end.Pool = g.PoolOf(a) })
-	// The upstream may belong to another pool since the layout changed, and its pool may have another
-	// home, which knows the attempt from announcements and would count it for some seconds more.
-	if home := s.homes.homeOf(end.Pool); end.Pool != x.call.Pool || home != x.home {
+	if home := s.homes.homeOf(end.Pool); end.Pool != granted || home != granter {
 		s.homes.send(home, end)
 	}
 }
