--- a/internal/core/watch/bound_test.go
+++ b/internal/core/watch/bound_test.go
@@ -26,8 +26,6 @@
 	boundInstances = flag.Int("bound.instances", 0, "number of instances; 0 runs the sizes of the test")
 )
 
-var dbg = flag.String("dbg", "", "")
-
 // boundRegressions are seeds that failed in the past, by the number of instances, each with its cause.
 var boundRegressions = map[int][]uint64{
 	// Sources that did not respond were queried again before the store had been queried.
@@ -194,9 +192,6 @@
 	}
 	due, _ := x.follower.Due(x.now, watch.State{Choice: x.choice, Confirmed: x.confirmed})
 	for _, q := range due {
-		if x.name == *dbg {
-			x.t.Logf("%v v%d age %v query %q further %v order %v %v", x.now.Sub(time.Unix(1000, 0)), x.version, x.now.Sub(x.confirmed), q.Source, q.Further, x.choice.Designated, x.choice.Successors)
-		}
 		x.query(q)
 	}
 }
@@ -302,9 +297,6 @@
 	age, version, from := msg.AgeAt(arrived, x.confirmed), x.version, x.name
 	x.send(to, func(y *node) {
 		sentAt, _, ok := y.follower.Sent(from, p.number)
-		if y.name == *dbg {
-			y.t.Logf("%v response of %s ok %v version %d age %v slow %v cut %v frozen %v nostore %v", y.now.Sub(time.Unix(1000, 0)), from, ok, version, age, x.slow.Sub(x.now), x.cut.Sub(x.now), x.frozen.Sub(x.now), x.noStore.Sub(x.now))
-		}
 		switch {
 		case !ok:
 		case version == 0:
--- a/internal/core/watch/timing.go
+++ b/internal/core/watch/timing.go
@@ -51,7 +51,10 @@
 	SourceOverdue time.Duration
 	// Step is the interval between queries of further sources.
 	Step time.Duration
-	// MaxAge is the maximum age of a source's confirmation before another source is preferred.
+	// MaxAge is the maximum age of a source's confirmation before another source is preferred. The bound
+	// does not rest on it: an instance whose last confirmation is older than Overdue queries further
+	// sources whichever it prefers. It saves those queries while the preferred source lags. It is less than the
+	// bound, so that no state counts as recent that may lack a change that must be in force.
 	MaxAge time.Duration
 	// Backoff is how long an unresponsive or outdated source is not preferred.
 	Backoff time.Duration
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -97,6 +97,20 @@
 	}
 }
 
+// A state that is as old as the bound may lack a change that must be in force. It must not count as recent,
+// nor may the age be so small that a source that reads the store in time is abandoned.
+func TestAStateAsOldAsTheBoundIsNotRecent(t *testing.T) {
+	c := Choice{Designated: []string{"a", "b"}, Others: []string{"a", "b"}}
+	f, q := follow(t, c)
+	if f.OnResponse(start, q.Number, start.Add(-f.timing.Bound)) {
+		t.Error("a confirmation that is as old as the bound counts as recent")
+	}
+	f, q = follow(t, c)
+	if usual := f.timing.ReadInterval + f.timing.StoreTimeout; !f.OnResponse(start, q.Number, start.Add(-usual)) {
+		t.Errorf("a confirmation that is %v old does not count as recent, which is the usual age after a slow read", usual)
+	}
+}
+
 // A response comes after the instance has stopped waiting for it, or another query has replaced its own.
 // If it was dropped, an instance whose sources all respond slowly would adopt nothing. It must be used,
 // as of when its own query was sent.
