--- a/internal/conn/dial.go
+++ b/internal/conn/dial.go
@@ -18,16 +18,17 @@
 	// DialTimeout is the timeout of a connection attempt. The round trip between data centres
 	// takes a few milliseconds; a lost SYN packet is sent again after a second.
 	DialTimeout = 700 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount set the TCP keep-alive probes, which
-	// detect after at most 2 s that the other end of a connection has disappeared without
-	// closing it.
+	// keepAliveIdle and keepAliveInterval set the TCP keep-alive probes, which detect that the other
+	// end of a connection has disappeared without closing it. The kernel counts them in whole seconds.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
+	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 	// ackTimeout is how long sent bytes may stay unacknowledged. A device between the two ends
 	// may lose its state of a connection; the connection then stays silent for ever, while new
-	// connections work.
-	ackTimeout = 1200 * time.Millisecond
+	// connections work. It also decides when unanswered keep-alive probes end a connection, whatever
+	// their count: after 3 s here. A sound peer may be silent for one and a half seconds after the first
+	// probe, which must not cost its connections.
+	ackTimeout = 2500 * time.Millisecond
 )
 
 // Dialer returns a dialer whose connections fail when the other end falls silent.
