--- a/internal/hosted/call_test.go
+++ b/internal/hosted/call_test.go
@@ -6,12 +6,8 @@
 	"strings"
 	"testing"
 
-	"github.com/hashicorp/go-hclog"
-
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
-	"mulberrylug.example/mulberrylug/internal/core/msg"
-	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
 // fakeWire supports only requests for an upstream's report, and decodes each response to an
@@ -52,10 +48,3 @@
 		upstream.Close()
 	}
 }
-
-// pathsWithoutPeers returns the paths of an instance that is alone.
-func pathsWithoutPeers(s *server) *paths {
-	p := newPaths(s, metrics.NewMetrics(), hclog.NewNullLogger())
-	p.tunnelPeers = func(string, map[string]int) []msg.Heartbeat { return nil }
-	return p
-}
--- a/internal/hosted/uplink_test.go
+++ b/internal/hosted/uplink_test.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,17 +107,15 @@
 // generate requests a stream.
 func (f *fleetRig) generate(k int) int { return f.try(k, hosting.PathBrief, "300,80") }
 
-var tryCount struct {
-	sync.Mutex
-	n int
-}
+// lastID is the number of the last request.
+var lastID atomic.Int64
+
+func nextID() string { return fmt.Sprintf("%016x", lastID.Add(1)) }
 
 // try sends one request on a new connection.
-func (f *fleetRig) try(k int, path, tokens string) int {
-	tryCount.Lock()
-	tryCount.n++
-	id := fmt.Sprintf("%016x", tryCount.n)
-	tryCount.Unlock()
+func (f *fleetRig) try(k int, path, tokens string) int { return f.tryAs(nextID(), k, path, tokens) }
+
+func (f *fleetRig) tryAs(id string, k int, path, tokens string) int {
 	c, err := testkit.DialSlow(f.machines[k].Callers)
 	if err != nil {
 		return 0
@@ -256,3 +257,76 @@
 		})
 	}
 }
+
+// Random cuts of random instances, one after the other and overlapping, to run more:
+//
+//	go test ./internal/hosted -run RandomCuts -cuts.seed=7 -cuts.seeds=50 -v
+var (
+	cutsSeed  = flag.Uint64("cuts.seed", 1, "first seed of the random cuts")
+	cutsSeeds = flag.Int("cuts.seeds", 1, "number of consecutive seeds")
+)
+
+// While instances lose and regain their paths, in any way and at any moment, a request that may run once
+// must not run twice, and one that is said not to have run must not have run. Afterwards all are served.
+func TestRandomCutsKeepPromises(t *testing.T) {
+	for k := range *cutsSeeds {
+		seed := *cutsSeed + uint64(k)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			f := newFleetRig(t, 3)
+			rng := rand.New(rand.NewPCG(seed, 1))
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			statuses := map[string]int{}
+			stop := make(chan struct{})
+			for k := range f.machines {
+				for _, path := range []string{hosting.PathBooking, hosting.PathBooking, hosting.PathDraft} {
+					wg.Go(func() {
+						for n := 0; ; n++ {
+							select {
+							case <-stop:
+								return
+							case <-time.After(20 * time.Millisecond):
+							}
+							id := nextID()
+							status := f.tryAs(id, k, path, "300,80")
+							mu.Lock()
+							statuses[id] = status
+							mu.Unlock()
+						}
+					})
+				}
+			}
+			modes := []uplink.Mode{uplink.Up, uplink.Up, uplink.Hang, uplink.Reset, uplink.Refuse}
+			for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
+				f.uplinks[rng.IntN(len(f.uplinks))].Set(modes[rng.IntN(len(modes))])
+				time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+			}
+			for _, u := range f.uplinks {
+				u.Set(uplink.Up)
+			}
+			close(stop)
+			wg.Wait()
+			served := 0
+			arrivals := f.Arrivals()
+			for id, status := range statuses {
+				runs := 0
+				for _, a := range arrivals[id] {
+					if a.Ran && !a.Resumed {
+						runs++
+					}
+				}
+				if status == http.StatusOK {
+					served++
+				}
+				if runs > 1 || runs > 0 && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) || runs == 0 && status == http.StatusOK {
+					t.Errorf("%s: status %d, ran %d times", id, status, runs)
+				}
+			}
+			t.Logf("%d of %d served", served, len(statuses))
+			f.load(time.Second, nil)
+			if _, after := f.load(time.Second, nil); after.ratio() < 0.98 {
+				t.Errorf("%+v served after the cuts", after)
+			}
+		})
+	}
+}
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -14,7 +14,7 @@
 )
 
 // upstreamWith starts a server that handles one connection, and a transport that opens tunnels to it.
-func upstreamWith(t *testing.T, handle func(*net.TCPConn)) (via *testTransport) {
+func upstreamWith(t testing.TB, handle func(*net.TCPConn)) (via *testTransport) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -41,7 +41,7 @@
 	return via
 }
 
-func open(t *testing.T, via *testTransport) net.Conn {
+func open(t testing.TB, via *testTransport) net.Conn {
 	t.Helper()
 	c, err := newTestTransport(t, "entry").OpenTunnel(t.Context(), "via", via.Address(), msg.TunnelRequest{Address: via.address, Timeout: time.Second})
 	if err != nil {
@@ -147,3 +147,27 @@
 		t.Errorf("error %v, want a new connection instead of the idle one", err)
 	}
 }
+
+// BenchmarkTunnelledEvent measures an event of 260 bytes that passes a tunnel: the processor time of all
+// three ends.
+func BenchmarkTunnelledEvent(b *testing.B) {
+	event := make([]byte, 260)
+	start := make(chan struct{})
+	via := upstreamWith(b, func(u *net.TCPConn) {
+		<-start
+		for range b.N {
+			if _, err := u.Write(event); err != nil {
+				return
+			}
+		}
+		u.Close()
+	})
+	c := open(b, via)
+	b.SetBytes(int64(len(event)))
+	b.ResetTimer()
+	close(start)
+	n, err := io.Copy(io.Discard, c)
+	if err != nil || n != int64(b.N*len(event)) {
+		b.Fatalf("%d bytes, error %v, want %d", n, err, b.N*len(event))
+	}
+}
