--- a/internal/hosted/uplink_test.go
+++ b/internal/hosted/uplink_test.go
@@ -116,6 +116,11 @@
 func (f *fleetRig) try(k int, path, tokens string) int { return f.tryAs(nextID(), k, path, tokens) }
 
 func (f *fleetRig) tryAs(id string, k int, path, tokens string) int {
+	return f.tryWith(id, k, path, tokens, "")
+}
+
+// tryWith sends a request with an id and further headers.
+func (f *fleetRig) tryWith(id string, k int, path, tokens, headers string) int {
 	c, err := testkit.DialSlow(f.machines[k].Callers)
 	if err != nil {
 		return 0
@@ -123,7 +128,7 @@
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(8 * time.Second)) // fails only on a closed connection
 	request := "POST " + path + "x HTTP/1.1\r\nHost: " + hosting.Host + "\r\nCredential: " + hosting.Key +
-		"\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: 6000\r\nToken-Counts: " + tokens + "\r\nContent-Length: 18\r\n\r\n" + id + "{}"
+		"\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: 6000\r\nToken-Counts: " + tokens + "\r\n" + headers + "Content-Length: 18\r\n\r\n" + id + "{}"
 	if _, err := io.WriteString(c, request); err != nil {
 		return 0
 	}
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -82,6 +82,9 @@
 			w.withLock(a, func() { a.CallerLeft = true })
 			return
 		}
+		if w.crashOn(w, a.Header) {
+			panic(http.ErrAbortHandler)
+		}
 		if fault == Cuts && n > w.EventCount/2 {
 			_, _ = io.WriteString(rw, Event(a.ID, n)[:6]) // an error means that the caller has disconnected
 			_ = flush.Flush()                             // an error means that the caller has disconnected
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -121,6 +121,9 @@
 	workerAt func(address string) *Worker
 	// sequence numbers the versions of the upstream's row.
 	sequence int
+	// crashOn crashes the upstream if a request with such headers does so, and reports whether it did.
+	crashOn func(w *Worker, h http.Header) bool
+	crashed sync.Once
 	// stop is closed when the upstream crashes.
 	stop chan struct{}
 	// coldUntil is the time until which the upstream is cold.
@@ -222,14 +225,24 @@
 }
 
 // Crash stops the upstream immediately. Its row remains in the list until Vanish.
-func (w *Worker) Crash() {
-	close(w.stop)
+func (w *Worker) Crash() { w.crashOnce() }
+
+// crashOnce stops the upstream and reports whether it ran until now.
+func (w *Worker) crashOnce() (first bool) {
+	w.crashed.Do(func() {
+		first = true
+		close(w.stop)
+	})
+	if !first {
+		return false
+	}
 	w.mu.Lock()
 	for _, r := range w.generations {
 		r.stop()
 	}
 	w.mu.Unlock()
 	w.server.Close()
+	return true
 }
 
 // Vanish deletes the upstream's row from the list.
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -49,6 +49,8 @@
 
 	mu      sync.Mutex
 	workers []*Worker
+	// crashPart is the part of prompts that crashes engines, or nil.
+	crashPart *CrashPart
 	// stores holds the servers of the table, one for each instance.
 	stores  []*standin.Server
 	version int64
@@ -102,7 +104,7 @@
 func (w *World) newWorker(id, service string, configure func(*Worker)) *Worker {
 	k := &Worker{
 		ID: id, Service: service, Born: time.Now().UnixMilli(), Zone: DefaultZone, coldPerS: w.ColdPerS, state: "ready", table: w.Table,
-		generations: map[string]*generation{}, copies: map[string]*generation{}, copiesSent: map[string]*Worker{}, workerAt: w.workerAt, stop: make(chan struct{}),
+		generations: map[string]*generation{}, copies: map[string]*generation{}, copiesSent: map[string]*Worker{}, workerAt: w.workerAt, crashOn: w.crashOn, stop: make(chan struct{}),
 	}
 	configure(k)
 	return k
