--- a/internal/core/suspect/parts_test.go
+++ b/internal/core/suspect/parts_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// Of a part that many requests share, sound answers are known everywhere shortly after it was on several engines
+// that crashed for other reasons. It must not be refused before that.
+func TestASoundAnswerThatIsLateByAMessagePreventsAConviction(t *testing.T) {
+	p := NewParts()
+	for n := 1; n <= 3; n++ {
+		accuse(p, n, []uint64{first})
+	}
+	if p.Convicted(at(3), []uint64{first}) != nil {
+		t.Error("refused at the moment of the third crash")
+	}
+	p.Clear([]uint64{first}, at(3).Add(time.Millisecond))
+	if p.Convicted(settled(3), []uint64{first}) != nil {
+		t.Error("refused in spite of a sound answer after the third crash")
+	}
+}
+
 // One request that comes again and waits on several engines that crash must not convict its parts.
 func TestRepeatsOfOneRequestConvictNoPart(t *testing.T) {
 	p := NewParts()
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -19,6 +19,10 @@
 
 var errEventTooLarge = errors.New("event is too large")
 
+// errNoEvent reports a stream that ended before its first event. An answer has at least one; without a length
+// or chunks, an engine that crashed looks like this.
+var errNoEvent = errors.New("stream ended before its first event")
+
 // usualEventBytes is the size up to which the buffer of an event is a part of requestBytes. Most
 // events are smaller.
 const usualEventBytes = 4 << 10
@@ -100,6 +104,9 @@
 	x.gaps.startAttempt()
 	for {
 		event, err := events.next()
+		if errors.Is(err, io.EOF) && x.call.Events == 0 {
+			return x.brokenStreamOutcome(), errNoEvent
+		}
 		if errors.Is(err, io.EOF) {
 			x.sendHead(resp)
 			x.clearEnded()
--- a/internal/hosted/part_test.go
+++ b/internal/hosted/part_test.go
@@ -166,3 +166,17 @@
 		}
 	}
 }
+
+// A stream without a length or chunks ends with its connection. It is complete if it ends between two events,
+// and must not look so if it ends within one, or before the first, as when the engine crashes.
+func TestStreamsThatEndWithTheirConnection(t *testing.T) {
+	f := newFleetRig(t, 1)
+	for fault, whole := range map[hosting.Fault]bool{hosting.Bare: true, hosting.BareEmpty: false, hosting.BareCut: false} {
+		for _, w := range f.Workers() {
+			w.SetFault(fault)
+		}
+		if status := f.try(0, hosting.PathDraft, "300,80"); (status == http.StatusOK) != whole {
+			t.Errorf("%s: status %d (0: the stream broke off), want a complete stream: %v", fault, status, whole)
+		}
+	}
+}
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -55,6 +55,10 @@
 	if last := r.Header.Get("Last-Event-Id"); last != "" {
 		received, _ = strconv.Atoi(last)
 	}
+	if fault == Bare || fault == BareEmpty || fault == BareCut {
+		w.streamBare(rw, a, received, fault)
+		return
+	}
 	if fault == Mute {
 		<-r.Context().Done()
 		w.withLock(a, func() { a.CallerLeft = true })
@@ -103,6 +107,24 @@
 	}
 }
 
+// streamBare streams without a length or chunks, and closes the connection.
+func (w *Worker) streamBare(rw http.ResponseWriter, a *Arrival, received int, fault Fault) {
+	c, buf, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	body := ""
+	for n := received + 1; n <= w.EventCount && fault != BareEmpty; n++ {
+		body += Event(a.ID, n)
+	}
+	if fault == BareCut {
+		body = body[:len(body)-3]
+	}
+	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: " + a.ID + "\r\nResponse-Seal: seal-" + a.ID + "\r\n\r\n" + body)
+	_ = buf.Flush() // an error means that the caller has disconnected
+}
+
 // smallSendBuffer is the size in bytes of the send buffers of an upstream that cuts off unread
 // responses. The rest of what is sent and not read is at the receiver.
 const smallSendBuffer = 16 << 10
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -36,6 +36,11 @@
 	Extra Fault = "extra"
 	// Unframed responds without a content length.
 	Unframed Fault = "unframed"
+	// Bare streams without a length or chunks and ends with the connection. BareEmpty does so before the
+	// first event, BareCut within an event.
+	Bare      Fault = "bare"
+	BareEmpty Fault = "bare_empty"
+	BareCut   Fault = "bare_cut"
 	// Early responds before it has read the body.
 	Early Fault = "early"
 	// FalsePromise executes the request and responds with status 503 without the header
