--- a/internal/hosted/uplink_test.go
+++ b/internal/hosted/uplink_test.go
@@ -40,6 +40,12 @@
 
 // newFleetRig starts upstreams and instances in two data centres and waits until all instances serve.
 func newFleetRig(t *testing.T, perDataCentre int) *fleetRig {
+	t.Helper()
+	return newFleetRigWith(t, perDataCentre, func(w *hosting.Worker) { w.Work = 30 * time.Millisecond })
+}
+
+// newFleetRigWith does the same and configures the upstreams of the plain service.
+func newFleetRigWith(t *testing.T, perDataCentre int, desk func(*hosting.Worker)) *fleetRig {
 	t.Helper()
 	w := hosting.NewWorld(t.TempDir())
 	t.Cleanup(w.Close)
@@ -47,7 +53,7 @@
 	w.Configure(nil)
 	f := &fleetRig{World: w}
 	for _, zone := range []string{"zone-a", "zone-b"} {
-		f.addUpstreams(t, zone)
+		f.addUpstreams(t, zone, desk)
 		for k := range perDataCentre {
 			f.addInstance(t, fmt.Sprintf("entry-%s-%d", zone, k), zone)
 		}
@@ -60,7 +66,7 @@
 	return f
 }
 
-func (f *fleetRig) addUpstreams(t *testing.T, zone string) {
+func (f *fleetRig) addUpstreams(t *testing.T, zone string, desk func(*hosting.Worker)) {
 	t.Helper()
 	add := func(id, service string, configure func(*hosting.Worker)) {
 		if _, err := f.Add(id, service, configure); err != nil {
@@ -73,7 +79,10 @@
 		})
 	}
 	for k := range cutDesks {
-		add(fmt.Sprintf("desk-%s-%d", zone, k), hosting.Desk, func(w *hosting.Worker) { w.Zone, w.Work = zone, 30*time.Millisecond })
+		add(fmt.Sprintf("desk-%s-%d", zone, k), hosting.Desk, func(w *hosting.Worker) {
+			w.Zone = zone
+			desk(w)
+		})
 	}
 }
 
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -102,6 +102,8 @@
 	// CopyTime is the duration of a copy that does not stop the generation.
 	CopyTime time.Duration
 
+	// Brittle limits the places of a plain service; nil means no limit. It must be set before the start.
+	Brittle *Brittle
 	// Zone is the data centre of the upstream.
 	Zone string
 
@@ -315,6 +317,10 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if w.Brittle != nil {
+		w.serveBrittle(rw, r, a)
+		return
+	}
 	w.withLock(a, func() { a.Ran = true })
 	if w.EventCount > 0 {
 		w.serveStream(rw, r, a, fault)
