--- a/internal/core/fleet/tunnel.go
+++ b/internal/core/fleet/tunnel.go
@@ -14,10 +14,10 @@
 const fullLoad = 100
 
 // TunnelPeers lists instances that may open a tunnel to an upstream of a data centre, in the order in which
-// they are asked: first those with a path and room, of these those of this data centre and of the
-// upstream's, as a tunnel through them crosses data centres no more often than a direct connection. Instances that are alike are shuffled, so that
-// those that have lost their paths spread over the others; of the first two the one with fewer of this
-// instance's open tunnels is asked first.
+// they are asked. Those that have a path and room come first, and of these the ones of this data centre and
+// of the upstream's: a tunnel through them crosses data centres no more often than a direct connection.
+// Instances that are alike are shuffled, so that those that have lost their paths spread over the others; of
+// the first two the one with fewer of this instance's open tunnels is asked first.
 func (f *Fleet) TunnelPeers(now time.Time, dataCentre string, shuffle func(n int, swap func(i, j int)), open map[string]int) []msg.Heartbeat {
 	if f.without.Has(mechanism.Tunnels) {
 		return nil
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -32,6 +32,7 @@
 	KindTunnelRequest
 	KindTunnelResponse
 	KindPartsSound
+	KindCrashEvidence
 )
 
 // Heartbeat announces that the sender is alive and at which addresses it can be reached.
@@ -101,8 +102,8 @@
 // OpensTunnels reports whether the sender opens tunnels to upstreams.
 func (h Heartbeat) OpensTunnels() bool { return h.Class >= tunnelsClass }
 
-// UnderstandsSoundParts reports whether the sender understands PartsSound.
-func (h Heartbeat) UnderstandsSoundParts() bool { return h.OpensTunnels() }
+// UnderstandsParts reports whether the sender understands the messages about parts of prompts.
+func (h Heartbeat) UnderstandsParts() bool { return h.OpensTunnels() }
 
 // DividesLimits reports whether the sender understands the messages about rate limits.
 func (h Heartbeat) DividesLimits() bool { return h.Class >= limitsClass }
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -38,7 +38,7 @@
 	KindPresences: "presences", KindPresenceRequest: "presence_ask",
 	KindRateStatement: "rate_stated", KindPermitRequest: "permit_ask", KindPermitResponse: "permit_answer", KindPermitCancel: "permit_cancel", KindUpstreamLeaving: "upstream_leaving",
 	KindRankedGrantRequest: "ranked_grant_request", KindUpstreamSpeed: "upstream_speed", KindInstanceLoad: "instance_load",
-	KindTunnelRequest: "tunnel_request", KindTunnelResponse: "tunnel_response", KindPartsSound: "parts_sound",
+	KindTunnelRequest: "tunnel_request", KindTunnelResponse: "tunnel_response", KindPartsSound: "parts_sound", KindCrashEvidence: "crash_evidence",
 }
 
 // Message kinds that are not in one of the ranges of numbers below. Numbers are never reused.
@@ -138,9 +138,6 @@
 	Boot string
 	// Age is the time since the crash. It is relative because instances do not share a clock.
 	Age time.Duration
-	// Parts are the parts of the request's prompt that other requests may share, if no answer to it had
-	// begun soundly.
-	Parts []uint64
 }
 
 // StrikesRequest requests the strikes recorded by an instance: an instance that has just started
--- a/internal/hosted/crash.go
+++ b/internal/hosted/crash.go
@@ -67,11 +67,11 @@
 // crash every upstream that runs them, and some parts of prompts every upstream that begins to write on them.
 func (s *server) strike(c *forward.Call, a *forward.Attempt) {
 	crash := suspect.Crash{Upstream: a.Entry.ID, Boot: strconv.FormatInt(a.Entry.Born, 10)}
-	var m msg.Strike
+	var m msg.CrashEvidence
 	first := false
 	s.decide(func(now time.Time, g *forward.Gate) {
 		first = g.Strike(now, suspect.Strike{Fingerprint: c.Fingerprint, Crash: crash, At: now})
-		m = strikeMessage(now, suspect.Evidence{Fingerprint: c.Fingerprint, Parts: g.AccusableParts(c), Crash: crash, At: now})
+		m = crashEvidence(now, suspect.Evidence{Fingerprint: c.Fingerprint, Parts: g.AccusableParts(c), Crash: crash, At: now})
 	})
 	if !first {
 		return
@@ -79,7 +79,7 @@
 	s.metrics.Count("strikes_total", c.Service)
 	s.log.Info("strike", "request", c.ID, "print", c.Fingerprint, "parts", partNames(m.Parts), "upstream", crash.Upstream, "boot", crash.Boot)
 	s.accuse(m)
-	s.homes.broadcast(m)
+	s.homes.announceCrash(m)
 }
 
 // isCold reports whether an attempt's upstream is cold. A cold upstream crashes under too many
@@ -122,5 +122,10 @@
 			Crash: suspect.Crash{Upstream: m.Upstream, Boot: m.Boot},
 		})
 	})
+}
+
+// onCrashEvidence records a strike that names the parts of a prompt.
+func (s *server) onCrashEvidence(m msg.CrashEvidence) {
+	s.onStrike(m.Strike)
 	s.accuse(m)
 }
--- a/internal/hosted/fleet.go
+++ b/internal/hosted/fleet.go
@@ -35,6 +35,8 @@
 
 	// statements returns what upstreams have stated, for an instance that starts.
 	statements func() []msg.Message
+	// evidence returns the evidence against parts of prompts, for the same purpose.
+	evidence func() []msg.Message
 
 	// seeds are the addresses of instances that a starting one asks for members; seedAddress is
 	// this instance's own address among them, or "".
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -46,7 +46,7 @@
 	return &peers{
 		store: store, transport: transport, metrics: metrics.NewMetrics(), log: hclog.NewNullLogger(), onPeerLost: func() {},
 		state: func() (bool, bool, bool) { return true, false, true }, fleet: fleet.New(boottime.Now(), self, nil, 0), heartbeatsSentAt: map[string]time.Time{}, joinDone: make(chan struct{}), joinResponses: make(chan msg.JoinResponse, 1),
-		statements: func() []msg.Message { return nil }, informed: map[string]string{},
+		statements: func() []msg.Message { return nil }, evidence: func() []msg.Message { return nil }, informed: map[string]string{},
 	}
 }
 
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -118,7 +118,7 @@
 	m.Set("instance_load_ratio", i.loadMetric())
 	m.Set("directory_weights", i.weightsMetric())
 	i.peers = &peers{
-		store: store, metrics: m, log: log, state: i.state, onPeerLost: srv.announceRunning, statements: srv.statements,
+		store: store, metrics: m, log: log, state: i.state, onPeerLost: srv.announceRunning, statements: srv.statements, evidence: srv.evidence,
 		heartbeatsSentAt: map[string]time.Time{}, informed: map[string]string{},
 		seeds: s.Seeds, seedAddress: s.SeedAddress, joinResponses: make(chan msg.JoinResponse, 16), joinDone: make(chan struct{}),
 		fleet: fleet.New(boottime.Now(), i.ownHeartbeat(), s.Regions, s.Without),
@@ -137,7 +137,7 @@
 		pools: map[string]*pool.Home{}, usedAt: map[string]time.Time{},
 	}
 	i.permits = newPermitHome(m, log, i.sendAny)
-	srv.homes = homeLink{homeOf: i.homeOf, limitHomeOf: i.limitHomeOf, understandsLoad: i.understandsLoad, announce: i.announce, onLeaving: i.homes.sync, send: i.sendAny, reportSilent: i.suspectHome, broadcast: i.broadcast, announceSound: i.announceSound}
+	srv.homes = homeLink{homeOf: i.homeOf, limitHomeOf: i.limitHomeOf, understandsLoad: i.understandsLoad, announce: i.announce, onLeaving: i.homes.sync, send: i.sendAny, reportSilent: i.suspectHome, broadcast: i.broadcast, announceSound: i.announceSound, announceCrash: i.announceCrash}
 	i.poller = &poller{follower: i.follower, responses: make(chan syncResponse, 16), reads: make(chan storeRead), wake: make(chan struct{}, 1), neededGroups: i.neededGroups}
 	i.homes.onCreated = i.poller.wakeUp
 	return i
--- a/internal/hosted/join.go
+++ b/internal/hosted/join.go
@@ -140,6 +140,9 @@
 		return
 	}
 	statements := f.statements()
+	if to.UnderstandsParts() {
+		statements = append(statements, f.evidence()...)
+	}
 	if len(statements) == 0 {
 		return
 	}
--- a/internal/hosted/parts.go
+++ b/internal/hosted/parts.go
@@ -11,9 +11,12 @@
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
-// strikeMessage returns the announcement of evidence.
-func strikeMessage(now time.Time, e suspect.Evidence) msg.Strike {
-	return msg.Strike{Fingerprint: e.Fingerprint, Upstream: e.Crash.Upstream, Boot: e.Crash.Boot, Age: now.Sub(e.At), Parts: e.Parts}
+// crashEvidence returns the announcement of evidence.
+func crashEvidence(now time.Time, e suspect.Evidence) msg.CrashEvidence {
+	return msg.CrashEvidence{
+		Strike: msg.Strike{Fingerprint: e.Fingerprint, Upstream: e.Crash.Upstream, Boot: e.Crash.Boot, Age: now.Sub(e.At)},
+		Parts:  e.Parts,
+	}
 }
 
 // partNames returns the hashes of parts as they are logged.
@@ -27,14 +30,15 @@
 
 // accuse records the evidence of a strike against the parts of a prompt. If parts are convicted by it, the
 // requests that have them end once that is in force.
-func (s *server) accuse(m msg.Strike) {
+func (s *server) accuse(m msg.CrashEvidence) {
 	if len(m.Parts) == 0 {
 		return
 	}
 	var convictions []suspect.Conviction
 	s.decide(func(now time.Time, g *forward.Gate) {
 		convictions = g.Accuse(now, suspect.Evidence{
-			Fingerprint: m.Fingerprint, Parts: m.Parts, Crash: suspect.Crash{Upstream: m.Upstream, Boot: m.Boot}, At: now.Add(-m.Age),
+			Fingerprint: m.Strike.Fingerprint, Parts: m.Parts, At: now.Add(-m.Strike.Age),
+			Crash: suspect.Crash{Upstream: m.Strike.Upstream, Boot: m.Strike.Boot},
 		})
 	})
 	for _, c := range convictions {
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -75,17 +75,28 @@
 }
 
 // announceSound tells all other live instances that understand it of parts that are sound.
-func (i *Instance) announceSound(m msg.PartsSound) {
-	var live []string
+func (i *Instance) announceSound(m msg.PartsSound) { i.sendByRelease(m, nil) }
+
+// announceCrash tells all other live instances of a crash.
+func (i *Instance) announceCrash(m msg.CrashEvidence) { i.sendByRelease(m, m.Strike) }
+
+// sendByRelease sends a message about parts of prompts to all other live instances that understand it, and
+// another one, unless it is nil, to those of an earlier release.
+func (i *Instance) sendByRelease(m, earlier msg.Message) {
+	understands := map[string]bool{}
 	i.peers.with(func(_ time.Time, v *fleet.Fleet) {
 		for _, name := range v.Live() {
-			if other := v.Find(name); other != nil && other.UnderstandsSoundParts() {
-				live = append(live, name)
-			}
+			other := v.Find(name)
+			understands[name] = other != nil && other.UnderstandsParts()
 		}
 	})
-	for _, name := range live {
-		i.peers.sendTo(name, m)
+	for name, ok := range understands {
+		switch {
+		case ok:
+			i.peers.sendTo(name, m)
+		case earlier != nil:
+			i.peers.sendTo(name, earlier)
+		}
 	}
 }
 
@@ -108,6 +119,8 @@
 		i.server.onGrantResponse(m)
 	case msg.Strike:
 		i.server.onStrike(m)
+	case msg.CrashEvidence:
+		i.server.onCrashEvidence(m)
 	case msg.PartsSound:
 		i.server.onPartsSound(from, m)
 	case msg.UpstreamFailing:
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -31,6 +31,8 @@
 	reportSilent func(name string)
 	// announceSound sends a message to all other live instances that understand it.
 	announceSound func(m msg.PartsSound)
+	// announceCrash sends evidence to all other live instances, as a strike to those of an earlier release.
+	announceCrash func(m msg.CrashEvidence)
 	// broadcast sends a message to all other live instances.
 	broadcast func(m msg.Message)
 }
--- a/internal/hosted/statement.go
+++ b/internal/hosted/statement.go
@@ -140,10 +140,15 @@
 
 // statements returns what upstreams have stated and still holds.
 func (s *server) statements() (out []msg.Message) {
+	s.decide(func(now time.Time, g *forward.Gate) { out = g.Statements(now) })
+	return out
+}
+
+// evidence returns the evidence against parts of prompts, for an instance that has started.
+func (s *server) evidence() (out []msg.Message) {
 	s.decide(func(now time.Time, g *forward.Gate) {
-		out = g.Statements(now)
 		for _, e := range g.Evidence(now) {
-			out = append(out, strikeMessage(now, e))
+			out = append(out, crashEvidence(now, e))
 		}
 	})
 	return out
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -153,6 +153,7 @@
 	msg.KindTunnelRequest:   decodeAs[msg.TunnelRequest],
 	msg.KindTunnelResponse:  decodeAs[msg.TunnelResponse],
 	msg.KindPartsSound:      decodeAs[msg.PartsSound],
+	msg.KindCrashEvidence:   decodeAs[msg.CrashEvidence],
 
 	msg.KindRankedGrantRequest: decodeAs[msg.RankedGrantRequest],
 	msg.KindUpstreamSpeed:      decodeAs[msg.UpstreamSpeed],
--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 )
 
@@ -112,3 +114,16 @@
 		}
 	})
 }
+
+// Earlier releases do not know the ninth bit of a heartbeat's class. They must read the others as before:
+// otherwise they would close the connections of newer instances.
+func TestEarlierReleasesReadTheLowBitsOfAClass(t *testing.T) {
+	var class struct{ Class uint8 }
+	raw, err := marshal(struct{ Class uint16 }{msg.ClassOfRelease(5)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := msgpack.Unmarshal(raw, &class); err != nil || class.Class != uint8(msg.ClassOfRelease(5)) {
+		t.Errorf("class %d, error %v, want the low bits of %d", class.Class, err, msg.ClassOfRelease(5))
+	}
+}
