--- a/internal/hosted/paths.go
+++ b/internal/hosted/paths.go
@@ -111,9 +111,9 @@
 	})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &dialRace{paths: p, ctx: ctx, address: address, results: make(chan attempt, maxTunnelRequests+1), directHeadStart: headStart}
-	if !down {
-		r.peers = p.peersFor(address)
+	r := &dialRace{
+		paths: p, ctx: ctx, address: address, results: make(chan attempt, maxTunnelRequests+1), directHeadStart: headStart,
+		peers: sync.OnceValue(func() []msg.Heartbeat { return p.peersFor(address) }), confirmedDown: down, wasDown: down,
 	}
 	return r.run(way)
 }
@@ -139,15 +139,18 @@
 	results chan attempt
 	// directHeadStart is how long the direct attempt has before a tunnel is requested.
 	directHeadStart time.Duration
-	// peers are the instances that can still be asked.
-	peers []msg.Heartbeat
+	// peers lists the instances to be asked for a tunnel. It is called only if the direct attempt is not fast:
+	// in a large fleet the list is long. asked counts those that were asked.
+	peers func() []msg.Heartbeat
+	asked int
 	// directStarted is set once a direct attempt was started, and pending counts all attempts in progress.
 	directStarted bool
 	pending       int
 	// directErr is the error of the direct attempt, err that of the last attempt. confirmedDown is set if
-	// another instance found the upstream to be down.
-	directErr, err error
-	confirmedDown  bool
+	// the upstream was found to be down, by another instance or a moment ago.
+	// wasDown is set if that was known before.
+	directErr, err         error
+	confirmedDown, wasDown bool
 }
 
 // run starts attempts until one succeeds or all have failed.
@@ -193,9 +196,9 @@
 // found to be down is still tried directly, as that instance's path may be the reason.
 func (r *dialRace) next() bool {
 	switch {
-	case len(r.peers) > 0 && !r.confirmedDown:
-		via := r.peers[0]
-		r.peers = r.peers[1:]
+	case !r.confirmedDown && r.asked < len(r.peers()):
+		via := r.peers()[r.asked]
+		r.asked++
 		r.start(via.Name, func() (net.Conn, error) { return r.paths.tunnel(r.ctx, via, r.address) })
 	case !r.directStarted:
 		r.startDirect()
@@ -273,9 +276,12 @@
 	r.paths.metrics.Count("tunnels_total", status)
 }
 
-// down returns the error for an upstream that is down.
+// down returns the error for an upstream that is down. What was known before is not recorded again: this
+// instance alone would otherwise keep it for ever.
 func (r *dialRace) down() error {
-	r.paths.with(func(now time.Time, s *reach.Paths) { s.FoundDown(now, r.address) })
+	if !r.wasDown {
+		r.paths.with(func(now time.Time, s *reach.Paths) { s.FoundDown(now, r.address) })
+	}
 	return fmt.Errorf("%w: %w", errUpstreamDown, r.directErr)
 }
 
--- a/internal/hosted/paths_test.go
+++ b/internal/hosted/paths_test.go
@@ -89,3 +89,31 @@
 		t.Error("an isolated instance keeps an idle connection")
 	}
 }
+
+// That an upstream is down must be confirmed again and again: it may have started again when this instance loses
+// its path to it.
+func TestAnUpstreamIsNotDownForEverByOneInstance(t *testing.T) {
+	neighbour := httptest.NewServer(http.NotFoundHandler())
+	defer neighbour.Close()
+	up := strings.TrimPrefix(neighbour.URL, "http://")
+	const gone = "127.0.0.1:1"
+	s := newTestServer(gone)
+	s.paths.witness = func(string) string { return up }
+	reached := true
+	s.paths.direct = func(ctx context.Context, address string) (net.Conn, error) {
+		if address == up && reached {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	}
+	if f := s.paths.check(gone); f != findingDown {
+		t.Fatalf("finding %q, want down", f)
+	}
+	reached = false
+	for end := time.Now().Add(1300 * time.Millisecond); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		s.paths.check(gone)
+	}
+	if f := s.paths.check(gone); f != findingUnknown {
+		t.Errorf("finding %q after a second without a neighbour, want unknown", f)
+	}
+}
