--- a/internal/core/suspect/parts.go
+++ b/internal/core/suspect/parts.go
@@ -22,14 +22,15 @@
 	// suspectedCrashes is the number from which a request with the part is not sent to another engine after
 	// a failed attempt.
 	suspectedCrashes = 2
-	// evidenceTTL is how long a crash counts against the parts of its requests. A part that sound requests
+	// evidenceTTL is how long a crash counts against the parts of its requests at an instance that learned of
+	// it: one that starts later learns of it then, piece by piece. A part that sound requests
 	// share is cleared by them long before.
 	evidenceTTL = 10 * time.Minute
 	// convictionTTL is used instead for the evidence of a conviction, which lasts for so long without
 	// further crashes. A part that is still at fault then costs convictingCrashes engines again.
 	convictionTTL = time.Hour
 	// maxEvidence bounds the stored evidence and maxCleared the stored times of sound answers. The oldest
-	// go first, of the evidence that which convicts nothing.
+	// go first, and evidence that convicts nothing before other evidence.
 	maxEvidence = 512
 	maxCleared  = 1024
 	// MaxParts is the maximum number of parts of a request that are considered.
@@ -47,6 +48,8 @@
 	Parts []uint64
 	Crash Crash
 	At    time.Time
+	// recordedAt is when this instance learned of it.
+	recordedAt time.Time
 }
 
 // Conviction is a set of parts. A request whose prompt contains all of them crashes upstreams: the parts
@@ -69,8 +72,8 @@
 // is not safe for concurrent use.
 type Parts struct {
 	evidence []Evidence
-	// soundAt holds when an answer to a request with a part was last begun soundly, for parts that
-	// were accused.
+	// soundAt holds when an answer to a request with a part was last begun soundly, as far as this instance
+	// knows: at itself, and elsewhere if the part was accused.
 	soundAt map[uint64]time.Time
 	// convictions holds what follows from the evidence; stale is set if it must be computed again.
 	convictions []Conviction
@@ -82,7 +85,7 @@
 
 // Accuse records evidence and reports whether it is new.
 func (p *Parts) Accuse(now time.Time, e Evidence) bool {
-	if len(e.Parts) == 0 || now.Sub(e.At) > evidenceTTL || p.has(e) {
+	if len(e.Parts) == 0 || now.Sub(e.At) > convictionTTL || p.has(e) {
 		return false
 	}
 	if len(p.evidence) >= maxEvidence {
@@ -91,6 +94,7 @@
 	e.Parts = slices.Clone(e.Parts)
 	slices.Sort(e.Parts)
 	e.Parts = slices.Compact(e.Parts)
+	e.recordedAt = now
 	p.evidence = append(p.evidence, e)
 	slices.SortStableFunc(p.evidence, func(a, b Evidence) int { return a.At.Compare(b.At) })
 	p.stale = true
@@ -217,11 +221,7 @@
 func (p *Parts) expire(now time.Time) {
 	kept := p.evidence[:0]
 	for _, e := range p.evidence {
-		ttl := evidenceTTL
-		if p.convicts(e) {
-			ttl = convictionTTL
-		}
-		if now.Sub(e.At) <= ttl {
+		if now.Sub(e.At) <= convictionTTL && (p.convicts(e) || now.Sub(e.recordedAt) <= evidenceTTL) {
 			kept = append(kept, e)
 		}
 	}
--- a/internal/core/suspect/parts_test.go
+++ b/internal/core/suspect/parts_test.go
@@ -112,6 +112,27 @@
 	}
 }
 
+// An instance that starts long after the crashes must have the verdict from what it is told, message by message, and
+// lose it when the others do.
+func TestAnInstanceThatStartsLateHasTheVerdict(t *testing.T) {
+	p, late := NewParts(), NewParts()
+	for n := 1; n <= 3; n++ {
+		accuse(p, n, []uint64{first, crashing})
+	}
+	p.Convictions(at(3))
+	starts := at(3).Add(convictionTTL / 2)
+	for _, e := range p.Evidence(starts) {
+		late.Accuse(starts, e)
+		late.Convictions(starts)
+	}
+	if late.Convicted(starts, []uint64{first, crashing}) == nil {
+		t.Error("an instance that starts late has no verdict")
+	}
+	if end := at(4).Add(convictionTTL); late.Convicted(end, []uint64{first, crashing}) != nil || p.Convicted(end, []uint64{first, crashing}) != nil {
+		t.Error("the verdict lasts longer than it should")
+	}
+}
+
 // One request that comes again and waits on several engines that crash must not convict its parts.
 func TestRepeatsOfOneRequestConvictNoPart(t *testing.T) {
 	p := NewParts()
