roster, msg, hosted: the software version of upstreams is known and logged

The entry of an upstream states the version of its software. It was not read, so that no log told which version a stream ran at, and nothing was logged when a caller took a stream up. Now every instance knows it: the reader of the store passes it on beside the list in a message of its own, as an earlier release cannot decode an entry with one more field and gets the message that it knows. A list from an earlier release leaves it unknown until another source states it.

upstream_joined, attempt_ended, move_ordered and move_ended name it, and stream_taken_up the try that a caller resumes. No decision uses it yet.

--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -24,6 +24,11 @@
 	PromptTokens int
 	MaxOutput    int
 	Hint         int
+	// AfterEvent is the id of the last event that the caller has of a stream that it takes up again, and
+	// Resumes the request id of the try that brought the first event; "" for other requests, and where the
+	// caller does not state it.
+	AfterEvent string
+	Resumes    string
 	// Fingerprint is the fingerprint of path, key and body.
 	Fingerprint uint64
 	// Parts are hashes of the parts of the prompt that other requests may share: all but the last. At most
@@ -35,6 +40,9 @@
 	Replayable bool
 }
 
+// GoesOn reports whether the caller takes up a stream of which it already has events.
+func (r *Request) GoesOn() bool { return r.AfterEvent != "" || r.Resumes != "" }
+
 // Reason is the reason of a refusal or failure, used as a metric label and in logs.
 type Reason string
 
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -33,6 +33,7 @@
 	KindTunnelResponse
 	KindPartsSound
 	KindCrashEvidence
+	KindWithSoftware
 )
 
 // Heartbeat announces that the sender is alive and at which addresses it can be reached.
@@ -60,7 +61,8 @@
 	// bandwidth in Mbit/s can be halved until it is less than 1, plus limitsClass since the release
 	// that divides rate limits, plus loadClass since the release that exchanges the messages in
 	// load.go, plus agesClass since the release that states negative ages, plus tunnelsClass since the
-	// release that opens tunnels. Instances of the highest class are preferred for work on behalf of
+	// release that opens tunnels, plus softwareClass since the release that tells the software of
+	// upstreams apart. Instances of the highest class are preferred for work on behalf of
 	// others. Earlier releases decode the low 8 bits only.
 	Class uint16
 	// WantsResponse is set to request a heartbeat from the receiver, because the sender has just
@@ -84,10 +86,14 @@
 // tunnelsClass is added, for the same reason, to the Class of instances that open tunnels to upstreams.
 const tunnelsClass = 256
 
+// softwareClass is added, for the same reason, to the Class of instances that understand the messages in
+// software.go.
+const softwareClass = 512
+
 // ClassOfRelease returns the class of an instance of this release whose machine has a capacity class,
 // which is less than limitsClass.
 func ClassOfRelease(capacity uint8) uint16 {
-	return uint16(capacity) + limitsClass + loadClass + agesClass + tunnelsClass
+	return uint16(capacity) + limitsClass + loadClass + agesClass + tunnelsClass + softwareClass
 }
 
 // Capacity returns the capacity class of the sender's machine.
@@ -105,6 +111,9 @@
 // UnderstandsParts reports whether the sender understands the messages about parts of prompts.
 func (h Heartbeat) UnderstandsParts() bool { return h.OpensTunnels() }
 
+// UnderstandsSoftware reports whether the sender understands the messages in software.go.
+func (h Heartbeat) UnderstandsSoftware() bool { return h.Class >= softwareClass }
+
 // DividesLimits reports whether the sender understands the messages about rate limits.
 func (h Heartbeat) DividesLimits() bool { return h.Class >= limitsClass }
 
@@ -220,12 +229,13 @@
 	Attempt string
 	// Number distinguishes several orders for one attempt.
 	Number int64
-	// From and To are the ids of the upstreams. ToAddress and ToDataCentre are the address and
-	// the data centre of To.
+	// From and To are the ids of the upstreams. ToAddress, ToDataCentre and ToSoftware are the address,
+	// the data centre and the software version of To.
 	From         string
 	To           string
 	ToAddress    string
 	ToDataCentre string
+	ToSoftware   string `msgpack:"-"`
 }
 
 // MoveResult reports the outcome of a MoveOrder.
--- a/internal/core/pool/evacuate.go
+++ b/internal/core/pool/evacuate.go
@@ -206,12 +206,20 @@
 	h.placement.CountStart(now, to)
 	h.send(h.entries[p.Request.Attempt], msg.MoveOrder{
 		Pool: h.service, Attempt: p.Request.Attempt, Number: h.lastOrder,
-		From: e.upstream.ID, To: to, ToAddress: h.upstreams[to].Address, ToDataCentre: h.upstreams[to].DataCentre,
+		From: e.upstream.ID, To: to, ToAddress: h.upstreams[to].Address, ToDataCentre: h.upstreams[to].DataCentre, ToSoftware: h.upstreams[to].Software,
 	})
-	h.note("move_ordered", "request", p.Request.Attempt, "entry", h.entries[p.Request.Attempt], "from", e.upstream.ID, "to", to,
+	h.note("move_ordered", "request", p.Request.Attempt, "entry", h.entries[p.Request.Attempt], "from", e.upstream.ID, "to", to, "software", softwareName(e.upstream), "to_software", softwareName(h.upstreams[to]),
 		"tokens", p.Request.Prompt+p.Tokens, "left", int(p.Remaining), "try", e.tries[p.Request.Attempt], "since_notice", now.Sub(e.upstream.LeavingSince))
 }
 
+// softwareName returns the software version of an upstream as it is logged.
+func softwareName(u *roster.Upstream) string {
+	if u == nil || u.Software == "" {
+		return "unknown"
+	}
+	return u.Software
+}
+
 // copyTime estimates the duration of a copy. A copy between data centres takes twice as long.
 func (h *Home) copyTime(p placement.RunningGeneration, from, to string) time.Duration {
 	bits := float64(p.Request.Prompt+p.Tokens) * h.engine.TokenBytes * 8
@@ -228,7 +236,7 @@
 		if e.order == nil || e.order.number != m.Number {
 			continue
 		}
-		h.note("move_ended", "request", m.Attempt, "from", id, "to", e.order.to, "outcome", m.Outcome, "after", now.Sub(e.order.sentAt))
+		h.note("move_ended", "request", m.Attempt, "from", id, "to", e.order.to, "software", softwareName(e.upstream), "to_software", softwareName(h.upstreams[e.order.to]), "outcome", m.Outcome, "after", now.Sub(e.order.sentAt))
 		if m.Outcome == msg.MoveFailed {
 			h.abandonCopy(now, e.order)
 		} else {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -23,6 +23,9 @@
 	// Born identifies the run of the upstream: its start in Unix milliseconds; 0 if unknown.
 	// Another run can reuse the id.
 	Born int64
+	// Software is the version of the upstream's software, which has no order; "" if unknown. Between
+	// instances it travels in msg.WithSoftware, as earlier releases decode an entry without it only.
+	Software string `msgpack:"-"`
 }
 
 // Run identifies a process run of an upstream, whatever its entry says otherwise.
@@ -113,6 +116,9 @@
 	droppedAt, reannouncedAt map[Group]time.Time
 	// joined holds the runs first listed since the last call of Joined.
 	joined []*Upstream
+	// lacksSoftware is set while the list came from an instance whose release does not state the
+	// software of upstreams.
+	lacksSoftware bool
 	// leftAt holds when each run was first known to leave. A run that leaves does not come back,
 	// whatever a later form of its entry says.
 	leftAt map[Run]time.Time
@@ -200,7 +206,7 @@
 	if version < r.newest {
 		return nil, false
 	}
-	r.complete = true
+	r.complete, r.lacksSoftware = true, false
 	left = r.Update(now, append(all, r.removals(all, version, r.All())...), version)
 	return left, true
 }
@@ -264,7 +270,7 @@
 		return u != nil
 	}
 	return u == nil || c.Entry.ColdRemaining > 0 && now.Add(c.Entry.ColdRemaining).Sub(u.ColdUntil) > coldSlack || !sameRun(u.Entry, c.Entry) || u.Entry.Leaving != c.Entry.Leaving ||
-		u.DataCentre != c.Entry.DataCentre || !u.ExpiresAt.IsZero()
+		u.DataCentre != c.Entry.DataCentre || u.Software != c.Entry.Software || !u.ExpiresAt.IsZero()
 }
 
 // sameRun reports whether two entries with the same id belong to the same run.
--- a/internal/core/roster/sync.go
+++ b/internal/core/roster/sync.go
@@ -166,6 +166,8 @@
 	Groups        []GroupCopy
 	// Complete is set if the request was for every group.
 	Complete bool
+	// StatesSoftware is set if the entries state the software of their upstreams.
+	StatesSoftware bool `msgpack:"-"`
 }
 
 // ListRequest is a request for the changes of the list since given versions.
@@ -186,7 +188,7 @@
 	if !r.Received() || q.All && !r.complete {
 		return nil, false
 	}
-	s = &ListUpdate{Version: r.newest, LayoutVersion: r.layoutVersion, Complete: q.All}
+	s = &ListUpdate{Version: r.newest, LayoutVersion: r.layoutVersion, Complete: q.All, StatesSoftware: true}
 	if q.LayoutVersion != r.layoutVersion {
 		s.Layout = r.layout
 	}
@@ -261,6 +263,7 @@
 	if s.Version < r.newest {
 		return nil
 	}
+	r.adoptSoftware(s)
 	for _, c := range s.Groups {
 		changes := append(slices.Clip(c.List), r.removals(c.List, s.Version, r.byGroup[c.Group])...)
 		left = append(left, r.Update(now, changes, s.Version)...)
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -278,7 +279,7 @@
 		return
 	}
 	pairs := []any{
-		"request", x.call.ID, "attempt", a.Number, "upstream", a.Entry.ID, "address", a.Entry.Address,
+		"request", x.call.ID, "attempt", a.Number, "upstream", a.Entry.ID, "address", a.Entry.Address, "software", softwareName(a.Entry.Software),
 		"outcome", o, "after", boottime.Now().Sub(a.Sent).Round(time.Millisecond),
 		"upstream_leaving", s.isLeavingUpstream(a), "events", x.call.Events, "error", x.lastErr,
 	}
@@ -289,7 +290,7 @@
 	switch {
 	case next.Send != nil:
 		s.metrics.Count("retries_total", string(o))
-		pairs = append(pairs, "next", next.Send.Entry.ID)
+		pairs = append(pairs, "next", next.Send.Entry.ID, "next_software", softwareName(next.Send.Entry.Software))
 	case next.RequestPermit:
 		pairs = append(pairs, "next", "permit")
 	default:
@@ -298,6 +299,9 @@
 	s.log.Info("attempt_ended", pairs...)
 }
 
+// softwareName returns a software version as it is logged.
+func softwareName(software string) string { return cmp.Or(software, "unknown") }
+
 func (x *exchange) logEnd(outcome string, status int) {
 	s, took := x.server, time.Since(x.started)
 	ahead, dropped := x.out.readAhead()
--- a/internal/hosted/fleet.go
+++ b/internal/hosted/fleet.go
@@ -123,6 +123,9 @@
 // send queues a message for an instance. A message is dropped if the queue is full; every
 // protocol tolerates that.
 func (f *peers) send(to msg.Heartbeat, m msg.Message) {
+	if to.UnderstandsSoftware() {
+		m = msg.AddSoftware(m)
+	}
 	if err := f.transport.Send(to.Name, to.PeerAddress, m); err != nil {
 		f.metrics.Count("peer_lost_messages_total", to.Name)
 		f.log.Debug("peer_message_lost", "peer", to.Name, "error", err)
@@ -223,6 +226,15 @@
 	return s
 }
 
+// understandsSoftware reports whether an instance understands the messages about the software of upstreams.
+func (f *peers) understandsSoftware(name string) (ok bool) {
+	f.with(func(_ time.Time, v *fleet.Fleet) {
+		m := v.Find(name)
+		ok = m != nil && m.UnderstandsSoftware()
+	})
+	return ok
+}
+
 // understandsNegativeAges reports whether an instance understands negative ages in responses.
 func (f *peers) understandsNegativeAges(name string) (ok bool) {
 	f.with(func(_ time.Time, v *fleet.Fleet) { ok = v.UnderstandsNegativeAges(name) })
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -285,7 +285,7 @@
 	})
 	for _, u := range joined[:min(len(joined), maxChangeLogLines)] {
 		f.log.Info("upstream_joined", "upstream", u.ID, "service", u.Service, "address", u.Address, "data_centre", u.DataCentre,
-			"born", u.Born, "leaving", u.Leaving, "source", source, "version", u.Version, "listed", listed)
+			"born", u.Born, "software", softwareName(u.Software), "leaving", u.Leaving, "source", source, "version", u.Version, "listed", listed)
 	}
 	for _, u := range left[:min(len(left), maxChangeLogLines)] {
 		f.log.Info("upstream_leaving", "upstream", u.ID, "service", u.Service, "address", u.Address,
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -102,6 +102,11 @@
 
 // onPeer handles a message from another instance.
 func (i *Instance) onPeer(from string, m msg.Message) {
+	if w, ok := m.(msg.WithSoftware); ok {
+		if m = w.Message(); m == nil {
+			return // a later release carries other messages, too
+		}
+	}
 	if i.homes.handle(from, m) || i.permits.handle(from, m) {
 		return
 	}
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -95,9 +95,12 @@
 		return
 	}
 	m := msg.SyncRequest{Number: q.Number, Hold: q.Hold}
-	full := p.follower.isSource()
+	full, states := p.follower.isSource(), p.follower.peers.understandsSoftware(q.Source)
 	p.follower.server.decide(func(_ time.Time, g *forward.Gate) {
 		m.List = g.Roster().Request(p.neededGroups(g), full)
+		if states && g.Roster().LacksSoftware() {
+			m.List = m.List.RequestFull()
+		}
 		m.Cordons = g.Cordons().Version
 		if g.Table() != nil {
 			m.Config = g.Table().Version
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -120,6 +120,9 @@
 	})
 	s.track(x)
 	defer s.untrack(x)
+	if req.GoesOn() {
+		s.log.Info("stream_taken_up", "request", req.ID, "resumes", req.Resumes, "last_event", req.AfterEvent, "route", call.Route.Name)
+	}
 	x.run()
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -154,6 +154,7 @@
 	msg.KindTunnelResponse:  decodeAs[msg.TunnelResponse],
 	msg.KindPartsSound:      decodeAs[msg.PartsSound],
 	msg.KindCrashEvidence:   decodeAs[msg.CrashEvidence],
+	msg.KindWithSoftware:    decodeAs[msg.WithSoftware],
 
 	msg.KindRankedGrantRequest: decodeAs[msg.RankedGrantRequest],
 	msg.KindUpstreamSpeed:      decodeAs[msg.UpstreamSpeed],
--- a/internal/peer/size_test.go
+++ b/internal/peer/size_test.go
@@ -127,6 +127,7 @@
 		{"upstream_speed", msg.UpstreamSpeed{Pool: "assistant-12@dc-a", Upstream: "engine-123", Boot: "1790000000000", Percent: 250, Age: time.Second}, 75},
 		{"tunnel_request", msg.TunnelRequest{Upstream: "engine-123", Address: "10.123.123.123:8426", Timeout: 500 * time.Millisecond}, 65},
 		{"tunnel_response", msg.TunnelResponse{Status: msg.TunnelNoRoom}, 40},
+		{"with_software", msg.WithSoftware{Move: &msg.MoveOrder{Pool: "assistant", Attempt: "dd61a774d451c223", Number: 7, From: "i-12ed2566be", To: "i-b0f4be2b86", ToAddress: "10.1.64.36:8483", ToDataCentre: "kochi-a"}, Software: []string{"v1.2"}}, 140},
 		{"crash_evidence", msg.CrashEvidence{Strike: msg.Strike{Fingerprint: 1 << 60, Upstream: "engine-123", Boot: "1790000000000", Age: time.Second}, Parts: []uint64{1 << 60, 1 << 61}}, 90},
 		{"parts_sound", msg.PartsSound{Parts: []uint64{1 << 60, 1 << 61}, Age: time.Second}, 45},
 		{"instance_load", msg.InstanceLoad{Name: "entry-123", Boot: "1z141z3", Percent: 80}, 45},
