hosted: three failing tests with engines of several software versions

Stand-in engines state a version and mark each event with it; the caller's side checks them. They are known red until the fixes.

--- /dev/null
+++ b/internal/hosted/software_test.go
@@ -0,0 +1,150 @@
+package hosted_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
+)
+
+// newSoftwareRig starts instances in two data centres, each of which has an engine of each of the given
+// software versions; every and count configure the events of their streams.
+func newSoftwareRig(t *testing.T, perDataCentre int, every time.Duration, count int, software ...string) *fleetRig {
+	t.Helper()
+	return startFleetRig(t, perDataCentre, func(f *fleetRig, zone string) {
+		for k, v := range software {
+			f.addEngine(t, fmt.Sprintf("engine-%s-%d", zone, k), zone, v, every, count)
+		}
+		if _, err := f.Add("desk-"+zone, hosting.Desk, func(w *hosting.Worker) { w.Zone, w.Work = zone, 10*time.Millisecond }); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func (f *fleetRig) addEngine(t *testing.T, id, zone, software string, every time.Duration, count int) *hosting.Worker {
+	t.Helper()
+	e, err := f.Add(id, hosting.Pool, func(w *hosting.Worker) {
+		w.Zone, w.Software, w.EventEvery, w.EventCount, w.CopyTime = zone, software, every, count, 20*time.Millisecond
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// engines returns the engines of a software version.
+func (f *fleetRig) engines(software string) (out []*hosting.Worker) {
+	for _, w := range f.Workers() {
+		if w.Software == software {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// readAll reads a number of streams at once, spread over the instances.
+func (f *fleetRig) readAll(n int, path string) []streamResult {
+	out := make([]streamResult, n)
+	var wg sync.WaitGroup
+	for k := range out {
+		wg.Go(func() { out[k] = f.read(streamTry{instance: k % len(f.machines), path: path}) })
+	}
+	wg.Wait()
+	return out
+}
+
+// reportMixed fails the test for each stream with events of two software versions or with a gap.
+func reportMixed(t *testing.T, results []streamResult) {
+	t.Helper()
+	for _, r := range results {
+		if len(versions(r.software)) > 1 || r.gap {
+			t.Errorf("a stream went on at another software version, or with a gap: %v", r)
+		}
+	}
+}
+
+// An engine breaks off streams of which callers have events. In the same answer they may go on only at an
+// engine of the same software version, and do while there is one: what two versions write does not fit together.
+func TestARetryInOneAnswerStaysAtItsSoftware(t *testing.T) {
+	f := newSoftwareRig(t, 2, 5*time.Millisecond, 20, "v1", "v2", "v3")
+	f.engines("v1")[0].SetFault(hosting.Cuts)
+	results := f.readAll(60, hosting.PathBrief)
+	reportMixed(t, results)
+	whole := 0
+	for _, r := range results {
+		if r.whole {
+			whole++
+		}
+	}
+	if whole < 57 {
+		t.Errorf("%d of %d streams are whole, want 57: an engine of the same version is sound", whole, len(results))
+	}
+}
+
+// Engines of one version leave while those of another one have just started and are empty, as in a release.
+// Streams may be moved only to engines of their own version, and are while there is room.
+func TestAMoveStaysAtItsSoftware(t *testing.T) {
+	f := newSoftwareRig(t, 2, 20*time.Millisecond, 100, "v1")
+	var results []streamResult
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		results = f.readAll(16, hosting.PathDraft)
+	}()
+	time.Sleep(500 * time.Millisecond)
+	for k := range 4 {
+		f.addEngine(t, fmt.Sprintf("new-%d", k), "zone-a", "v2", 20*time.Millisecond, 100)
+	}
+	f.waitJoined(t, "new-3")
+	f.engines("v1")[0].Leave()
+	<-done
+	reportMixed(t, results)
+	moved := 0
+	for _, a := range f.engines("v1")[1].Arrivals() {
+		if a.Resumed {
+			moved++
+		}
+	}
+	if moved == 0 {
+		t.Error("no stream was moved to the engine of the same version")
+	}
+}
+
+// A caller loses its connection and takes the stream up at another instance, which did not begin it. It must go
+// on at the software version that began it, whatever it is and wherever that runs, and nearly always does.
+func TestACallerTakesAStreamUpAtItsSoftware(t *testing.T) {
+	f := newSoftwareRig(t, 2, 10*time.Millisecond, 30, "v1", "v2", "v3")
+	const streams = 60
+	wentOn := 0
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for k := range streams {
+		wg.Go(func() {
+			first := streamTry{instance: k % len(f.machines), path: hosting.PathBrief, id: nextID(), leaveAfter: 1 + k%5}
+			began := f.read(first)
+			second := f.read(streamTry{instance: (k + 1 + k/4) % len(f.machines), path: hosting.PathBrief, after: fmt.Sprint(began.last), resumes: first.id})
+			mu.Lock()
+			defer mu.Unlock()
+			if second.whole {
+				wentOn++
+			}
+			second.software = append(second.software, began.software...)
+			reportMixed(t, []streamResult{second})
+		})
+	}
+	wg.Wait()
+	if wentOn < streams*95/100 {
+		t.Errorf("%d of %d streams went on at another instance", wentOn, streams)
+	}
+}
+
+// waitJoined waits until all instances know an upstream.
+func (f *fleetRig) waitJoined(t *testing.T, id string) {
+	t.Helper()
+	for k, log := range f.logs {
+		testkit.Eventually(t, testTimeout, f.machines[k].Name+" knows "+id, func() bool { return log.has("upstream_joined: upstream=" + id + " ") })
+	}
+}
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -1,6 +1,7 @@
 package hosting
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -106,6 +107,10 @@
 	Brittle *Brittle
 	// Zone is the data centre of the upstream.
 	Zone string
+	// Software is the version of the upstream's software, which marks each of its events; "" is v1 and
+	// marks none. NoVersion leaves it out of the upstream's row.
+	Software  string
+	NoVersion bool
 
 	server *standin.Server
 	// listedAddress is the address in the upstream's row, at which instances connect.
@@ -184,10 +189,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sequence++
-	return map[string]any{
-		"service": w.Service, "address": w.Address(), "zone": w.Zone, "version": "v1", "slots": 24,
+	row := map[string]any{
+		"service": w.Service, "address": w.Address(), "zone": w.Zone, "version": cmp.Or(w.Software, "v1"), "slots": 24,
 		"state": w.state, "cold_remaining_ms": max(time.Until(w.coldUntil).Milliseconds(), 0), "sequence": w.sequence, "born": w.Born,
 	}
+	if w.NoVersion {
+		delete(row, "version")
+	}
+	return row
 }
 
 // sendHeartbeats writes the upstream's row at an interval until the upstream crashes.
