forward, placement: a stream goes on at the software version that began it

Cause: what a request has become is not part of what is placed. The first event now sets the origin of a call (service, software version, run), and one predicate, roster.Origin.Admits, decides on an upstream wherever the entry chooses or accepts one: first choice, fallback, spread, grant, permit. A request for a grant names the version, so that the home grants, queues or refuses for it; a home of an earlier release gets the other upstreams as exclusions, and its grant is checked and given back. An unknown version equals none. An entry whose version changes is another run, and a stream whose run may have been another one goes on for nobody. Without an upstream of the version the answer ends at once.

--- a/internal/core/forward/cordon.go
+++ b/internal/core/forward/cordon.go
@@ -39,10 +39,10 @@
 // CordonsLifted returns the time when the cordon of each data centre was last lifted.
 func (g *Gate) CordonsLifted() map[string]time.Time { return g.liftedAt }
 
-// maySend reports whether a call may be sent to an upstream: the upstream takes new work and the
-// call may use its data centre.
+// maySend reports whether a call may be sent to an upstream: the upstream takes new work, its software
+// may run the call, and the call may use its data centre.
 func (g *Gate) maySend(c *Call, u *roster.Upstream) bool {
-	return u.TakesWork() && g.mayUse(c, u.DataCentre)
+	return u.TakesWork() && g.admits(c, u.Entry) && g.mayUse(c, u.DataCentre)
 }
 
 // mayUse reports whether a call may use a data centre: it is not cordoned and in an allowed
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -65,7 +65,7 @@
 	for k := range upstreams {
 		id := fmt.Sprintf("u%d", k)
 		g.Roster().Update(start, []roster.Change{{ID: id, Version: int64(k + 1), Valid: true, Entry: roster.Entry{
-			ID: id, Service: "desk", Address: id + ":80", DataCentre: "dc-a", Slots: 6,
+			ID: id, Service: "desk", Address: id + ":80", DataCentre: "dc-a", Slots: 6, Software: "v1",
 		}}}, int64(k+1))
 	}
 }
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -30,6 +30,9 @@
 		MaxOutput: max(c.MaxOutput, 1), Expected: c.Hint, MaxWait: g.maxWait(now, c), FirstTarget: c.Route.Target,
 		DataCentres: g.allowedDataCentres(c),
 	}
+	if c.origin != nil {
+		req.Software = c.origin.Software
+	}
 	for _, u := range c.tried {
 		req.Exclude = append(req.Exclude, u.ID)
 	}
@@ -97,6 +100,9 @@
 // placedByHome reports whether a pool's home chooses the upstream of the call.
 func (g *Gate) placedByHome(c *Call) bool {
 	s := g.table.Service(c.Service)
+	if c.origin != nil && c.origin.Software == "" {
+		return false // only one run may go on with the stream
+	}
 	return c.Route.Generation && s != nil && s.Engine != nil && !g.options.Without.Has(mechanism.Homes)
 }
 
@@ -111,6 +117,9 @@
 	if u == nil && a.Entry != nil && !g.roster.RecentlyRemoved(*a.Entry) {
 		u = g.unlistedUpstream(now, *a.Entry)
 	}
+	if u != nil && !g.admits(c, u.Entry) {
+		return g.avoid(now, c, u, NoSameSoftware, originRetryAfter)
+	}
 	if u == nil || !g.maySend(c, u) {
 		return g.send(now, c)
 	}
@@ -144,6 +153,9 @@
 	}
 	switch reason {
 	case placement.ReasonNoUpstream:
+		if c.origin != nil {
+			return g.refuse(c, NoSameSoftware, originRetryAfter)
+		}
 		return g.refuse(c, NoUpstream, retryAfter)
 	case placement.ReasonCordoned:
 		return g.refuse(c, Cordoned, retryAfter)
--- /dev/null
+++ b/internal/core/forward/origin_test.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+)
+
+// setSoftware changes the software version of an upstream of the service "desk" at a version of the list.
+func setSoftware(g *Gate, id, software string, version int64) {
+	e := g.roster.Find(id).Entry
+	e.Software = software
+	e.Born = version
+	g.roster.Update(start, []roster.Change{{ID: id, Version: version, Valid: true, Entry: e}}, version)
+}
+
+// begin starts a resumable stream, the first event of which is made by the upstream "u0" of version v1.
+func begin(t *testing.T, g *Gate) *Call {
+	t.Helper()
+	c := admit(t, g, request("/resumable/1"))
+	if s := g.sendTo(start, c, g.roster.Find("u0")); s.Send == nil {
+		t.Fatalf("first step %+v, want the request sent", s)
+	}
+	c.Progress(start, "1")
+	return c
+}
+
+// The home of a pool runs an earlier release and grants an upstream of another version to a stream that goes
+// on. The grant is given back, and its upstream excluded from the next request.
+func TestAGrantOfAnotherVersionIsGivenBack(t *testing.T) {
+	g := largeGate(t)
+	u := g.roster.All()
+	setSoftware(g, u[1].ID, "v2", 701)
+	c := admit(t, g, request("/resumable/1"))
+	g.Start(start, c)
+	g.Granted(start, start, c, granted(u[0].ID, nil))
+	c.Progress(start, "1")
+	g.Ended(start, c, Cut, true)
+	before := c.Grant()
+	s := g.Granted(start, start, c, granted(u[1].ID, nil))
+	if !s.RequestGrant || c.Grant() == before {
+		t.Errorf("step %+v with grant %s after a grant of another version, want a request for another grant", s, c.Grant())
+	}
+	if req := g.GrantRequest(start, c).Request; req.Software != "v1" || !slices.Contains(req.Exclude, u[1].ID) {
+		t.Errorf("request %+v, want one for v1 without %s", req, u[1].ID)
+	}
+	if s = g.Granted(start, start, c, granted(u[2].ID, nil)); s.Send == nil || s.Send.Entry.ID != u[2].ID {
+		t.Errorf("step %+v after a grant of the same version, want the stream sent there", s)
+	}
+}
+
+// All upstreams of a stream's version are gone. The caller must learn that at once instead of when its
+// deadline has passed, and the stream must not go on at another version.
+func TestAStreamWithoutItsVersionEndsAtOnce(t *testing.T) {
+	for _, now := range []time.Time{start, start.Add(10 * time.Minute)} { // the list may be old
+		g := gate(t, 2)
+		setSoftware(g, "u1", "v2", 10)
+		c := begin(t, g)
+		g.roster.MarkLeaving(start, g.roster.Find("u0"))
+		c.Deadline = now.Add(time.Second)
+		if s := g.Ended(now, c, Cut, true); !s.Abort || s.Why != NoSameSoftware {
+			t.Errorf("step %+v, want the response broken off for lack of its version", s)
+		}
+	}
+}
+
+// An upstream has started again under its id with another version, before the list showed that: the first event may
+// be of either run. The stream must not go on at the version that was listed then.
+func TestAStreamOfAnUncertainRunGoesOnForNobody(t *testing.T) {
+	g := gate(t, 3)
+	c := begin(t, g)
+	setSoftware(g, "u0", "v2", 10)
+	if s := g.Ended(start, c, Cut, true); !s.Abort || s.Why != NoSameSoftware {
+		t.Errorf("step %+v, want the response broken off", s)
+	}
+}
+
+// A request of which no event has reached the caller is bound to nothing, and is sent anywhere.
+func TestARequestWithoutEventsGoesAnywhere(t *testing.T) {
+	g := gate(t, 2)
+	setSoftware(g, "u1", "v2", 10)
+	c := admit(t, g, request("/resumable/1"))
+	g.sendTo(start, c, g.roster.Find("u0"))
+	g.roster.MarkLeaving(start, g.roster.Find("u0"))
+	g.Ended(start, c, Lost, false)
+	if s := g.Granted(start, start, c, granted("u1", nil)); s.Send == nil || s.Send.Entry.ID != "u1" {
+		t.Errorf("step %+v, want the request sent to the other version", s)
+	}
+}
--- a/internal/core/forward/pools_test.go
+++ b/internal/core/forward/pools_test.go
@@ -32,7 +32,7 @@
 	for k := range 600 {
 		id := fmt.Sprintf("u%03d", k)
 		all = append(all, roster.Change{ID: id, Version: int64(k + 1), Valid: true, Entry: roster.Entry{
-			ID: id, Service: "desk", Address: id + ":80", DataCentre: []string{"dc-a", "dc-b", "dc-c"}[k%3], Slots: 6,
+			ID: id, Service: "desk", Address: id + ":80", DataCentre: []string{"dc-a", "dc-b", "dc-c"}[k%3], Slots: 6, Software: "v1",
 		}})
 	}
 	r := roster.New()
--- a/internal/core/forward/property_test.go
+++ b/internal/core/forward/property_test.go
@@ -10,6 +10,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/testkit"
 )
@@ -29,6 +30,8 @@
 	g.SetCordons(start, cordon.NewSet(1, nil))
 	g.Confirm(start)
 	addUpstreams(g, 4)
+	setSoftware(g, "u1", "v2", 5)
+	setSoftware(g, "u3", "", 6)
 	c, refusal := g.Admit(start, request(path))
 	if refusal != nil {
 		return "request refused at admission: " + string(refusal.Reason)
@@ -43,6 +46,7 @@
 		}
 	}
 	permitted := ""
+	var began *roster.Entry // the upstream of the first event
 	s := g.Start(now, c)
 	for _, d := range draws {
 		if s.RequestPermit {
@@ -68,6 +72,9 @@
 		if a.CopyAt == "" {
 			sends++
 		}
+		if began != nil && a.Entry.Software != began.Software && a.Entry.ID != began.ID {
+			return "a stream that has begun was sent to an upstream of another software version"
+		}
 		if ran && !c.Route.Repeatable() && a.CopyAt == "" {
 			return "unrepeatable call sent again after it may have run"
 		}
@@ -78,6 +85,9 @@
 		if c.Route.Kind == route.Stream && d&8 != 0 && (o == Cut || o == Done) {
 			c.Progress(now, "1")
 			headerDelivered = true
+			if began == nil {
+				began = &a.Entry
+			}
 		}
 		if o == Cut && d&16 != 0 {
 			g.Redirect(c, a.Upstream, "copy", &Attempt{Upstream: a.Upstream, CopyAt: "copy"})
@@ -107,7 +117,7 @@
 
 // For any sequence of outcomes of a call's attempts: a call that is not repeatable runs at
 // most once, no call is sent more often than its route allows, and a status promises that the
-// call has not run only if that is true.
+// call has not run only if that is true. A stream that has begun goes on at its software version only.
 func TestPropertyAttemptsKeepTheirPromises(t *testing.T) {
 	p := testkit.Parameters()
 	p.MinSuccessfulTests *= 3
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -57,6 +57,9 @@
 	// StaleConfig: the configuration lacks the route or key, but it may be outdated.
 	StaleConfig Reason = "configuration_not_confirmed"
 	NoUpstream  Reason = "no_upstream"
+	// NoSameSoftware: the caller has events of the stream, and no upstream of the software version that
+	// made the first one takes it.
+	NoSameSoftware Reason = "no_upstream_of_version"
 	// Cordoned: all data centres that the request may use are cordoned.
 	Cordoned Reason = "cordoned"
 	// Cold: the upstreams that could take the request are cold and accept no more requests at
@@ -189,6 +192,8 @@
 	// LastEvent is the id of the last of these events that had one.
 	LastEvent string
 
+	// origin is where the stream began; nil until its first event.
+	origin *roster.Origin
 	// current is the attempt in progress, nil between attempts.
 	current *Attempt
 	silence silence
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -34,6 +34,9 @@
 	if why := g.unavailableReason(c); why != "" {
 		return g.refuse(c, why, retryAfterFor(why, busyRetryAfter))
 	}
+	if g.originUnavailable(c) {
+		return g.refuse(c, NoSameSoftware, originRetryAfter)
+	}
 	if g.placedByHome(c) {
 		if retryAfter := g.pausedRetryAfter(now, c); retryAfter > 0 {
 			return g.refuse(c, Paused, retryAfter)
@@ -76,10 +79,14 @@
 func (a *Attempt) Leaving() bool { return !a.Upstream.LeavingSince.IsZero() }
 
 // Progress records that an event was delivered to the caller or buffered for it; id is "" if the event had none.
+// The first event decides which software may go on with the stream.
 // The first event of a resumed attempt uses up the copy and discards the alternatives that
 // remain from the move, which must not be tried any more.
 func (c *Call) Progress(now time.Time, id string) {
 	c.Events++
+	if c.current != nil {
+		c.bind(c.current.Entry)
+	}
 	c.silence.onEvent(now, c.Route)
 	if id != "" {
 		c.LastEvent = id
--- a/internal/core/msg/software.go
+++ b/internal/core/msg/software.go
@@ -3,7 +3,10 @@
 // WithSoftware carries a message together with the software versions of the upstreams that it names, in the
 // order in which it names them. Earlier releases know the message without them, and could not decode one
 // with a further field. Exactly one message is set.
+//
+// Of a request for a grant it states the software to which the request is bound.
 type WithSoftware struct {
+	Request  *RankedGrantRequest
 	Grant    *GrantResponse
 	Move     *MoveOrder
 	Sync     *SyncResponse
@@ -17,6 +20,10 @@
 // understands it. A message that names none is returned as it is.
 func AddSoftware(m Message) Message {
 	switch m := m.(type) {
+	case RankedGrantRequest:
+		if software := m.Grant.Request.Software; software != "" {
+			return WithSoftware{Request: &m, Software: []string{software}}
+		}
 	case GrantResponse:
 		if m.Entry != nil {
 			return WithSoftware{Grant: &m, Software: []string{m.Entry.Software}}
@@ -41,6 +48,10 @@
 		first = w.Software[0]
 	}
 	switch {
+	case w.Request != nil:
+		m := *w.Request
+		m.Grant.Request.Software = first
+		return m
 	case w.Grant != nil:
 		m := *w.Grant
 		if m.Entry != nil {
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -140,16 +140,21 @@
 	return h.upstreams[best]
 }
 
-// allowed reports whether a request may run on an upstream. Exclusions and data centres of the
-// request may forbid it. If restrictedTo is not empty, only the upstreams of these grants are
+// allowed reports whether a request may run on an upstream. Exclusions, data centres and the software of
+// the request may forbid it. If restrictedTo is not empty, only the upstreams of these grants are
 // allowed.
 func (u *upstream) allowed(req *Request, restrictedTo []*grant) bool {
-	if slices.Contains(req.Exclude, u.name) || !req.mayRunIn(u.report.DataCentre) {
+	if slices.Contains(req.Exclude, u.name) || !req.mayRunOn(&u.report) {
 		return false
 	}
 	return len(restrictedTo) == 0 || slices.ContainsFunc(restrictedTo, func(g *grant) bool { return g.upstream == u })
 }
 
+// mayRunOn reports whether the data centre and the software of an upstream allow a request.
+func (a *Request) mayRunOn(r *Report) bool {
+	return a.mayRunIn(r.DataCentre) && (a.Software == "" || a.Software == r.Software)
+}
+
 // mayRunIn reports whether a request may run in a data centre.
 func (a *Request) mayRunIn(dataCentre string) bool {
 	return len(a.DataCentres) == 0 || slices.Contains(a.DataCentres, dataCentre)
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -412,13 +412,13 @@
 }
 
 // unplaceable reports whether no upstream can run a request: all on which it may run are
-// cordoned, or it is limited to data centres without upstreams. Leaving upstreams are ignored.
+// cordoned, or it is limited to data centres or to a software version without upstreams. Leaving upstreams are ignored.
 // If all upstreams are leaving, a request that may run anywhere can still be placed later: they
 // are likely to be replaced.
 func (h *Home) unplaceable(req *Request) bool {
 	found := false
 	for _, u := range h.upstreams {
-		if u.report.Leaving || !req.mayRunIn(u.report.DataCentre) {
+		if u.report.Leaving || !req.mayRunOn(&u.report) {
 			continue
 		}
 		if !u.cordoned {
@@ -426,7 +426,7 @@
 		}
 		found = true
 	}
-	return found || len(req.DataCentres) > 0
+	return found || len(req.DataCentres) > 0 || req.Software != ""
 }
 
 // cordonedRetry is the Retry-After when every upstream is cordoned. It is not derived from load,
@@ -437,7 +437,7 @@
 func (h *Home) noUpstream(req *Request) Decision {
 	d := Decision{Attempt: req.Attempt, Kind: Refused, Reason: ReasonNoUpstream, RetryAfter: reportMaxAge}
 	for _, u := range h.upstreams {
-		if u.cordoned && !u.report.Leaving && req.mayRunIn(u.report.DataCentre) {
+		if u.cordoned && !u.report.Leaving && req.mayRunOn(&u.report) {
 			d.Reason, d.RetryAfter = ReasonCordoned, cordonedRetry
 		}
 	}
@@ -447,7 +447,7 @@
 // anyAvailable reports whether any upstream that takes new work may run a request.
 func (h *Home) anyAvailable(now time.Time, req *Request) bool {
 	for _, u := range h.upstreams {
-		if u.takesWork(now) && req.mayRunIn(u.report.DataCentre) {
+		if u.takesWork(now) && req.mayRunOn(&u.report) {
 			return true
 		}
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -57,6 +57,9 @@
 	DataCentre string `msgpack:"-"`
 	// DataCentres limits where the request may run; empty allows all.
 	DataCentres []string `msgpack:",omitempty"`
+	// Software is the software version of the only upstreams on which the request may run, because a
+	// stream goes on; "" allows all. It arrives in msg.WithSoftware.
+	Software string `msgpack:"-"`
 	// FirstTarget is the target time from the request to the first token; 0 if there is none.
 	FirstTarget time.Duration
 	// Suspect marks a request with one strike. It shares no upstream with another such request.
@@ -94,6 +97,8 @@
 	RateLimit ratelimit.Limit `json:"-" msgpack:"-"`
 	// DataCentre is the upstream's location; "" if unknown.
 	DataCentre string `json:"data_centre,omitempty"`
+	// Software is the version of the upstream's software; "" if unknown. It is set by the pool's home.
+	Software string `json:"-" msgpack:"-"`
 	// Slowdown is the stated factor by which work takes longer than usual on the machine.
 	Slowdown slowdown.Stated `json:"slowdown,omitzero" msgpack:"-"`
 	// Penalty lowers the score of the upstream: in seconds in flight if scores are predicted
--- /dev/null
+++ b/internal/core/placement/software_test.go
@@ -0,0 +1,39 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+// A stream that goes on is placed like a new one, at the emptiest upstream, which is often of a new version. It
+// must wait for room at its own version, and be refused at once if that has no upstream.
+func TestAStreamThatGoesOnIsPlacedAtItsSoftware(t *testing.T) {
+	h, now := NewHome(Settings{Engine: true, Service: "pool"}), time.Unix(1000, 0)
+	report := func(id, software string, leaving bool) []Decision {
+		return h.Report(now, now, Report{Upstream: id, Software: software, Leaving: leaving, Capacity: 1000, MaxBatch: 1})
+	}
+	report("a", "v1", false)
+	report("b", "v2", false)
+	place := func(attempt, software string) Decision {
+		return h.Place(now, Request{Attempt: attempt, Prompt: 10, MaxOutput: 10, Software: software, MaxWait: time.Minute})[0]
+	}
+	if d := place("1", "v1"); d.Kind != Granted || d.Upstream != "a" {
+		t.Fatalf("decision %+v, want a grant of a", d)
+	}
+	if d := place("2", "v1"); d.Kind != Queued {
+		t.Errorf("decision %+v while the upstream of v1 is full, want the stream queued", d)
+	}
+	if d := place("3", "v3"); d.Kind != Refused || d.Reason != ReasonNoUpstream {
+		t.Errorf("decision %+v for a version without upstreams, want a refusal", d)
+	}
+	report("a", "v1", true)
+	var refused []string
+	for _, d := range h.Tick(now) {
+		if d.Kind == Refused {
+			refused = append(refused, d.Attempt)
+		}
+	}
+	if len(refused) != 1 || refused[0] != "2" {
+		t.Errorf("refused %v once the last upstream of v1 leaves, want the queued stream", refused)
+	}
+}
--- a/internal/core/pool/upstreams.go
+++ b/internal/core/pool/upstreams.go
@@ -36,7 +36,7 @@
 	seen := map[string]bool{}
 	for _, u := range l.Upstreams {
 		seen[u.ID] = true
-		if known := h.upstreams[u.ID]; known != nil && known.Run() != u.Run() {
+		if known := h.upstreams[u.ID]; known != nil && (known.Run() != u.Run() || known.Software != "" && known.Software != u.Software) {
 			h.forget(now, u.ID) // another run holds nothing of what the last one held or stated
 		}
 		if at, ok := h.ownNotices[u.ID]; ok && u.LeavingSince.IsZero() {
@@ -106,7 +106,7 @@
 		slots = h.engine.Slots
 	}
 	h.decide(now, h.placement.Report(now, now, placement.Report{
-		Upstream: u.ID, DataCentre: u.DataCentre, Leaving: !u.TakesWork() || now.Sub(h.unreachable[u.ID]) < unreachableBackoff, Capacity: h.engine.MemoryToken, MaxBatch: slots,
+		Upstream: u.ID, DataCentre: u.DataCentre, Software: u.Software, Leaving: !u.TakesWork() || now.Sub(h.unreachable[u.ID]) < unreachableBackoff, Capacity: h.engine.MemoryToken, MaxBatch: slots,
 		Penalty: failurePenalty * h.failureRate(now, u.ID), MaxStarts: h.maxStarts(now, u),
 		RateLimit: h.rateLimits[u.ID],
 	}))
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -273,9 +273,10 @@
 		u.DataCentre != c.Entry.DataCentre || u.Software != c.Entry.Software || !u.ExpiresAt.IsZero()
 }
 
-// sameRun reports whether two entries with the same id belong to the same run.
+// sameRun reports whether two entries with the same id, an earlier and a later one, belong to the same run.
+// The software of the earlier one may have been unknown.
 func sameRun(a, b Entry) bool {
-	return a.Born == b.Born && a.Address == b.Address && a.Service == b.Service
+	return a.Born == b.Born && a.Address == b.Address && a.Service == b.Service && (a.Software == "" || a.Software == b.Software)
 }
 
 // rebuildIndexes rebuilds the lists of upstreams by service and by group, ordered by id.
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -137,7 +137,7 @@
 		pools: map[string]*pool.Home{}, usedAt: map[string]time.Time{},
 	}
 	i.permits = newPermitHome(m, log, i.sendAny)
-	srv.homes = homeLink{homeOf: i.homeOf, limitHomeOf: i.limitHomeOf, understandsLoad: i.understandsLoad, announce: i.announce, onLeaving: i.homes.sync, send: i.sendAny, reportSilent: i.suspectHome, broadcast: i.broadcast, announceSound: i.announceSound, announceCrash: i.announceCrash}
+	srv.homes = homeLink{homeOf: i.homeOf, limitHomeOf: i.limitHomeOf, understandsLoad: i.understandsLoad, understandsSoftware: i.understandsSoftware, announce: i.announce, onLeaving: i.homes.sync, send: i.sendAny, reportSilent: i.suspectHome, broadcast: i.broadcast, announceSound: i.announceSound, announceCrash: i.announceCrash}
 	i.poller = &poller{follower: i.follower, responses: make(chan syncResponse, 16), reads: make(chan storeRead), wake: make(chan struct{}, 1), neededGroups: i.neededGroups}
 	i.homes.onCreated = i.poller.wakeUp
 	return i
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -40,6 +40,11 @@
 	return ok
 }
 
+// understandsSoftware reports whether an instance understands the messages about the software of upstreams.
+func (i *Instance) understandsSoftware(name string) bool {
+	return name == i.settings.Name || i.peers.understandsSoftware(name)
+}
+
 // sendAny sends a message to any instance, including this one.
 func (i *Instance) sendAny(to string, m msg.Message) {
 	if to == i.settings.Name {
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -21,6 +21,8 @@
 	limitHomeOf func(upstream string) string
 	// understandsLoad reports whether an instance understands the messages in load.go of package msg.
 	understandsLoad func(instance string) bool
+	// understandsSoftware reports whether an instance understands the messages in software.go of package msg.
+	understandsSoftware func(instance string) bool
 	// announce sends a statement of an upstream to all other instances that understand it.
 	announce func(m msg.Message)
 	// onLeaving is called when an upstream is newly known to leave.
@@ -61,7 +63,14 @@
 	s := x.server
 	now := boottime.Now()
 	q := &grantRequest{home: s.homes.homeOf(x.call.Pool), firstSentAt: now, lastSentAt: now}
-	s.decide(func(now time.Time, g *forward.Gate) { q.message = g.RankedGrantRequest(now, x.call) })
+	knowsSoftware := s.homes.understandsSoftware(q.home)
+	s.decide(func(now time.Time, g *forward.Gate) {
+		q.message = g.RankedGrantRequest(now, x.call)
+		if !knowsSoftware {
+			req := &q.message.Grant.Request
+			req.Exclude = append(req.Exclude, g.NotAdmitted(x.call)...)
+		}
+	})
 	s.homes.sendRequest(q)
 	timeout, repeat := time.NewTimer(forward.HomeTimeout), time.NewTimer(time.Hour)
 	defer timeout.Stop()
