pool, forward: generations move only to engines of their own software version

Cause: the destination of a move is chosen like that of new work. The home now passes over destinations whose software may not use what the source has written, by the same predicate as for retries. The entry checks each order again before the first copy and before the generation is stopped, also for silent streams and before the first event, as memory is copied; it answers 'refused' to an order of a home of an earlier release. Destination and source are checked again when the generation resumes. Room that new work leaves for moves is kept by version: no move goes to another one.

--- a/internal/core/forward/cordon.go
+++ b/internal/core/forward/cordon.go
@@ -97,17 +97,20 @@
 	return out
 }
 
-// MayMove reports whether a call's generation may be moved to an upstream in a data centre: the
-// upstream is not known to leave and has not asked this instance for a pause, and the call may use
-// the data centre.
-func (g *Gate) MayMove(now time.Time, c *Call, upstream, dataCentre string) bool {
-	u := g.roster.Find(upstream)
-	return g.mayUse(c, dataCentre) && (u == nil || u.TakesWork() && !g.paused(now, u.Run()))
+// MayMove reports whether a call's generation may be moved to the upstream of an entry: its software
+// may go on with what the present upstream has written, it is not known to leave and has not asked this
+// instance for a pause, and the call may use its data centre.
+func (g *Gate) MayMove(now time.Time, c *Call, to roster.Entry) bool {
+	if !c.memoryFits(to) || !g.admits(c, to) || !g.mayUse(c, to.DataCentre) {
+		return false
+	}
+	u := g.roster.Find(to.ID)
+	return u == nil || u.TakesWork() && !g.paused(now, u.Run())
 }
 
-// mayResumeAt reports whether a moved generation may resume at an upstream.
-func (g *Gate) mayResumeAt(now time.Time, u *roster.Upstream) bool {
-	if g.paused(now, u.Run()) {
+// mayResumeAt reports whether a call's moved generation may resume at an upstream.
+func (g *Gate) mayResumeAt(now time.Time, c *Call, u *roster.Upstream) bool {
+	if g.paused(now, u.Run()) || !g.admits(c, u.Entry) {
 		return false
 	}
 	return !g.cordons.Has(u.DataCentre) || now.Sub(g.cordonedAt[u.DataCentre]) < resumeTimeout
--- a/internal/core/forward/cordon_test.go
+++ b/internal/core/forward/cordon_test.go
@@ -35,7 +35,7 @@
 	for k := range 3 * perDataCentre {
 		id := fmt.Sprintf("u%02d", k)
 		g.Roster().Update(start, []roster.Change{{ID: id, Version: int64(k + 1), Valid: true, Entry: roster.Entry{
-			ID: id, Service: "desk", Address: id + ":80", DataCentre: []string{"dc-a", "dc-b", "dc-c"}[k%3], Slots: 6,
+			ID: id, Service: "desk", Address: id + ":80", DataCentre: []string{"dc-a", "dc-b", "dc-c"}[k%3], Slots: 6, Software: "v1",
 		}}}, int64(k+1))
 	}
 	return g
@@ -115,7 +115,7 @@
 		g.Start(start, call)
 		to := g.Roster().Find("u01")
 		g.SetCordons(start, cordon.NewSet(2, []string{to.DataCentre}))
-		if g.MayMove(start, call, to.ID, to.DataCentre) {
+		if g.MayMove(start, call, to.Entry) {
 			t.Error("MayMove allows a new move into the cordoned data centre, want it refused")
 		}
 		g.Redirect(call, to, "copy", nil)
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -170,8 +170,11 @@
 
 // Redirect records that a call's generation was moved to u: the next attempt continues from the
 // copy. fallback is an alternative for that attempt, such as the source, which keeps the
-// generation's state; nil if there is none.
+// generation's state; nil if there is none. What the copy holds binds the call to the software that wrote it.
 func (g *Gate) Redirect(c *Call, u *roster.Upstream, copyAt string, fallback *Attempt) {
+	if c.current != nil {
+		c.bind(c.current.Entry)
+	}
 	c.resumeTargets, c.resumed = []*Attempt{{Upstream: u, CopyAt: copyAt}}, false
 	if fallback != nil {
 		c.resumeTargets = append(c.resumeTargets, fallback)
@@ -182,9 +185,13 @@
 // number of attempts nor an unbuffered body prevents this, because the generation only
 // continues.
 func (g *Gate) resume(now time.Time, c *Call) Step {
-	c.resumeTargets = slices.DeleteFunc(c.resumeTargets, func(a *Attempt) bool { return !g.mayResumeAt(now, a.Upstream) })
+	c.resumeTargets = slices.DeleteFunc(c.resumeTargets, func(a *Attempt) bool { return !g.mayResumeAt(now, c, a.Upstream) })
 	if len(c.resumeTargets) == 0 {
-		return g.failCall(c, NoUpstream, 0, c.Events > 0)
+		why := NoUpstream
+		if g.originUnavailable(c) {
+			why = NoSameSoftware
+		}
+		return g.failCall(c, why, 0, c.Events > 0)
 	}
 	left := c.Deadline.Sub(now)
 	if left < minTimeLeft {
--- a/internal/core/forward/leaving_test.go
+++ b/internal/core/forward/leaving_test.go
@@ -74,7 +74,7 @@
 	g := gate(t, 2)
 	c := admit(t, g, request("/stream/1"))
 	g.LearnLeaving(start, g.roster.Find("u0").Run())
-	if g.MayMove(start, c, "u0", "dc-a") || !g.MayMove(start, c, "u1", "dc-a") {
+	if g.MayMove(start, c, g.roster.Find("u0").Entry) || !g.MayMove(start, c, g.roster.Find("u1").Entry) {
 		t.Error("a move to the leaving upstream is allowed or one to the other is not, want the opposite")
 	}
 }
--- a/internal/core/forward/origin.go
+++ b/internal/core/forward/origin.go
@@ -35,6 +35,12 @@
 	return c.origin == nil || c.origin.Admits(e) && !g.isAmbiguous(*c.origin)
 }
 
+// memoryFits reports whether an entry's upstream may use the memory that the upstream of a call's current
+// attempt has written, also if that has made no event yet.
+func (c *Call) memoryFits(e roster.Entry) bool {
+	return c.current == nil || c.current.Entry.Origin().Admits(e)
+}
+
 // isAmbiguous reports whether an origin may name the wrong software: its upstream has started again under its
 // id with another one. Until the list showed that, the new run was taken for the old one.
 func (g *Gate) isAmbiguous(o roster.Origin) bool {
--- a/internal/core/forward/origin_test.go
+++ b/internal/core/forward/origin_test.go
@@ -89,3 +89,42 @@
 		t.Errorf("step %+v, want the request sent to the other version", s)
 	}
 }
+
+// The home of a pool runs an earlier release and orders a move to an upstream of another version. It must not be
+// made, also before the first event: the memory that is copied was written by the version of the source.
+func TestAMoveToAnotherVersionIsRefused(t *testing.T) {
+	for _, events := range []int{0, 1} {
+		g := gate(t, 3)
+		setSoftware(g, "u1", "v2", 10)
+		c := admit(t, g, request("/resumable/1"))
+		g.sendTo(start, c, g.roster.Find("u0"))
+		for range events {
+			c.Progress(start, "1")
+		}
+		unlisted := roster.Entry{ID: "u9", Service: "desk", DataCentre: "dc-a"}
+		if g.MayMove(start, c, g.roster.Find("u1").Entry) || g.MayMove(start, c, unlisted) {
+			t.Errorf("%d events: a move to another or to an unknown version is allowed", events)
+		}
+		unlisted.Software = "v1"
+		if !g.MayMove(start, c, g.roster.Find("u2").Entry) || !g.MayMove(start, c, unlisted) {
+			t.Errorf("%d events: a move to the same version is refused", events)
+		}
+		for range 20 {
+			if u := g.MoveTarget(start, c); u == nil || u.Software != "v1" {
+				t.Fatalf("%d events: a silent stream is to be moved to %+v, want an upstream of v1", events, u)
+			}
+		}
+	}
+}
+
+// While a generation is moved, its destination starts again under its id with another version. The generation must
+// go on at the source, which keeps it.
+func TestAMovedGenerationResumesAtItsVersionOnly(t *testing.T) {
+	g := gate(t, 2)
+	c := begin(t, g)
+	setSoftware(g, "u1", "v2", 10)
+	g.Redirect(c, g.roster.Find("u1"), "copy", &Attempt{Upstream: g.roster.Find("u0"), CopyAt: "copy"})
+	if s := g.Ended(start, c, Cut, true); s.Send == nil || s.Send.Entry.ID != "u0" || s.Send.CopyAt == "" {
+		t.Errorf("step %+v, want the generation resumed at its source", s)
+	}
+}
--- a/internal/core/forward/property_test.go
+++ b/internal/core/forward/property_test.go
@@ -90,7 +90,8 @@
 			}
 		}
 		if o == Cut && d&16 != 0 {
-			g.Redirect(c, a.Upstream, "copy", &Attempt{Upstream: a.Upstream, CopyAt: "copy"})
+			to := g.roster.Find(fmt.Sprintf("u%d", d%4)) // a home of an earlier release may order any destination
+			g.Redirect(c, to, "copy", &Attempt{Upstream: a.Upstream, CopyAt: "copy"})
 		}
 		if o == NotSent && a.CopyAt == "" {
 			sends--
--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -137,4 +137,9 @@
 
 // MoveTarget returns the upstream to which to move a generation whose connection is silent, or nil
 // if no upstream accepts it.
-func (g *Gate) MoveTarget(now time.Time, c *Call) *roster.Upstream { return g.choose(now, c) }
+func (g *Gate) MoveTarget(now time.Time, c *Call) *roster.Upstream {
+	if c.current != nil {
+		c.bind(c.current.Entry)
+	}
+	return g.choose(now, c)
+}
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -260,6 +260,8 @@
 	// MoveNoRoom: the destination did not accept the copy; the generation continues at the
 	// source.
 	MoveNoRoom MoveOutcome = "no_room"
+	// MoveRefused: the destination may not continue the generation, which continues at the source.
+	MoveRefused MoveOutcome = "refused"
 	// MoveFailed: the copy failed for another reason.
 	MoveFailed MoveOutcome = "failed"
 )
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -108,10 +108,7 @@
 	if h.settings.Predict {
 		p = h.predictNew(req)
 	}
-	keepFree := h.movesReserve
-	if p.output < longRemaining {
-		keepFree = 0 // ends before a leaving upstream's notice expires
-	}
+	reserves := p.output >= longRemaining // others end before a leaving upstream's notice expires
 	restrictedTo := h.restrictedTo(req.Fingerprint)
 	at := now.UnixNano()
 	best, bestScore := -1, 0.0
@@ -130,7 +127,11 @@
 		if best >= 0 && score <= bestScore {
 			continue
 		}
-		if u := h.upstreams[i]; u.allowed(req, restrictedTo) && h.hasRoom(u, &need, keepFree, h.z) {
+		u, keepFree := h.upstreams[i], 0.0
+		if reserves {
+			keepFree = h.movesReserve[u.report.Software]
+		}
+		if u.allowed(req, restrictedTo) && h.hasRoom(u, &need, keepFree, h.z) {
 			best, bestScore = i, score
 		}
 	}
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -37,9 +37,9 @@
 	// prefillLimit is the backlog in seconds of prefill up to which an upstream is given another
 	// prompt.
 	prefillLimit float64
-	// movesReserve is the fraction of each upstream's memory that is kept free of new work, for
-	// moves of generations off leaving upstreams.
-	movesReserve float64
+	// movesReserve is, by software version, the fraction of each upstream's memory that is kept free of
+	// new work, for moves of generations off leaving upstreams of that version.
+	movesReserve map[string]float64
 	// poolSpeed is the mean speed of the pool's upstreams.
 	poolSpeed speed
 	// relativeSpeed is the expected mean speed of the upstreams, where 1 is as usual; 0 while no
@@ -50,7 +50,7 @@
 // NewHome returns a home without upstreams. They are added by their reports.
 func NewHome(s Settings) *Home {
 	h := &Home{
-		byName: map[string]*upstream{}, granted: map[string]*grant{}, byFingerprint: map[uint64][]*grant{},
+		movesReserve: map[string]float64{}, byName: map[string]*upstream{}, granted: map[string]*grant{}, byFingerprint: map[uint64][]*grant{},
 		ended: newEndedAttempts(), refusedCallers: newRefusedCallers(),
 	}
 	h.queue = newQueue(tune(s.Weights))
--- a/internal/core/placement/move.go
+++ b/internal/core/placement/move.go
@@ -114,25 +114,31 @@
 // the notice, a sixth more generations were lost while new work was queued.
 const moveReserve = 1.0
 
-// reserveForMoves updates movesReserve. A generation on a leaving upstream that finds no room
+// reserveForMoves updates movesReserve. Generations move to upstreams of their own software version only, so that
+// room of another one is not kept for them. A generation on a leaving upstream that finds no room
 // elsewhere is lost with all its work, while a new request can wait.
 func (h *Home) reserveForMoves(now time.Time) {
-	need, capacity := 0.0, 0.0
+	clear(h.movesReserve)
+	if !h.settings.Predict || h.settings.Without.Has(mechanism.MoveReserve) {
+		return
+	}
+	need, capacity := map[string]float64{}, map[string]float64{}
 	for _, u := range h.upstreams {
 		if !u.report.Leaving {
 			if u.takesWork(now) {
-				capacity += float64(u.report.Capacity)
+				capacity[u.report.Software] += float64(u.report.Capacity)
 			}
 			continue
 		}
 		for _, g := range u.grants {
 			if tokens := g.tokensAt(now); g.prefilled && h.remainingTokens(g, tokens) > longRemaining {
-				need += float64(g.req.Prompt + tokens)
+				need[u.report.Software] += float64(g.req.Prompt + tokens)
 			}
 		}
 	}
-	h.movesReserve = 0
-	if h.settings.Predict && capacity > 0 && !h.settings.Without.Has(mechanism.MoveReserve) {
-		h.movesReserve = moveReserve * need / capacity
+	for software, tokens := range need {
+		if capacity[software] > 0 {
+			h.movesReserve[software] = moveReserve * tokens / capacity[software]
+		}
 	}
 }
--- a/internal/core/placement/predict_test.go
+++ b/internal/core/placement/predict_test.go
@@ -438,8 +438,8 @@
 		w.home.End(w.now, p.Request.Attempt, 300, false)
 	}
 	w.home.Tick(w.now)
-	if w.home.movesReserve != 0 {
-		t.Errorf("movesReserve = %.2f after the leaving upstream is idle, want 0", w.home.movesReserve)
+	if len(w.home.movesReserve) != 0 {
+		t.Errorf("movesReserve = %v after the leaving upstream is idle, want 0", w.home.movesReserve)
 	}
 }
 
--- a/internal/core/placement/software_test.go
+++ b/internal/core/placement/software_test.go
@@ -37,3 +37,20 @@
 		t.Errorf("refused %v once the last upstream of v1 leaves, want the queued stream", refused)
 	}
 }
+
+// Long generations leave an upstream of one version. Room must be kept for them at their own version only: new work
+// would be refused at all others for moves that cannot go there.
+func TestRoomForMovesIsKeptPerSoftware(t *testing.T) {
+	w := newPredictSim(t, fastPace, fastPace, fastPace)
+	report := func(id, software string, leaving bool) {
+		w.record(w.home.Report(w.now, w.now, Report{Upstream: id, Software: software, Capacity: 34_000, MaxBatch: 24, Leaving: leaving}))
+	}
+	req := Request{Attempt: "long", Org: "long", Prompt: 3000, MaxOutput: 1500, FirstTarget: 1800 * time.Millisecond, MaxWait: time.Second}
+	w.home.RecordRunning(w.now, req, "u0", Progress{Tokens: 300})
+	report("u1", "v1", false)
+	report("u2", "v2", false)
+	report("u0", "v1", true)
+	if r := w.home.movesReserve; r["v1"] <= 0 || r["v2"] != 0 {
+		t.Errorf("reserved %v, want room at v1 only", r)
+	}
+}
--- a/internal/core/pool/datacentre_test.go
+++ b/internal/core/pool/datacentre_test.go
@@ -29,7 +29,7 @@
 	for _, dc := range dataCentres {
 		for k := range 4 {
 			s.list = append(s.list, &roster.Upstream{
-				Entry: roster.Entry{ID: fmt.Sprintf("%s%d", dc, k), Service: "pool", Address: dc, DataCentre: dc, Slots: 24}, FirstSeen: s.now,
+				Entry: roster.Entry{ID: fmt.Sprintf("%s%d", dc, k), Service: "pool", Address: dc, DataCentre: dc, Slots: 24, Software: "v1"}, FirstSeen: s.now,
 			})
 		}
 	}
--- a/internal/core/pool/evacuate.go
+++ b/internal/core/pool/evacuate.go
@@ -131,7 +131,9 @@
 	for _, p := range h.movable(now, e) {
 		to := h.placement.Destination(now, p.Request.Attempt,
 			func(name string) bool { return h.sameDataCentre(e.upstream.ID, name) },
-			func(name string) bool { return h.isDestination(name) || now.Before(h.fullUntil[name]) })
+			func(name string) bool {
+				return !h.sameSoftware(e.upstream, name) || h.isDestination(name) || now.Before(h.fullUntil[name])
+			})
 		if to == "" {
 			continue
 		}
@@ -184,6 +186,13 @@
 	return ua != nil && ub != nil && ua.DataCentre == ub.DataCentre
 }
 
+// sameSoftware reports whether an upstream may go on with the generations of another one: its software can
+// use what that has written.
+func (h *Home) sameSoftware(from *roster.Upstream, to string) bool {
+	u := h.upstreams[to]
+	return u != nil && from.Entry.Origin().Admits(u.Entry)
+}
+
 // isDestination reports whether an upstream is the destination of a move in progress.
 func (h *Home) isDestination(name string) bool {
 	for _, e := range h.evacuations {
--- a/internal/core/pool/pool_test.go
+++ b/internal/core/pool/pool_test.go
@@ -65,7 +65,7 @@
 
 func (s *sim) join(id string) {
 	s.list = append(s.list, &roster.Upstream{
-		Entry: roster.Entry{ID: id, Service: "pool", Address: id + ":80", DataCentre: "dc-" + id[len(id)-1:], Slots: 24}, FirstSeen: s.now,
+		Entry: roster.Entry{ID: id, Service: "pool", Address: id + ":80", DataCentre: "dc-" + id[len(id)-1:], Slots: 24, Software: "v1"}, FirstSeen: s.now,
 	})
 }
 
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -35,6 +35,13 @@
 		sendOutcome(msg.MoveEnded)
 		return
 	}
+	if !x.mayMove(m) {
+		s.metrics.Count("moves_total", string(msg.MoveRefused))
+		s.log.Info("move", "request", x.call.ID, "from", m.From, "to", m.To, "number", m.Number, "outcome", msg.MoveRefused,
+			"software", softwareName(x.software()), "to_software", softwareName(m.ToSoftware), "error", errUnavailable)
+		sendOutcome(msg.MoveRefused)
+		return
+	}
 	mv, source := x.beginMove(m)
 	if source == nil {
 		sendOutcome(msg.MoveNoRun)
@@ -90,16 +97,35 @@
 	return x.stopAndCopy(mv, source, first.Handle)
 }
 
-// errUnavailable reports that the destination of a move was cordoned, began to leave or asked for a
-// pause during the move.
-var errUnavailable = errors.New("the destination of the move was cordoned, leaves or wants a pause")
+// errUnavailable reports that the destination of a move has other software than the source, was cordoned, began
+// to leave or asked for a pause.
+var errUnavailable = errors.New("the destination of the move has other software, is cordoned, leaves or wants a pause")
 
-// mayMove reports whether a generation may still continue at a move's destination.
+// mayMove reports whether a generation may continue at a move's destination.
 func (x *exchange) mayMove(o msg.MoveOrder) (may bool) {
-	x.server.decide(func(now time.Time, g *forward.Gate) { may = g.MayMove(now, x.call, o.To, o.ToDataCentre) })
+	x.server.decide(func(now time.Time, g *forward.Gate) { may = g.MayMove(now, x.call, x.destination(g, o).Entry) })
 	return may
 }
 
+// destination returns the upstream that an order names, as far as it is known here or stated in the order.
+func (x *exchange) destination(g *forward.Gate, o msg.MoveOrder) *roster.Upstream {
+	if u := g.Roster().Find(o.To); u != nil && u.Address == o.ToAddress {
+		return u
+	}
+	return &roster.Upstream{Entry: roster.Entry{ID: o.To, Address: o.ToAddress, DataCentre: o.ToDataCentre, Software: o.ToSoftware, Service: x.call.Service}}
+}
+
+// software returns the software version of the current attempt's upstream, "" if it is unknown or there is no
+// attempt.
+func (x *exchange) software() (software string) {
+	x.server.decide(func(time.Time, *forward.Gate) {
+		if a := x.call.Current(); a != nil {
+			software = a.Entry.Software
+		}
+	})
+	return software
+}
+
 // stopAndCopy stops the generation, copies the part of its memory that an earlier copy lacks, and
 // redirects the call to the copy. earlier is the handle of the earlier copy, or "".
 func (x *exchange) stopAndCopy(mv *activeMove, source *forward.Attempt, earlier string) (msg.MoveOutcome, error) {
@@ -128,10 +154,7 @@
 func (x *exchange) redirect(mv *activeMove, source *forward.Attempt, handle string, o msg.MoveOutcome) {
 	s := x.server
 	s.decide(func(_ time.Time, g *forward.Gate) {
-		to := g.Roster().Find(mv.order.To)
-		if to == nil {
-			to = &roster.Upstream{Entry: roster.Entry{ID: mv.order.To, Address: mv.order.ToAddress, DataCentre: mv.order.ToDataCentre, Service: x.call.Service}}
-		}
+		to := x.destination(g, mv.order)
 		copyAt := s.wire.CopyAt(source.Entry.Address, handle)
 		fallback := &forward.Attempt{Upstream: source.Upstream, CopyAt: copyAt}
 		if o == msg.MoveNoRoom {
--- a/internal/trial/poolhome.go
+++ b/internal/trial/poolhome.go
@@ -99,7 +99,7 @@
 func (p *poolHome) Joined(i int) {
 	e := p.run.engines[i]
 	p.listed[i] = &roster.Upstream{Entry: roster.Entry{
-		ID: e.name, Service: poolName, Address: e.name, Slots: e.spec.MaxBatch, DataCentre: p.dataCentre(i),
+		ID: e.name, Service: poolName, Address: e.name, Slots: e.spec.MaxBatch, DataCentre: p.dataCentre(i), Software: "v1",
 	}}
 	p.sync()
 }
