hosted, origin: a caller's stream goes on at the software version that began it, at any instance

The instance records the origin of a stream (service, version, run) before its first event leaves, under the caller's organisation and request id, for as long as the caller waits. Three others hold the record, computed from its key: one in the own data centre, whose confirmation the first event waits for (50 ms at most), the others elsewhere. A caller names its first try in Resumes; the instance that it comes back to asks the first two of each data centre and binds the call to the record. Without a record the stream goes on only if the list of upstreams proves that all that can have begun it have one version; otherwise it is refused at once with stream_origin_unknown, and without an upstream of its version with no_upstream_of_version. While an instance can prove that for its streams it gives no records away: it does once another version is listed, the list grows old or the route moves. One that leaves hands its records over.

Weighed and not chosen: a row in the store for each stream (priced, and silent in outages); the pool's home, which granted it (one instance, and no home grants what entries choose themselves); the entry that served it (the caller does not name it); telling all instances (985 of them).

--- /dev/null
+++ b/internal/core/fleet/origins.go
@@ -0,0 +1,56 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Records of where streams began are held by some instances beside the one where the stream began: one in its data
+// centre, which confirms within a fraction of a millisecond, and others elsewhere. They are computed from the
+// stream's key, so that any instance finds them. Since a change of the fleet may have put others in their place,
+// the first two of each data centre are asked.
+const (
+	// originHolders is the number of holders of a record. With three, a third of all instances can be lost at
+	// once, and one record in 27 with them.
+	originHolders = 3
+	// askedPerDataCentre is the number of instances of each data centre that are asked for a record.
+	askedPerDataCentre = 2
+)
+
+// originCandidates returns the instances of each data centre that may hold the record of a stream.
+func (f *Fleet) originCandidates(stream string) map[string][]string {
+	return f.view.FirstOfEach("origin/"+stream, askedPerDataCentre, func(name string) bool {
+		m := f.members[name]
+		return m != nil && m.UnderstandsSoftware()
+	})
+}
+
+// OriginHolders lists the instances to which this one gives the record of a stream: the first of its own data centre,
+// then those of others, then the second of each.
+func (f *Fleet) OriginHolders(stream string) (out []string) {
+	of := f.originCandidates(stream)
+	order := slices.DeleteFunc(slices.Sorted(maps.Keys(of)), func(dc string) bool { return dc == f.self.DataCentre })
+	if len(order) > 0 {
+		first := int(xxhash.Sum64String(stream) % uint64(len(order))) // spreads the records over the others
+		order = slices.Concat(order[first:], order[:first])
+	}
+	order = slices.Insert(order, 0, f.self.DataCentre)
+	for k := range askedPerDataCentre {
+		for _, dc := range order {
+			if list := of[dc]; k < len(list) && len(out) < originHolders {
+				out = append(out, list[k])
+			}
+		}
+	}
+	return out
+}
+
+// OriginWitnesses lists the instances that may have the record of a stream, whichever instance gave it to them.
+func (f *Fleet) OriginWitnesses(stream string) (out []string) {
+	for _, list := range f.originCandidates(stream) {
+		out = append(out, list...)
+	}
+	return out
+}
--- a/internal/core/forward/admit.go
+++ b/internal/core/forward/admit.go
@@ -26,7 +26,7 @@
 )
 
 // Admit accepts a request or refuses it. Start returns the first step of an
-// accepted call.
+// accepted call. One whose caller takes a stream up must be bound by Bind before.
 func (g *Gate) Admit(now time.Time, r Request) (*Call, *Refusal) {
 	if g.table == nil {
 		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: NoConfig, RetryAfter: startupRetryAfter}
@@ -58,18 +58,29 @@
 	if g.draining && rt.Kind == route.Stream {
 		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: Draining, RetryAfter: briefRetryAfter}
 	}
-	c.Service = rt.Pick(g.rng.Float64())
+	c.Deadline = now.Add(effectiveTimeout(rt.Timeout, r.Timeout))
+	if c.TakesUp() {
+		return c, nil // Bind assigns the service that began the stream
+	}
+	if refusal := g.assign(now, c, rt.Pick(g.rng.Float64())); refusal != nil {
+		return nil, refusal
+	}
+	return c, nil
+}
+
+// assign makes a service run a call, or refuses the call.
+func (g *Gate) assign(now time.Time, c *Call, service string) *Refusal {
+	c.Service = service
 	if g.table.Service(c.Service) == nil {
-		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: NoService, RetryAfter: startupRetryAfter}
+		return &Refusal{Status: status.ServiceUnavailable, Reason: NoService, RetryAfter: startupRetryAfter}
 	}
-	c.Parts = partsAt(c.Service, r.Parts)
+	c.Parts = partsAt(c.Service, c.Request.Parts)
 	if g.IsConvicted(now, c) {
-		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: Crashes, RetryAfter: crashRetryAfter}
+		return &Refusal{Status: status.ServiceUnavailable, Reason: Crashes, RetryAfter: crashRetryAfter}
 	}
 	c.leastRank = g.table.LeastRank(c.Service)
-	c.Deadline = now.Add(effectiveTimeout(rt.Timeout, r.Timeout))
 	g.budget(c.Service).addRequest(now)
-	return c, nil
+	return nil
 }
 
 // effectiveTimeout returns the shorter of the route's and the caller's time limit; 0 means that
--- a/internal/core/forward/cold.go
+++ b/internal/core/forward/cold.go
@@ -131,6 +131,7 @@
 	g.dropLimits(now)
 	g.dropPauses(now)
 	g.dropSpeeds(now)
+	g.settleTargets(now)
 	for u, l := range g.loads {
 		if l.coldShare != nil && !g.rateLimited(now, u) {
 			l.coldShare = nil
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -58,8 +58,12 @@
 	options     Options
 	table       *route.Table
 	confirmedAt time.Time
-	roster      *roster.Roster
-	cordons     cordon.Set
+	// targetsChanged is set once a configuration has sent streams to other services than before, and
+	// targetsChangedAt is when that was last noticed.
+	targetsChanged   bool
+	targetsChangedAt time.Time
+	roster           *roster.Roster
+	cordons          cordon.Set
 	// cordonedAt and liftedAt hold the times when each data centre was last cordoned and
 	// uncordoned.
 	cordonedAt, liftedAt map[string]time.Time
@@ -114,6 +118,7 @@
 	if g.table != nil && t.Version <= g.table.Version {
 		return false
 	}
+	g.targetsChanged = g.targetsChanged || g.table == nil || !t.SameStreamTargets(g.table)
 	g.table = t
 	return true
 }
--- a/internal/core/forward/origin.go
+++ b/internal/core/forward/origin.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 )
 
 // A stream of which the caller has an event goes on only at an upstream that its origin admits, whatever leads
@@ -14,6 +16,24 @@
 // within some seconds.
 const originRetryAfter = 2 * time.Second
 
+// TakesUp reports whether a call goes on with a stream of which its caller got events in an earlier try.
+func (c *Call) TakesUp() bool { return c.Route.Kind == route.Stream && c.GoesOn() }
+
+// Bind sets where the stream began that a call takes up, or refuses the call.
+func (g *Gate) Bind(now time.Time, c *Call, o roster.Origin) *Refusal {
+	if !slices.ContainsFunc(c.Route.Targets, func(t route.Target) bool { return t.Service == o.Service }) {
+		return &Refusal{Status: status.ServiceUnavailable, Reason: NoSameSoftware}
+	}
+	c.origin = &o
+	return g.assign(now, c, o.Service)
+}
+
+// RefuseUnbound returns the refusal of a call that takes up a stream of unknown origin. It is final: to wait
+// would not tell more, and the caller can begin the stream anew.
+func (g *Gate) RefuseUnbound() *Refusal {
+	return &Refusal{Status: status.ServiceUnavailable, Reason: UnknownOrigin}
+}
+
 // Origin returns the origin of a call's stream; ok is false if no upstream has made an event of it yet.
 func (c *Call) Origin() (o roster.Origin, ok bool) {
 	if c.origin == nil {
--- a/internal/core/forward/origin_test.go
+++ b/internal/core/forward/origin_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
 // setSoftware changes the software version of an upstream of the service "desk" at a version of the list.
@@ -128,3 +129,65 @@
 		t.Errorf("step %+v, want the generation resumed at its source", s)
 	}
 }
+
+// resumed returns a request that takes a stream up.
+func resumed(path string) Request {
+	r := request(path)
+	r.AfterEvent, r.Resumes = "3", "r0"
+	return r
+}
+
+// A caller takes a stream up. The call must be refused unless it is known where the stream began, and be sent only to
+// the service and the version that began it, though its route is split or has moved since.
+func TestATakenUpStreamGoesToItsServiceAndVersion(t *testing.T) {
+	g := gate(t, 4)
+	setSoftware(g, "u1", "v2", 10)
+	for range 20 {
+		c := admit(t, g, resumed("/resumable/1"))
+		if s := g.Start(start, c); s.Refuse == nil || s.Why != UnknownOrigin {
+			t.Fatalf("step %+v of a stream of unknown origin, want a refusal", s)
+		}
+		if refusal := g.Bind(start, c, roster.Origin{Service: "desk", Software: "v2"}); refusal != nil {
+			t.Fatalf("refused: %+v", refusal)
+		}
+		if s := g.Start(start, c); s.Send == nil || s.Send.Entry.ID != "u1" {
+			t.Fatalf("step %+v, want the stream sent to u1", s)
+		}
+	}
+	c := admit(t, g, resumed("/resumable/1"))
+	if refusal := g.Bind(start, c, roster.Origin{Service: "other", Software: "v1"}); refusal == nil || refusal.Reason != NoSameSoftware {
+		t.Errorf("refusal %+v of a stream of a service that its route does not use", refusal)
+	}
+	c = admit(t, g, resumed("/resumable/1"))
+	g.Bind(start, c, roster.Origin{Service: "desk", Software: "v3"})
+	if s := g.Start(start, c); s.Refuse == nil || s.Why != NoSameSoftware {
+		t.Errorf("step %+v without an upstream of the version, want a refusal at once", s)
+	}
+}
+
+// A route has begun to use another service. A stream that began before may have begun at the former one, so that the
+// versions of the present service tell nothing about it.
+func TestAMovedRouteProvesNoOrigin(t *testing.T) {
+	g := gate(t, 2)
+	now := start
+	for range 120 {
+		now = now.Add(time.Second)
+		g.roster.Confirm(now)
+		g.Tick(now)
+	}
+	c := admit(t, g, resumed("/resumable/1"))
+	if o, ok := g.SoleOrigin(now, c); !ok || o.Software != "v1" {
+		t.Fatalf("origin %+v, proven %v; want v1", o, ok)
+	}
+	moved := config(4)
+	for k := range moved.Routes {
+		if moved.Routes[k].Name == "resumable" {
+			moved.Routes[k].Targets = []route.Target{{Service: "other", Weight: 1}}
+		}
+	}
+	g.Adopt(route.NewTable(moved))
+	g.Adopt(route.NewTable(config(5)))
+	if _, ok := g.SoleOrigin(now, c); ok {
+		t.Error("the origin counts as proven right after the route was moved and back")
+	}
+}
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -57,6 +57,8 @@
 	// StaleConfig: the configuration lacks the route or key, but it may be outdated.
 	StaleConfig Reason = "configuration_not_confirmed"
 	NoUpstream  Reason = "no_upstream"
+	// UnknownOrigin: the caller has events of the stream, and it is not known which software made them.
+	UnknownOrigin Reason = "stream_origin_unknown"
 	// NoSameSoftware: the caller has events of the stream, and no upstream of the software version that
 	// made the first one takes it.
 	NoSameSoftware Reason = "no_upstream_of_version"
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -34,6 +34,9 @@
 	if why := g.unavailableReason(c); why != "" {
 		return g.refuse(c, why, retryAfterFor(why, busyRetryAfter))
 	}
+	if c.TakesUp() && c.origin == nil {
+		return g.refuse(c, UnknownOrigin, 0)
+	}
 	if g.originUnavailable(c) {
 		return g.refuse(c, NoSameSoftware, originRetryAfter)
 	}
--- a/internal/core/membership/homes.go
+++ b/internal/core/membership/homes.go
@@ -111,6 +111,27 @@
 	return homes[0]
 }
 
+// FirstOfEach returns, for each data centre, the first n instances for a key among those for which may returns
+// true, or all if there are fewer. Like StableHome it ignores suspicions.
+func (v *View) FirstOfEach(key string, n int, may func(name string) bool) map[string][]string {
+	keyHash := xxhash.Sum64String(key)
+	best := make([][]score, len(v.rendezvous.dataCentres))
+	for k, c := range v.rendezvous.candidates {
+		s, list := score{hash: mix(c.hash ^ keyHash), at: k}, best[c.dataCentre]
+		if (len(list) < n || s.before(list[n-1])) && may(c.name) {
+			best[c.dataCentre] = insertBest(list, s, n)
+		}
+	}
+	out := make(map[string][]string, len(best))
+	for k, list := range best {
+		for _, s := range list {
+			dc := v.rendezvous.dataCentres[k]
+			out[dc] = append(out[dc], v.rendezvous.candidates[s.at].name)
+		}
+	}
+	return out
+}
+
 func (v *View) homes(key string, n int, rank func(dataCentre string) int, may, suspected func(name string) bool, preferLarge bool) []string {
 	ranks := make([]int, len(v.rendezvous.dataCentres))
 	for k, dc := range v.rendezvous.dataCentres {
--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -34,6 +34,10 @@
 	KindPartsSound
 	KindCrashEvidence
 	KindWithSoftware
+	KindStreamOrigins
+	KindOriginsStored
+	KindOriginRequest
+	KindOriginResponse
 )
 
 // Heartbeat announces that the sender is alive and at which addresses it can be reached.
@@ -87,7 +91,7 @@
 const tunnelsClass = 256
 
 // softwareClass is added, for the same reason, to the Class of instances that understand the messages in
-// software.go.
+// software.go and origins.go.
 const softwareClass = 512
 
 // ClassOfRelease returns the class of an instance of this release whose machine has a capacity class,
@@ -111,7 +115,7 @@
 // UnderstandsParts reports whether the sender understands the messages about parts of prompts.
 func (h Heartbeat) UnderstandsParts() bool { return h.OpensTunnels() }
 
-// UnderstandsSoftware reports whether the sender understands the messages in software.go.
+// UnderstandsSoftware reports whether the sender understands the messages in software.go and origins.go.
 func (h Heartbeat) UnderstandsSoftware() bool { return h.Class >= softwareClass }
 
 // DividesLimits reports whether the sender understands the messages about rate limits.
--- a/internal/core/msg/msg.go
+++ b/internal/core/msg/msg.go
@@ -39,7 +39,7 @@
 	KindRateStatement: "rate_stated", KindPermitRequest: "permit_ask", KindPermitResponse: "permit_answer", KindPermitCancel: "permit_cancel", KindUpstreamLeaving: "upstream_leaving",
 	KindRankedGrantRequest: "ranked_grant_request", KindUpstreamSpeed: "upstream_speed", KindInstanceLoad: "instance_load",
 	KindTunnelRequest: "tunnel_request", KindTunnelResponse: "tunnel_response", KindPartsSound: "parts_sound", KindCrashEvidence: "crash_evidence",
-	KindWithSoftware: "with_software",
+	KindWithSoftware: "with_software", KindStreamOrigins: "stream_origins", KindOriginsStored: "origins_stored", KindOriginRequest: "origin_request", KindOriginResponse: "origin_response",
 }
 
 // Message kinds that are not in one of the ranges of numbers below. Numbers are never reused.
--- a/internal/core/roster/expiry.go
+++ b/internal/core/roster/expiry.go
@@ -57,6 +57,7 @@
 	r.markChanged(r.layout.GroupOf(u.Entry), r.newest)
 	delete(r.byID, u.ID)
 	r.removedAt[u.ID] = now
+	r.noteRemoved(now, u.Entry)
 	if u.LeavingSince.IsZero() {
 		u.LeavingSince = now
 	}
@@ -81,6 +82,7 @@
 	}
 	r.dropTombstones(now)
 	r.dropLeft(now)
+	r.dropRemovedSoftware(now)
 	return left
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -119,6 +119,11 @@
 	// lacksSoftware is set while the list came from an instance whose release does not state the
 	// software of upstreams.
 	lacksSoftware bool
+	// followedSince is the time since which the list has been confirmed without a gap; zero if it has not
+	// been confirmed since the layout changed. removedSoftware holds when an entry with some software was last
+	// removed.
+	followedSince   time.Time
+	removedSoftware map[listedSoftware]time.Time
 	// leftAt holds when each run was first known to leave. A run that leaves does not come back,
 	// whatever a later form of its entry says.
 	leftAt map[Run]time.Time
@@ -130,6 +135,7 @@
 		byID: map[string]*Upstream{}, versions: map[string]int64{}, removedAt: map[string]time.Time{}, byService: map[string][]*Upstream{},
 		droppedAt: map[Group]time.Time{}, reannouncedAt: map[Group]time.Time{},
 		byGroup: map[Group][]*Upstream{}, completeGroups: map[Group]bool{}, changed: map[Group]int64{}, leftAt: map[Run]time.Time{},
+		removedSoftware: map[listedSoftware]time.Time{},
 	}
 }
 
@@ -137,6 +143,7 @@
 // which the store has replied.
 func (r *Roster) Confirm(queriedAt time.Time) {
 	if queriedAt.After(r.confirmedAt) {
+		r.follow(queriedAt)
 		r.confirmedAt = queriedAt
 	}
 }
@@ -253,6 +260,7 @@
 	r.byID[c.ID] = u
 	r.joined = append(r.joined, u)
 	if old != nil {
+		r.noteRemoved(now, old.Entry)
 		old.Removed = true
 		return old
 	}
--- a/internal/core/roster/sync.go
+++ b/internal/core/roster/sync.go
@@ -89,7 +89,7 @@
 	if l.equal(r.layout) {
 		return // two readers computed the same layout at different versions
 	}
-	r.layout = l
+	r.layout, r.followedSince = l, time.Time{} // the upstreams of other groups were not known
 	r.rebuildIndexes()
 	for g := range r.byGroup {
 		r.markChanged(g, version)
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -220,6 +220,27 @@
 	return nil
 }
 
+// SameStreamTargets reports whether all streams that had a route in an older table go to the same services.
+func (t *Table) SameStreamTargets(older *Table) bool {
+	return t.streamTargetsIn(older) && older.streamTargetsIn(t)
+}
+
+// streamTargetsIn reports whether streams of this table's routes go to the same services in another table, or
+// nowhere.
+func (t *Table) streamTargetsIn(other *Table) bool {
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			if r.Kind != Stream {
+				continue
+			}
+			if o := other.Find(r.Host, r.Prefix); o != nil && !slices.Equal(o.Targets, r.Targets) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // RegionsOf returns the regions other than their own in which callers of a host may connect:
 // those that all its restricted routes allow or, if there are none, those that any of them
 // allows; nil if no route of the host is restricted.
--- a/internal/hosted/drain.go
+++ b/internal/hosted/drain.go
@@ -15,6 +15,7 @@
 	})
 	i.log.Info("draining", "name", i.settings.Name, "open_requests", i.server.openRequests(), "grace", i.settings.Grace)
 	i.peers.sendHeartbeats()
+	i.server.origins.handOver()
 	go i.waitDrained()
 }
 
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -115,6 +115,9 @@
 		if err != nil {
 			return x.brokenStreamOutcome(), fmt.Errorf("read stream after %d events: %w", x.call.Events, err)
 		}
+		if x.call.Events == 0 {
+			x.recordOrigin()
+		}
 		x.sendHead(resp)
 		if gap, ok := x.gaps.record(time.Now()); ok {
 			x.server.metrics.Observe("event_gap_milliseconds", x.call.Route.Name, gap)
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -103,7 +103,7 @@
 		wire: wire, conns: conns, memory: newMemoryAccount(s.MemoryBytes, m, log), readAhead: !s.Without.Has(mechanism.ReadAhead), metrics: m, log: log,
 		gate: gate, running: map[string]*exchange{}, permits: map[string]chan msg.PermitResponse{},
 	}
-	srv.paths = newPaths(srv, m, log)
+	srv.paths, srv.origins = newPaths(srv, m, log), newOrigins(srv, m, log)
 	m.Set("cordons", srv.cordonMetric())
 	m.Set("upstream_rate_limits", srv.rateLimitMetric())
 	i := &Instance{
@@ -114,6 +114,7 @@
 	}
 	i.paths = srv.paths
 	i.paths.tunnelPeers, i.paths.open = i.tunnelPeers, i.openTunnel
+	srv.origins.send, srv.origins.holders, srv.origins.witnesses = i.sendAny, i.originHolders, i.originWitnesses
 	i.tunnels = newTunnels(srv, i.paths, callerConnections(s.MaxDescriptors))
 	m.Set("instance_load_ratio", i.loadMetric())
 	m.Set("directory_weights", i.weightsMetric())
@@ -357,6 +358,7 @@
 			i.server.conns.Sweep()
 			i.dropTunnelsThroughLeaving()
 		}),
+		task.Every("stream origins", shareInterval, func(context.Context) { i.server.origins.shareUnproven() }),
 		task.Every("lost paths", pathProbeInterval, i.paths.probeLost),
 		task.Every("load", loadInterval, func(context.Context) {
 			i.measureLoad()
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -45,6 +45,18 @@
 	return name == i.settings.Name || i.peers.understandsSoftware(name)
 }
 
+// originHolders lists the instances to which the record of a stream is given.
+func (i *Instance) originHolders(stream string) (names []string) {
+	i.peers.with(func(_ time.Time, v *fleet.Fleet) { names = v.OriginHolders(stream) })
+	return names
+}
+
+// originWitnesses lists the instances that are asked for the record of a stream.
+func (i *Instance) originWitnesses(stream string) (names []string) {
+	i.peers.with(func(_ time.Time, v *fleet.Fleet) { names = v.OriginWitnesses(stream) })
+	return names
+}
+
 // sendAny sends a message to any instance, including this one.
 func (i *Instance) sendAny(to string, m msg.Message) {
 	if to == i.settings.Name {
@@ -137,6 +149,14 @@
 		i.server.onFailing(from, m)
 	case msg.MoveOrder:
 		i.server.onMoveOrder(from, m)
+	case msg.StreamOrigins:
+		i.server.origins.onOrigins(from, m)
+	case msg.OriginsStored:
+		i.server.origins.onStored(m)
+	case msg.OriginRequest:
+		i.server.origins.onRequest(from, m)
+	case msg.OriginResponse:
+		i.server.origins.onResponse(from, m)
 	case msg.Heartbeat:
 		i.peers.onHeartbeat(m)
 	case msg.InstanceLoad:
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -167,13 +167,15 @@
 	}
 	asOf := sentAt.Add(-got.ConfigAge)
 	f.adopt(sentAt, asOf, u, got.from)
-	if got.ListAge != msg.NoAge {
-		f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(sentAt.Add(-got.ListAge)) })
-	}
 	f.queryAnswered(got.Number, asOf)
-	if got.List != nil && got.ListAge != msg.NoAge {
+	if got.ListAge == msg.NoAge {
+		return
+	}
+	if got.List != nil {
 		p.applyList(got.from, *got.List)
 	}
+	// The list is confirmed once its changes are applied: until then it may lack an upstream.
+	f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(sentAt.Add(-got.ListAge)) })
 }
 
 // applyList applies a list received from another instance, and drops the groups that are not needed here
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -27,6 +27,7 @@
 	log     hclog.Logger
 	homes   homeLink
 	paths   *paths
+	origins *origins
 	// readAhead is set if responses are read ahead of callers that read slowly.
 	readAhead bool
 
@@ -110,6 +111,13 @@
 	x := &exchange{server: s, w: w, r: r, body: b, hold: h, call: call, ctx: ctx, cancel: cancel, started: time.Now(), convicted: make(chan struct{}), grants: make(chan msg.GrantResponse, 4)}
 	x.out = newOutput(x, s.readAhead)
 	defer x.out.close()
+	if call.TakesUp() {
+		if refusal := x.bindStream(); refusal != nil {
+			s.metrics.Count("streams_not_continued_total", string(refusal.Reason))
+			s.refuse(w, req, *refusal, call)
+			return
+		}
+	}
 	s.decide(func(now time.Time, g *forward.Gate) {
 		x.listAge = now.Sub(g.Roster().Confirmed())
 		s.metrics.Observe("belief_age_milliseconds", "list", x.listAge)
@@ -120,9 +128,6 @@
 	})
 	s.track(x)
 	defer s.untrack(x)
-	if req.GoesOn() {
-		s.log.Info("stream_taken_up", "request", req.ID, "resumes", req.Resumes, "last_event", req.AfterEvent, "route", call.Route.Name)
-	}
 	x.run()
 }
 
--- a/internal/hosted/uplink_test.go
+++ b/internal/hosted/uplink_test.go
@@ -36,8 +36,8 @@
 	machines []hosting.Machine
 	uplinks  []*uplink.Uplink
 	logs     []*syncBuffer
-	// stop ends each instance at once.
-	stop []func()
+	// stop ends each instance at once, drain makes it leave.
+	stop, drain []func()
 }
 
 // newFleetRig starts upstreams and instances in two data centres and waits until all instances serve.
@@ -116,7 +116,7 @@
 		<-ended
 	})
 	t.Cleanup(stop)
-	f.stop = append(f.stop, stop)
+	f.stop, f.drain = append(f.stop, stop), append(f.drain, i.Drain)
 	f.machines, f.uplinks, f.logs = append(f.machines, m), append(f.uplinks, up), append(f.logs, log)
 }
 
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -155,6 +155,10 @@
 	msg.KindPartsSound:      decodeAs[msg.PartsSound],
 	msg.KindCrashEvidence:   decodeAs[msg.CrashEvidence],
 	msg.KindWithSoftware:    decodeAs[msg.WithSoftware],
+	msg.KindStreamOrigins:   decodeAs[msg.StreamOrigins],
+	msg.KindOriginsStored:   decodeAs[msg.OriginsStored],
+	msg.KindOriginRequest:   decodeAs[msg.OriginRequest],
+	msg.KindOriginResponse:  decodeAs[msg.OriginResponse],
 
 	msg.KindRankedGrantRequest: decodeAs[msg.RankedGrantRequest],
 	msg.KindUpstreamSpeed:      decodeAs[msg.UpstreamSpeed],
--- a/internal/peer/size_test.go
+++ b/internal/peer/size_test.go
@@ -49,6 +49,11 @@
 	return p
 }
 
+var sampleOrigin = msg.StreamOrigin{
+	Organisation: "dispatch-17", Request: "dd61a774d451c223", Service: "assistant", Software: "v1.2", Upstream: "i-12ed2566be", Born: 1_790_000_000_000,
+	Age: 120 * time.Millisecond, Keep: 7 * time.Second,
+}
+
 // samples returns a message of each kind with values as they occur at the target size. maxBytes
 // is the maximum size of the frame.
 func samples() []struct {
@@ -128,6 +133,10 @@
 		{"tunnel_request", msg.TunnelRequest{Upstream: "engine-123", Address: "10.123.123.123:8426", Timeout: 500 * time.Millisecond}, 65},
 		{"tunnel_response", msg.TunnelResponse{Status: msg.TunnelNoRoom}, 40},
 		{"with_software", msg.WithSoftware{Move: &msg.MoveOrder{Pool: "assistant", Attempt: "dd61a774d451c223", Number: 7, From: "i-12ed2566be", To: "i-b0f4be2b86", ToAddress: "10.1.64.36:8483", ToDataCentre: "kochi-a"}, Software: []string{"v1.2"}}, 140},
+		{"stream_origins", msg.StreamOrigins{Number: 7, List: []msg.StreamOrigin{sampleOrigin}}, 140},
+		{"origins_stored", msg.OriginsStored{Number: 7}, 20},
+		{"origin_request", msg.OriginRequest{Number: 7, Organisation: "dispatch-17", Request: "dd61a774d451c223", Service: "assistant", Window: 22 * time.Second}, 80},
+		{"origin_response", msg.OriginResponse{Number: 7, Origin: &sampleOrigin, Sole: "v1.2"}, 140},
 		{"crash_evidence", msg.CrashEvidence{Strike: msg.Strike{Fingerprint: 1 << 60, Upstream: "engine-123", Boot: "1790000000000", Age: time.Second}, Parts: []uint64{1 << 60, 1 << 61}}, 90},
 		{"parts_sound", msg.PartsSound{Parts: []uint64{1 << 60, 1 << 61}, Age: time.Second}, 45},
 		{"instance_load", msg.InstanceLoad{Name: "entry-123", Boot: "1z141z3", Percent: 80}, 45},
