--- a/internal/proctest/hosted_world_test.go
+++ b/internal/proctest/hosted_world_test.go
@@ -189,6 +189,8 @@
 	id, method, path, key, body string
 	header                      map[string]string
 	timeout                     time.Duration
+	// leaveAfter is the time after which the caller closes its connection; 0 never.
+	leaveAfter time.Duration
 }
 
 // result is the response that a caller received.
@@ -208,7 +210,11 @@
 
 // doOn sends a request through a transport.
 func (f *fixture) doOn(transport http.RoundTripper, m hosting.Machine, c call) result {
-	ctx, cancel := context.WithTimeout(context.Background(), c.timeout+5*time.Second)
+	patience := c.timeout + 5*time.Second
+	if c.leaveAfter > 0 {
+		patience = c.leaveAfter
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+m.Callers+c.path, bytes.NewBufferString(c.body))
 	if err != nil {
