forward, placement: streams go on at engines that have just begun to leave, and block nobody while they wait

A stream whose version had only leaving engines left was broken off, though these still serve for a while. It now goes on at the one that began to leave last, within the time in which a leaving engine may get work, counted from the last confirmation of the list at which it was not leaving. A stream that waits for room at its version has a line of its own in the home's queue: an organisation's new requests waited behind it although another version had room.

--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -45,6 +45,8 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// DrainWithin is the time after which a leaving upstream must get nothing more; 0 means at once.
+	DrainWithin time.Duration
 	// Regions maps each data centre to its region.
 	Regions map[string]string
 	// Without lists the mechanisms that are disabled to measure their value.
--- a/internal/core/forward/origin.go
+++ b/internal/core/forward/origin.go
@@ -65,7 +65,11 @@
 // id with another one. Until the list showed that, the new run was taken for the old one.
 func (g *Gate) isAmbiguous(o roster.Origin) bool {
 	u := g.roster.Find(o.Run.ID)
-	return u != nil && u.Run() != o.Run && u.Software != o.Software
+	if u == nil || u.Software == o.Software {
+		return false
+	}
+	learned := u.Run() == o.Run && (u.Software == "" || o.Software == "")
+	return !learned
 }
 
 // originUnavailable reports whether a call's stream has begun and no upstream that is known takes it. The
@@ -80,6 +84,25 @@
 	return !slices.ContainsFunc(g.roster.UpstreamsOf(c.Service), func(u *roster.Upstream) bool { return u.TakesWork() && g.admits(c, u.Entry) })
 }
 
+// leaveMargin is the part of Options.DrainWithin in which a leaving upstream gets nothing more, for the time on the
+// way.
+const leaveMargin = 400 * time.Millisecond
+
+// leavingOfOrigin returns an upstream that has just begun to leave and may go on with a call's stream, of which no
+// other upstream can: the one that leaves last, or nil. It still serves for a while, and the stream is lost otherwise.
+func (g *Gate) leavingOfOrigin(now time.Time, c *Call) (last *roster.Upstream) {
+	for _, u := range g.roster.UpstreamsOf(c.Service) {
+		switch {
+		case u.Removed || u.LeavingAsOf.IsZero() || now.Sub(u.LeavingAsOf) > g.options.DrainWithin-leaveMargin:
+		case !g.admits(c, u.Entry) || !g.mayUse(c, u.DataCentre) || slices.Contains(c.tried, u):
+		case g.limits[u.Run()] != nil || g.load(u).inBackoff(now) || !g.wantsCalls(now, c, u):
+		case last == nil || u.LeavingAsOf.After(last.LeavingAsOf):
+			last = u
+		}
+	}
+	return last
+}
+
 // NotAdmitted lists the ids of the known upstreams whose software may not run a call. A home of an earlier
 // release does not know the origin of a call, and gets them as exclusions.
 func (g *Gate) NotAdmitted(c *Call) (ids []string) {
--- a/internal/core/forward/origin_test.go
+++ b/internal/core/forward/origin_test.go
@@ -191,3 +191,25 @@
 		t.Error("the origin counts as proven right after the route was moved and back")
 	}
 }
+
+// All upstreams of a version leave, as at the end of a release. They still serve for a while, and a stream of theirs that
+// breaks off goes on at the one that leaves last. None may get anything once the time is over in which a leaving
+// upstream may get work, counted from when it was last known not to leave.
+func TestAStreamGoesOnAtALeavingUpstreamOfItsVersion(t *testing.T) {
+	for after, want := range map[time.Duration]bool{100 * time.Millisecond: true, 1700 * time.Millisecond: false} {
+		o := options()
+		o.DrainWithin = 2 * time.Second
+		g := gateWith(o, 4)
+		setSoftware(g, "u3", "v2", 10)
+		c := begin(t, g)
+		g.roster.Confirm(start)
+		g.roster.MarkLeaving(start.Add(50*time.Millisecond), g.roster.Find("u1"))
+		g.roster.MarkLeaving(start.Add(50*time.Millisecond), g.roster.Find("u0"))
+		g.roster.Confirm(start.Add(60 * time.Millisecond))
+		g.roster.MarkLeaving(start.Add(70*time.Millisecond), g.roster.Find("u2"))
+		s := g.Ended(start.Add(after), c, Cut, true)
+		if got := s.Send != nil; got != want || got && s.Send.Entry.ID != "u2" {
+			t.Errorf("after %v: step %+v, want the stream sent to u2: %v", after, s, want)
+		}
+	}
+}
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -38,6 +38,10 @@
 		return g.refuse(c, UnknownOrigin, 0)
 	}
 	if g.originUnavailable(c) {
+		if u := g.leavingOfOrigin(now, c); u != nil {
+			c.selfChosen = true
+			return g.sendTo(now, c, u)
+		}
 		return g.refuse(c, NoSameSoftware, originRetryAfter)
 	}
 	if g.placedByHome(c) {
--- a/internal/core/placement/home.go
+++ b/internal/core/placement/home.go
@@ -256,13 +256,15 @@
 const maxBypass = 4
 
 // drainQueue grants queued requests in order. One for which no upstream has room is skipped
-// until it has waited for bypassTimeout; from then on it blocks those behind it.
+// until it has waited for bypassTimeout; from then on it blocks those behind it. A stream that goes on waits for
+// its software version and blocks nobody.
 func (h *Home) drainQueue(now time.Time) []Decision {
 	h.advanceMeter(now)
 	h.setHeadroom(now)
 	out := h.demote(now)
 	var skipped map[*queuedRequest]bool
-	for len(skipped) < maxBypass {
+	bypassed := 0
+	for bypassed < maxBypass {
 		q := h.queue.best(skipped)
 		if q == nil {
 			break
@@ -275,8 +277,10 @@
 			out = append(out, h.grant(now, q.req, u, q.cost))
 			continue
 		}
-		if now.Sub(q.firstSent) > bypassTimeout {
-			break
+		if q.req.Software == "" {
+			if bypassed++; now.Sub(q.firstSent) > bypassTimeout {
+				break
+			}
 		}
 		if skipped == nil {
 			skipped = map[*queuedRequest]bool{}
--- a/internal/core/placement/queue.go
+++ b/internal/core/placement/queue.go
@@ -70,6 +70,9 @@
 type lineKey struct {
 	org  string
 	rank int
+	// software is that of a stream that goes on. Such requests have lines of their own, as they may wait for
+	// room while there is room for others.
+	software string
 }
 
 // requestHeap implements heap.Interface; the first request is the next one.
@@ -149,7 +152,7 @@
 	item.key = q.keyOf(&req, since, cost)
 	q.cost += cost
 	q.byAttempt[req.Attempt] = item
-	l := q.line(req.Org, item.rank)
+	l := q.line(&req, item.rank)
 	if l.org.queued == 0 {
 		l.org.served = max(l.org.served, q.clock)
 	}
@@ -159,11 +162,11 @@
 }
 
 // line returns the line of a rank of an organisation, which it adds if there is none.
-func (q *queue) line(org string, rank int) *line {
-	key := lineKey{org: org, rank: rank}
+func (q *queue) line(req *Request, rank int) *line {
+	key := lineKey{org: req.Org, rank: rank, software: req.Software}
 	l := q.lines[key]
 	if l == nil {
-		l = &line{org: q.org(org), rank: rank}
+		l = &line{org: q.org(req.Org), rank: rank}
 		q.lines[key] = l
 		q.waiting = append(q.waiting, l)
 	}
@@ -289,7 +292,7 @@
 		q.lateCount--
 		q.lateCost = max(q.lateCost-item.cost, 0)
 	}
-	key := lineKey{org: item.req.Org, rank: item.rank}
+	key := lineKey{org: item.req.Org, rank: item.rank, software: item.req.Software}
 	l := q.lines[key]
 	heap.Remove(&l.requests, item.index)
 	l.org.queued--
--- a/internal/core/placement/software_test.go
+++ b/internal/core/placement/software_test.go
@@ -54,3 +54,36 @@
 		t.Errorf("reserved %v, want room at v1 only", r)
 	}
 }
+
+// Streams that go on wait for room at their version, while there is room at another. New requests of the same
+// organisation must not wait behind them, however many they are and however long they wait.
+func TestStreamsThatWaitForTheirSoftwareBlockNobody(t *testing.T) {
+	h, now := NewHome(Settings{Engine: true, Service: "pool"}), time.Unix(1000, 0)
+	report := func(id, software string, slots int) {
+		h.Report(now, now, Report{Upstream: id, Software: software, Capacity: 100_000, MaxBatch: slots})
+	}
+	place := func(attempt, software string) Decision {
+		return h.Place(now, Request{Attempt: attempt, Org: "org", Prompt: 10, MaxOutput: 10, Software: software, MaxWait: time.Minute})[0]
+	}
+	report("a", "v1", 1)
+	report("b", "v2", 1)
+	place("runs at a", "v1")
+	place("runs at b", "v2")
+	for k := range 2 * maxBypass {
+		if d := place(string(rune('A'+k)), "v1"); d.Kind != Queued {
+			t.Fatalf("decision %+v, want the stream queued", d)
+		}
+	}
+	place("new", "")
+	now = now.Add(bypassTimeout + time.Second)
+	report("a", "v1", 1)
+	granted := ""
+	for _, d := range h.Report(now, now, Report{Upstream: "b", Software: "v2", Capacity: 100_000, MaxBatch: 2}) {
+		if d.Kind == Granted {
+			granted += d.Attempt
+		}
+	}
+	if granted != "new" {
+		t.Errorf("granted %q once there is room at v2, want the new request", granted)
+	}
+}
--- a/internal/core/roster/leaving.go
+++ b/internal/core/roster/leaving.go
@@ -17,7 +17,7 @@
 	if !u.LeavingSince.IsZero() {
 		return false
 	}
-	u.LeavingSince = now
+	u.LeavingSince, u.LeavingAsOf = now, r.confirmedAt
 	return true
 }
 
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -44,8 +44,10 @@
 	Version int64
 	// FirstSeen is when the entry of this run was first received.
 	FirstSeen time.Time
-	// LeavingSince is when the first sign of the shutdown arrived; zero if there was none.
+	// LeavingSince is when the first sign of the shutdown arrived; zero if there was none. LeavingAsOf is when the
+	// list was last confirmed before, and the upstream was not leaving; zero if unknown.
 	LeavingSince time.Time
+	LeavingAsOf  time.Time
 	// ColdUntil is the expected end of the warm-up; zero if the upstream was never cold.
 	ColdUntil time.Time
 	// ExpiresAt is when an upstream whose entry expired will be dropped; zero while the entry is
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -249,7 +249,7 @@
 	f.changeRoster("list", func(now time.Time, g *forward.Gate) (left []*roster.Upstream) {
 		r := g.Roster()
 		r.StoreUp(now)
-		r.Confirm(sentAt)
+		defer r.Confirm(sentAt) // after the changes: what is new was not listed at the confirmation before
 		switch {
 		case full:
 			left, _ = r.Replace(now, read.Changes, read.Version)
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -148,7 +148,7 @@
 func options(s Settings) forward.Options {
 	o := forward.Options{
 		Name: s.Name, DataCentre: s.DataCentre, Regions: s.Regions, RetryRatio: s.RetryRatio, RetrySlack: s.RetrySlack, RetryWindow: s.RetryWindow,
-		Without: s.Without, ConfigGoodFor: s.ApplyWithin,
+		Without: s.Without, ConfigGoodFor: s.ApplyWithin, DrainWithin: s.DrainWithin,
 	}
 	if s.StrictRevocation {
 		o.KeysGoodFor = max(s.RevokeWithin-revocationMargin, time.Millisecond)
