--- a/internal/proctest/hosted_world_test.go
+++ b/internal/proctest/hosted_world_test.go
@@ -257,14 +257,28 @@
 }
 
 // streamBody returns the complete body of a request's stream.
-func streamBody(id string) string {
+func streamBody(id string) string { return streamBodyAfter(id, 0) }
+
+// streamBodyAfter returns what a stream brings after an event.
+func streamBodyAfter(id string, after int) string {
 	var b strings.Builder
-	for n := 1; n <= streamEvents; n++ {
+	for n := after + 1; n <= streamEvents; n++ {
 		b.WriteString(hosting.Event(id, n))
 	}
 	return b.String()
 }
 
+// unmarked returns a stream without the marks of software versions.
+func unmarked(body string) string {
+	var b strings.Builder
+	for line := range strings.Lines(body) {
+		if !strings.HasPrefix(line, hosting.SoftwareMark) {
+			b.WriteString(line)
+		}
+	}
+	return b.String()
+}
+
 // refusedNotRun reports whether a status guarantees that the request has not run.
 func refusedNotRun(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -54,6 +54,8 @@
 	// as they were.
 	loadRand *rand.Rand
 	stop     chan struct{}
+	// release is the number of releases of the engines' software that have begun.
+	release int
 	// relays are in front of some upstreams and inject faults into the connections to them.
 	relays []*relay.Relay
 
@@ -70,6 +72,9 @@
 	// revoked maps each revoked key to the time of its revocation.
 	revoked map[string]time.Time
 	served  int
+	// streams holds what callers got of streams that may be taken up, taken counts the tries to do so.
+	streams []*takenStream
+	taken   shares
 	// disturbances holds when instances were restarted or frozen. storeFaults holds when the store had a
 	// fault for an instance, or for all with the name "", and storeFaultSince when the present ones began.
 	disturbances    []disturbance
@@ -82,6 +87,8 @@
 	call
 	sent time.Time
 	delivery
+	// after is the last event that the caller had of a stream that it took up.
+	after int
 }
 
 func TestSoak(t *testing.T) {
@@ -124,7 +131,7 @@
 	close(s.stop)
 	callers.Wait()
 	s.check()
-	t.Logf("seed=%d requests=%d served=%d", seed, len(s.requests), s.served)
+	t.Logf("seed=%d requests=%d served=%d taken_up=%+v", seed, len(s.requests), s.served, s.taken)
 }
 
 // addRelays adds an upstream of each service behind a relay.
@@ -189,6 +196,9 @@
 			c = lookUp(id)
 		case r.IntN(2) == 0:
 			c.path = hosting.PathBrief + "x"
+			if r.IntN(3) == 0 {
+				c.leaveAfter = time.Duration(50+r.IntN(900)) * time.Millisecond
+			}
 		}
 		s.mu.Lock()
 		c.key = s.key
@@ -212,10 +222,37 @@
 			s.served++
 		}
 		s.mu.Unlock()
+		if strings.HasPrefix(a.path, hosting.PathBrief) {
+			s.takeUp(a, r)
+		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
+// takeUp takes a stream up that broke off, at other instances.
+func (s *soak) takeUp(first sentRequest, r *rand.Rand) {
+	stream := &takenStream{id: first.id, software: map[string]bool{}}
+	stream.add(first.result)
+	for try := 1; try <= 2 && stream.last > 0 && !stream.whole; try++ {
+		m := s.machines[r.IntN(len(s.machines))]
+		a := sentRequest{call: stream.next(try), sent: time.Now(), after: stream.last}
+		a.key = first.key
+		a.instance, a.result = m.Name, s.do(m, a.call)
+		a.at = time.Now()
+		stream.add(a.result)
+		s.mu.Lock()
+		s.requests[a.id] = a
+		s.taken.sent++
+		if stream.whole {
+			s.taken.served++
+		}
+		s.mu.Unlock()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams = append(s.streams, stream)
+}
+
 // injectFault injects one random fault, or ends the current faults.
 func (s *soak) injectFault() {
 	n := s.rand.IntN(len(s.procs))
@@ -407,8 +444,12 @@
 	w := s.pool[k]
 	w.Leave()
 	time.AfterFunc(700*time.Millisecond, func() { w.Crash(); w.Vanish() })
+	if s.loadRand.IntN(3) == 0 {
+		s.release++ // from now on, engines are replaced by those of another version
+	}
+	software := fmt.Sprintf("v%d", 1+s.release%3)
 	s.pool[k] = s.addUpstream(s.t, fmt.Sprintf("engine-%d-%d", k, s.rand.IntN(1<<20)), hosting.Pool, func(k *hosting.Worker) {
-		k.EventEvery, k.EventCount, k.CopyTime = 25*time.Millisecond, streamEvents, 30*time.Millisecond
+		k.Software, k.EventEvery, k.EventCount, k.CopyTime = software, 25*time.Millisecond, streamEvents, 30*time.Millisecond
 	})
 }
 
@@ -541,6 +582,11 @@
 		}
 	}
 	s.checkStatements()
+	for _, stream := range s.streams {
+		if *otherBuild == "" && (len(stream.software) > 1 || stream.gap) {
+			s.t.Errorf("%s has events of the versions %v, gap %v", stream.id, stream.software, stream.gap)
+		}
+	}
 	if s.served == 0 {
 		s.t.Error("no request was served, want at least one: otherwise the test checks nothing")
 	}
@@ -570,7 +616,7 @@
 func checkSuccess(t *testing.T, a sentRequest, list []hosting.Arrival) {
 	t.Helper()
 	if strings.HasPrefix(a.path, hosting.PathDraft) || strings.HasPrefix(a.path, hosting.PathBrief) {
-		if a.result.body != streamBody(a.id) {
+		if unmarked(a.result.body) != streamBodyAfter(a.id, a.after) {
 			t.Errorf("%s: the stream ended without an error after %d events, want all events", a.id, strings.Count(a.result.body, "\n\n"))
 		}
 		return
