--- a/internal/core/roster/software_test.go
+++ b/internal/core/roster/software_test.go
@@ -39,7 +39,7 @@
 	if r.Find("a").Software != "v1" || r.Find("b").Software != "v2" || r.LacksSoftware() {
 		t.Fatalf("software %q and %q, lacks %v; want v1 and v2", r.Find("a").Software, r.Find("b").Software, r.LacksSoftware())
 	}
-	reader.Update(start, []Change{{ID: "b", Version: 6, Removed: true}}, 6)
+	reader.Update(start, []Change{entryOf("a", "v1", 6), {ID: "b", Version: 7, Removed: true}}, 7)
 	known := r.Find("a")
 	r.Adopt(start, update(reader, r.Request(nil, true), false))
 	if known != r.Find("a") || known.Software != "v1" {
