hosted: a refused move is tried with another destination

With instances of the last release beside this one, a generation on a leaving engine was lost: the home ordered two moves to an engine that its entry already knew to leave, each was refused before the copy, and both counted as tries. Such an order is now answered like one for which the destination has no room, which older homes understand: it doesn't count, and the home passes the destination over for a moment.

--- a/internal/core/msg/fleet.go
+++ b/internal/core/msg/fleet.go
@@ -261,11 +261,9 @@
 	MoveEnded MoveOutcome = "ended"
 	// MoveNoRun: the source does not run such a generation, or it cannot be moved.
 	MoveNoRun MoveOutcome = "no_run"
-	// MoveNoRoom: the destination did not accept the copy; the generation continues at the
-	// source.
+	// MoveNoRoom: the destination did not accept the copy, or may not continue the generation; this
+	// continues at the source, and another destination may be tried.
 	MoveNoRoom MoveOutcome = "no_room"
-	// MoveRefused: the destination may not continue the generation, which continues at the source.
-	MoveRefused MoveOutcome = "refused"
 	// MoveFailed: the copy failed for another reason.
 	MoveFailed MoveOutcome = "failed"
 )
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -36,10 +36,10 @@
 		return
 	}
 	if !x.mayMove(m) {
-		s.metrics.Count("moves_total", string(msg.MoveRefused))
-		s.log.Info("move", "request", x.call.ID, "from", m.From, "to", m.To, "number", m.Number, "outcome", msg.MoveRefused,
+		s.metrics.Count("moves_total", "refused")
+		s.log.Info("move_refused", "request", x.call.ID, "from", m.From, "to", m.To, "number", m.Number,
 			"software", softwareName(x.software()), "to_software", softwareName(m.ToSoftware), "error", errUnavailable)
-		sendOutcome(msg.MoveRefused)
+		sendOutcome(msg.MoveNoRoom)
 		return
 	}
 	mv, source := x.beginMove(m)
