--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -129,6 +129,9 @@
 // aborted after what was read of it has been written.
 func (x *exchange) end(step forward.Step) {
 	undelivered := x.out.drain()
+	if step.Why == forward.NoSameSoftware {
+		x.server.metrics.Count("streams_not_continued_total", string(step.Why))
+	}
 	switch {
 	case step.Refuse != nil:
 		x.server.refuse(x.w, x.call.Request, *step.Refuse, x.call)
