forward, origin: nothing binds a request without events; records to be shared are kept apart

A silent stream or a failed move bound a request of which no event had been made. The check for records that others need copied all records ten times a second.

--- a/internal/core/forward/admit.go
+++ b/internal/core/forward/admit.go
@@ -74,7 +74,7 @@
 	if g.table.Service(c.Service) == nil {
 		return &Refusal{Status: status.ServiceUnavailable, Reason: NoService, RetryAfter: startupRetryAfter}
 	}
-	c.Parts = partsAt(c.Service, c.Request.Parts)
+	c.Parts = partsAt(c.Service, c.Parts)
 	if g.IsConvicted(now, c) {
 		return &Refusal{Status: status.ServiceUnavailable, Reason: Crashes, RetryAfter: crashRetryAfter}
 	}
--- a/internal/core/forward/origin_test.go
+++ b/internal/core/forward/origin_test.go
@@ -78,16 +78,26 @@
 	}
 }
 
-// A request of which no event has reached the caller is bound to nothing, and is sent anywhere.
+// A request of which no event has reached the caller is bound to nothing, and is sent anywhere, also after a silence or a
+// move that failed.
 func TestARequestWithoutEventsGoesAnywhere(t *testing.T) {
-	g := gate(t, 2)
-	setSoftware(g, "u1", "v2", 10)
-	c := admit(t, g, request("/resumable/1"))
-	g.sendTo(start, c, g.roster.Find("u0"))
-	g.roster.MarkLeaving(start, g.roster.Find("u0"))
-	g.Ended(start, c, Lost, false)
-	if s := g.Granted(start, start, c, granted("u1", nil)); s.Send == nil || s.Send.Entry.ID != "u1" {
-		t.Errorf("step %+v, want the request sent to the other version", s)
+	for name, before := range map[string]func(g *Gate, c *Call){
+		"lost":       func(*Gate, *Call) {},
+		"was silent": func(g *Gate, c *Call) { g.MoveTarget(start, c) },
+		"was moved": func(g *Gate, c *Call) {
+			g.Redirect(c, g.roster.Find("u0"), "copy", nil)
+			g.Ended(start, c, Cut, false)
+		},
+	} {
+		g := gate(t, 2)
+		setSoftware(g, "u1", "v2", 10)
+		c := admit(t, g, request("/resumable/1"))
+		g.sendTo(start, c, g.roster.Find("u0"))
+		before(g, c)
+		g.roster.MarkLeaving(start, g.roster.Find("u0"))
+		if s := g.Ended(start, c, Lost, false); s.Send == nil || s.Send.Entry.ID != "u1" {
+			t.Errorf("%s: step %+v, want the request sent to the other version", name, s)
+		}
 	}
 }
 
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -218,6 +218,9 @@
 	case o != NotSent && !g.retryAllowed(now, c.Service):
 		return g.failAttempt(now, c, o, NoBudget, headerDelivered)
 	}
+	if c.Events == 0 && !c.TakesUp() {
+		c.origin = nil // a copy of memory had bound it, which is not used
+	}
 	c.grantRetries++
 	c.lastOutcome, c.headerDelivered = o, headerDelivered
 	return g.orFailAttempt(now, c, g.nextStep(now, c))
--- a/internal/core/forward/return_property_test.go
+++ b/internal/core/forward/return_property_test.go
@@ -98,8 +98,8 @@
 		g.Tick(w.now)
 	}
 	for k, g := range w.gates {
-		for _, rec := range w.records[k].All(w.now) {
-			if rec.Own && !rec.Shared && g.NeedsRecord(w.now, rec.Origin.Service, rec.Window) {
+		for _, rec := range w.records[k].Unshared(w.now) {
+			if g.NeedsRecord(w.now, rec.Origin.Service, rec.Window) {
 				w.share(k, rec)
 			}
 		}
--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -138,8 +138,9 @@
 // MoveTarget returns the upstream to which to move a generation whose connection is silent, or nil
 // if no upstream accepts it.
 func (g *Gate) MoveTarget(now time.Time, c *Call) *roster.Upstream {
-	if c.current != nil {
-		c.bind(c.current.Entry)
+	if c.origin == nil && c.current != nil {
+		c.bind(c.current.Entry) // for its memory, which the target needs, though there is no event yet
+		defer func() { c.origin = nil }()
 	}
 	return g.choose(now, c)
 }
--- a/internal/core/origin/records.go
+++ b/internal/core/origin/records.go
@@ -40,12 +40,14 @@
 	byKey map[Key]*list.Element
 	// byAge holds the records, the oldest first.
 	byAge *list.List
-	max   int
+	// unshared holds the keys of own records that are not shared.
+	unshared map[Key]bool
+	max      int
 }
 
 // NewRecords returns an empty set of at most a number of records.
 func NewRecords(most int) *Records {
-	return &Records{byKey: map[Key]*list.Element{}, byAge: list.New(), max: most}
+	return &Records{byKey: map[Key]*list.Element{}, byAge: list.New(), unshared: map[Key]bool{}, max: most}
 }
 
 // Add adds a record. One that contradicts an earlier record of the same stream makes its origin unknown: two
@@ -67,6 +69,9 @@
 		r.drop(r.byAge.Front())
 	}
 	r.byKey[rec.Key] = r.byAge.PushBack(&rec)
+	if rec.Own && !rec.Shared {
+		r.unshared[rec.Key] = true
+	}
 }
 
 // sameSoftware reports whether two origins name the same software of the same service.
@@ -79,6 +84,7 @@
 func (r *Records) drop(e *list.Element) {
 	if e != nil {
 		delete(r.byKey, record(e).Key)
+		delete(r.unshared, record(e).Key)
 		r.byAge.Remove(e)
 	}
 }
@@ -91,22 +97,36 @@
 	return rec, false
 }
 
-// All returns the records that have not expired, the oldest first, and drops the others.
+// All returns the records that have not expired, the oldest first.
 func (r *Records) All(now time.Time) (out []Record) {
-	for e := r.byAge.Front(); e != nil; {
-		next := e.Next()
+	for e := r.byAge.Front(); e != nil; e = e.Next() {
 		if now.Before(record(e).ExpiresAt) {
 			out = append(out, *record(e))
-		} else {
-			r.drop(e)
 		}
-		e = next
 	}
 	return out
 }
 
+// Unshared returns the own records that have not expired and that other instances do not have.
+func (r *Records) Unshared(now time.Time) (out []Record) {
+	for key := range r.unshared {
+		if rec, ok := r.Find(now, key); ok {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
+// Expire drops the oldest records that have expired.
+func (r *Records) Expire(now time.Time) {
+	for e := r.byAge.Front(); e != nil && !now.Before(record(e).ExpiresAt); e = r.byAge.Front() {
+		r.drop(e)
+	}
+}
+
 // MarkShared records that other instances have the record of a stream.
 func (r *Records) MarkShared(key Key) {
+	delete(r.unshared, key)
 	if e := r.byKey[key]; e != nil {
 		record(e).Shared = true
 	}
--- a/internal/core/origin/records_test.go
+++ b/internal/core/origin/records_test.go
@@ -29,7 +29,8 @@
 	if _, ok := r.Find(start.Add(2*time.Second), Key{"org", "24"}); ok {
 		t.Error("an expired record was found")
 	}
-	if all := r.All(start.Add(2 * time.Second)); len(all) != 0 || r.Len() != 0 {
+	r.Expire(start.Add(2 * time.Second))
+	if all := r.All(start); len(all) != 0 || r.Len() != 0 {
 		t.Errorf("%d records are left after all have expired", r.Len())
 	}
 }
--- a/internal/hosted/origins.go
+++ b/internal/hosted/origins.go
@@ -238,29 +238,32 @@
 // shareUnproven gives the records to other instances of which they no longer know the origin otherwise: another
 // version has appeared, or the list is no longer confirmed.
 func (o *origins) shareUnproven() {
-	o.share(func(now time.Time, g *forward.Gate, rec origin.Record) bool {
-		return rec.Own && !rec.Shared && g.NeedsRecord(now, rec.Origin.Service, rec.Window)
+	o.mu.Lock()
+	now := boottime.Now()
+	o.records.Expire(now)
+	unshared := o.records.Unshared(now)
+	o.mu.Unlock()
+	var due []origin.Record
+	o.server.decide(func(now time.Time, g *forward.Gate) {
+		for _, rec := range unshared {
+			if g.NeedsRecord(now, rec.Origin.Service, rec.Window) {
+				due = append(due, rec)
+			}
+		}
 	})
+	o.share(due)
 }
 
 // handOver gives all records to their holders among the other instances, because this one ends.
 func (o *origins) handOver() {
-	o.share(func(time.Time, *forward.Gate, origin.Record) bool { return true })
-}
-
-// share gives the records to their holders for which due returns true.
-func (o *origins) share(due func(time.Time, *forward.Gate, origin.Record) bool) {
 	o.mu.Lock()
 	all := o.records.All(boottime.Now())
 	o.mu.Unlock()
-	var list []origin.Record
-	o.server.decide(func(now time.Time, g *forward.Gate) {
-		for _, rec := range all {
-			if due(now, g, rec) {
-				list = append(list, rec)
-			}
-		}
-	})
+	o.share(all)
+}
+
+// share gives records to their holders.
+func (o *origins) share(list []origin.Record) {
 	if len(list) == 0 {
 		return
 	}
--- a/internal/hosted/software_test.go
+++ b/internal/hosted/software_test.go
@@ -223,7 +223,7 @@
 	}
 }
 
-// All engines of the version that began a stream have left. Its caller must learn that at once instead of waiting, and
+// All engines of the version that began a stream have ended. Its caller must learn that at once instead of waiting, and
 // must not get events of another version.
 func TestAVersionThatIsGoneIsSaidAtOnce(t *testing.T) {
 	f := newSoftwareRig(t, 2, 10*time.Millisecond, 30, "v1", "v2")
@@ -234,9 +234,10 @@
 		return len(r.software) > 0 && r.software[0] == "v1"
 	})
 	for _, e := range f.engines("v1") {
-		e.Leave()
+		e.Crash()
+		e.Vanish()
 	}
-	testkit.Eventually(t, testTimeout, "the leave is known", func() bool { return f.logs[3].has("upstream_leaving: upstream=engine-zone-b-0 ") })
+	testkit.Eventually(t, testTimeout, "that is known", func() bool { return f.logs[3].has("upstream_leaving: upstream=engine-zone-b-0 ") })
 	if r := f.read(streamTry{instance: 3, path: hosting.PathBrief, after: "2", resumes: old.id}); r.status != 503 || !strings.Contains(r.reason, "no_upstream_of_version") || r.took > 300*time.Millisecond {
 		t.Errorf("%v, want a refusal at once", r)
 	}
