--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -106,3 +106,17 @@
 		t.Error("unused paths are kept")
 	}
 }
+
+// An isolated instance that tried each further upstream directly first would hold every request until that attempt
+// has failed.
+func TestAnIsolatedInstanceTunnelsAtOnce(t *testing.T) {
+	p := New()
+	p.Connected(start, "c")
+	p.Bypassed(after(10), "a")
+	if p.Bypassed(after(20), "b"); !p.Isolated() || p.Way(after(20), "c") != Tunnelled || p.Way(after(20), "new") != Tunnelled {
+		t.Error("no tunnel to an upstream whose path was not tried since the instance is isolated")
+	}
+	if p.Connected(after(30), "a"); p.Way(after(30), "c") != Direct {
+		t.Error("no direct way once a path is back")
+	}
+}
