fleet: records of streams have few holders in a large fleet

Holders were spread over all instances, so that in a fleet of 985 each would be connected to most others of other data centres, 13 MB of connections. Streams are divided into 64 shards, each with its own holders: at most 256 such connections, 4.2 MB.

--- a/internal/core/fleet/origins.go
+++ b/internal/core/fleet/origins.go
@@ -3,13 +3,14 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
 
 // Records of where streams began are held by some instances beside the one where the stream began: one in its data
 // centre, which confirms within a fraction of a millisecond, and others elsewhere. They are computed from the
-// stream's key, so that any instance finds them. Since a change of the fleet may have put others in their place,
+// stream's name, so that any instance finds them. Since a change of the fleet may have put others in their place,
 // the first two of each data centre are asked.
 const (
 	// originHolders is the number of holders of a record. With three, a third of all instances can be lost at
@@ -17,11 +18,15 @@
 	originHolders = 3
 	// askedPerDataCentre is the number of instances of each data centre that are asked for a record.
 	askedPerDataCentre = 2
+	// originShards is the number of groups of streams that have the same holders. In a large fleet, each instance is
+	// thus connected to few others of other data centres.
+	originShards = 64
 )
 
 // originCandidates returns the instances of each data centre that may hold the record of a stream.
 func (f *Fleet) originCandidates(stream string) map[string][]string {
-	return f.view.FirstOfEach("origin/"+stream, askedPerDataCentre, func(name string) bool {
+	key := "origin/" + strconv.FormatUint(xxhash.Sum64String(stream)%originShards, 10)
+	return f.view.FirstOfEach(key, askedPerDataCentre, func(name string) bool {
 		m := f.members[name]
 		return m != nil && m.UnderstandsSoftware()
 	})
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -6,6 +6,8 @@
 // cordon.go, cold.go and region.go restrict the choice, home.go handles grants of pool homes,
 // retry.go decides what follows a failed attempt, budget.go limits retries, load.go tracks the
 // load and health.go the failures of upstreams, and silence.go diagnoses silent streams.
+// origin.go binds a stream to the software that began it, and return.go decides what is known of that when a
+// caller takes a stream up at this instance.
 // plain.go controls the admission of calls of plain services, and speed.go tracks how fast upstreams
 // say that they work at present.
 // What upstreams state about themselves in responses is obeyed in limit.go, which tracks their rate
--- a/internal/core/forward/return.go
+++ b/internal/core/forward/return.go
@@ -39,28 +39,21 @@
 // SoleOrigin returns the origin of all streams that the caller of a call may take up, if the list of upstreams and
 // the configurations of the last time show that there is only one.
 func (g *Gate) SoleOrigin(now time.Time, c *Call) (o roster.Origin, ok bool) {
-	service, window, ok := c.returnWindow()
-	if !ok {
+	service, window := c.ReturnWindow()
+	if service == "" {
 		return o, false
 	}
 	software, ok := g.soleSoftware(now, service, window, maxProofAge)
 	return roster.Origin{Service: service, Software: software}, ok
 }
 
-// OriginRequest returns the service and the window for which another instance is asked for the sole software;
-// the service is "" if the route has several.
-func (c *Call) OriginRequest() (service string, window time.Duration) {
-	service, window, _ = c.returnWindow()
-	return service, window
-}
-
-// returnWindow returns the only service of a call's route, and the time before now in which a stream of it that is
-// taken up now may have begun.
-func (c *Call) returnWindow() (service string, window time.Duration, ok bool) {
+// ReturnWindow returns the only service of a call's route, and the time before now in which a stream of it that is
+// taken up now may have begun. The service is "" if the route has several: a stream may have begun at any of them.
+func (c *Call) ReturnWindow() (service string, window time.Duration) {
 	if len(c.Route.Targets) != 1 {
-		return "", 0, false
+		return "", 0
 	}
-	return c.Route.Targets[0].Service, min(max(2*c.Route.Timeout, minReturnWindow), 2*maxReturnTime) + leaveSlack, true
+	return c.Route.Targets[0].Service, min(max(2*c.Route.Timeout, minReturnWindow), 2*maxReturnTime) + leaveSlack
 }
 
 // SoleSoftware returns the software version of all upstreams of a service that can have begun a stream within a
--- a/internal/hosted/origins.go
+++ b/internal/hosted/origins.go
@@ -108,7 +108,7 @@
 			rec.Origin = bound
 		}
 		rec.At, rec.ExpiresAt = now, now.Add(keep)
-		service, window := x.call.OriginRequest()
+		service, window := x.call.ReturnWindow()
 		rec.Window, rec.Shared = window, service == "" || x.server.leaving || g.NeedsRecord(now, service, window)
 	})
 	if rec.Key.Request == "" {
--- a/internal/hosted/takeup.go
+++ b/internal/hosted/takeup.go
@@ -90,7 +90,7 @@
 			sole[own.Software] = true
 		}
 	})
-	if service, _ := x.call.OriginRequest(); len(sole) == 1 && service != "" {
+	if service, _ := x.call.ReturnWindow(); len(sole) == 1 && service != "" {
 		for software := range sole {
 			found.origin, found.source = roster.Origin{Service: service, Software: software}, "list"
 		}
@@ -115,7 +115,7 @@
 		delete(o.responses, number)
 	}()
 	m := msg.OriginRequest{Number: number, Organisation: key.Organisation, Request: key.Request}
-	m.Service, m.Window = x.call.OriginRequest()
+	m.Service, m.Window = x.call.ReturnWindow()
 	for _, name := range asked {
 		o.send(name, m)
 	}
