--- a/internal/hosted/origins.go
+++ b/internal/hosted/origins.go
@@ -90,29 +90,33 @@
 	return k
 }
 
+// originOf returns the record of where a call's stream begins; ok is false if its caller cannot take it up. It is
+// marked as shared if other instances need it now.
+func (x *exchange) originOf(now time.Time, g *forward.Gate) (rec origin.Record, ok bool) {
+	keep, a := x.call.ReturnTime(), x.call.Current()
+	rec.Key = streamKey(x.call)
+	if keep == 0 || a == nil || rec.Key.Request == "" {
+		return rec, false
+	}
+	if rec.Origin, ok = x.call.Origin(); !ok {
+		rec.Origin = a.Entry.Origin()
+	}
+	service, window := x.call.ReturnWindow()
+	rec.Own, rec.At, rec.ExpiresAt, rec.Window = true, now, now.Add(keep), window
+	rec.Shared = service == "" || x.server.leaving || g.NeedsRecord(now, service, window)
+	return rec, true
+}
+
 // recordOrigin records where a stream begins, before its first event leaves for the caller: the caller may come
 // back to any instance at once. Other instances get the record unless they know where all streams of the
 // service began; the first event then waits until one of them has it.
 func (x *exchange) recordOrigin() {
 	o := x.server.origins
-	rec := origin.Record{Key: streamKey(x.call), Own: true}
-	x.server.decide(func(now time.Time, g *forward.Gate) {
-		keep := x.call.ReturnTime()
-		a := x.call.Current()
-		if keep == 0 || a == nil || rec.Key.Request == "" {
-			rec.Key.Request = ""
-			return
-		}
-		rec.Origin = a.Entry.Origin()
-		if bound, ok := x.call.Origin(); ok {
-			rec.Origin = bound
-		}
-		rec.At, rec.ExpiresAt = now, now.Add(keep)
-		service, window := x.call.ReturnWindow()
-		rec.Window, rec.Shared = window, service == "" || x.server.leaving || g.NeedsRecord(now, service, window)
-	})
-	if rec.Key.Request == "" {
-		return // the stream cannot be taken up
+	var rec origin.Record
+	ok := false
+	x.server.decide(func(now time.Time, g *forward.Gate) { rec, ok = x.originOf(now, g) })
+	if !ok {
+		return
 	}
 	o.add(rec)
 	if !rec.Shared {
