forward: brittle upstreams are paced to less than they work off

Such an upstream of a plain service is now treated as if it stated a rate limit of 70% of its slots by the measured service time, which the home of the limit divides among all instances, and of less once it has turned requests away. It ends with the statement; nothing changes for others.

--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -79,6 +79,8 @@
 	// limits holds the rate limits that upstreams state. They are kept by run, because an upstream
 	// whose entry lapses and returns is another one in the roster.
 	limits map[roster.Run]*statedLimit
+	// brittle holds the upstreams that state that they are brittle, by run.
+	brittle map[roster.Run]*brittle
 	// announcedAt holds when this instance last announced that a limit began or ended.
 	announcedAt map[roster.Run]time.Time
 	// pauses holds the pauses that upstreams have asked for, by run.
@@ -104,7 +106,7 @@
 func New(o Options) *Gate {
 	return &Gate{
 		options: o, roster: roster.New(), cordonedAt: map[string]time.Time{}, liftedAt: map[string]time.Time{}, loads: map[*roster.Upstream]*load{}, unlisted: map[string]*roster.Upstream{},
-		budgets: map[string]*budget{}, limits: map[roster.Run]*statedLimit{}, announcedAt: map[roster.Run]time.Time{}, pauses: map[roster.Run]*pause{}, speeds: map[roster.Run]*speed{}, suspects: suspect.NewList(strikeTTL), parts: suspect.NewParts(),
+		budgets: map[string]*budget{}, limits: map[roster.Run]*statedLimit{}, brittle: map[roster.Run]*brittle{}, announcedAt: map[roster.Run]time.Time{}, pauses: map[roster.Run]*pause{}, speeds: map[roster.Run]*speed{}, suspects: suspect.NewList(strikeTTL), parts: suspect.NewParts(),
 		instances: 1, rng: rand.New(rand.NewPCG(o.Seed, o.Seed)),
 	}
 }
--- a/internal/core/forward/limit.go
+++ b/internal/core/forward/limit.go
@@ -53,6 +53,7 @@
 // known, as for a late response to an earlier one. A limit ends only with a response to a request
 // that was sent after the limit was last heard: any other may have been written before.
 func (g *Gate) ObserveLimit(now time.Time, u *roster.Upstream, sentAt time.Time, s statement.Statement) (LimitChange, bool) {
+	s = g.paceBrittle(now, u, s)
 	known := g.limits[u.Run()]
 	if s.RateUnreadable || known == nil && !s.RateLimit.Stated {
 		return LimitChange{}, false
@@ -196,6 +197,7 @@
 // upstream whose entry lapsed may return.
 func (g *Gate) dropLimits(now time.Time) {
 	maps.DeleteFunc(g.announcedAt, func(_ roster.Run, at time.Time) bool { return now.Sub(at) >= announceInterval })
+	maps.DeleteFunc(g.brittle, func(run roster.Run, _ *brittle) bool { return g.limits[run] == nil })
 	for run, l := range g.limits {
 		if now.Sub(l.heardAt) < limitTTL {
 			continue
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -199,6 +199,7 @@
 	case Rejected:
 		g.noteFailure(now, l)
 		g.avoidFull(now, c, a)
+		g.cutBrittle(now, a.Upstream)
 	}
 	g.pruneLoads()
 }
--- a/internal/core/statement/statement.go
+++ b/internal/core/statement/statement.go
@@ -18,6 +18,9 @@
 	RateLimit ratelimit.Limit
 	// RateUnreadable is set if the rate limit could not be decoded. The last one then holds on.
 	RateUnreadable bool
+	// Brittle is the number of requests that the upstream can turn away in a second, of all instances together,
+	// without falling over; 0 if it does not state that.
+	Brittle int
 	// Leaving is set if the upstream states that it leaves.
 	Leaving bool
 	// Pause is the time for which an upstream that turned a request away wants nothing from this
@@ -29,9 +32,9 @@
 
 // Names are the names of the fields in a protocol.
 type Names struct {
-	// RateLimit is a decimal number of requests per second, Leaving is 1 if the upstream leaves, and
-	// Pause is a decimal number of seconds.
-	RateLimit, Leaving, Pause string
+	// RateLimit is a decimal number of requests per second, Brittle a whole number of requests, Leaving is 1 if
+	// the upstream leaves, and Pause is a decimal number of seconds.
+	RateLimit, Brittle, Leaving, Pause string
 }
 
 // Header is the head of a response.
@@ -43,18 +46,23 @@
 // Decode decodes the head of a response. rejected is set if the response rejects the request: only
 // then may it ask for a pause.
 func (n Names) Decode(h Header, rejected bool) (s Statement) {
-	var limitErr, leavingErr, pauseErr error
+	var limitErr, brittleErr, leavingErr, pauseErr error
 	if text, ok := first(h, n.RateLimit); ok {
 		s.RateLimit, limitErr = rateLimit(text)
 		s.RateUnreadable = limitErr != nil
 	}
+	if text, ok := first(h, n.Brittle); ok {
+		if s.Brittle, brittleErr = strconv.Atoi(text); brittleErr != nil || s.Brittle < 0 {
+			s.Brittle, brittleErr = 0, fmt.Errorf("decode brittle: %q is no number from 0 on", text)
+		}
+	}
 	if text, ok := first(h, n.Leaving); ok {
 		s.Leaving, leavingErr = leaving(text)
 	}
 	if text, ok := first(h, n.Pause); ok && rejected {
 		s.Pause, pauseErr = pause(text)
 	}
-	s.Unreadable = errors.Join(limitErr, leavingErr, pauseErr)
+	s.Unreadable = errors.Join(limitErr, brittleErr, leavingErr, pauseErr)
 	return s
 }
 
--- a/internal/core/statement/statement_test.go
+++ b/internal/core/statement/statement_test.go
@@ -12,7 +12,7 @@
 
 func (h header) Values(name string) []string { return h[name] }
 
-var names = Names{RateLimit: "limit", Leaving: "leaving", Pause: "pause"}
+var names = Names{RateLimit: "limit", Brittle: "brittle", Leaving: "leaving", Pause: "pause"}
 
 func stated(rate float64) ratelimit.Limit { return ratelimit.Limit{Stated: true, PerSecond: rate} }
 
@@ -32,6 +32,20 @@
 	}
 }
 
+// A number that is misread makes an upstream fall over, or limits one that is not brittle.
+func TestBrittleness(t *testing.T) {
+	for text, want := range map[string]int{"3": 3, " 12 ": 12, "0": 0} {
+		if got := names.Decode(header{"brittle": {text}}, false); got != (Statement{Brittle: want}) {
+			t.Errorf("brittle %q states %+v, want %d", text, got, want)
+		}
+	}
+	for _, text := range []string{"", "few", "-3", "1.5"} {
+		if got := names.Decode(header{"brittle": {text}}, false); got.Unreadable == nil || got.Brittle != 0 {
+			t.Errorf("brittle %q states %+v, want an error", text, got)
+		}
+	}
+}
+
 // A pause that is misread either floods an upstream that sheds load or takes it out for good.
 func TestPauses(t *testing.T) {
 	for text, want := range map[string]time.Duration{
