--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -229,30 +229,6 @@
 	}
 }
 
-// takeUp takes a stream up that broke off, at other instances.
-func (s *soak) takeUp(first sentRequest, r *rand.Rand) {
-	stream := &takenStream{id: first.id, software: map[string]bool{}}
-	stream.add(first.result)
-	for try := 1; try <= 2 && stream.last > 0 && !stream.whole; try++ {
-		m := s.machines[r.IntN(len(s.machines))]
-		a := sentRequest{call: stream.next(try), sent: time.Now(), after: stream.last}
-		a.key = first.key
-		a.instance, a.result = m.Name, s.do(m, a.call)
-		a.at = time.Now()
-		stream.add(a.result)
-		s.mu.Lock()
-		s.requests[a.id] = a
-		s.taken.sent++
-		if stream.whole {
-			s.taken.served++
-		}
-		s.mu.Unlock()
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.streams = append(s.streams, stream)
-}
-
 // injectFault injects one random fault, or ends the current faults.
 func (s *soak) injectFault() {
 	n := s.rand.IntN(len(s.procs))
