--- a/internal/proctest/hosted_slow_test.go
+++ b/internal/proctest/hosted_slow_test.go
@@ -112,3 +112,24 @@
 		t.Errorf("%d of 20 small requests and %d of %d streams were complete, want at least 19 and half", served, complete.Load(), slowCallers)
 	}
 }
+
+// sendSlowRequests sends requests of a caller that reads nothing for up to 1.5 s.
+func (s *soak) sendSlowRequests() {
+	var open atomic.Int64
+	for k := 0; ; k++ {
+		select {
+		case <-s.stop:
+			return
+		default:
+		}
+		a := sentRequest{call: generation(fmt.Sprintf("slow-%d", k)), sent: time.Now()}
+		m := s.machines[k%len(s.machines)]
+		status, body, err := readSlowStream(m.Callers, a.id, time.Duration(k%4)*500*time.Millisecond, &open)
+		a.instance, a.at, a.key = m.Name, time.Now(), hosting.Key
+		a.result = result{status: status, body: body, truncated: err != nil, err: err}
+		s.mu.Lock()
+		s.requests[a.id] = a
+		s.mu.Unlock()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
