--- a/internal/core/roster/software.go
+++ b/internal/core/roster/software.go
@@ -63,7 +63,6 @@
 		return false
 	}
 	s.StatesSoftware = true
-	s.Groups = slices.Clone(s.Groups)
 	for _, group := range s.Groups {
 		for k := range group.List {
 			group.List[k].Entry.Software, software = software[0], software[1:]
--- a/internal/core/roster/sole.go
+++ b/internal/core/roster/sole.go
@@ -50,7 +50,11 @@
 			seen[l.software] = true
 		}
 	}
-	for software = range seen {
+	if len(seen) != 1 || seen[""] {
+		return "", false
+	}
+	for only := range seen {
+		software = only
 	}
-	return software, len(seen) == 1 && software != ""
+	return software, true
 }
