Keep the limit of a brittle upstream at an instance that has just started

An instance that had started and not yet measured how long calls take computed no limit for a brittle upstream. It took that for the end of the limit that others had announced, and announced the end in turn: the upstream was offered more than it works off until a measurement came in.

Where no limit can be computed yet, the announced one stands.

TestANewInstanceKeepsTheLimitOfABrittleUpstream failed before (the limit of 20/s ended) and passes now.

--- a/internal/core/forward/brittle.go
+++ b/internal/core/forward/brittle.go
@@ -45,7 +45,11 @@
 	}
 	slots, mean := cmp.Or(g.load(u).report.Slots, u.Slots), g.serviceTime(u.Service)
 	if slots == 0 || mean == 0 {
-		return s // not known yet
+		// This instance cannot compute a limit yet. One that another instance has announced must not end for that.
+		if known := g.limits[u.Run()]; known != nil {
+			s.RateLimit = known.limit
+		}
+		return s
 	}
 	b := g.brittle[u.Run()]
 	switch {
--- a/internal/core/forward/brittle_test.go
+++ b/internal/core/forward/brittle_test.go
@@ -36,3 +36,15 @@
 		t.Errorf("a limit of %.1f though it no longer is brittle", limit)
 	}
 }
+
+// An instance that has just started has not measured how long calls take. A response of a brittle upstream must not make
+// it end the limit that the others keep.
+func TestANewInstanceKeepsTheLimitOfABrittleUpstream(t *testing.T) {
+	g := gate(t, 2)
+	u := g.roster.Find("u0")
+	g.LearnLimit(start, rateStatement(start, u.Run(), limit(20).RateLimit, start))
+	later := start.Add(time.Second)
+	if c, changed := g.ObserveLimit(later, u, later, statement.Statement{Brittle: 3}); changed || g.RateLimit(u.Run()).PerSecond != 20 {
+		t.Errorf("change %+v to %+v, want the limit of 20 kept", c, g.RateLimit(u.Run()))
+	}
+}
