Send the record of a stream again if no holder has confirmed it

A record that other instances need was marked as shared before it was sent. If the message was lost, the first event left after 50 ms, and the record stayed with this instance alone. A caller that came back to another instance was then refused, as that asks the holders only.

The record now counts as shared once a holder has confirmed it. Until then the check every 100 ms sends it again, as it does for records that others come to need later. Records of routes with several services, which that check leaves out, are still sent once.

--- a/internal/hosted/origins.go
+++ b/internal/hosted/origins.go
@@ -17,7 +17,7 @@
 
 const (
 	// storedTimeout is how long the first event of a stream waits until another instance has the record of where
-	// the stream began. Streams go on without it: the record is then lost only with this instance.
+	// the stream began. Streams go on without it, and the record is sent again.
 	storedTimeout = 50 * time.Millisecond
 	// maxOriginsPerMessage bounds the records in one message.
 	maxOriginsPerMessage = 500
@@ -90,8 +90,8 @@
 	return k
 }
 
-// originOf returns the record of where a call's stream begins; ok is false if its caller cannot take it up. It is
-// marked as shared if other instances need it now.
+// originOf returns the record of where a call's stream begins; ok is false if its caller cannot take it up. Its
+// Shared states whether other instances need it now.
 func (x *exchange) originOf(now time.Time, g *forward.Gate) (rec origin.Record, ok bool) {
 	keep, a := x.call.ReturnTime(), x.call.Current()
 	rec.Key = streamKey(x.call)
@@ -118,8 +118,10 @@
 	if !ok {
 		return
 	}
+	needed := rec.Shared
+	rec.Shared = false // until a holder has confirmed it: shareUnproven sends a lost one again
 	o.add(rec)
-	if !rec.Shared {
+	if !needed {
 		return
 	}
 	stored, done := o.give([]origin.Record{rec})
@@ -131,6 +133,7 @@
 	defer timeout.Stop()
 	select {
 	case <-stored:
+		o.markShared(rec.Key)
 		o.metrics.Count("stream_origins_total", "stored")
 	case <-timeout.C:
 		o.metrics.Count("stream_origins_total", "not_stored")
@@ -145,6 +148,12 @@
 	o.records.Add(boottime.Now(), rec)
 }
 
+func (o *origins) markShared(key origin.Key) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.records.MarkShared(key)
+}
+
 // give sends records to their holders. stored is closed once one of the holders has one; it is nil if there is
 // none. done ends the wait.
 func (o *origins) give(list []origin.Record) (stored chan struct{}, done func()) {
