--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE DIR")
 		os.Exit(notRun)
 	}
-	cases := map[string]func(*trial) (int, error){"era": playEra, "hangup": playHangup, "twice": playTwice}
+	cases := map[string]func(*trial) (int, error){"era": playEra, "hangup": playHangup, "late": playLate, "revert": playRevert}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
