--- a/review/standin/hangup.go
+++ b/review/standin/hangup.go
@@ -89,6 +89,7 @@
 }
 
 func (t *trial) judgeHangup(desk []*worker, seen []outcome) int {
+	t.list(seen, desk)
 	ran := map[string]arrival{}
 	for _, w := range desk {
 		for _, a := range w.list() {
--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -120,6 +120,14 @@
 	return terminated
 }
 
+// seedsOf lists the control addresses of processes.
+func seedsOf(fleet []*instance) (seeds []string) {
+	for _, i := range fleet {
+		seeds = append(seeds, i.control)
+	}
+	return seeds
+}
+
 // draft sends a request for a long stream and reads what it gets.
 func (t *trial) draft(to *instance, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 39*time.Second)
@@ -147,6 +155,7 @@
 }
 
 func (t *trial) judgeLate(outcomes []outcome, desk []*worker, terminated map[string]time.Time) int {
+	t.list(outcomes, desk)
 	ran := map[string]arrival{}
 	for _, w := range desk {
 		for _, a := range w.list() {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE DIR")
 		os.Exit(notRun)
 	}
-	cases := map[string]func(*trial) (int, error){"era": playEra, "hangup": playHangup, "late": playLate, "revert": playRevert}
+	cases := map[string]func(*trial) (int, error){"era": playEra, "hangup": playHangup, "late": playLate}
 	play := cases[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
@@ -39,8 +39,10 @@
 	// dir holds the settings and logs of the processes, network the first three numbers of all addresses.
 	dir, network string
 	record       io.Writer
-	started      time.Time
-	fleet        []*instance
+	// details is the file of the record alone.
+	details io.Writer
+	started time.Time
+	fleet   []*instance
 }
 
 // run plays a case and writes its record to a directory.
@@ -58,7 +60,7 @@
 	}
 	t := &trial{
 		trouble: os.Getenv("TROUBLE") != "0", dir: tmp, network: fmt.Sprintf("127.%d.%d", 20+os.Getpid()%200, os.Getpid()/200%250),
-		record: io.MultiWriter(file, os.Stdout), started: time.Now(),
+		record: io.MultiWriter(file, os.Stdout), details: file, started: time.Now(),
 	}
 	code, err := play(t)
 	for _, i := range t.fleet {
@@ -82,7 +84,26 @@
 	fmt.Fprintf(t.record, "%7.3f s  %s\n", time.Since(t.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// list writes what was sent, answered and run to the record.
+func (t *trial) list(outcomes []outcome, desk []*worker) {
+	ran := map[string]arrival{}
+	for _, w := range desk {
+		for _, a := range w.list() {
+			ran[a.id] = a
+		}
+	}
+	fmt.Fprintln(t.details, "id kind sent_to sent answered status server reached_it ran")
+	for _, o := range outcomes {
+		a, reached := ran[o.id]
+		server, at := "-", "-"
+		if reached {
+			server, at = a.server, t.at(a.at)
+		}
+		fmt.Fprintln(t.details, o.id, o.kind, o.to, t.at(o.sent), t.at(o.ended), o.status, server, at, a.ran)
+	}
+}
+
 // at returns a time as the record shows it.
 func (t *trial) at(when time.Time) string {
-	return fmt.Sprintf("%.3f s", when.Sub(t.started).Seconds())
+	return fmt.Sprintf("%.3fs", when.Sub(t.started).Seconds())
 }
