--- a/review/standin/era.go
+++ b/review/standin/era.go
@@ -91,6 +91,7 @@
 	}
 	t.say("%s leaves: the store has removed its entry at %s", leaver.id, t.at(left))
 	time.Sleep(drain + linger)
+	leaver.awaitBooking(time.Second)
 	leaver.exit()
 	t.say("%s exits", leaver.id)
 	time.Sleep(2 * time.Second)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -22,6 +22,7 @@
 // arrival is a request that reached a server.
 type arrival struct {
 	id, server string
+	method     string
 	at         time.Time
 	ran        bool
 	// ended is set if the whole answer was written before the server exited.
@@ -100,6 +101,17 @@
 // exit ends the server with all its connections, as the end of its process does.
 func (w *worker) exit() { _ = w.http.Close() }
 
+// awaitBooking waits until a booking is running here, at most for the given time.
+func (w *worker) awaitBooking(most time.Duration) {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		for _, a := range w.list() {
+			if a.ran && !a.ended && a.method == http.MethodPost && time.Since(a.at) < w.work/2 {
+				return
+			}
+		}
+	}
+}
+
 // list returns copies of the arrivals.
 func (w *worker) list() []arrival {
 	w.mu.Lock()
@@ -116,7 +128,7 @@
 
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	a := &arrival{id: r.Header.Get("Attempt-Id"), server: w.id, at: time.Now()}
+	a := &arrival{id: r.Header.Get("Attempt-Id"), server: w.id, method: r.Method, at: time.Now()}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
