hosted: logs of silent streams tell for how long and how late the report was

A stream that was cut after a silence of its upstream could not be told from one whose generation was lost: the lines did not say how long it had been silent, whether the report arrived late, or which requests a question without an answer concerned.

--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -79,6 +79,9 @@
 	*s = silence{lastEvent: now, hasEvent: true, nextQuery: now.Add(max(silenceFactor*r.MaxGap, minSilence))}
 }
 
+// SilentFor returns how long the current attempt's stream has delivered no event.
+func (c *Call) SilentFor(now time.Time) time.Duration { return now.Sub(c.silence.lastEvent) }
+
 // SetReadingPaused records whether reading is paused because the caller has not read earlier events.
 // The upstream is not the cause of such a silence, which counts from the end of the pause.
 func (c *Call) SetReadingPaused(now time.Time, paused bool) {
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/forward"
@@ -46,7 +47,8 @@
 		return // the next query is due later
 	}
 	if err != nil {
-		s.log.Info("silent_upstream_unreachable", "address", address, "streams", len(silent), "error", err)
+		s.metrics.Count("silent_streams_total", "no_report")
+		s.log.Info("silent_upstream_unreachable", "address", address, "streams", len(silent), "requests", requestIDs(silent), "error", err)
 		return
 	}
 	if report.Events == nil {
@@ -57,18 +59,32 @@
 	}
 }
 
+// maxLoggedRequests bounds the ids in one log line.
+const maxLoggedRequests = 8
+
+// requestIDs returns the ids of the requests of silent streams as they are logged.
+func requestIDs(silent []silentAttempt) string {
+	var ids []string
+	for _, r := range silent[:min(len(silent), maxLoggedRequests)] {
+		ids = append(ids, r.exchange.call.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // handleSilent compares a silent stream with its upstream's report and acts on the finding.
 func (s *server) handleSilent(r silentAttempt, sentAt time.Time, report Report) {
 	events, listed := report.Events[r.exchange.call.ID]
 	var finding forward.Finding
 	var forwarded int
-	s.decide(func(_ time.Time, g *forward.Gate) {
-		forwarded = r.exchange.call.Events
+	var silentFor, took time.Duration
+	s.decide(func(now time.Time, g *forward.Gate) {
+		forwarded, silentFor, took = r.exchange.call.Events, r.exchange.call.SilentFor(now), now.Sub(sentAt)
 		finding = g.Diagnose(r.exchange.call, r.attempt, sentAt, forward.RunReport{Listed: listed, Events: events, Waiting: report.Waiting})
 	})
 	s.metrics.Count("silent_streams_total", string(finding))
 	s.log.Info("stream_silent", "request", r.exchange.call.ID, "upstream", r.attempt.Entry.ID, "finding", finding,
-		"listed", listed, "made", events, "passed_on", forwarded, "waiting_there", report.Waiting)
+		"listed", listed, "made", events, "passed_on", forwarded, "waiting_there", report.Waiting,
+		"silent_for", silentFor.Round(time.Millisecond), "report_took", took.Round(time.Millisecond))
 	switch finding {
 	case forward.FindingLinkSilent:
 		r.exchange.resumeElsewhere(r.attempt)
