hosted, forward: a call is given up only for an upstream that takes it

What callers saw: a call that may be repeated ended with 502 or 504 though the upstream that had it would have answered in time.

Cause: after 0.4 of its time an attempt was closed to send the call elsewhere, and only then it was decided whether that is possible. With the retry budget or the other upstreams used up the call ended, or went to the same upstream once more. A silence of an upstream of a second is longer than that share.

Change: the attempt goes on until another upstream takes the call.

Measured: TestACallIsGivenUpOnlyForAnotherUpstream failed before: 502 without a retry budget, 504 and two runs with no other upstream. It passes now.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -92,6 +92,14 @@
 	return err
 }
 
+// Await waits for the first byte of a response. After an error that is a timeout, waiting can go on.
+func (c *Conn) Await() error {
+	if _, err := c.r.Peek(1); err != nil {
+		return fmt.Errorf("await response of %s: %w", c.address, err)
+	}
+	return nil
+}
+
 // ReadResponse reads the head of the next final response to a request with the given method;
 // informational (1xx) responses are skipped. The body must be read to its end before the
 // connection is reused.
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -151,7 +151,7 @@
 	Responded time.Time
 	// TimeLimit is the time limit passed to the upstream.
 	TimeLimit time.Duration
-	// CancelAt is when the attempt is cancelled in favour of another upstream; zero if only the
+	// CancelAt is when the attempt may be cancelled in favour of another upstream; zero if only the
 	// call's deadline limits it.
 	CancelAt time.Time
 	// CopyAt references the copy of a moved generation from which the upstream continues; ""
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
@@ -17,7 +18,7 @@
 	// minTimeLeft is the minimum time before the deadline at which a request is still sent.
 	minTimeLeft = 20 * time.Millisecond
 	// attemptTimeShare is the fraction of the remaining time after which an idempotent call is
-	// retried at another upstream.
+	// retried at another upstream, if one takes it.
 	attemptTimeShare = 0.4
 	// maxAvoidances is the maximum number of chosen upstreams that do not take a call, for lack of a
 	// permit or because they have asked for a pause, before the call is refused.
@@ -227,6 +228,19 @@
 	return g.orFailAttempt(now, c, g.nextStep(now, c))
 }
 
+// mayRepeat reports whether a call may be sent to another upstream once more.
+func (g *Gate) mayRepeat(now time.Time, c *Call) bool {
+	return c.Route.Repeatable() && c.Replayable && c.sends < c.Route.MaxAttempts && g.retryAllowed(now, c.Service)
+}
+
+// MayReplace reports whether a call's attempt that takes long may be given up because another upstream takes
+// the call: without one, the attempt may still bring the response.
+func (g *Gate) MayReplace(now time.Time, c *Call) bool {
+	return g.mayRepeat(now, c) && slices.ContainsFunc(g.candidates(c.Service), func(u *roster.Upstream) bool {
+		return !slices.Contains(c.tried, u) && g.available(now, c, u)
+	})
+}
+
 // orFailAttempt returns the next step of a call. If that ends a call that was sent before, the call
 // ends as its last attempt did.
 func (g *Gate) orFailAttempt(now time.Time, c *Call, s Step) Step {
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -35,11 +36,10 @@
 // readResponse reads the head of the response to this request. A late response to an earlier
 // request on the connection is read to its end and dropped.
 func (x *exchange) readResponse(c *conn.Conn, a *forward.Attempt) (*http.Response, Response, error) {
-	if !a.CancelAt.IsZero() {
-		_ = c.SetReadDeadline(time.Now().Add(a.CancelAt.Sub(a.Sent))) // fails only on a closed connection, on which the read fails, too
-		defer func() { _ = c.SetReadDeadline(time.Time{}) }()
-	}
 	for range 3 {
+		if err := x.awaitResponse(c, a); err != nil {
+			return nil, Response{}, err
+		}
 		resp, err := c.ReadResponse(x.r.Method)
 		if err != nil {
 			return nil, Response{}, err
@@ -60,6 +60,31 @@
 	return nil, Response{}, errOtherRequest
 }
 
+// replaceInterval is the interval between checks whether an attempt that takes long can be given up.
+const replaceInterval = 100 * time.Millisecond
+
+// awaitResponse waits for the first byte of a response. An attempt with a time after which it is cancelled is
+// given up only once another upstream can take the call: until then its upstream may still respond.
+func (x *exchange) awaitResponse(c *conn.Conn, a *forward.Attempt) error {
+	if a.CancelAt.IsZero() {
+		return nil
+	}
+	defer func() { _ = c.SetReadDeadline(time.Time{}) }() // fails only on a closed connection, on which the read fails, too
+	for wait := a.CancelAt.Sub(a.Sent); ; wait = replaceInterval {
+		_ = c.SetReadDeadline(time.Now().Add(wait)) // as above
+		err := c.Await()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || x.mayReplace() {
+			return err
+		}
+	}
+}
+
+// mayReplace reports whether the current attempt may be given up for another upstream.
+func (x *exchange) mayReplace() (may bool) {
+	x.server.decide(func(now time.Time, g *forward.Gate) { may = g.MayReplace(now, x.call) })
+	return may
+}
+
 // forwardResponse forwards the response and returns the attempt's outcome.
 func (x *exchange) forwardResponse(c *conn.Conn, a *forward.Attempt, resp *http.Response, ans Response) (forward.Outcome, error) {
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
--- /dev/null
+++ b/internal/hosted/silent_test.go
@@ -0,0 +1,41 @@
+package hosted_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/hosted"
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
+)
+
+// A call that may be repeated takes longer than the share of its time after which it is sent elsewhere, and
+// nobody takes it. It must be answered by the upstream that has it, and not end with an error.
+func TestACallIsGivenUpOnlyForAnotherUpstream(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(*hosted.Settings){
+		"no retry budget":   func(s *hosted.Settings) { s.RetryRatio, s.RetrySlack = 0, 0 },
+		"no other upstream": nil,
+	} {
+		r := newRig(t, 1, change)
+		r.add(t, "slow", hosting.Desk, func(k *hosting.Worker) { k.Work = 900 * time.Millisecond })
+		if change != nil {
+			r.add(t, "slow-too", hosting.Desk, func(k *hosting.Worker) { k.Work = 900 * time.Millisecond })
+		}
+		for _, k := range r.Workers() {
+			if k.ID == "desk" {
+				k.Leave()
+			}
+		}
+		testkit.Eventually(t, testTimeout, "the fast upstream has left", func() bool {
+			return r.log.has("upstream_leaving: upstream=desk ")
+		})
+		if status := r.book(t, "patient"); status != http.StatusOK {
+			t.Errorf("%s: status %d, want %d from the upstream that has the call", name, status, http.StatusOK)
+		}
+		if n := len(r.Arrivals()["patient"]); n != 1 {
+			t.Errorf("%s: the call reached upstreams %d times, want once", name, n)
+		}
+	}
+}
