forward: one late report is no proof that a silent stream is lost

What callers saw: a stream of a sound engine that was silent for a second was cut, or ended with 502 before its first event.

Cause: two reports without the generation, 0.3 s apart, counted as its loss, and one report of more events as a silent connection. After a silence both are normal: a report is half a second old, and what was sent on an open connection arrives after the report, which comes over another one.

Change: reports count only while the upstream has responded to all queries. The generation must be missing for a third of the time after which callers leave, or for a second if the request can be repeated and has no event. Events must be missing for 0.5 s before the stream is moved.

--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -23,9 +23,16 @@
 	// maxQueryInterval: queries are priced, and a loaded engine can be silent for seconds.
 	queryInterval    = 300 * time.Millisecond
 	maxQueryInterval = 2400 * time.Millisecond
-	// missingReports is the number of consecutive reports without the generation that prove that
-	// the upstream does not run it: the first report may predate its start.
-	missingReports = 2
+	// linkProof is for how long an upstream must report events that do not arrive before the stream is
+	// moved. A move loses nothing if the events arrive after all, but a generation that ends first does.
+	linkProof = 500 * time.Millisecond
+	// lossProofShare is the fraction of the caller's patience for which an upstream must respond and
+	// report nothing of a generation before its stream is given up. An upstream that was silent itself
+	// reports what it did before, and what it has sent on open connections can arrive one and a half
+	// seconds later than on new ones.
+	lossProofShare = 1.0 / 3
+	// maxReportAge is the greatest age of a report: what began later may be missing in it.
+	maxReportAge = time.Second
 )
 
 // RunReport is an upstream's report about one generation.
@@ -64,13 +71,15 @@
 	// event.
 	nextQuery time.Time
 	queries   int
-	// missing is the number of consecutive reports without the generation.
-	missing int
+	// undeliveredSince and missingSince are when the first of the consecutive reports was requested that
+	// showed events which have not arrived, or did not list the generation; zero if the last report did
+	// not show that, or did not arrive.
+	undeliveredSince, missingSince time.Time
 }
 
 // begin resets the state at the start of an attempt.
 func (s *silence) begin(now time.Time, r *route.Route) {
-	first := max(time.Duration(firstQueryShare*float64(r.Target)), minSilence)
+	first := max(share(firstQueryShare, r.Target), minSilence)
 	*s = silence{lastEvent: now, nextQuery: now.Add(first)}
 }
 
@@ -110,26 +119,70 @@
 	return true
 }
 
+// QueryFailed records that an upstream did not respond to a query about an attempt. It may be silent itself,
+// so that earlier reports are no evidence any more.
+func (c *Call) QueryFailed(a *Attempt) {
+	if c.current == a {
+		c.silence.undeliveredSince, c.silence.missingSince = time.Time{}, time.Time{}
+	}
+}
+
 // Diagnose returns the diagnosis for an attempt from the upstream's report r; queriedAt is when
-// the report was requested. A stream whose events do not arrive is moved if the engine supports
-// moves, else abandoned if it can be resumed at another upstream.
-func (g *Gate) Diagnose(c *Call, a *Attempt, queriedAt time.Time, r RunReport) Finding {
-	switch {
-	case c.current != a || c.silence.lastEvent.After(queriedAt):
+// the report was requested. The connection of an attempt is closed on a finding other than FindingWaiting,
+// so that a report counts only if all reports have shown the same for long enough: a sound upstream may
+// be silent for a second or two and go on. A stream whose events do not arrive is moved if the engine
+// supports moves, else abandoned if it can be resumed at another upstream.
+func (g *Gate) Diagnose(now time.Time, c *Call, a *Attempt, queriedAt time.Time, r RunReport) Finding {
+	s := &c.silence
+	if c.current != a || s.lastEvent.After(queriedAt) {
 		return FindingWaiting // an event has arrived since, or the attempt has ended
-	case r.Listed && r.Events > c.Events && g.canMove(c):
-		return FindingLinkSilent
-	case r.Listed && r.Events > c.Events && c.Route.Repeatable():
-		return FindingLost
-	case r.Listed || r.Waiting > 0:
-		c.silence.missing = 0
-		return FindingWaiting
 	}
-	c.silence.missing++
-	if c.silence.missing < missingReports {
+	s.undeliveredSince = heldSince(s.undeliveredSince, queriedAt, r.Listed && r.Events > c.Events)
+	s.missingSince = heldSince(s.missingSince, queriedAt, !r.Listed && r.Waiting == 0)
+	switch {
+	case !s.undeliveredSince.IsZero() && g.canMove(c):
+		return s.conclude(FindingLinkSilent, queriedAt, s.undeliveredSince, linkProof)
+	case !s.undeliveredSince.IsZero() && g.mayRepeat(now, c):
+		return s.conclude(FindingLost, queriedAt, s.undeliveredSince, lossProof(c.Route))
+	case s.missingSince.IsZero():
 		return FindingWaiting
+	case c.Events == 0 && g.mayRepeat(now, c):
+		return s.conclude(FindingLost, queriedAt, s.missingSince, maxReportAge)
+	}
+	return s.conclude(FindingLost, queriedAt, s.missingSince, lossProof(c.Route))
+}
+
+// heldSince returns since when reports have shown something, given the time before the report that was
+// requested at queriedAt; zero if this one does not show it.
+func heldSince(since, queriedAt time.Time, shown bool) time.Time {
+	switch {
+	case !shown:
+		return time.Time{}
+	case since.IsZero() || queriedAt.Before(since):
+		return queriedAt
+	}
+	return since
+}
+
+// conclude returns the finding if reports have shown it for as long as needed. Otherwise the next query is
+// due as soon as that can be the case.
+func (s *silence) conclude(f Finding, queriedAt, since time.Time, needed time.Duration) Finding {
+	if queriedAt.Sub(since) >= needed {
+		return f
+	}
+	if at := since.Add(needed); at.Before(s.nextQuery) {
+		s.nextQuery = at
 	}
-	return FindingLost
+	return FindingWaiting
+}
+
+func share(fraction float64, d time.Duration) time.Duration {
+	return time.Duration(fraction * float64(d))
+}
+
+// lossProof returns for how long reports must miss a stream's generation before the stream is given up.
+func lossProof(r *route.Route) time.Duration {
+	return max(share(lossProofShare, r.Patience()), maxReportAge)
 }
 
 // canMove reports whether the call's generation can be moved.
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -57,6 +57,19 @@
 	Regions []string
 }
 
+// minPatience, patienceTargets and patienceGaps give the time after which callers abandon a stream that
+// pauses: 2 s, four times the target or eight times the allowed interval between events, whichever is longest.
+const (
+	minPatience     = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+)
+
+// Patience returns the time after which callers abandon a stream of the route that pauses.
+func (r *Route) Patience() time.Duration {
+	return max(minPatience, patienceTargets*r.Target, patienceGaps*r.MaxGap)
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
--- a/internal/hosted/callerconn.go
+++ b/internal/hosted/callerconn.go
@@ -11,29 +11,16 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
 const (
-	// minPatience, patienceTargets and patienceGaps give the time after which callers abandon a
-	// stream that pauses: 2 s, four times the target or eight times the allowed interval between
-	// events, whichever is longest. A caller that reads nothing for so long is treated in the same
-	// way.
-	minPatience     = 2 * time.Second
-	patienceTargets = 4
-	patienceGaps    = 8
+	// defaultPatience is the patience of a connection before its first request.
+	defaultPatience = 2 * time.Second
 	// blockedAfter is the time after which a write without progress is taken for a caller that does
 	// not read. It is shorter than the acknowledgement timeout of the connection.
 	blockedAfter = 500 * time.Millisecond
 )
 
-// patienceOf returns the time after which a caller that reads nothing of a route's response is
-// treated as having left.
-func patienceOf(r *route.Route) time.Duration {
-	return max(minPatience, patienceTargets*r.Target, patienceGaps*r.MaxGap)
-}
-
 // errReadsNothing reports that a caller has read nothing for its patience.
 var errReadsNothing = errors.New("the caller has read nothing for too long")
 
@@ -55,7 +42,7 @@
 
 func newCallerConn(c net.Conn) *callerConn {
 	out := &callerConn{Conn: c}
-	out.setPatience(minPatience)
+	out.setPatience(defaultPatience)
 	out.poll = out.pollSocket
 	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil { // with an error it is treated as no socket
@@ -65,6 +52,7 @@
 	return out
 }
 
+// setPatience sets after which time a caller that reads nothing is treated as having left.
 func (c *callerConn) setPatience(d time.Duration) { c.patience.Store(int64(d)) }
 
 // Write implements net.Conn.
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -106,7 +106,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), call.Deadline.Sub(call.Arrived))
 	defer cancel()
 	if c := callerConnOf(r.Context()); c != nil {
-		c.setPatience(patienceOf(call.Route))
+		c.setPatience(call.Route.Patience())
 	}
 	x := &exchange{server: s, w: w, r: r, body: b, hold: h, call: call, ctx: ctx, cancel: cancel, started: time.Now(), convicted: make(chan struct{}), grants: make(chan msg.GrantResponse, 4)}
 	x.out = newOutput(x, s.readAhead)
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -47,6 +47,11 @@
 		return // the next query is due later
 	}
 	if err != nil {
+		s.decide(func(time.Time, *forward.Gate) {
+			for _, r := range silent {
+				r.exchange.call.QueryFailed(r.attempt)
+			}
+		})
 		s.metrics.Count("silent_streams_total", "no_report")
 		s.log.Info("silent_upstream_unreachable", "address", address, "streams", len(silent), "requests", requestIDs(silent), "error", err)
 		return
@@ -79,17 +84,17 @@
 	var silentFor, took time.Duration
 	s.decide(func(now time.Time, g *forward.Gate) {
 		forwarded, silentFor, took = r.exchange.call.Events, r.exchange.call.SilentFor(now), now.Sub(sentAt)
-		finding = g.Diagnose(r.exchange.call, r.attempt, sentAt, forward.RunReport{Listed: listed, Events: events, Waiting: report.Waiting})
+		finding = g.Diagnose(now, r.exchange.call, r.attempt, sentAt, forward.RunReport{Listed: listed, Events: events, Waiting: report.Waiting})
+		if finding == forward.FindingLost && r.exchange.conn != nil {
+			r.exchange.conn.Close() // no event can be recorded between the finding and the end
+		}
 	})
 	s.metrics.Count("silent_streams_total", string(finding))
 	s.log.Info("stream_silent", "request", r.exchange.call.ID, "upstream", r.attempt.Entry.ID, "finding", finding,
 		"listed", listed, "made", events, "passed_on", forwarded, "waiting_there", report.Waiting,
 		"silent_for", silentFor.Round(time.Millisecond), "report_took", took.Round(time.Millisecond))
-	switch finding {
-	case forward.FindingLinkSilent:
+	if finding == forward.FindingLinkSilent {
 		r.exchange.resumeElsewhere(r.attempt)
-	case forward.FindingLost:
-		r.exchange.closeConn(r.attempt)
 	}
 }
 
