hosted: a silent stream is stopped only after its generation was copied

What callers saw: streams of one engine broke off together after it had been silent for a second.

Cause: the order that stops a generation also made its only copy, and had 0.7 s. All streams of an engine fall silent together, so that their copies queue on its link; and whatever came of the order, the connection was closed after it.

Change: the generation is copied while it runs, then stopped, and its connection is closed once the engine has confirmed that it runs no more. If events arrive meanwhile, the move ends there.

--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -16,6 +16,10 @@
 	// finalCopyTimeout limits the second copy of a move, for which the generation is stopped at
 	// the source. After it, the first copy is used.
 	finalCopyTimeout = 700 * time.Millisecond
+	// maxStopCalls is the maximum number of calls to stop a generation whose connection is silent, and
+	// stopInterval the time between them. With callTimeout for each, they end while the first copy is kept.
+	maxStopCalls = 3
+	stopInterval = 100 * time.Millisecond
 )
 
 // activeMove is a move of a running generation in progress.
@@ -78,23 +82,32 @@
 }
 
 // copyThenStop copies the generation's memory while the generation continues, then stops it and
-// copies the remainder, so that the caller waits only for the short second copy. It waits for
-// the response to the first copy even if the generation ends meanwhile: only this response names
-// the copy, which must be freed.
+// copies the remainder, so that the caller waits only for the short second copy.
 func (x *exchange) copyThenStop(mv *activeMove, source *forward.Attempt) (msg.MoveOutcome, error) {
+	handle, outcome, err := x.copyRunning(mv, source)
+	if handle == "" {
+		return outcome, err
+	}
+	return x.stopAndCopy(mv, source, handle)
+}
+
+// copyRunning copies the memory of a generation that continues. It returns no handle if the generation is
+// not to be stopped. It waits for the response even if the generation ends meanwhile: only this response
+// names the copy, which must be freed.
+func (x *exchange) copyRunning(mv *activeMove, source *forward.Attempt) (handle string, outcome msg.MoveOutcome, err error) {
 	first, err := x.server.copyGeneration(context.WithoutCancel(x.ctx), source.Entry.Address, x.call.ID, mv.order.ToAddress, false)
 	if x.ctx.Err() != nil && err == nil {
 		x.server.dropCopy(source.Entry.Address, first.Handle)
-		return msg.MoveEnded, x.ctx.Err()
+		return "", msg.MoveEnded, x.ctx.Err()
 	}
 	if err != nil || first.Outcome != msg.MoveDone {
-		return first.Outcome, err
+		return "", first.Outcome, err
 	}
 	if !x.mayMove(mv.order) {
 		x.server.dropCopy(source.Entry.Address, first.Handle)
-		return msg.MoveNoRoom, errUnavailable
+		return "", msg.MoveNoRoom, errUnavailable
 	}
-	return x.stopAndCopy(mv, source, first.Handle)
+	return first.Handle, msg.MoveDone, nil
 }
 
 // errUnavailable reports that the destination of a move has other software than the source, was cordoned, began
@@ -149,6 +162,47 @@
 	return last.Outcome, err
 }
 
+// errDelivers reports that a connection that had been silent delivers events again.
+var errDelivers = errors.New("the connection of the stream delivers events again")
+
+// moveSilent moves a generation whose connection delivers nothing, so that the end of its stream does not
+// arrive either. The connection is closed only after the source has confirmed that the generation does not
+// run there any more, and a copy exists: otherwise the generation could run twice, or be lost.
+func (x *exchange) moveSilent(mv *activeMove, source *forward.Attempt) (msg.MoveOutcome, error) {
+	before := x.eventCount()
+	handle, outcome, err := x.copyRunning(mv, source)
+	if handle == "" {
+		return outcome, err
+	}
+	if x.eventCount() != before {
+		x.server.dropCopy(source.Entry.Address, handle)
+		return msg.MoveEnded, errDelivers
+	}
+	uncancelled := context.WithoutCancel(x.ctx)
+	for range maxStopCalls {
+		var last CopyResult
+		last, err = x.server.copyGeneration(uncancelled, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
+		if x.ctx.Err() != nil {
+			x.server.dropCopy(source.Entry.Address, cmp.Or(last.Handle, handle))
+			return msg.MoveEnded, x.ctx.Err()
+		}
+		if err == nil && last.Outcome != msg.MoveFailed {
+			x.redirect(mv, source, cmp.Or(last.Handle, handle), last.Outcome)
+			x.closeConn(source)
+			return last.Outcome, nil
+		}
+		sleep(x.ctx, stopInterval)
+	}
+	x.server.dropCopy(source.Entry.Address, handle)
+	return msg.MoveFailed, err
+}
+
+// eventCount returns the number of events that the caller has got, or that are buffered for it.
+func (x *exchange) eventCount() (events int) {
+	x.server.decide(func(time.Time, *forward.Gate) { events = x.call.Events })
+	return events
+}
+
 // redirect makes the call continue from the copy: at the destination, with the source as the
 // fallback, or at the source if the destination had no room.
 func (x *exchange) redirect(mv *activeMove, source *forward.Attempt, handle string, o msg.MoveOutcome) {
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -98,26 +98,19 @@
 	}
 }
 
-// resumeElsewhere continues a generation, whose connection has fallen silent, on another
-// upstream. The generation is stopped over a new connection, so that it never runs twice, and
-// resumed from its copy.
+// resumeElsewhere continues a generation, whose connection has fallen silent, on another upstream. The
+// generation is stopped over a new connection, so that it never runs twice, and resumed from its copy.
 func (x *exchange) resumeElsewhere(a *forward.Attempt) {
 	order := msg.MoveOrder{Pool: x.call.Pool, Attempt: x.call.ID, From: a.Entry.ID}
 	x.server.decide(func(now time.Time, g *forward.Gate) {
 		if u := g.MoveTarget(now, x.call); u != nil {
-			order.To, order.ToAddress = u.ID, u.Address
+			order.To, order.ToAddress, order.ToDataCentre, order.ToSoftware = u.ID, u.Address, u.DataCentre, u.Software
 		}
 	})
 	if order.To == "" {
 		return
 	}
-	mv, source := x.beginMove(order)
-	if source == nil {
-		return
+	if mv, source := x.beginMove(order); source != nil {
+		x.runMove(mv, source, x.moveSilent)
 	}
-	x.runMove(mv, source, func(mv *activeMove, source *forward.Attempt) (msg.MoveOutcome, error) {
-		outcome, err := x.stopAndCopy(mv, source, "")
-		x.closeConn(source) // the end of the stream does not arrive on this connection either
-		return outcome, err
-	})
 }
--- a/internal/proctest/hosted_silence_test.go
+++ b/internal/proctest/hosted_silence_test.go
@@ -16,6 +16,20 @@
 // receive every event once, after a pause of a second or two.
 func TestHostedGenerationsSurviveSilentConnections(t *testing.T) {
 	t.Parallel()
+	surviveSilentConnections(t, hosting.None)
+}
+
+// The engine behind the silent connections stops a generation as ordered, but its response is lost. The
+// generation must continue from a copy that was made before.
+func TestHostedSilentConnectionsAndALostResponseToTheStop(t *testing.T) {
+	t.Parallel()
+	surviveSilentConnections(t, hosting.LostMove)
+}
+
+// surviveSilentConnections silences the connections of an engine with a fault, and checks that all generations
+// are complete.
+func surviveSilentConnections(t *testing.T, fault hosting.Fault) {
+	t.Helper()
 	const eventInterval = 60 * time.Millisecond
 	f := newFixture(t)
 	k, link, err := f.AddBehindRelay("behind-relay", hosting.Pool, func(k *hosting.Worker) {
@@ -25,6 +39,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(link.Close)
+	k.SetFault(fault)
 	time.Sleep(500 * time.Millisecond) // instances confirm the list of upstreams twice a second
 	const generations = 15
 	results := make([]result, generations)
