forward: a moved generation is resumed after a failed dial

Cause: a generation that had been stopped was given up if the dial to the last upstream with its memory failed, which a silence of 0.7 s suffices for.

Change: that upstream is dialled again, up to the limit of dials of a call. TestAFailedMoveDoesNotRestartTheGeneration wanted the end after the first failed dial; it wants now that each further attempt is for the copy, and the end after the limit.

--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -157,6 +157,10 @@
 	a := c.current
 	c.current = nil
 	g.recordOutcome(now, c, a, o)
+	if o == NotSent && a.CopyAt != "" && c.dials < maxDials-1 {
+		c.dials++
+		c.resumeTargets = append(c.resumeTargets, &Attempt{Upstream: a.Upstream, CopyAt: a.CopyAt})
+	}
 	if len(c.resumeTargets) > 0 && o != Done && o != Cancelled {
 		c.mayHaveRun = true
 		return g.resume(now, c)
