standin: upstreams fall silent and go on, old reports, copies queue

Cause: no stand-in upstream could be silent for a time and be sound after it, and engines were friendlier than real ones: reports were current and copies of one engine did not wait for each other.

Change: standin.Server has Stall (neither accepts, reads nor writes; work stands still) and CutOff (work goes on, nothing is delivered, all of it arrives after the end, on connections that were open after a further delay). Worker has Stall, CutOff, ReportLag and QueueCopies; the defaults are as before.

--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
+	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +23,16 @@
 	// stopped is closed when the generation stops at this upstream.
 	stopped chan struct{}
 	once    sync.Once
+	// started and ended are when it began and ended at this upstream, and produced when it produced each event
+	// there. They are for load reports.
+	started, ended time.Time
+	produced       []time.Time
+}
+
+// at returns whether the generation ran at a time, and the number of events that it had produced by then.
+func (g *generation) at(t time.Time) (runs bool, events int) {
+	after := len(g.produced) - sort.Search(len(g.produced), func(k int) bool { return g.produced[k].After(t) })
+	return !g.started.After(t) && (g.ended.IsZero() || g.ended.After(t)), g.events - after
 }
 
 func (g *generation) stop() { g.once.Do(func() { close(g.stopped) }) }
@@ -76,12 +88,14 @@
 		w.withLock(a, func() { a.CallerLeft = true })
 		return
 	}
-	gen := &generation{id: a.ID, events: received, stopped: make(chan struct{})}
+	gen := &generation{id: a.ID, events: received, stopped: make(chan struct{}), started: time.Now()}
 	w.withLock(a, func() {
 		w.generations[a.ID] = gen
+		w.reported = append(w.reported, gen)
 		w.stateSpeed(rw.Header())
 	})
 	defer w.withLock(a, func() {
+		gen.ended = time.Now()
 		if w.generations[a.ID] == gen {
 			delete(w.generations, a.ID)
 		}
@@ -98,6 +112,7 @@
 			w.withLock(a, func() { a.CallerLeft = true })
 			return
 		}
+		w.server.AwaitStall()
 		if w.crashOn(w, a.Header) {
 			panic(http.ErrAbortHandler)
 		}
@@ -106,7 +121,10 @@
 			_ = flush.Flush()                             // an error means that the caller has disconnected
 			panic(http.ErrAbortHandler)
 		}
-		w.withLock(a, func() { gen.events, a.Events = n, a.Events+1 })
+		w.withLock(a, func() {
+			gen.events, a.Events = n, a.Events+1
+			gen.produced = append(gen.produced, time.Now())
+		})
 		w.limitUnread(flush)
 		if _, err := io.WriteString(rw, w.event(a.ID, n)); err != nil {
 			w.cutUnread(a, err)
@@ -198,10 +216,10 @@
 	}
 	if m.Last {
 		gen.stop()
-	} else {
-		time.Sleep(w.CopyTime)
 	}
 	handle := "copy-" + m.ID
+	w.transfer(handle, m.Last)
+	to.server.AwaitStall()
 	to.storeCopy(handle, gen)
 	w.mu.Lock()
 	w.copiesSent[handle] = to
@@ -217,6 +235,30 @@
 	_ = json.NewEncoder(rw).Encode(map[string]any{"handle": handle, "created_rev": events}) // an error means that the caller has disconnected
 }
 
+// remainderShare is the part of the time of a copy that the copy of what is new since an earlier one takes.
+const remainderShare = 0.1
+
+// transfer waits as long as a copy takes. With QueueCopies, it waits for other copies before.
+func (w *Worker) transfer(handle string, last bool) {
+	if !w.QueueCopies {
+		if !last {
+			time.Sleep(w.CopyTime)
+		}
+		return
+	}
+	w.mu.Lock()
+	repeated := w.copiesSent[handle] != nil
+	w.mu.Unlock()
+	w.copying.Lock()
+	defer w.copying.Unlock()
+	if d := float64(w.CopyTime); repeated {
+		time.Sleep(time.Duration(remainderShare * d))
+	} else {
+		time.Sleep(w.CopyTime)
+	}
+	w.server.AwaitStall()
+}
+
 // storeCopy stores a copy of a generation, unless the fault NoCopies is set.
 func (w *Worker) storeCopy(handle string, gen *generation) {
 	w.mu.Lock()
@@ -263,17 +305,20 @@
 	return len(w.copies)
 }
 
-// serveReport responds with the load report: the state and the generations in progress.
+// serveReport responds with the load report: the state and the generations in progress, as of ReportLag ago.
 func (w *Worker) serveReport(rw http.ResponseWriter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stateSpeed(rw.Header())
 	rw.Header().Set("Content-Type", "application/json")
-	runs := [][]any{}
-	for _, g := range w.generations {
-		runs = append(runs, []any{g.id, promptTokens + g.events, g.events, 5})
+	runs, asOf := [][]any{}, time.Now().Add(-w.ReportLag)
+	w.reported = slices.DeleteFunc(w.reported, func(g *generation) bool { return !g.ended.IsZero() && g.ended.Before(asOf) })
+	for _, g := range w.reported {
+		if running, events := g.at(asOf); running {
+			runs = append(runs, []any{g.id, promptTokens + events, events, 5})
+		}
 	}
 	_ = json.NewEncoder(rw).Encode(map[string]any{
-		"running": len(w.generations), "waiting": 0, "state": w.reportedState(), "runs": runs,
+		"running": len(runs), "waiting": 0, "state": w.reportedState(), "runs": runs,
 	}) // an error means that the caller has disconnected
 }
--- a/internal/standin/hosting/plain.go
+++ b/internal/standin/hosting/plain.go
@@ -26,6 +26,7 @@
 		w.withLock(a, func() { a.CallerLeft = true })
 		return
 	}
+	w.server.AwaitStall()
 	body := Body(a.ID, w.ID)
 	w.stateLoad(rw.Header())
 	switch fault {
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -102,6 +102,11 @@
 	UnreadLimit time.Duration
 	// CopyTime is the duration of a copy that does not stop the generation.
 	CopyTime time.Duration
+	// QueueCopies makes copies wait for each other, as on the link of an engine. A copy that stops the generation
+	// then takes time, too.
+	QueueCopies bool
+	// ReportLag is the age of what the load report says about generations.
+	ReportLag time.Duration
 
 	// Brittle limits the places of a plain service; nil means no limit. It must be set before the start.
 	Brittle *Brittle
@@ -117,6 +122,9 @@
 	listedAddress string
 	table         *Table
 
+	// copying is held by the copy that uses the link.
+	copying sync.Mutex
+
 	mu    sync.Mutex
 	fault Fault
 	state string
@@ -126,6 +134,7 @@
 	arrivals      []*Arrival
 	generations   map[string]*generation // in progress, by attempt id
 	copies        map[string]*generation // received and not yet resumed, by handle
+	reported      []*generation          // in progress, or ended a short time ago
 	// copiesSent maps the handles of the copies that this upstream sent to the
 	// upstreams that store them.
 	copiesSent map[string]*Worker
@@ -158,6 +167,12 @@
 // Address returns the address at which instances connect to the upstream.
 func (w *Worker) Address() string { return w.listedAddress }
 
+// Stall makes the upstream stand still for a duration from now on: it neither reads, works nor writes.
+func (w *Worker) Stall(d time.Duration) { w.server.Stall(d) }
+
+// CutOff cuts the upstream off from all instances for a duration from now on; see standin.Server.
+func (w *Worker) CutOff(d, late time.Duration) { w.server.CutOff(d, late) }
+
 // SetFault sets the fault of the requests that arrive from now on.
 func (w *Worker) SetFault(f Fault) {
 	w.mu.Lock()
@@ -204,6 +219,7 @@
 	t := time.NewTicker(every)
 	defer t.Stop()
 	for {
+		w.server.AwaitStall()
 		w.table.Put("servers", w.ID, w.listRow())
 		select {
 		case <-w.stop:
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -19,6 +19,8 @@
 	// to the system.
 	sendBuffer int
 
+	link link
+
 	mu     sync.Mutex
 	server *http.Server
 }
@@ -44,19 +46,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.address = ln.Addr().String()
-	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: 10 * time.Second, ConnContext: s.limitSendBuffer}
-	go func(srv *http.Server) { _ = srv.Serve(ln) }(s.server) // returns after Close
+	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: 10 * time.Second}
+	tcp := ln.(*net.TCPListener)
+	go func(srv *http.Server) {
+		_ = srv.Serve(&linkListener{TCPListener: tcp, link: &s.link, sendBuffer: s.sendBuffer}) // returns after Close
+	}(s.server)
 	return nil
 }
 
-// limitSendBuffer sets the size of a connection's send buffer.
-func (s *Server) limitSendBuffer(ctx context.Context, c net.Conn) context.Context {
-	if tcp, ok := c.(*net.TCPConn); ok && s.sendBuffer > 0 {
-		_ = tcp.SetWriteBuffer(s.sendBuffer) // fails only on a closed connection
-	}
-	return ctx
-}
-
 // Address returns the server's address as host:port.
 func (s *Server) Address() string {
 	s.mu.Lock()
