--- a/internal/proctest/hosted_world_test.go
+++ b/internal/proctest/hosted_world_test.go
@@ -50,14 +50,23 @@
 // newFixtureOfBuild does the same as newFixture with all instances of one build. If build is "",
 // the instances alternate between the build under test and the build of -proctest.other.
 func newFixtureOfBuild(t *testing.T, build string) *fixture {
+	t.Helper()
+	return newFixtureWith(t, build, func(*hosting.World) {}, func(*hosting.Worker) {})
+}
+
+// newFixtureWith does the same as newFixtureOfBuild; prepare changes the platform before the first configuration,
+// and engine each engine before its start.
+func newFixtureWith(t *testing.T, build string, prepare func(*hosting.World), engine func(*hosting.Worker)) *fixture {
 	t.Helper()
 	base := hosting.NewWorld(t.TempDir())
 	t.Cleanup(base.Close)
+	prepare(base)
 	f := &fixture{World: base, builds: builds{fixed: build}}
 	base.Configure(nil)
 	for k := range poolUpstreams {
 		f.pool = append(f.pool, f.addUpstream(t, fmt.Sprintf("engine-%d", k), hosting.Pool, func(w *hosting.Worker) {
 			w.EventEvery, w.EventCount, w.CopyTime = 25*time.Millisecond, streamEvents, 30*time.Millisecond
+			engine(w)
 		}))
 	}
 	for k := range deskUpstreams {
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -103,15 +103,20 @@
 	rw.Header().Set("Content-Type", "text/event-stream")
 	rw.Header().Set("Response-Seal", "seal-"+a.ID)
 	flush := http.NewResponseController(rw)
+	before := w.EventEvery
+	if !a.Resumed {
+		before += w.Prefill
+	}
 	for n := received + 1; n <= w.EventCount; n++ {
 		select {
-		case <-time.After(time.Duration(w.slowdown() * float64(w.EventEvery))):
+		case <-time.After(time.Duration(w.slowdown() * float64(before))):
 		case <-gen.stopped:
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			w.withLock(a, func() { a.CallerLeft = true })
 			return
 		}
+		before = w.EventEvery
 		w.server.AwaitStall()
 		if w.crashOn(w, a.Header) {
 			panic(http.ErrAbortHandler)
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -92,6 +92,8 @@
 	Work time.Duration
 	// EventEvery is the time between two events of a stream.
 	EventEvery time.Duration
+	// Prefill is the time before the first event of a generation that does not resume from a copy.
+	Prefill time.Duration
 	// EventCount is the number of events of a generation. 0 makes the upstream a plain
 	// service.
 	EventCount int
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -65,6 +65,9 @@
 	// ColdPerS is the rate, in requests per second, that an upstream sustains while it is
 	// cold. 0 means no limit. It must be set before Add, AddBehindRelay and Configure.
 	ColdPerS float64
+	// RetryBudgetSlack is the number of retries in the retry budget's window beyond the share of requests. It
+	// must be set before the first call of Machine or MachineIn.
+	RetryBudgetSlack int
 }
 
 // maxSeeds is the maximum number of seed addresses in a settings file.
@@ -72,7 +75,7 @@
 
 // NewWorld returns a platform with an empty table store. Settings files are written to dir.
 func NewWorld(dir string) *World {
-	return &World{Table: NewTable(), Dir: dir, Zones: map[string]string{DefaultZone: DefaultRegion}}
+	return &World{Table: NewTable(), Dir: dir, Zones: map[string]string{DefaultZone: DefaultRegion}, RetryBudgetSlack: 100}
 }
 
 // Close stops the table store and the upstreams.
@@ -268,7 +271,7 @@
 	if err != nil {
 		return Machine{}, err
 	}
-	text := fmt.Sprintf(settingsText, name, ip, zone, w.Zones[zone], zones, m.Callers, m.Ready, m.Entries, control, seeds, ports[3], ports[3]+1, ApplyWithin.Milliseconds(), RevokeWithin.Milliseconds(), store.Address())
+	text := fmt.Sprintf(settingsText, name, ip, zone, w.Zones[zone], zones, m.Callers, m.Ready, m.Entries, control, seeds, ports[3], ports[3]+1, ApplyWithin.Milliseconds(), RevokeWithin.Milliseconds(), w.RetryBudgetSlack, store.Address())
 	return m, os.WriteFile(m.Settings, []byte(text), 0o600)
 }
 
@@ -293,7 +296,7 @@
   revoke_ms: %d
   retry_budget_ratio: 0.2
   budget_window_s: 10
-  retry_budget_slack: 100
+  retry_budget_slack: %d
   ttl_max_s: 5
 platform: {address: %q, form: "table"}
 `
