--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/forward"
@@ -46,7 +47,13 @@
 		return // the next query is due later
 	}
 	if err != nil {
-		s.log.Info("silent_upstream_unreachable", "address", address, "streams", len(silent), "error", err)
+		s.decide(func(time.Time, *forward.Gate) {
+			for _, r := range silent {
+				r.exchange.call.QueryFailed(r.attempt)
+			}
+		})
+		s.metrics.Count("silent_streams_total", "no_report")
+		s.log.Info("silent_upstream_unreachable", "address", address, "streams", len(silent), "requests", requestIDs(silent), "error", err)
 		return
 	}
 	if report.Events == nil {
@@ -57,46 +64,53 @@
 	}
 }
 
+// maxLoggedRequests bounds the ids in one log line.
+const maxLoggedRequests = 8
+
+// requestIDs returns the ids of the requests of silent streams as they are logged.
+func requestIDs(silent []silentAttempt) string {
+	var ids []string
+	for _, r := range silent[:min(len(silent), maxLoggedRequests)] {
+		ids = append(ids, r.exchange.call.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // handleSilent compares a silent stream with its upstream's report and acts on the finding.
 func (s *server) handleSilent(r silentAttempt, sentAt time.Time, report Report) {
 	events, listed := report.Events[r.exchange.call.ID]
 	var finding forward.Finding
 	var forwarded int
-	s.decide(func(_ time.Time, g *forward.Gate) {
-		forwarded = r.exchange.call.Events
-		finding = g.Diagnose(r.exchange.call, r.attempt, sentAt, forward.RunReport{Listed: listed, Events: events, Waiting: report.Waiting})
+	var silentFor, took time.Duration
+	s.decide(func(now time.Time, g *forward.Gate) {
+		forwarded, silentFor, took = r.exchange.call.Events, r.exchange.call.SilentFor(now), now.Sub(sentAt)
+		finding = g.Diagnose(now, r.exchange.call, r.attempt, sentAt, forward.RunReport{Listed: listed, Events: events, Waiting: report.Waiting})
+		if finding == forward.FindingLost && r.exchange.conn != nil {
+			r.exchange.conn.Close() // no event can be recorded between the finding and the end
+		}
 	})
 	s.metrics.Count("silent_streams_total", string(finding))
 	s.log.Info("stream_silent", "request", r.exchange.call.ID, "upstream", r.attempt.Entry.ID, "finding", finding,
-		"listed", listed, "made", events, "passed_on", forwarded, "waiting_there", report.Waiting)
-	switch finding {
-	case forward.FindingLinkSilent:
+		"listed", listed, "made", events, "passed_on", forwarded, "waiting_there", report.Waiting,
+		"silent_for", silentFor.Round(time.Millisecond), "report_took", took.Round(time.Millisecond))
+	if finding == forward.FindingLinkSilent {
 		r.exchange.resumeElsewhere(r.attempt)
-	case forward.FindingLost:
-		r.exchange.closeConn(r.attempt)
 	}
 }
 
-// resumeElsewhere continues a generation, whose connection has fallen silent, on another
-// upstream. The generation is stopped over a new connection, so that it never runs twice, and
-// resumed from its copy.
+// resumeElsewhere continues a generation, whose connection has fallen silent, on another upstream. The
+// generation is stopped over a new connection, so that it never runs twice, and resumed from its copy.
 func (x *exchange) resumeElsewhere(a *forward.Attempt) {
 	order := msg.MoveOrder{Pool: x.call.Pool, Attempt: x.call.ID, From: a.Entry.ID}
 	x.server.decide(func(now time.Time, g *forward.Gate) {
 		if u := g.MoveTarget(now, x.call); u != nil {
-			order.To, order.ToAddress = u.ID, u.Address
+			order.To, order.ToAddress, order.ToDataCentre, order.ToSoftware = u.ID, u.Address, u.DataCentre, u.Software
 		}
 	})
 	if order.To == "" {
 		return
 	}
-	mv, source := x.beginMove(order)
-	if source == nil {
-		return
+	if mv, source := x.beginMove(order); source != nil {
+		x.runMove(mv, source, x.moveSilent)
 	}
-	x.runMove(mv, source, func(mv *activeMove, source *forward.Attempt) (msg.MoveOutcome, error) {
-		outcome, err := x.stopAndCopy(mv, source, "")
-		x.closeConn(source) // the end of the stream does not arrive on this connection either
-		return outcome, err
-	})
 }
