hosted: a reason on each request that ends without a complete answer

Cause: `request_ended outcome=cut` stood for four ends, `caller_left` for a caller that closed, was lost on the way or read nothing, and for this process closing the connection. A handler that panicked left no line with the request's id, a request whose process ended none at all, and an answer whose write failed counted as done.

Change: `request_ended` has `reason`, `attempt_outcome`, `upstream_at_work` and `left` for these ends, and incomplete_responses_total counts them by reason; the outcome words stay. The handler logs a panic with its id and stack and aborts the connection as before. net/http reports to the log. Serve logs the requests in progress as it ends, at most 100 one by one. No decision changes, except that an answer whose write failed ends as caller_left instead of done; its connection was closed before, too.

--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -152,7 +152,7 @@
 		return
 	}
 	if _, err := x.w.Write(h.body); err != nil {
-		x.lastErr = err
+		x.lastErr, x.writeErr = err, err
 	}
 }
 
--- a/internal/hosted/callerconn.go
+++ b/internal/hosted/callerconn.go
@@ -47,6 +47,10 @@
 	patience atomic.Int64
 	// aborted is set to make the write in progress and all further ones fail.
 	aborted atomic.Bool
+	// readErr is the first error of a read, nil before.
+	readErr atomic.Pointer[error]
+	// paused is set once the kernel was told to tolerate a pause of the caller.
+	paused atomic.Bool
 	// poll, fds and full belong to writable.
 	poll func(fd uintptr)
 	fds  [1]unix.PollFd
@@ -67,6 +71,25 @@
 
 func (c *callerConn) setPatience(d time.Duration) { c.patience.Store(int64(d)) }
 
+// Read implements net.Conn. It keeps the error that ends the connection: net/http only cancels the request.
+// It interrupts its own reads by a deadline, which ends nothing.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		first := err
+		c.readErr.CompareAndSwap(nil, &first)
+	}
+	return n, err
+}
+
+// readError returns the first error of a read, or nil.
+func (c *callerConn) readError() error {
+	if err := c.readErr.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
 // Write implements net.Conn.
 func (c *callerConn) Write(b []byte) (written int, err error) {
 	progress := time.Now()
@@ -98,6 +121,7 @@
 // toleratePause keeps the kernel from closing the connection of a caller that is alive and does not
 // read: for the acknowledgement timeout, a closed window counts like a lost peer.
 func (c *callerConn) toleratePause(patience time.Duration) {
+	c.paused.Store(true)
 	if c.socket == nil {
 		return
 	}
--- /dev/null
+++ b/internal/hosted/ends_internal_test.go
@@ -0,0 +1,201 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"mulberrylug.example/mulberrylug/internal/boottime"
+	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/metrics"
+)
+
+// namingWire decodes nothing but a request's id.
+type namingWire struct{ copyNothing }
+
+func (namingWire) Request(r *http.Request) forward.Request {
+	return forward.Request{ID: r.Header.Get("Attempt-Id"), Path: r.URL.Path}
+}
+
+// count returns the counter of a label in a group.
+func count(m *metrics.Metrics, group, label string) string {
+	rec := httptest.NewRecorder()
+	m.ServeHTTP(rec, nil)
+	_, rest, _ := strings.Cut(rec.Body.String(), fmt.Sprintf("%q: {", group))
+	rest, _, _ = strings.Cut(rest, "}")
+	_, rest, _ = strings.Cut(rest, fmt.Sprintf("%q: ", label))
+	n, _, _ := strings.Cut(rest, ",")
+	return n
+}
+
+// A handler that panics closes its caller's connection. Without a line and a counter, such a request could not be
+// told from one that never arrived.
+func TestAPanicOfAHandlerIsLogged(t *testing.T) {
+	var out bytes.Buffer
+	m := metrics.NewMetrics()
+	log := hclog.New(&hclog.LoggerOptions{Output: &out})
+	// Without a gate, admission dereferences nil.
+	s := &server{wire: namingWire{}, metrics: m, log: log, memory: newMemoryAccount(0, m, log)}
+	h := httptest.NewUnstartedServer(s)
+	h.Config.ErrorLog = newServerLog("callers", log, m)
+	h.Start()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, h.URL+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Attempt-Id", "p1")
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		resp.Body.Close()
+		t.Errorf("status %d, want the connection closed", resp.StatusCode)
+	}
+	h.Close()
+	for _, want := range []string{"request=p1", "outcome=panicked", "reason=panic", "nil pointer", "forward.(*Gate).Admit@admit.go:"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the log lacks %q:\n%s", want, out.String())
+		}
+	}
+	if strings.Count(out.String(), "\n") != 1 {
+		t.Errorf("logged, want one line:\n%s", out.String())
+	}
+	if n := count(m, "incomplete_responses_total", "panic"); n != "1" {
+		t.Errorf("counted %q, want 1", n)
+	}
+}
+
+// The HTTP servers report what goes wrong outside of handlers to their error log. Without it, the messages would
+// stand between the lines of the log, without a form and a bound.
+func TestMessagesOfHTTPServersAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	m := metrics.NewMetrics()
+	l := newServerLog("callers", hclog.New(&hclog.LoggerOptions{Output: &out}), m)
+	l.Printf("http: panic serving 127.0.0.1:1: x\ngoroutine 7 [running]:\n%s", strings.Repeat("y", 9000))
+	l.Print(strings.Repeat("z", 9000))
+	if text := out.String(); strings.Count(text, "\n") != 2 || len(text) > 2*maxServerMessage+400 ||
+		!strings.Contains(text, `http_server: listener=callers message="http: panic serving 127.0.0.1:1: x"`) {
+		t.Errorf("logged, want two bounded lines:\n%s", text)
+	}
+	if n := count(m, "http_server_messages_total", "callers"); n != "2" {
+		t.Errorf("counted %q, want 2", n)
+	}
+}
+
+// The ends of a response whose head was delivered. Under one reason, a connection that this instance closed itself
+// could not be told from one that the upstream broke off.
+func TestReasonsOfCutResponses(t *testing.T) {
+	wrapped := func(err error) error {
+		return fmt.Errorf("read stream after 3 events: %w", &net.OpError{Op: "read", Err: err})
+	}
+	closed := make(chan struct{})
+	close(closed)
+	for _, c := range []struct {
+		x      *exchange
+		why    forward.Reason
+		want   endReason
+		atWork string
+	}{
+		{&exchange{outcome: forward.Cut, lastErr: wrapped(io.ErrUnexpectedEOF)}, forward.Unrepeatable, endUpstreamBrokeOff, "no"},
+		{&exchange{outcome: forward.Cut, lastErr: wrapped(syscall.ECONNRESET)}, forward.Unrepeatable, endUpstreamBrokeOff, "no"},
+		{&exchange{outcome: forward.Cut, lastErr: wrapped(syscall.ETIMEDOUT)}, forward.Unrepeatable, endUpstreamUnreachable, "unknown"},
+		{&exchange{outcome: forward.Cut, lastErr: wrapped(net.ErrClosed)}, forward.Unrepeatable, endAttemptClosed, "yes"},
+		{&exchange{outcome: forward.Cut, lastErr: wrapped(net.ErrClosed), moving: true}, forward.Unrepeatable, endMoving, "unknown"},
+		{&exchange{outcome: forward.Cut, lastErr: wrapped(errEventTooLarge)}, forward.Unrepeatable, endEventTooLarge, "no"},
+		{&exchange{outcome: forward.Cut, lastErr: wrapped(net.ErrClosed), convicted: closed}, forward.Crashes, endConvicted, "yes"},
+		{&exchange{outcome: forward.Cancelled, lastErr: wrapped(net.ErrClosed)}, forward.OutOfTime, endOutOfTime, "yes"},
+	} {
+		if c.x.convicted == nil {
+			c.x.convicted = make(chan struct{})
+		}
+		got := c.x.cutReason(forward.Step{Abort: true, Why: c.why})
+		if atWork := c.x.upstreamAtWork(got); got != c.want || atWork != c.atWork {
+			t.Errorf("%s, %v, why %s: reason %s, upstream at work %s; want %s, %s", c.x.outcome, c.x.lastErr, c.why, got, atWork, c.want, c.atWork)
+		}
+	}
+}
+
+// The ends of callers' connections. A caller whose connection was lost on the way, or closed by this process, must
+// not look like one that has left.
+func TestReasonsOfCallersConnections(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want endReason
+	}{
+		{io.EOF, endCallerClosed},
+		{io.ErrUnexpectedEOF, endCallerClosed},
+		{&net.OpError{Op: "write", Err: syscall.EPIPE}, endCallerClosed},
+		{&net.OpError{Op: "read", Err: syscall.ECONNRESET}, endCallerReset},
+		{&net.OpError{Op: "read", Err: syscall.ETIMEDOUT}, endCallerUnreachable},
+		{&net.OpError{Op: "read", Err: net.ErrClosed}, endProcess},
+		{fmt.Errorf("%w: %w", errReadsNothing, context.DeadlineExceeded), endCallerReadsNothing},
+		{errors.New("malformed chunked encoding"), ""},
+	} {
+		if got := callerReason(c.err); got != c.want {
+			t.Errorf("%v: %q, want %q", c.err, got, c.want)
+		}
+	}
+}
+
+// The write of a response that has arrived completely fails, because its caller reads nothing. It must not count as
+// answered.
+func TestAResponseThatIsNotWrittenIsNotDone(t *testing.T) {
+	var out bytes.Buffer
+	m := metrics.NewMetrics()
+	s := &server{gate: forward.New(forward.Options{}), metrics: m, log: hclog.New(&hclog.LoggerOptions{Output: &out})}
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	x := &exchange{
+		server: s, w: httptest.NewRecorder(), r: r, ctx: t.Context(), outcome: forward.Done, writeErr: errReadsNothing,
+		call: &forward.Call{Request: forward.Request{ID: "r1"}, Route: &route.Route{}, Deadline: boottime.Now().Add(time.Minute)},
+	}
+	x.out = newOutput(x, true)
+	defer func() {
+		if cause := recover(); cause != http.ErrAbortHandler { //nolint:errorlint // net/http compares in the same way
+			t.Errorf("the handler ended with %v, want the connection aborted", cause)
+		}
+		if !strings.Contains(out.String(), "outcome=caller_left") || !strings.Contains(out.String(), "reason=caller_reads_nothing") {
+			t.Errorf("logged %s", out.String())
+		}
+	}()
+	x.end(forward.Step{End: true})
+}
+
+// A process ends while more requests are in progress than are logged one by one. The lines must fit the queue of
+// the log, and the number of all requests must be told, also of those that are not admitted yet.
+func TestUnfinishedRequestsAreLoggedInBounds(t *testing.T) {
+	var out bytes.Buffer
+	s := &server{gate: forward.New(forward.Options{}), log: hclog.New(&hclog.LoggerOptions{Output: &out}), running: map[string]*exchange{}}
+	s.logUnfinished()
+	if out.Len() > 0 {
+		t.Errorf("logged without a request in progress:\n%s", out.String())
+	}
+	now := boottime.Now()
+	for k := range 2 * maxUnfinishedLines {
+		id := fmt.Sprintf("r%03d", k)
+		s.running[id] = &exchange{call: &forward.Call{
+			Request: forward.Request{ID: id}, Route: &route.Route{Name: "brief"}, Arrived: now.Add(time.Duration(k) * time.Millisecond), Deadline: now.Add(time.Minute),
+		}}
+	}
+	s.handling.Store(2*maxUnfinishedLines + 3)
+	s.logUnfinished()
+	text := out.String()
+	if n := strings.Count(text, "request_unfinished:"); n != maxUnfinishedLines {
+		t.Errorf("%d lines, want %d", n, maxUnfinishedLines)
+	}
+	if !strings.Contains(text, "request=r000 reason=process_ends route=brief") || strings.Contains(text, "request=r199") {
+		t.Error("the oldest requests are not the ones that are logged")
+	}
+	if want := fmt.Sprintf("requests_unfinished: count=%d not_admitted=3 logged=%d", 2*maxUnfinishedLines+3, maxUnfinishedLines); !strings.Contains(text, want) {
+		t.Errorf("the log lacks %q", want)
+	}
+}
--- /dev/null
+++ b/internal/hosted/ends_test.go
@@ -0,0 +1,185 @@
+package hosted_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/hosted"
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
+)
+
+// send opens a connection to the instance and sends bytes.
+func (r *rig) send(t *testing.T, text string) net.Conn {
+	t.Helper()
+	c, err := testkit.DialSlow(r.machine.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// expectEnd waits for the line with which a request ended and checks its fields.
+func (r *rig) expectEnd(t *testing.T, id string, fields ...string) {
+	t.Helper()
+	line := regexp.MustCompile(`request_ended: request=` + id + ` [^\n]*`)
+	var got string
+	testkit.Eventually(t, testTimeout, id+" has ended", func() bool {
+		r.log.mu.Lock()
+		defer r.log.mu.Unlock()
+		got = line.FindString(r.log.buf.String())
+		return got != ""
+	})
+	for _, f := range fields {
+		if !strings.Contains(got+" ", " "+f+" ") {
+			t.Errorf("%s: the line lacks %s:\n%s", id, f, got)
+		}
+	}
+}
+
+// forwarded waits until the caller has received the head and an event of a stream.
+func forwarded(t *testing.T, c net.Conn) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("response %v, error %v", resp, err)
+	}
+	if _, err := io.ReadFull(resp.Body, make([]byte, slowEventBytes)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// steady makes the engine's streams last for seconds.
+func steady(r *rig) { r.engines[0].EventEvery = 30 * time.Millisecond }
+
+// A caller closes or resets its connection, or reads nothing, while its stream goes on. Each leaves another reason, as
+// only the caller explains the first two.
+func TestEndsByCallers(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	mute := r.stream(t, "mute")
+	defer mute.Close()
+	r.expectEnd(t, "mute", "outcome=caller_left", "reason=caller_reads_nothing")
+	closes := r.stream(t, "closes")
+	forwarded(t, closes)
+	closes.(*net.TCPConn).CloseWrite()
+	r.expectEnd(t, "closes", "outcome=caller_left", "reason=caller_closed")
+	resets := r.stream(t, "resets")
+	forwarded(t, resets)
+	if err := resets.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	resets.Close()
+	r.expectEnd(t, "resets", "outcome=caller_left", "reason=caller_reset")
+}
+
+// The connection ends within a body, or the body is not valid. The request was not read, and its line says which.
+func TestEndsWithinABody(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	short := r.send(t, head(http.MethodPost, hosting.PathLookUp, "short", "Content-Length: 9\r\n")+"{}")
+	short.Close()
+	r.expectEnd(t, "short", "outcome=body_not_received", "reason=caller_closed")
+	r.send(t, head(http.MethodPost, hosting.PathLookUp, "chunks", "Transfer-Encoding: chunked\r\n")+"no chunk\r\n")
+	r.expectEnd(t, "chunks", "outcome=body_not_received", "reason=body_malformed")
+}
+
+// An upstream breaks a stream off that may not run twice, and this instance closes the connection of one. The lines
+// must tell them apart: only the first is the upstream's fault.
+func TestEndsByTheUpstreamAndByThisInstance(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	r.engines[0].SetFault(hosting.Cuts)
+	r.stream(t, "cut")
+	r.expectEnd(t, "cut", "outcome=cut", "reason=upstream_broke_off", "attempt_outcome=cut", "upstream_at_work=no", "why=not_repeatable")
+	r.engines[0].SetFault(hosting.None)
+	c := r.stream(t, "closed")
+	forwarded(t, c)
+	if !r.instance.CloseAttempt("closed") {
+		t.Fatal("the stream has no attempt in progress")
+	}
+	r.expectEnd(t, "closed", "outcome=cut", "reason=attempt_closed", "upstream_at_work=yes")
+}
+
+// The deadline passes while the upstream still works, or while a slow caller reads what has arrived. In the second
+// case the upstream is not the reason.
+func TestEndsByTheDeadline(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	c := r.send(t, head(http.MethodPost, hosting.PathDraft, "reads", "Deadline-Ms: 2500\r\nContent-Length: 2\r\n")+"{}")
+	if _, err := readSlowly(c, 100_000); err == nil {
+		t.Error("the slow caller's stream looks complete")
+	}
+	r.expectEnd(t, "reads", "outcome=cut", "reason=out_of_time_in_delivery", "attempt_outcome=done", "upstream_at_work=no")
+	steady(r)
+	c = r.send(t, head(http.MethodPost, hosting.PathDraft, "works", "Deadline-Ms: 600\r\nContent-Length: 2\r\n")+"{}")
+	if _, err := readSlowly(c, 10_000_000); err == nil {
+		t.Error("the stream looks complete at its deadline")
+	}
+	r.expectEnd(t, "works", "outcome=cut", "reason=out_of_time", "attempt_outcome=cancelled", "upstream_at_work=yes")
+}
+
+// The grace period ends while a stream is in progress. Without a line, its request could not be told from one that
+// never arrived.
+func TestEndsWithTheProcess(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, func(s *hosted.Settings) { s.Grace = time.Second })
+	steady(r)
+	c := r.stream(t, "unfinished")
+	forwarded(t, c)
+	r.instance.Drain()
+	testkit.Eventually(t, testTimeout, "the request is logged as unfinished", func() bool {
+		return r.log.has("request_unfinished: request=unfinished reason=process_ends route=draft") && r.log.has("requests_unfinished: count=1 not_admitted=0 logged=1")
+	})
+	if !r.log.has("upstream_at_work=yes upstream=engine-0 attempt=1 responded=true") {
+		t.Error("the line does not tell that the upstream was at work")
+	}
+	r.expectEnd(t, "unfinished", "outcome=caller_left", "reason=process_ends")
+}
+
+// A request with a long body is refused before the body is read. The caller must get the refusal while it still sends,
+// and the connection ends later: net/http waits for half a second before it closes a connection with unread bytes.
+func TestARefusalArrivesBeforeALongBody(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	for _, size := range []int{100 << 10, 1 << 20} {
+		id := fmt.Sprint("long-", size)
+		text := strings.Replace(head(http.MethodPost, hosting.PathLookUp, id, fmt.Sprintf("Content-Length: %d\r\n", size)), hosting.Key, "unknown", 1)
+		c := r.send(t, text+strings.Repeat("x", 70<<10))
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != http.StatusUnauthorized {
+			t.Errorf("%d bytes: response %v, error %v; want the refusal", size, resp, err)
+			continue
+		}
+		r.expectEnd(t, id, "outcome=refused", "reason=unknown_key")
+	}
+}
+
+// Callers' connections beyond the limit wait in the kernel. A request on one is not read, and is served as soon as
+// another connection ends.
+func TestConnectionsBeyondTheLimitWait(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, func(s *hosted.Settings) { s.MaxDescriptors = 202 })
+	first := r.send(t, "")
+	second := r.send(t, head(http.MethodPost, hosting.PathLookUp, "waits", "Content-Length: 2\r\n")+"{}")
+	time.Sleep(500 * time.Millisecond)
+	if len(r.Arrivals()["waits"]) > 0 {
+		t.Fatal("the request on the connection beyond the limit was served")
+	}
+	first.Close()
+	resp, err := http.ReadResponse(bufio.NewReader(second), nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("response %v, error %v after a connection is free", resp, err)
+	}
+}
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -42,6 +42,11 @@
 	// upstreamError is an upstream's error response, held back until a retry is decided.
 	upstreamError *bufferedResponse
 	lastErr       error
+	// outcome is how the last attempt ended, "" before, and moving is set if its generation was being moved
+	// then. writeErr is the error of the write of a buffered response.
+	outcome  forward.Outcome
+	moving   bool
+	writeErr error
 	// grants receives the responses of homes; home is the instance that granted the current
 	// attempt, or "".
 	grants chan msg.GrantResponse
@@ -93,6 +98,7 @@
 	grant := x.call.Grant()
 	x.grant = ""
 	outcome := x.sendAttempt(a)
+	x.noteOutcome(outcome)
 	if outcome != forward.Done {
 		x.awaitMove()
 	}
@@ -137,18 +143,16 @@
 		x.server.refuse(x.w, x.call.Request, *step.Refuse, x.call)
 	case step.Relay:
 		x.writeBuffered(x.upstreamError)
-		x.logEnd("upstream_failure", x.upstreamError.status)
+		x.finish("upstream_failure", x.upstreamError.status)
 	case step.Abort:
-		x.logEnd("cut", 0)
-		panic(http.ErrAbortHandler)
+		x.breakOff("cut", x.cutReason(step), "why", step.Why, "error", x.lastErr)
 	case undelivered != nil && errors.Is(x.ctx.Err(), context.DeadlineExceeded):
-		x.logEnd("cut", 0) // the caller was still reading
-		panic(http.ErrAbortHandler)
+		x.breakOff("cut", x.deadlineReason()) // the caller was still reading
 	case x.callerLeft():
-		x.logEnd("caller_left", 0)
-		panic(http.ErrAbortHandler)
+		reason, err := x.callerReason()
+		x.breakOff("caller_left", reason, "error", err)
 	default:
-		x.logEnd("done", http.StatusOK)
+		x.finish("done", http.StatusOK)
 	}
 }
 
@@ -305,7 +309,8 @@
 // softwareName returns a software version as it is logged.
 func softwareName(software string) string { return cmp.Or(software, "unknown") }
 
-func (x *exchange) logEnd(outcome string, status int) {
+// logEnd logs how a request ended, with further pairs.
+func (x *exchange) logEnd(outcome string, status int, more ...any) {
 	s, took := x.server, time.Since(x.started)
 	ahead, dropped := x.out.readAhead()
 	s.metrics.Count("requests_total", outcome)
@@ -322,5 +327,5 @@
 	if x.choice != (forward.Choice{}) {
 		pairs = append(pairs, "factor", x.choice.Factor, "spread", x.choice.Spread)
 	}
-	s.log.Info("request_ended", pairs...)
+	s.log.Info("request_ended", append(pairs, more...)...)
 }
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -252,6 +252,7 @@
 	i.log.Info("started", "name", i.settings.Name, "data_centre", i.settings.DataCentre,
 		"caller_address", i.settings.CallerAddress, "store", i.settings.StoreAddress,
 		"memory_bytes", i.settings.MemoryBytes, "max_descriptors", i.settings.MaxDescriptors, "without", i.settings.Without, "ways", i.settings.Ways)
+	defer i.server.logUnfinished() // before the context ends, which closes the callers' connections
 	ended := tree.ServeBackground(ctx)
 	select {
 	case <-i.drained:
@@ -275,6 +276,7 @@
 		ln = i.traffic.Listener(ln)
 		server := &http.Server{
 			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+			ErrorLog: newServerLog(l.name, i.log, i.metrics),
 		}
 		if l.name == callersListener {
 			ln = limitConnections(ln, i.settings.MaxDescriptors)
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,9 @@
 	running     map[string]*exchange
 	announcedAt time.Time
 	announcedTo map[string]string
+	// handling counts the requests whose handler runs, also those that are not in running: before they are
+	// admitted, and while it is found out where a stream began.
+	handling atomic.Int64
 	// permits holds where the responses to requests for permits are awaited, by id.
 	permits map[string]chan msg.PermitResponse
 }
@@ -56,7 +60,12 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := s.wire.Request(r)
+	var req forward.Request
+	began := time.Now()
+	s.handling.Add(1)
+	defer s.handling.Add(-1)
+	defer s.onPanic(&req, began)
+	req = s.wire.Request(r)
 	h := s.memory.newHold()
 	defer h.releaseAll()
 	if !h.reserve(memory.Responses, requestBytes) {
@@ -76,9 +85,7 @@
 		return
 	}
 	if err != nil {
-		s.log.Info("request_ended", "request", req.ID, "outcome", "body_not_received", "error", err)
-		s.metrics.Count("requests_total", "body_not_received")
-		panic(http.ErrAbortHandler)
+		s.abortUnreceived(req.ID, began, err)
 	}
 	req.Replayable, req.Length = body.replayable(), r.ContentLength
 	req.Fingerprint ^= xxhash.Sum64(body.data)
