--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -95,6 +95,25 @@
 	r.expectEnd(t, "chunks", "outcome=body_not_received", "reason=body_malformed")
 }
 
+// longBody is the length of a body that is sent on while it arrives.
+const longBody = 1 << 20
+
+// A caller closes its connection within a body that is sent on while it arrives, or stops sending. The first must not
+// count as a failure of the upstream, which waits for the rest, and the second gets its refusal at the deadline.
+func TestEndsWithinALongBody(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	part := fmt.Sprintf("Content-Length: %d\r\n", longBody)
+	c := r.send(t, head(http.MethodPost, hosting.PathBooking, "leaves", part)+strings.Repeat("x", longBody/4))
+	time.Sleep(100 * time.Millisecond)
+	c.Close()
+	r.expectEnd(t, "leaves", "outcome=caller_left", "attempt_outcome=cancelled")
+	c = r.send(t, head(http.MethodPost, hosting.PathBooking, "stalls", part)+strings.Repeat("x", longBody/4))
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("response %v, error %v; want the refusal at the deadline", resp, err)
+	}
+}
+
 // An upstream breaks a stream off that may not run twice, and this instance closes the connection of one. The lines
 // must tell them apart: only the first is the upstream's fault.
 func TestEndsByTheUpstreamAndByThisInstance(t *testing.T) {
@@ -148,18 +167,28 @@
 	r.expectEnd(t, "unfinished", "outcome=caller_left", "reason=process_ends")
 }
 
-// A request with a long body is refused before the body is read. The caller must get the refusal while it still sends,
-// and the connection ends later: net/http waits for half a second before it closes a connection with unread bytes.
+// A request with a long body is refused before the body is read, and the caller reads the refusal while it sends or after
+// it has sent all. The connection must not end before: net/http waits for half a second before it closes one with unread
+// bytes, whose reset may overtake the refusal.
 func TestARefusalArrivesBeforeALongBody(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, 1, nil)
-	for _, size := range []int{100 << 10, 1 << 20} {
-		id := fmt.Sprint("long-", size)
-		text := strings.Replace(head(http.MethodPost, hosting.PathLookUp, id, fmt.Sprintf("Content-Length: %d\r\n", size)), hosting.Key, "unknown", 1)
-		c := r.send(t, text+strings.Repeat("x", 70<<10))
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	for _, c := range []struct {
+		size int
+		all  bool
+	}{{100 << 10, false}, {longBody, false}, {longBody, true}} {
+		id := fmt.Sprintf("long-%d-%v", c.size, c.all)
+		text := strings.Replace(head(http.MethodPost, hosting.PathLookUp, id, fmt.Sprintf("Content-Length: %d\r\n", c.size)), hosting.Key, "unknown", 1)
+		caller := r.send(t, text+strings.Repeat("x", 70<<10))
+		for sent := 70 << 10; c.all && sent < c.size; sent += 70 << 10 {
+			time.Sleep(50 * time.Millisecond)
+			if _, err := io.WriteString(caller, strings.Repeat("x", min(70<<10, c.size-sent))); err != nil {
+				break // the connection was closed, and the refusal must be there
+			}
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
 		if err != nil || resp.StatusCode != http.StatusUnauthorized {
-			t.Errorf("%d bytes: response %v, error %v; want the refusal", size, resp, err)
+			t.Errorf("%s: response %v, error %v; want the refusal", id, resp, err)
 			continue
 		}
 		r.expectEnd(t, id, "outcome=refused", "reason=unknown_key")
@@ -183,3 +212,78 @@
 		t.Errorf("response %v, error %v after a connection is free", resp, err)
 	}
 }
+
+// dropAll replaces everything in a configuration that requests in progress use: their routes, services, keys and
+// organisation.
+func dropAll(c map[string]any) {
+	route := c["routes"].([]map[string]any)[3]
+	route["name"], route["path_prefix"], route["service"] = "other", "/other/", "other"
+	c["routes"] = []map[string]any{route}
+	c["services"] = []map[string]any{{"name": "other", "health_path": "/healthz", "max_conns": 100}}
+	c["tenants"] = []map[string]any{{"name": "org-other", "api_keys": []string{"key-other"}, "priority": 1}}
+}
+
+// Configurations drop and restore what requests in progress use, while these run and are tried again.
+// What is nil then must not end a request: each gets a whole answer or a refusal.
+func TestConfigurationsThatDropWhatRequestsUse(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 2, nil)
+	for _, e := range r.engines {
+		e.EventBytes = 0
+	}
+	r.engines[1].SetFault(hosting.Full)
+	r.add(t, "desk-lost", hosting.Desk, func(k *hosting.Worker) { k.Work = 20 * time.Millisecond }).SetFault(hosting.LostAnswer)
+	type end struct {
+		id, path string
+		err      error
+	}
+	ends := make(chan end)
+	var sent int
+	for round := range 12 {
+		change := dropAll
+		if round%2 == 1 {
+			change = nil
+		}
+		for k, path := range []string{hosting.PathDraft, hosting.PathBrief, hosting.PathLookUp, hosting.PathBooking, hosting.PathDraft, hosting.PathLookUp} {
+			e := end{id: fmt.Sprintf("flip-%d-%d", round, k), path: path}
+			sent++
+			go func() {
+				e.err = r.whole(e.id, e.path)
+				ends <- e
+			}()
+			time.Sleep(15 * time.Millisecond)
+		}
+		version := r.Configure(change)
+		testkit.Eventually(t, testTimeout, "the configuration is in force", func() bool {
+			return r.log.has(fmt.Sprintf("configuration_adopted: version=%d", version))
+		})
+	}
+	for range sent {
+		if e := <-ends; e.err != nil {
+			t.Errorf("%s %s: %v", e.id, e.path, e.err)
+		}
+	}
+	if r.log.has("outcome=panicked") || r.log.has("outcome=cut") {
+		t.Error("a request panicked or was cut off")
+	}
+}
+
+// whole sends a request and returns an error unless it gets a whole answer or a refusal.
+func (r *rig) whole(id, path string) error {
+	c, err := testkit.DialSlow(r.machine.Callers)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, head(http.MethodPost, path, id, "Content-Length: 2\r\n")+"{}"); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return fmt.Errorf("status %d: %w", resp.StatusCode, err)
+	}
+	return nil
+}
