Signals have a defined effect from the first line of main to the exit

Callers of a process that drained got a closed connection, with their bookings running at an upstream, when the settings file changed in the drain: followSettings returned when the drain began and gave SIGHUP its default action back, which ends the process. SIGHUP before the settings were read ended it too, and SIGTERM there made it start and drain.

Settings are followed until the exit. A second SIGTERM on the platform has no effect; the own interface still drains at the first and stops at the second.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -8,10 +8,10 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
+
+	"mulberrylug.example/mulberrylug/internal/lifecycle"
 )
 
 // Exit codes.
@@ -35,11 +35,12 @@
 
 // Main runs the command line and returns the exit code.
 func Main() int {
+	caught := catchSignals()
 	c := subcommands.NewCommander(flag.CommandLine, "mulberrylug")
 	c.Register(c.HelpCommand(), "help")
 	c.Register(c.FlagsCommand(), "help")
 	c.Register(&versionCmd{}, "help")
-	c.Register(&serveCmd{}, "instances")
+	c.Register(&serveCmd{signals: caught}, "instances")
 	c.Register(&drainCmd{}, "instances")
 	c.Register(&statusCmd{}, "instances")
 	c.Register(&explainCmd{}, "instances")
@@ -60,8 +61,11 @@
 	if name := flag.Arg(0); name != "" && !isCommand(c, name) {
 		return int(fail(exitUsage, fmt.Errorf("%q is no command; see mulberrylug help", name)))
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	if flag.Arg(0) != "serve" {
+		caught.follow(lifecycle.Policy{}, effects{stop: stop})
+	}
 	return int(c.Execute(ctx))
 }
 
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,9 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -16,6 +14,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/daemon"
 	"mulberrylug.example/mulberrylug/internal/hosted"
+	"mulberrylug.example/mulberrylug/internal/lifecycle"
 	internalplatform "mulberrylug.example/mulberrylug/internal/platform"
 	"mulberrylug.example/mulberrylug/internal/server"
 	"mulberrylug.example/mulberrylug/platform"
@@ -24,6 +23,7 @@
 // serveCmd runs one instance. The fields metricsPort, without and ways apply only
 // on a hosting platform.
 type serveCmd struct {
+	signals     *signals
 	settings    string
 	metricsPort int
 	without     string
@@ -36,10 +36,12 @@
 	return `serve -settings FILE:
   Run one instance until it is drained or interrupted. An interrupt drains the
   instance: it is removed from the lists of entries and stops once none of its
-  requests is running. A second interrupt stops it at once.
+  requests is running. A second interrupt stops it at once. SIGTERM and SIGHUP
+  are the same as an interrupt.
 
   On a hosting platform that names a settings file in the environment, that file
-  is used; omit -settings there.
+  is used; omit -settings there. SIGHUP reads it again at any time, and a second
+  interrupt has no effect.
 
 `
 }
@@ -73,28 +75,19 @@
 	if err != nil {
 		return fail(exitFailed, err)
 	}
-	running, stop := context.WithCancel(context.Background())
+	running, stop := context.WithCancel(ctx)
 	defer stop()
-	go drainOnSignal(ctx, d, stop)
+	c.signals.follow(lifecycle.Policy{Drains: true, SecondStops: true}, effects{drain: d.Drain, stop: stop})
+	defer c.signals.ended()
+	if !c.signals.started() {
+		return exitOK
+	}
 	if err := d.Serve(running, server.Callers(d), server.Operators(d, p)); err != nil {
 		return fail(exitFailed, err)
 	}
 	return exitOK
 }
 
-// drainOnSignal waits for the first signal, which ends the context first, and
-// drains the instance. At a second signal it stops the instance.
-func drainOnSignal(first context.Context, d *daemon.Daemon, stop func()) {
-	<-first.Done()
-	d.Drain()
-	second := interrupts()
-	select {
-	case <-second:
-		stop()
-	case <-d.Exited():
-	}
-}
-
 // settingsPollInterval is the interval between checks whether the settings file
 // has changed. The platform may change the file without sending a signal.
 const settingsPollInterval = 2 * time.Second
@@ -125,31 +118,39 @@
 		r.Metrics().Count("store_calls_total", purpose)
 		r.Metrics().Observe("store_call_milliseconds", purpose, took)
 	}
-	go func() {
-		<-ctx.Done()
-		r.Drain()
-	}()
-	go followSettings(ctx, path, r, log)
-	if err := r.Serve(context.Background()); err != nil {
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	reload := make(chan struct{}, 1)
+	c.signals.follow(lifecycle.Policy{Drains: true, Reloads: true}, effects{
+		drain: r.Drain, stop: stop,
+		reload: func() {
+			select {
+			case reload <- struct{}{}:
+			default: // a reload is due already
+			}
+		},
+		note: func(s os.Signal, state lifecycle.State, a lifecycle.Action) {
+			log.Info("signal", "signal", s, "state", state, "action", a)
+		},
+	})
+	defer c.signals.ended()
+	r.OnListening = c.signals.started
+	go followSettings(reload, path, r, log)
+	if err := r.Serve(running); err != nil && running.Err() == nil {
 		return fail(exitFailed, err)
 	}
 	return exitOK
 }
 
-// followSettings reloads the settings on SIGHUP and when the file has changed.
-// If the file is invalid, the previous settings stay in force.
-func followSettings(ctx context.Context, path string, r *hosted.Instance, log hclog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// followSettings reloads the settings when reload receives and when the file has changed, until the
+// process ends. If the file is invalid, the previous settings stay in force.
+func followSettings(reload <-chan struct{}, path string, r *hosted.Instance, log hclog.Logger) {
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 	last := modTime(path)
 	for {
 		select {
-		case <-ctx.Done():
-			return
-		case <-hup:
+		case <-reload:
 		case <-t.C:
 			if modTime(path).Equal(last) {
 				continue
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -85,6 +85,9 @@
 	// usageMu guards usage, the measured use of this instance's resources.
 	usageMu sync.Mutex
 	usage   *fleet.Usage
+	// OnListening, if not nil, is called when the listeners are open, before the first request is accepted.
+	// If it returns false, Serve ends. Drain must not be called earlier.
+	OnListening func() bool
 	// drained is closed when draining is complete.
 	drained chan struct{}
 }
@@ -249,6 +252,9 @@
 	for _, t := range i.tasks() {
 		tree.Add(t)
 	}
+	if i.OnListening != nil && !i.OnListening() {
+		return nil
+	}
 	i.log.Info("started", "name", i.settings.Name, "data_centre", i.settings.DataCentre,
 		"caller_address", i.settings.CallerAddress, "store", i.settings.StoreAddress,
 		"memory_bytes", i.settings.MemoryBytes, "max_descriptors", i.settings.MaxDescriptors, "without", i.settings.Without, "ways", i.settings.Ways)
