hosted: a drain waits for all requests that are in progress

What callers saw: a stream was cut as its instance ended, long before the end of the grace period.

Cause: requests in progress were counted by id. Two requests with one id counted as one, and as none once the second had ended; a request that was read and not admitted yet did not count.

Change: the handlers that run are counted.

--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -287,3 +287,27 @@
 	}
 	return nil
 }
+
+// Two requests with one id are in progress, as when a caller tries again with the same id. The end of the second must
+// not hide the first from the drain, which would end the process with it in progress.
+func TestTheSameIDTwiceIsCountedTwice(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, func(s *hosted.Settings) { s.Grace = 20 * time.Second })
+	r.engines[0].EventEvery = 15 * time.Millisecond // lasts longer than the drain of an instance without requests
+	first := r.stream(t, "same")
+	resp, err := http.ReadResponse(bufio.NewReader(first), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := r.stream(t, "same")
+	forwarded(t, second)
+	second.Close()
+	r.expectEnd(t, "same")
+	r.instance.Drain()
+	if n, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Errorf("the first stream ended after %d bytes: %v", n, err)
+	}
+	if r.log.has("requests_unfinished") {
+		t.Error("the process ended with the first request in progress")
+	}
+}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -164,12 +164,8 @@
 	}
 }
 
-// openRequests returns the number of requests in progress.
-func (s *server) openRequests() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.running)
-}
+// openRequests returns the number of requests in progress, including those that are not admitted yet.
+func (s *server) openRequests() int { return int(s.handling.Load()) }
 
 // refuse sends a refusal and logs the state on which it is based; c is nil if the request was not
 // admitted.
