forward, hosted: what else ended a silent stream too soon

- Several calls were given up for the last retry of the budget, and all but one ended with an error.
- A moved stream that may be resumed waited for dials to copies and was then broken off (TestAResumableMovedStreamGoesOnElsewhereAfterFailedDials).
- The first copy of a silent stream had 1.5 s, though the copies of all streams of an engine use its link in turn; it has 4 s.

An upstream is no longer blamed for the end of a stream that was moved.

--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -341,6 +341,25 @@
 	}
 }
 
+// No upstream with a copy of a stream that may be resumed can be dialled. The stream must go on elsewhere after the
+// first failed dial of each, and not wait for them.
+func TestAResumableMovedStreamGoesOnElsewhereAfterFailedDials(t *testing.T) {
+	g := gate(t, 4)
+	c := admit(t, g, request("/resumable/1"))
+	source := g.Start(start, c).Send
+	c.Progress(start, "1")
+	to := g.Roster().Find("u1")
+	if source.Upstream == to {
+		to = g.Roster().Find("u2")
+	}
+	g.Redirect(c, to, "u0:80/copy", &Attempt{Upstream: source.Upstream, CopyAt: "u0:80/copy"})
+	g.Ended(start, c, Cut, true)
+	g.Ended(start, c, NotSent, true)
+	if s := g.Ended(start, c, NotSent, true); s.Send == nil || s.Send.CopyAt != "" {
+		t.Errorf("step %+v after two failed dials, want an attempt elsewhere", s)
+	}
+}
+
 // One of three upstreams of a booking service resets half of its connections while its health
 // checks pass, under 45 requests a second from a dozen instances. A booking whose connection
 // is reset is lost. Other instances report their failures, so this one must avoid the
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/forward/admission"
@@ -214,6 +215,8 @@
 	sends int
 	// dials counts the failed dials.
 	dials int
+	// retryReserved is set while the next retry is counted against the budget and not sent yet.
+	retryReserved bool
 	// mayHaveRun is set after an attempt ended without proof that it did not run.
 	mayHaveRun bool
 	// tried lists the upstreams of all attempts except resumed ones.
@@ -259,6 +262,16 @@
 // were full.
 func (c *Call) Basis() admission.Basis { return c.basis }
 
+// received returns the number of events of the stream that the caller has, also from earlier tries; ok is false
+// if the event after which it takes the stream up has no number.
+func (c *Call) received() (events int, ok bool) {
+	if c.AfterEvent == "" {
+		return c.Events, true
+	}
+	before, err := strconv.Atoi(c.AfterEvent)
+	return before + c.Events, err == nil
+}
+
 // Sends returns the number of attempts so far, without failed dials and resumed attempts.
 func (c *Call) Sends() int { return c.sends }
 
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -128,8 +128,9 @@
 	}
 	g.beginAttempt(c, a)
 	if c.sends > 1 {
-		g.budget(c.Service).addRetry(now)
+		g.reserveRetry(now, c)
 	}
+	c.retryReserved = false
 	return Step{Send: a}
 }
 
@@ -156,8 +157,8 @@
 func (g *Gate) Ended(now time.Time, c *Call, o Outcome, headerDelivered bool) Step {
 	a := c.current
 	c.current = nil
-	g.recordOutcome(now, c, a, o)
-	if o == NotSent && a.CopyAt != "" && c.dials < maxDials-1 {
+	g.recordOutcome(now, c, a, g.blamed(c, o))
+	if o == NotSent && a.CopyAt != "" && !c.Route.Repeatable() && c.dials < maxDials-1 {
 		c.dials++
 		c.resumeTargets = append(c.resumeTargets, &Attempt{Upstream: a.Upstream, CopyAt: a.CopyAt})
 	}
@@ -183,6 +184,15 @@
 	return g.retry(now, c, o, headerDelivered)
 }
 
+// blamed returns the outcome of an attempt as far as its upstream is the reason: the stream of a generation that
+// was moved ends there as ordered, or because this instance has closed its connection.
+func (g *Gate) blamed(c *Call, o Outcome) Outcome {
+	if len(c.resumeTargets) > 0 && !c.resumed && (o == Lost || o == Cut) {
+		return Cancelled
+	}
+	return o
+}
+
 // recordOutcome removes an attempt's load from its upstream and records the outcome there.
 func (g *Gate) recordOutcome(now time.Time, c *Call, a *Attempt, o Outcome) {
 	l := g.load(a.Upstream)
@@ -221,7 +231,7 @@
 		return g.failAttempt(now, c, o, Crashes, headerDelivered)
 	case c.sends >= c.Route.MaxAttempts || g.options.Without.Has(mechanism.Retries) && o != NotSent:
 		return g.failAttempt(now, c, o, NoAttempts, headerDelivered)
-	case o != NotSent && !g.retryAllowed(now, c.Service):
+	case o != NotSent && !g.hasBudget(now, c):
 		return g.failAttempt(now, c, o, NoBudget, headerDelivered)
 	}
 	if c.Events == 0 && !c.TakesUp() {
@@ -234,15 +244,33 @@
 
 // mayRepeat reports whether a call may be sent to another upstream once more.
 func (g *Gate) mayRepeat(now time.Time, c *Call) bool {
-	return c.Route.Repeatable() && c.Replayable && c.sends < c.Route.MaxAttempts && g.retryAllowed(now, c.Service)
+	return c.Route.Repeatable() && c.Replayable && c.sends < c.Route.MaxAttempts && g.hasBudget(now, c)
+}
+
+// hasBudget reports whether the retry budget has room for a retry of a call.
+func (g *Gate) hasBudget(now time.Time, c *Call) bool {
+	return c.retryReserved || g.retryAllowed(now, c.Service)
 }
 
-// MayReplace reports whether a call's attempt that takes long may be given up because another upstream takes
-// the call: without one, the attempt may still bring the response.
-func (g *Gate) MayReplace(now time.Time, c *Call) bool {
-	return g.mayRepeat(now, c) && slices.ContainsFunc(g.candidates(c.Service), func(u *roster.Upstream) bool {
+// reserveRetry counts the next retry of a call against the budget before its attempt is given up. Otherwise several
+// calls could be given up for the last retry, and all but one end.
+func (g *Gate) reserveRetry(now time.Time, c *Call) {
+	if !c.retryReserved {
+		c.retryReserved = true
+		g.budget(c.Service).addRetry(now)
+	}
+}
+
+// Replace reports whether a call's attempt that takes long is to be given up because another upstream takes
+// the call, and reserves its retry: without one, the attempt may still bring the response.
+func (g *Gate) Replace(now time.Time, c *Call) bool {
+	taken := g.mayRepeat(now, c) && slices.ContainsFunc(g.candidates(c.Service), func(u *roster.Upstream) bool {
 		return !slices.Contains(c.tried, u) && g.available(now, c, u)
 	})
+	if taken {
+		g.reserveRetry(now, c)
+	}
+	return taken
 }
 
 // orFailAttempt returns the next step of a call. If that ends a call that was sent before, the call
--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -31,6 +31,8 @@
 	// reports what it did before, and what it has sent on open connections can arrive one and a half
 	// seconds later than on new ones.
 	lossProofShare = 1.0 / 3
+	// minLossProof is the shortest such time.
+	minLossProof = 2 * time.Second
 	// maxReportAge is the greatest age of a report: what began later may be missing in it.
 	maxReportAge = time.Second
 )
@@ -75,6 +77,8 @@
 	// showed events which have not arrived, or did not list the generation; zero if the last report did
 	// not show that, or did not arrive.
 	undeliveredSince, missingSince time.Time
+	// failedAt is when the last query was sent that the upstream has not answered.
+	failedAt time.Time
 }
 
 // begin resets the state at the start of an attempt.
@@ -119,11 +123,11 @@
 	return true
 }
 
-// QueryFailed records that an upstream did not respond to a query about an attempt. It may be silent itself,
-// so that earlier reports are no evidence any more.
-func (c *Call) QueryFailed(a *Attempt) {
+// QueryFailed records that an upstream did not respond to the query about an attempt that was sent at
+// queriedAt. It may be silent itself, so that earlier reports are no evidence any more.
+func (c *Call) QueryFailed(a *Attempt, queriedAt time.Time) {
 	if c.current == a {
-		c.silence.undeliveredSince, c.silence.missingSince = time.Time{}, time.Time{}
+		c.silence.undeliveredSince, c.silence.missingSince, c.silence.failedAt = time.Time{}, time.Time{}, queriedAt
 	}
 }
 
@@ -134,24 +138,33 @@
 // supports moves, else abandoned if it can be resumed at another upstream.
 func (g *Gate) Diagnose(now time.Time, c *Call, a *Attempt, queriedAt time.Time, r RunReport) Finding {
 	s := &c.silence
-	if c.current != a || s.lastEvent.After(queriedAt) {
-		return FindingWaiting // an event has arrived since, or the attempt has ended
+	if c.current != a || s.lastEvent.After(queriedAt) || s.failedAt.After(queriedAt) {
+		return FindingWaiting // an event has arrived since, the upstream was silent since, or the attempt has ended
 	}
-	s.undeliveredSince = heldSince(s.undeliveredSince, queriedAt, r.Listed && r.Events > c.Events)
+	received, known := c.received()
+	s.undeliveredSince = heldSince(s.undeliveredSince, queriedAt, r.Listed && known && r.Events > received)
 	s.missingSince = heldSince(s.missingSince, queriedAt, !r.Listed && r.Waiting == 0)
 	switch {
 	case !s.undeliveredSince.IsZero() && g.canMove(c):
 		return s.conclude(FindingLinkSilent, queriedAt, s.undeliveredSince, linkProof)
 	case !s.undeliveredSince.IsZero() && g.mayRepeat(now, c):
-		return s.conclude(FindingLost, queriedAt, s.undeliveredSince, lossProof(c.Route))
+		return g.orRepeat(now, c, s.conclude(FindingLost, queriedAt, s.undeliveredSince, lossProof(c.Route)))
 	case s.missingSince.IsZero():
 		return FindingWaiting
 	case c.Events == 0 && g.mayRepeat(now, c):
-		return s.conclude(FindingLost, queriedAt, s.missingSince, maxReportAge)
+		return g.orRepeat(now, c, s.conclude(FindingLost, queriedAt, s.missingSince, maxReportAge))
 	}
 	return s.conclude(FindingLost, queriedAt, s.missingSince, lossProof(c.Route))
 }
 
+// orRepeat returns a finding about a call that is repeated if it is lost.
+func (g *Gate) orRepeat(now time.Time, c *Call, f Finding) Finding {
+	if f == FindingLost {
+		g.reserveRetry(now, c)
+	}
+	return f
+}
+
 // heldSince returns since when reports have shown something, given the time before the report that was
 // requested at queriedAt; zero if this one does not show it.
 func heldSince(since, queriedAt time.Time, shown bool) time.Time {
@@ -182,7 +195,7 @@
 
 // lossProof returns for how long reports must miss a stream's generation before the stream is given up.
 func lossProof(r *route.Route) time.Duration {
-	return max(share(lossProofShare, r.Patience()), maxReportAge)
+	return max(share(lossProofShare, r.Patience()), minLossProof)
 }
 
 // canMove reports whether the call's generation can be moved.
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -73,16 +73,16 @@
 	for wait := a.CancelAt.Sub(a.Sent); ; wait = replaceInterval {
 		_ = c.SetReadDeadline(time.Now().Add(wait)) // as above
 		err := c.Await()
-		if !errors.Is(err, os.ErrDeadlineExceeded) || x.mayReplace() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || x.replace() {
 			return err
 		}
 	}
 }
 
-// mayReplace reports whether the current attempt may be given up for another upstream.
-func (x *exchange) mayReplace() (may bool) {
-	x.server.decide(func(now time.Time, g *forward.Gate) { may = g.MayReplace(now, x.call) })
-	return may
+// replace reports whether the current attempt is to be given up for another upstream.
+func (x *exchange) replace() (taken bool) {
+	x.server.decide(func(now time.Time, g *forward.Gate) { taken = g.Replace(now, x.call) })
+	return taken
 }
 
 // forwardResponse forwards the response and returns the attempt's outcome.
@@ -171,7 +171,7 @@
 	x.server.wire.CopyHeaders(x.w.Header(), h.header, h.signed)
 	suppressContentSniffing(x.w.Header())
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
-	x.headSent = true
+	x.markHeadSent()
 	x.w.WriteHeader(h.status)
 	if x.r.Method == http.MethodHead {
 		return
@@ -181,6 +181,11 @@
 	}
 }
 
+// markHeadSent records that the head of a response is being forwarded.
+func (x *exchange) markHeadSent() {
+	x.server.decide(func(time.Time, *forward.Gate) { x.headSent = true })
+}
+
 // forwardLarge forwards the buffered beginning of a response, and then the rest as it arrives.
 func (x *exchange) forwardLarge(resp *http.Response, h *bufferedResponse) (forward.Outcome, error) {
 	x.server.wire.CopyHeaders(x.w.Header(), resp.Header, true)
@@ -188,7 +193,7 @@
 	if resp.ContentLength >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
-	x.headSent = true
+	x.markHeadSent()
 	x.firstByte = time.Since(x.started)
 	x.w.WriteHeader(resp.StatusCode)
 	if _, err := x.out.Write(h.body); err != nil {
--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -34,10 +34,16 @@
 	closing bool
 }
 
-// call makes a call to an upstream, other than a caller's request, on a pooled connection.
+// call makes a call to an upstream, other than a caller's request, on a pooled connection. It takes at most
+// callTimeout.
 func (s *server) call(ctx context.Context, address string, call UpstreamCall) (callResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	return s.callWithin(ctx, address, call)
+}
+
+// callWithin is like call, with the time limit of the context.
+func (s *server) callWithin(ctx context.Context, address string, call UpstreamCall) (callResponse, error) {
 	c, err := s.conns.Get(ctx, address)
 	if err != nil {
 		return callResponse{}, err
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -16,8 +16,13 @@
 	// finalCopyTimeout limits the second copy of a move, for which the generation is stopped at
 	// the source. After it, the first copy is used.
 	finalCopyTimeout = 700 * time.Millisecond
+	// copyTimeout limits the copy of a generation that continues meanwhile, and queuedCopyTimeout that of one
+	// whose connection is silent: all streams of an engine can be, and their copies use its link in turn.
+	copyTimeout       = callTimeout
+	queuedCopyTimeout = 4 * time.Second
 	// maxStopCalls is the maximum number of calls to stop a generation whose connection is silent, and
-	// stopInterval the time between them. With callTimeout for each, they end while the first copy is kept.
+	// stopInterval the time between them. With callTimeout for each, they end while the first copy is kept,
+	// which is for some seconds.
 	maxStopCalls = 3
 	stopInterval = 100 * time.Millisecond
 )
@@ -84,7 +89,7 @@
 // copyThenStop copies the generation's memory while the generation continues, then stops it and
 // copies the remainder, so that the caller waits only for the short second copy.
 func (x *exchange) copyThenStop(mv *activeMove, source *forward.Attempt) (msg.MoveOutcome, error) {
-	handle, outcome, err := x.copyRunning(mv, source)
+	handle, outcome, err := x.copyRunning(mv, source, copyTimeout)
 	if handle == "" {
 		return outcome, err
 	}
@@ -94,8 +99,10 @@
 // copyRunning copies the memory of a generation that continues. It returns no handle if the generation is
 // not to be stopped. It waits for the response even if the generation ends meanwhile: only this response
 // names the copy, which must be freed.
-func (x *exchange) copyRunning(mv *activeMove, source *forward.Attempt) (handle string, outcome msg.MoveOutcome, err error) {
-	first, err := x.server.copyGeneration(context.WithoutCancel(x.ctx), source.Entry.Address, x.call.ID, mv.order.ToAddress, false)
+func (x *exchange) copyRunning(mv *activeMove, source *forward.Attempt, timeout time.Duration) (handle string, outcome msg.MoveOutcome, err error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), timeout)
+	defer cancel()
+	first, err := x.server.copyGeneration(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, false)
 	if x.ctx.Err() != nil && err == nil {
 		x.server.dropCopy(source.Entry.Address, first.Handle)
 		return "", msg.MoveEnded, x.ctx.Err()
@@ -170,7 +177,7 @@
 // run there any more, and a copy exists: otherwise the generation could run twice, or be lost.
 func (x *exchange) moveSilent(mv *activeMove, source *forward.Attempt) (msg.MoveOutcome, error) {
 	before := x.eventCount()
-	handle, outcome, err := x.copyRunning(mv, source)
+	handle, outcome, err := x.copyRunning(mv, source, queuedCopyTimeout)
 	if handle == "" {
 		return outcome, err
 	}
@@ -181,7 +188,9 @@
 	uncancelled := context.WithoutCancel(x.ctx)
 	for range maxStopCalls {
 		var last CopyResult
-		last, err = x.server.copyGeneration(uncancelled, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
+		ctx, cancel := context.WithTimeout(uncancelled, callTimeout)
+		last, err = x.server.copyGeneration(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
+		cancel()
 		if x.ctx.Err() != nil {
 			x.server.dropCopy(source.Entry.Address, cmp.Or(last.Handle, handle))
 			return msg.MoveEnded, x.ctx.Err()
@@ -230,13 +239,13 @@
 	}
 }
 
-// copyGeneration copies a generation's memory once; with final, the generation is stopped first.
+// copyGeneration copies a generation's memory once, within the time limit of the context; with final, the generation is stopped first.
 func (s *server) copyGeneration(ctx context.Context, source, id, to string, final bool) (CopyResult, error) {
 	call, err := s.wire.CopyCall(id, to, final)
 	if err != nil {
 		return CopyResult{Outcome: msg.MoveFailed}, err
 	}
-	got, err := s.call(ctx, source, call)
+	got, err := s.callWithin(ctx, source, call)
 	if err != nil {
 		return CopyResult{Outcome: msg.MoveFailed}, fmt.Errorf("copy generation to %s: %w", to, err)
 	}
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		s.decide(func(time.Time, *forward.Gate) {
 			for _, r := range silent {
-				r.exchange.call.QueryFailed(r.attempt)
+				r.exchange.call.QueryFailed(r.attempt, sentAt)
 			}
 		})
 		s.metrics.Count("silent_streams_total", "no_report")
