hosted: an answer that has begun is not stopped as convicted

What callers saw: a stream could be cut after its first event, as the parts of its prompt were found to crash upstreams.

Cause: whether an answer had begun was checked under the lock, and its connection closed later.

Change: the head is forwarded, and a request stopped, under one lock; the later of the two does nothing.

Measured: TestAnAnswerThatHasBegunIsNotStoppedAsConvicted failed before and passes.

--- a/internal/hosted/ends_internal_test.go
+++ b/internal/hosted/ends_internal_test.go
@@ -199,3 +199,14 @@
 		t.Errorf("the log lacks %q", want)
 	}
 }
+
+// The head of a stream is forwarded after its parts were found convicted and before its connection is closed. A stream
+// that an upstream has begun to answer must go on: the caller would lose it without an answer.
+func TestAnAnswerThatHasBegunIsNotStoppedAsConvicted(t *testing.T) {
+	s := &server{gate: forward.New(forward.Options{}), metrics: metrics.NewMetrics(), log: hclog.NewNullLogger(), running: map[string]*exchange{}}
+	x := &exchange{server: s, convicted: make(chan struct{}), headSent: true, call: &forward.Call{Route: &route.Route{Generation: true}}}
+	x.stopConvicted() // as enforce does once it has released the lock under which it saw no event
+	if x.isConvicted() {
+		t.Error("the answer that has begun is stopped, want it to go on")
+	}
+}
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -108,7 +108,6 @@
 			return x.brokenStreamOutcome(), errNoEvent
 		}
 		if errors.Is(err, io.EOF) {
-			x.sendHead(resp)
 			x.clearEnded()
 			return forward.Done, nil
 		}
@@ -118,7 +117,9 @@
 		if x.call.Events == 0 {
 			x.recordOrigin()
 		}
-		x.sendHead(resp)
+		if !x.sendHead(resp) {
+			return forward.Lost, errConvicted
+		}
 		if gap, ok := x.gaps.record(time.Now()); ok {
 			x.server.metrics.Observe("event_gap_milliseconds", x.call.Route.Name, gap)
 		}
@@ -185,14 +186,22 @@
 	return forward.Lost
 }
 
-// sendHead forwards the head of the response unless this was done before.
-func (x *exchange) sendHead(resp *http.Response) {
+// errConvicted reports that the parts of the prompt were convicted before the first event.
+var errConvicted = errors.New("parts of the prompt were convicted before the first event")
+
+// sendHead forwards the head of the response unless this was done before. It returns false if the request was
+// stopped because of its parts.
+func (x *exchange) sendHead(resp *http.Response) bool {
 	if x.headSent {
-		return
+		return true
+	}
+	x.server.decide(func(time.Time, *forward.Gate) { x.headSent = !x.isConvicted() })
+	if !x.headSent {
+		return false
 	}
-	x.headSent = true
 	x.firstByte = time.Since(x.started)
 	x.server.wire.CopyHeaders(x.w.Header(), resp.Header, true)
 	suppressContentSniffing(x.w.Header())
 	x.w.WriteHeader(resp.StatusCode)
+	return true
 }
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -37,7 +37,8 @@
 	// firstByte is the time from the start until the head of the response is forwarded; 0 before.
 	firstByte time.Duration
 	gaps      gaps
-	// headSent is set once the head of a response was forwarded to the caller.
+	// headSent is set once the head of a response was forwarded to the caller. It is set under the server's lock,
+	// under which a request is stopped only before.
 	headSent bool
 	// upstreamError is an upstream's error response, held back until a retry is decided.
 	upstreamError *bufferedResponse
--- a/internal/hosted/parts.go
+++ b/internal/hosted/parts.go
@@ -71,8 +71,11 @@
 // stopConvicted ends a request whose parts were convicted: one that waits, and one that an upstream has not
 // begun to answer.
 func (x *exchange) stopConvicted() {
-	x.convictedOnce.Do(func() { close(x.convicted) })
 	x.server.decide(func(time.Time, *forward.Gate) {
+		if x.headSent {
+			return // the answer has begun since the conviction, and goes on
+		}
+		x.convictedOnce.Do(func() { close(x.convicted) })
 		if x.conn != nil {
 			x.conn.Close()
 		}
