hosted: listeners accept again after an error of the kernel

What callers saw: nothing yet; an instance that counts as ready could stop to take connections for good.

Cause: after an error of Accept other than for descriptors the HTTP server closes its listener, and the supervisor started it with the closed one.

Change: such errors are temporary, so that the server waits and goes on.

Measured: TestAListenerServesAfterAnErrorOfAccept failed before and passes.

--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -103,7 +103,7 @@
 func (h *httpService) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = h.server.Close() }) // the process ends, so an error has no consequence
 	defer stop()
-	err := h.server.Serve(h.listener)
+	err := h.server.Serve(retryingListener{h.listener})
 	if errors.Is(err, http.ErrServerClosed) {
 		return suture.ErrDoNotRestart
 	}
@@ -111,3 +111,28 @@
 }
 
 func (h *httpService) String() string { return h.name }
+
+// retryingListener keeps the HTTP server accepting after an error of the kernel, for example for lack of memory:
+// it would close the listener for good, while the instance counts as ready.
+type retryingListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l retryingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return nil, temporaryError{err}
+	}
+	return c, err
+}
+
+// temporaryError is an error of Accept after which the HTTP server waits and accepts again.
+type temporaryError struct{ error }
+
+// Timeout implements net.Error.
+func (temporaryError) Timeout() bool { return false }
+
+// Temporary implements net.Error.
+func (temporaryError) Temporary() bool { return true }
+
+// Unwrap returns the error of the kernel.
+func (e temporaryError) Unwrap() error { return e.error }
--- a/internal/hosted/ends_internal_test.go
+++ b/internal/hosted/ends_internal_test.go
@@ -210,3 +210,38 @@
 		t.Error("the answer that has begun is stopped, want it to go on")
 	}
 }
+
+// failingListener fails its first Accept as the kernel does for lack of memory.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Err: syscall.ENOBUFS}
+	}
+	return l.Listener.Accept()
+}
+
+// Accept fails once for lack of kernel memory. The listener must accept callers afterwards; otherwise the instance counts
+// as ready and nobody can connect.
+func TestAListenerServesAfterAnErrorOfAccept(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &httpService{name: "callers", listener: &failingListener{Listener: ln}, server: &http.Server{
+		Handler: http.NotFoundHandler(), ErrorLog: newServerLog("callers", hclog.NewNullLogger(), metrics.NewMetrics()),
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Serve(ctx) }()
+	resp, err := http.Get("http://" + ln.Addr().String() + "/")
+	if err != nil || resp.StatusCode != http.StatusNotFound {
+		t.Errorf("response %v, error %v; want one of the handler", resp, err)
+	}
+	cancel()
+	<-ended
+}
