--- a/internal/standin/hosting/plain.go
+++ b/internal/standin/hosting/plain.go
@@ -101,7 +101,7 @@
 		}
 		a := &Arrival{
 			Worker: w.ID, ID: r.Header.Get("Attempt-Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host,
-			Header: r.Header, Body: string(sent), Ran: true,
+			Header: r.Header, Body: string(sent), Ran: true, Fault: Extra,
 		}
 		w.withLock(a, func() { w.arrivals = append(w.arrivals, a) })
 		head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + a.ID + "\r\nResponse-Seal: seal-" + a.ID + "\r\n"
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -63,6 +63,8 @@
 	Host   string
 	Header http.Header
 	Body   string
+	// Fault is the fault with which the upstream handled the request.
+	Fault Fault
 	// Ran is set if the upstream executed the request.
 	Ran bool
 	// Resumed is set if the request was to resume from a copy.
@@ -326,7 +328,7 @@
 	}
 	a := &Arrival{
 		Worker: w.ID, ID: r.Header.Get("Attempt-Id"), Method: r.Method, Target: r.RequestURI, Host: r.Host,
-		Header: r.Header.Clone(), Body: string(body), Resumed: r.Header.Get("Kv-From") != "", At: time.Now(),
+		Header: r.Header.Clone(), Body: string(body), Resumed: r.Header.Get("Kv-From") != "", At: time.Now(), Fault: fault,
 	}
 	if w.recordArrival(a) {
 		w.Crash()
