hosted: streams leave the tunnels of an instance that leaves

What callers saw: a stream broke off though its engine and its entry were sound, as a third instance ended that carried its connection.

Cause: an instance that leaves waits for its tunnels until the end of its grace period only, and a generation may last longer.

Change: once an instance is known to leave, generations whose streams pass a tunnel through it are copied, stopped and continued over another connection.

--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -204,8 +204,13 @@
 	return s != nil && s.Engine != nil && s.Engine.Moves
 }
 
-// MoveTarget returns the upstream to which to move a generation whose connection is silent, or nil
-// if no upstream accepts it.
+// IsMovable reports whether a call's stream has begun and its generation can be moved.
+func (g *Gate) IsMovable(c *Call) bool {
+	return c.current != nil && c.Route.Kind == route.Stream && c.Events > 0 && g.canMove(c)
+}
+
+// MoveTarget returns the upstream to which to move a generation off its connection, or nil if no upstream
+// accepts it.
 func (g *Gate) MoveTarget(now time.Time, c *Call) *roster.Upstream {
 	if c.origin == nil && c.current != nil {
 		c.bind(c.current.Entry) // for its memory, which the target needs, though there is no event yet
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -364,7 +364,7 @@
 		task.Every("silent streams", silenceCheckInterval, i.server.checkSilentStreams),
 		task.Every("idle connections", idleCheckInterval, func(context.Context) {
 			i.server.conns.Sweep()
-			i.dropTunnelsThroughLeaving()
+			i.leaveTunnelsThroughLeaving()
 		}),
 		task.Every("stream origins", shareInterval, func(context.Context) { i.server.origins.shareUnproven() }),
 		task.Every("lost paths", pathProbeInterval, i.paths.probeLost),
--- a/internal/hosted/paths.go
+++ b/internal/hosted/paths.go
@@ -479,18 +479,3 @@
 func (i *Instance) openTunnel(ctx context.Context, via, address string, m msg.TunnelRequest) (net.Conn, error) {
 	return i.peers.transport.OpenTunnel(ctx, via, address, m)
 }
-
-// dropTunnelsThroughLeaving closes the idle tunnels through instances that are leaving, which wait for
-// the end of those that are in use.
-func (i *Instance) dropTunnelsThroughLeaving() {
-	leaving := map[string]bool{}
-	i.peers.with(func(_ time.Time, v *fleet.Fleet) {
-		for _, m := range v.Others() {
-			leaving[m.Name] = m.Leaving
-		}
-	})
-	i.server.conns.Drop(func(_ string, c net.Conn) bool {
-		t, ok := c.(*countedTunnel)
-		return ok && leaving[t.via]
-	})
-}
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -13,7 +13,7 @@
 // silenceCheckInterval is the interval between checks for silent streams.
 const silenceCheckInterval = 100 * time.Millisecond
 
-// silentAttempt is an attempt whose stream delivers no events.
+// silentAttempt is an attempt of a stream that delivers no events, or is about to end with its connection.
 type silentAttempt struct {
 	exchange *exchange
 	attempt  *forward.Attempt
@@ -94,13 +94,14 @@
 		"listed", listed, "made", events, "passed_on", forwarded, "waiting_there", report.Waiting,
 		"silent_for", silentFor.Round(time.Millisecond), "report_took", took.Round(time.Millisecond))
 	if finding == forward.FindingLinkSilent {
-		r.exchange.resumeElsewhere(r.attempt)
+		r.exchange.resumeElsewhere(r.attempt, r.exchange.moveSilent)
 	}
 }
 
-// resumeElsewhere continues a generation, whose connection has fallen silent, on another upstream. The
-// generation is stopped over a new connection, so that it never runs twice, and resumed from its copy.
-func (x *exchange) resumeElsewhere(a *forward.Attempt) {
+// resumeElsewhere continues a generation, whose connection delivers nothing or is about to end, on another
+// upstream, by the given steps of a move. The generation is stopped over a new connection, so that it never
+// runs twice, and resumed from its copy.
+func (x *exchange) resumeElsewhere(a *forward.Attempt, steps func(*activeMove, *forward.Attempt) (msg.MoveOutcome, error)) {
 	order := msg.MoveOrder{Pool: x.call.Pool, Attempt: x.call.ID, From: a.Entry.ID}
 	x.server.decide(func(now time.Time, g *forward.Gate) {
 		if u := g.MoveTarget(now, x.call); u != nil {
@@ -111,6 +112,6 @@
 		return
 	}
 	if mv, source := x.beginMove(order); source != nil {
-		x.runMove(mv, source, x.moveSilent)
+		x.runMove(mv, source, steps)
 	}
 }
