hosted: a broken stream is stopped before it goes on

What callers saw: a stream that may not be repeated was lost with its connection, though its engine worked on; one that may be repeated was worked on by two engines at once.

Cause: the closed connection was relied on to stop the generation. Most engines drop a request with its connection, not all.

Change: the upstream of a stream that broke off is told to stop the generation and to copy it. If it still ran, the call continues from the copy; if not, it goes on as before. A stream without events can't be stopped in this way.

--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -278,6 +278,9 @@
 // MayHaveRun reports whether an upstream may have run the request.
 func (c *Call) MayHaveRun() bool { return c.mayHaveRun }
 
+// Redirected reports whether the call continues from a copy once its current attempt has ended.
+func (c *Call) Redirected() bool { return len(c.resumeTargets) > 0 && !c.resumed }
+
 // Resuming reports whether the call's next attempt continues a moved generation.
 func (c *Call) Resuming() bool { return c.current == nil && len(c.resumeTargets) > 0 }
 
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -187,7 +187,7 @@
 // blamed returns the outcome of an attempt as far as its upstream is the reason: the stream of a generation that
 // was moved ends there as ordered, or because this instance has closed its connection.
 func (g *Gate) blamed(c *Call, o Outcome) Outcome {
-	if len(c.resumeTargets) > 0 && !c.resumed && (o == Lost || o == Cut) {
+	if c.Redirected() && (o == Lost || o == Cut) {
 		return Cancelled
 	}
 	return o
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -103,6 +103,7 @@
 	if outcome != forward.Done {
 		x.awaitMove()
 	}
+	x.stopBroken(a, outcome)
 	found := x.findCrash(a, outcome)
 	next := x.decideStep(func(now time.Time, g *forward.Gate) forward.Step {
 		if outcome != forward.Done && x.isConvicted() {
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -102,16 +102,23 @@
 // upstream, by the given steps of a move. The generation is stopped over a new connection, so that it never
 // runs twice, and resumed from its copy.
 func (x *exchange) resumeElsewhere(a *forward.Attempt, steps func(*activeMove, *forward.Attempt) (msg.MoveOutcome, error)) {
-	order := msg.MoveOrder{Pool: x.call.Pool, Attempt: x.call.ID, From: a.Entry.ID}
-	x.server.decide(func(now time.Time, g *forward.Gate) {
-		if u := g.MoveTarget(now, x.call); u != nil {
-			order.To, order.ToAddress, order.ToDataCentre, order.ToSoftware = u.ID, u.Address, u.DataCentre, u.Software
-		}
-	})
-	if order.To == "" {
+	order, ok := x.moveOrder(a)
+	if !ok {
 		return
 	}
 	if mv, source := x.beginMove(order); source != nil {
 		x.runMove(mv, source, steps)
 	}
 }
+
+// moveOrder returns the order of a move off the upstream of an attempt; ok is false if no upstream accepts the
+// generation.
+func (x *exchange) moveOrder(a *forward.Attempt) (order msg.MoveOrder, ok bool) {
+	order = msg.MoveOrder{Pool: x.call.Pool, Attempt: x.call.ID, From: a.Entry.ID}
+	x.server.decide(func(now time.Time, g *forward.Gate) {
+		if u := g.MoveTarget(now, x.call); u != nil && u.ID != a.Entry.ID {
+			order.To, order.ToAddress, order.ToDataCentre, order.ToSoftware = u.ID, u.Address, u.DataCentre, u.Software
+		}
+	})
+	return order, order.To != ""
+}
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -130,6 +130,12 @@
 			gen.events, a.Events = n, a.Events+1
 			gen.produced = append(gen.produced, time.Now())
 		})
+		if fault == WorksOn && !a.Resumed && n >= received+w.EventCount/2 {
+			if n == received+w.EventCount/2 {
+				reset(flush)
+			}
+			continue
+		}
 		w.limitUnread(flush)
 		if _, err := io.WriteString(rw, w.event(a.ID, n)); err != nil {
 			w.cutUnread(a, err)
@@ -142,6 +148,18 @@
 	}
 }
 
+// reset resets the connection of a response, whose handler goes on.
+func reset(rc *http.ResponseController) {
+	c, _, err := rc.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	c.Close()
+}
+
 // streamBare streams without a length or chunks, and closes the connection.
 func (w *Worker) streamBare(rw http.ResponseWriter, a *Arrival, received int, fault Fault) {
 	c, buf, err := http.NewResponseController(rw).Hijack()
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -30,6 +30,9 @@
 	Mute Fault = "mute"
 	// Cuts closes the connection in the middle of the response.
 	Cuts Fault = "cuts"
+	// WorksOn resets the connection in the middle of a stream that does not resume from a copy, and produces the
+	// rest of it for nobody.
+	WorksOn Fault = "works_on"
 	// Unsigned responds with status 200 and without the header Response-Seal.
 	Unsigned Fault = "unsigned"
 	// Extra responds twice: the second response arrives where the caller expects the
