A drain refuses what can't end in time, and answers what is left

Callers of a process that drained got a closed connection although an upstream ran their bookings: while an older stream was in progress, the process took requests up to its end, half a second before the end of the grace period, and ended with all of them. While all instances drain, callers have no other address.

The gate now knows the end of the drain. It sends only what ends before it, by the deadline, or by the measured service time with room for the tail, and nothing in the last 250 ms; the same holds for retries, and for those that wait for a grant or a permit, which are refused at once. Others get 503 with Retry-After and Connection: close. At the end, calls in progress get their final answer (503 if not sent, 504 if sent without a response), the listener closes, and the process waits up to 0.3 s for the answers to be written. A request that arrives between the last check and the exit is refused.

--- a/internal/core/forward/admit.go
+++ b/internal/core/forward/admit.go
@@ -55,8 +55,8 @@
 	if g.suspects.Verdict(now, r.Fingerprint) == suspect.Refused {
 		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: Crashes, RetryAfter: crashRetryAfter}
 	}
-	if g.draining && rt.Kind == route.Stream {
-		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: Draining, RetryAfter: briefRetryAfter}
+	if g.Draining() && rt.Kind == route.Stream {
+		return nil, &Refusal{Status: status.ServiceUnavailable, Reason: Draining, RetryAfter: g.drainRetryAfter()}
 	}
 	c.Deadline = now.Add(effectiveTimeout(rt.Timeout, r.Timeout))
 	if c.TakesUp() {
--- a/internal/core/forward/gate.go
+++ b/internal/core/forward/gate.go
@@ -8,6 +8,7 @@
 // load and health.go the failures of upstreams, and silence.go diagnoses silent streams.
 // origin.go binds a stream to the software that began it, and return.go decides what is known of that when a
 // caller takes a stream up at this instance.
+// drain.go decides what an instance that drains can still finish.
 // plain.go controls the admission of calls of plain services, and speed.go tracks how fast upstreams
 // say that they work at present.
 // What upstreams state about themselves in responses is obeyed in limit.go, which tracks their rate
@@ -97,8 +98,8 @@
 	peers []Peer
 	// alone is set if no other instance is ready.
 	alone bool
-	// draining is set once this instance refuses streams because it is shutting down.
-	draining bool
+	// drainEnd is when the process ends, with the requests in progress; zero if it is not draining.
+	drainEnd time.Time
 	rng      *rand.Rand
 }
 
@@ -179,6 +180,3 @@
 // SetAlone sets whether no other instance is ready, in which case callers gain nothing by
 // retrying at another instance at once.
 func (g *Gate) SetAlone(alone bool) { g.alone = alone }
-
-// Drain makes the gate refuse new streams.
-func (g *Gate) Drain() { g.draining = true }
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -43,7 +43,7 @@
 
 // RankedGrantRequest returns the grant request to a home that understands urgency.
 func (g *Gate) RankedGrantRequest(now time.Time, c *Call) msg.RankedGrantRequest {
-	return msg.RankedGrantRequest{Grant: g.GrantRequest(now, c), Rank: c.Rank, TimeLeft: max(c.Deadline.Sub(now), 0)}
+	return msg.RankedGrantRequest{Grant: g.GrantRequest(now, c), Rank: c.Rank, TimeLeft: max(g.timeLeft(now, c), 0)}
 }
 
 // maxPools is the maximum number of pools of a divided service from which a grant for one call is
@@ -94,7 +94,7 @@
 	if g.options.Without.Has(mechanism.Deferrals) {
 		held = time.Duration(maxWaitTargets * float64(c.Route.Target))
 	}
-	return min(held, c.Deadline.Sub(now))
+	return min(held, g.timeLeft(now, c))
 }
 
 // placedByHome reports whether a pool's home chooses the upstream of the call.
@@ -193,7 +193,7 @@
 		}
 		return g.failCall(c, why, 0, c.Events > 0)
 	}
-	left := c.Deadline.Sub(now)
+	left := g.timeLeft(now, c)
 	if left < minTimeLeft {
 		return g.failCall(c, OutOfTime, 0, c.Events > 0)
 	}
--- a/internal/core/forward/permit.go
+++ b/internal/core/forward/permit.go
@@ -43,13 +43,13 @@
 	c.permitMaxWait, c.permitMaxLateWait = 0, 0
 	switch {
 	case c.Resuming():
-		c.permitMaxWait = min(resumeMaxWait, c.Deadline.Sub(now)-minTimeLeft)
+		c.permitMaxWait = min(resumeMaxWait, g.timeLeft(now, c)-minTimeLeft)
 	case !c.selfChosen:
 		// The pool's home has chosen among all upstreams, and its grant expires.
 		c.permitMaxWait = max(c.grantExpiresAt.Sub(now)-PermitTimeout, 0)
 	case !g.hasUnlimited(now, c, u):
 		c.permitMaxWait = max(c.Arrived.Add(c.Route.Target).Sub(now), 0)
-		c.permitMaxLateWait = max(c.Deadline.Sub(now)-c.Route.Target, minTimeLeft)
+		c.permitMaxLateWait = max(g.timeLeft(now, c)-c.Route.Target, minTimeLeft)
 	}
 	return Step{RequestPermit: true}
 }
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -31,6 +31,9 @@
 
 // nextStep requests a grant from the pool's home, or starts the next attempt.
 func (g *Gate) nextStep(now time.Time, c *Call) Step {
+	if s, refused := g.refuseInDrain(now, c); refused {
+		return s
+	}
 	if why := g.unavailableReason(c); why != "" {
 		return g.refuse(c, why, retryAfterFor(why, busyRetryAfter))
 	}
@@ -106,7 +109,10 @@
 // sendTo starts the next attempt at a given upstream, or refuses the call if too little time is
 // left.
 func (g *Gate) sendTo(now time.Time, c *Call, u *roster.Upstream) Step {
-	left := c.Deadline.Sub(now)
+	if s, refused := g.refuseInDrain(now, c); refused {
+		return s
+	}
+	left := g.timeLeft(now, c)
 	if left < minTimeLeft {
 		return g.refuse(c, OutOfTime, 0)
 	}
@@ -122,8 +128,8 @@
 	c.sends++
 	a := &Attempt{Upstream: u, Entry: u.Entry, Number: c.sends, Sent: now, TimeLimit: left, tokens: c.tokens(), bodyBytes: c.bodyBytes(), Choice: c.choice}
 	c.tried = append(c.tried, u)
-	if c.Route.Kind == route.Idempotent && c.sends < c.Route.MaxAttempts {
-		a.CancelAt = now.Add(time.Duration(attemptTimeShare * float64(left)))
+	if cancelAt := now.Add(time.Duration(attemptTimeShare * float64(left))); c.Route.Kind == route.Idempotent && c.sends < c.Route.MaxAttempts && g.mayRetryAt(cancelAt, c) {
+		a.CancelAt = cancelAt
 	}
 	g.beginAttempt(c, a)
 	if c.sends > 1 {
@@ -302,8 +308,11 @@
 	return Step{Refuse: &Refusal{Status: code, Reason: why, RetryAfter: retryAfter}, Why: why}
 }
 
-// Expired ends a call whose deadline passed during an attempt.
+// Expired ends a call whose deadline passed, or which the process can no longer finish.
 func (g *Gate) Expired(now time.Time, c *Call, headerDelivered bool) Step {
+	if g.DrainOver(now) && now.Before(c.Deadline) {
+		return g.endWithProcess(now, c, headerDelivered)
+	}
 	if a := c.current; a != nil {
 		c.current = nil
 		c.mayHaveRun = true
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -63,6 +63,10 @@
 	// convicted is closed when the parts of the prompt are found to crash upstreams.
 	convicted     chan struct{}
 	convictedOnce sync.Once
+	// giveUp is closed when the request waits and can't end before the process does; givenUp is then
+	// set. Guarded by the server's lock.
+	giveUp  chan struct{}
+	givenUp bool
 	// conn carries the current attempt; nil between attempts. Guarded by the server's lock.
 	conn *conn.Conn
 }
@@ -141,7 +145,7 @@
 	case step.Abort:
 		x.logEnd("cut", 0)
 		panic(http.ErrAbortHandler)
-	case undelivered != nil && errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+	case undelivered != nil && x.outOfTime():
 		x.logEnd("cut", 0) // the caller was still reading
 		panic(http.ErrAbortHandler)
 	case x.callerLeft():
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -55,7 +55,7 @@
 	// directoryTTL is the lifetime of a directory response. Callers lose up to that time on a dead
 	// instance.
 	directoryTTL = time.Second
-	// drainMargin is the part of the grace period that is left for sending the last bytes.
+	// drainMargin is the part of the grace period that is left for sending the last answers.
 	drainMargin = 500 * time.Millisecond
 	// lingerTTLs is the number of directory lifetimes for which a leaving instance accepts
 	// requests: some callers use a directory response for three times its lifetime.
@@ -82,6 +82,8 @@
 	traffic     *conn.Traffic
 	heap        *heapUse
 	connections func() float64
+	// callers serves the callers' listener.
+	callers *http.Server
 	// usageMu guards usage, the measured use of this instance's resources.
 	usageMu sync.Mutex
 	usage   *fleet.Usage
@@ -287,6 +289,7 @@
 			i.connections = connectionsInUse(ln)
 			ln = callerListener{ln}
 			server.ConnContext = withCallerConn
+			i.callers = server
 		}
 		tree.Add(&httpService{name: l.name, listener: ln, server: server})
 	}
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -123,6 +123,9 @@
 		case <-x.ctx.Done():
 			s.homes.send(home, msg.PermitCancel{ID: m.ID, Upstream: m.Limit.Upstream, Boot: m.Limit.Boot})
 			return x.stopStep()
+		case <-x.giveUp:
+			s.homes.send(home, msg.PermitCancel{ID: m.ID, Upstream: m.Limit.Upstream, Boot: m.Limit.Boot})
+			return x.decideStep(func(_ time.Time, g *forward.Gate) forward.Step { return g.GiveUp(x.call) })
 		case <-timeout.C:
 			return x.onPermitHomeSilent(home, m)
 		case <-repeat.C:
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -83,6 +83,9 @@
 		case <-x.convicted:
 			s.homes.send(q.home, msg.GrantEnd{Pool: x.call.Pool, Attempt: q.message.Grant.Request.Attempt, CallerDisconnected: true})
 			return x.decideStep(func(_ time.Time, g *forward.Gate) forward.Step { return g.RefuseConvicted(x.call) })
+		case <-x.giveUp:
+			s.homes.send(q.home, msg.GrantEnd{Pool: x.call.Pool, Attempt: q.message.Grant.Request.Attempt, CallerDisconnected: true})
+			return x.decideStep(func(_ time.Time, g *forward.Gate) forward.Step { return g.GiveUp(x.call) })
 		case <-timeout.C:
 			return x.onHomeSilent(q.home)
 		case <-repeat.C:
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -96,19 +96,19 @@
 	var call *forward.Call
 	var refusal *forward.Refusal
 	s.decide(func(now time.Time, g *forward.Gate) { call, refusal = g.Admit(now, req) })
-	if s.isLeaving() {
-		w.Header().Set("Connection", "close")
-	}
 	if refusal != nil {
 		s.refuse(w, req, *refusal, nil)
 		return
 	}
+	if s.isLeaving() {
+		w.Header().Set("Connection", "close")
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.Deadline.Sub(call.Arrived))
 	defer cancel()
 	if c := callerConnOf(r.Context()); c != nil {
 		c.setPatience(patienceOf(call.Route))
 	}
-	x := &exchange{server: s, w: w, r: r, body: b, hold: h, call: call, ctx: ctx, cancel: cancel, started: time.Now(), convicted: make(chan struct{}), grants: make(chan msg.GrantResponse, 4)}
+	x := &exchange{server: s, w: w, r: r, body: b, hold: h, call: call, ctx: ctx, cancel: cancel, started: time.Now(), convicted: make(chan struct{}), giveUp: make(chan struct{}), grants: make(chan msg.GrantResponse, 4)}
 	x.out = newOutput(x, s.readAhead)
 	defer x.out.close()
 	if call.TakesUp() {
@@ -147,6 +147,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running[x.call.ID] = x
+	if s.gate.DrainOver(boottime.Now()) {
+		x.cancel() // the others have been ended already
+	}
 }
 
 func (s *server) untrack(x *exchange) {
@@ -191,6 +194,9 @@
 		pairs = append(pairs, "rank", c.Rank, "predicted", b.Predicted, "limit", b.Limit, "oldest_report", b.OldestReport)
 	}
 	s.log.Info("request_ended", pairs...)
+	if s.isLeaving() {
+		w.Header().Set("Connection", "close")
+	}
 	if err := s.wire.WriteRefusal(w, req.ID, refusal); err != nil {
 		s.log.Debug("refusal_not_delivered", "request", req.ID, "error", err)
 	}
