--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -69,6 +69,10 @@
 	// convicted is closed when the parts of the prompt are found to crash upstreams.
 	convicted     chan struct{}
 	convictedOnce sync.Once
+	// giveUp is closed when the request waits and can't end before the process does; givenUp is then
+	// set. Guarded by the server's lock.
+	giveUp  chan struct{}
+	givenUp bool
 	// conn carries the current attempt; nil between attempts. Guarded by the server's lock.
 	conn *conn.Conn
 }
@@ -148,7 +152,7 @@
 		x.finish("upstream_failure", x.upstreamError.status)
 	case step.Abort:
 		x.breakOff("cut", x.cutReason(step), "why", step.Why, "error", x.lastErr)
-	case undelivered != nil && errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+	case undelivered != nil && x.outOfTime():
 		x.breakOff("cut", x.deadlineReason()) // the caller was still reading
 	case x.callerLeft():
 		reason, err := x.callerReason()
