hosted, conn: queries, not the kernel, decide how long a streaming upstream may be silent

What callers saw: streams of a sound engine that was silent twice within three seconds were cut with "connection timed out".

Cause: the kernel ends a connection after a few probes without an answer. It can't tell a silence from a loss, and its limits are set for idle connections.

Change: while a stream is watched by queries, its connection tolerates 15 s. An upstream that has sent neither events nor reports for 3 s, or half of the caller's patience if its stream may not be repeated, is given up by a finding.

--- a/internal/conn/dial.go
+++ b/internal/conn/dial.go
@@ -63,6 +63,29 @@
 	return nil
 }
 
+// streamTimeout is how long the other end of a connection may be out of reach while a stream is in progress
+// whose silence its user watches itself.
+const streamTimeout = 15 * time.Second
+
+// streamKeepAlive is the TCP keep-alive setting of such a connection.
+var streamKeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: int(streamTimeout / keepAliveInterval)}
+
+// ExtendTimeouts makes the kernel keep the connection while the other end is out of reach for up to
+// streamTimeout, or restores its usual limits. The kernel can't tell a silence from a loss, and its limits for
+// idle connections are short. It does nothing if the connection is no socket.
+func (c *Conn) ExtendTimeouts(extend bool) error {
+	timeout, probes := ackTimeout, keepAlive
+	if extend {
+		timeout, probes = streamTimeout, streamKeepAlive
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		if err := tcp.SetKeepAliveConfig(probes); err != nil {
+			return fmt.Errorf("set keep-alive: %w", err)
+		}
+	}
+	return SetAckTimeout(c.Conn, timeout)
+}
+
 // SetAckTimeout sets how long bytes sent on a connection may wait for an acknowledgement. It does nothing
 // if the connection is no socket.
 func SetAckTimeout(c net.Conn, d time.Duration) error {
--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -33,6 +33,10 @@
 	lossProofShare = 1.0 / 3
 	// minLossProof is the shortest such time.
 	minLossProof = 2 * time.Second
+	// maxOutOfReach is for how long an upstream may send nothing, neither events nor reports, before its
+	// streams are given up, and outOfReachShare the fraction of the caller's patience, if that is longer.
+	maxOutOfReach   = 3 * time.Second
+	outOfReachShare = 1.0 / 2
 	// maxReportAge is the greatest age of a report: what began later may be missing in it.
 	maxReportAge = time.Second
 )
@@ -58,6 +62,8 @@
 	// FindingLinkSilent: the upstream produces events that do not arrive, and the generation can
 	// be moved.
 	FindingLinkSilent Finding = "link_silent"
+	// FindingOutOfReach: the upstream has sent nothing for so long that it counts as gone.
+	FindingOutOfReach Finding = "out_of_reach"
 	// FindingLost: the upstream does not run the generation, or its events do not arrive and the
 	// generation can be repeated at another upstream.
 	FindingLost Finding = "gone"
@@ -77,8 +83,9 @@
 	// showed events which have not arrived, or did not list the generation; zero if the last report did
 	// not show that, or did not arrive.
 	undeliveredSince, missingSince time.Time
-	// failedAt is when the last query was sent that the upstream has not answered.
-	failedAt time.Time
+	// failedAt is when the last query was sent that the upstream has not answered, and respondedAt when the
+	// last report arrived.
+	failedAt, respondedAt time.Time
 }
 
 // begin resets the state at the start of an attempt.
@@ -104,17 +111,20 @@
 	}
 }
 
+// WatchesSilence reports whether upstreams are queried about a call's stream while it is silent.
+func (g *Gate) WatchesSilence(c *Call) bool {
+	if g.options.Without.Has(mechanism.SilenceProbes) || !c.Route.Generation || c.Route.Kind != route.Stream {
+		return false
+	}
+	s := g.table.Service(c.Service)
+	return s != nil && s.Engine != nil
+}
+
 // QueryDue reports whether a query to the upstream is due about a stream that has been silent
 // for too long, and schedules the next query. A network device may have lost track of the
 // connection, which then stays open but delivers nothing. Only engines report their generations.
 func (g *Gate) QueryDue(now time.Time, c *Call) bool {
-	if g.options.Without.Has(mechanism.SilenceProbes) {
-		return false
-	}
-	if c.current == nil || c.readingPaused || !c.Route.Generation || c.Route.Kind != route.Stream || now.Before(c.silence.nextQuery) {
-		return false
-	}
-	if s := g.table.Service(c.Service); s == nil || s.Engine == nil {
+	if c.current == nil || c.readingPaused || now.Before(c.silence.nextQuery) || !g.WatchesSilence(c) {
 		return false
 	}
 	interval := min(queryInterval<<min(c.silence.queries, 8), maxQueryInterval)
@@ -123,12 +133,31 @@
 	return true
 }
 
-// QueryFailed records that an upstream did not respond to the query about an attempt that was sent at
-// queriedAt. It may be silent itself, so that earlier reports are no evidence any more.
-func (c *Call) QueryFailed(a *Attempt, queriedAt time.Time) {
+// Responded records that the upstream of an attempt has responded to a query.
+func (c *Call) Responded(now time.Time, a *Attempt) {
 	if c.current == a {
-		c.silence.undeliveredSince, c.silence.missingSince, c.silence.failedAt = time.Time{}, time.Time{}, queriedAt
+		c.silence.respondedAt = now
+	}
+}
+
+// QueryFailed records that an upstream did not respond to the query about an attempt that was sent at
+// queriedAt, and returns the diagnosis. The upstream may be silent itself, so that earlier reports are no
+// evidence any more.
+func (g *Gate) QueryFailed(now time.Time, c *Call, a *Attempt, queriedAt time.Time) Finding {
+	s := &c.silence
+	if c.current != a || s.lastEvent.After(queriedAt) || s.respondedAt.After(queriedAt) {
+		return FindingWaiting
+	}
+	s.undeliveredSince, s.missingSince, s.failedAt = time.Time{}, time.Time{}, queriedAt
+	lastSign := s.lastEvent
+	if s.respondedAt.After(lastSign) {
+		lastSign = s.respondedAt
+	}
+	limit := maxOutOfReach
+	if !g.mayRepeat(now, c) {
+		limit = max(limit, share(outOfReachShare, c.Route.Patience()))
 	}
+	return s.conclude(FindingOutOfReach, now, lastSign, limit)
 }
 
 // Diagnose returns the diagnosis for an attempt from the upstream's report r; queriedAt is when
@@ -138,6 +167,7 @@
 // supports moves, else abandoned if it can be resumed at another upstream.
 func (g *Gate) Diagnose(now time.Time, c *Call, a *Attempt, queriedAt time.Time, r RunReport) Finding {
 	s := &c.silence
+	c.Responded(now, a)
 	if c.current != a || s.lastEvent.After(queriedAt) || s.failedAt.After(queriedAt) {
 		return FindingWaiting // an event has arrived since, the upstream was silent since, or the attempt has ended
 	}
@@ -177,10 +207,10 @@
 	return since
 }
 
-// conclude returns the finding if reports have shown it for as long as needed. Otherwise the next query is
-// due as soon as that can be the case.
-func (s *silence) conclude(f Finding, queriedAt, since time.Time, needed time.Duration) Finding {
-	if queriedAt.Sub(since) >= needed {
+// conclude returns the finding if it has held since a time for as long as needed, as of another one. Otherwise
+// the next query is due as soon as that can be the case.
+func (s *silence) conclude(f Finding, asOf, since time.Time, needed time.Duration) Finding {
+	if asOf.Sub(since) >= needed {
 		return f
 	}
 	if at := since.Add(needed); at.Before(s.nextQuery) {
--- a/internal/core/forward/silence_test.go
+++ b/internal/core/forward/silence_test.go
@@ -62,7 +62,7 @@
 			g, c, a := silentStream(t, "/stream/1")
 			c.Route.Target = target
 			for d := 400 * time.Millisecond; d < silence; d += 300 * time.Millisecond {
-				c.QueryFailed(a, start.Add(d))
+				g.QueryFailed(start.Add(d+100*time.Millisecond), c, a, start.Add(d))
 			}
 			for d := silence; d < silence+late; d += 100 * time.Millisecond {
 				if at := start.Add(d); g.Diagnose(at, c, a, at, r) == FindingLost {
@@ -81,7 +81,7 @@
 		g, c, a := silentStream(t, "/stream/1")
 		diagnose := func(d time.Duration) Finding { return g.Diagnose(start.Add(d), c, a, start.Add(d), r) }
 		diagnose(400 * time.Millisecond)
-		c.QueryFailed(a, start.Add(700*time.Millisecond))
+		g.QueryFailed(start.Add(1100*time.Millisecond), c, a, start.Add(700*time.Millisecond))
 		if f := diagnose(500 * time.Millisecond); f != FindingWaiting {
 			t.Errorf("%s: finding %s by a report from before a failed query, want %s", name, f, FindingWaiting)
 		}
@@ -254,3 +254,33 @@
 		}
 	}
 }
+
+// An upstream that sends nothing at all counts as gone after a while, since the kernel no longer decides that for its
+// streams. A report meanwhile shows that it is there.
+func TestAnUpstreamOutOfReachIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		respondedAt time.Duration
+		want        Finding
+	}{
+		{"sends nothing", 0, FindingOutOfReach},
+		{"has responded", 2 * time.Second, FindingWaiting},
+	} {
+		g, call, a := silentStream(t, "/stream/1")
+		got := FindingWaiting
+		for d := 500 * time.Millisecond; d <= maxOutOfReach; d += 500 * time.Millisecond {
+			at := start.Add(d)
+			if d == c.respondedAt {
+				g.Diagnose(at, call, a, at, RunReport{Listed: true, Events: 5})
+				continue
+			}
+			if got != FindingWaiting {
+				t.Errorf("%s: finding %s before %v, want it kept", c.name, got, maxOutOfReach)
+			}
+			got = g.QueryFailed(at, call, a, at.Add(-400*time.Millisecond))
+		}
+		if got != c.want {
+			t.Errorf("%s: finding %s after %v, want %s", c.name, got, maxOutOfReach, c.want)
+		}
+	}
+}
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -47,23 +47,40 @@
 		return // the next query is due later
 	}
 	if err != nil {
-		s.decide(func(time.Time, *forward.Gate) {
+		s.onNoReport(address, silent, sentAt, err)
+		return
+	}
+	if report.Events == nil { // the upstream does not report its generations
+		s.decide(func(now time.Time, _ *forward.Gate) {
 			for _, r := range silent {
-				r.exchange.call.QueryFailed(r.attempt, sentAt)
+				r.exchange.call.Responded(now, r.attempt)
 			}
 		})
-		s.metrics.Count("silent_streams_total", "no_report")
-		s.log.Info("silent_upstream_unreachable", "address", address, "streams", len(silent), "requests", requestIDs(silent), "error", err)
 		return
 	}
-	if report.Events == nil {
-		return // the upstream does not report its generations
-	}
 	for _, r := range silent {
 		s.handleSilent(r, sentAt, report)
 	}
 }
 
+// onNoReport processes that an upstream did not respond to a query about its silent streams. Those that it has
+// sent nothing about for too long are given up.
+func (s *server) onNoReport(address string, silent []silentAttempt, sentAt time.Time, err error) {
+	var givenUp []silentAttempt
+	s.decide(func(now time.Time, g *forward.Gate) {
+		for _, r := range silent {
+			x := r.exchange
+			if g.QueryFailed(now, x.call, r.attempt, sentAt) == forward.FindingOutOfReach && x.conn != nil {
+				x.conn.Close() // no event can be recorded between the finding and the end
+				givenUp = append(givenUp, r)
+			}
+		}
+	})
+	s.metrics.Count("silent_streams_total", "no_report")
+	s.metrics.Add("silent_streams_total", string(forward.FindingOutOfReach), int64(len(givenUp)))
+	s.log.Info("silent_upstream_unreachable", "address", address, "streams", len(silent), "requests", requestIDs(silent), "given_up", requestIDs(givenUp), "error", err)
+}
+
 // maxLoggedRequests bounds the ids in one log line.
 const maxLoggedRequests = 8
 
