hosted: a silence of an upstream is not taken for a crash

What callers saw: a frequent look-up was refused everywhere with crashes_upstreams for half a minute after two sound upstreams had been silent.

Cause: an upstream that did not respond to a connection attempt counted as crashed, and as a strike against the request that it ran.

Change: a refused connection shows a crash at once, an unanswered one only if it is still unanswered two seconds later.

--- a/internal/hosted/crash.go
+++ b/internal/hosted/crash.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -9,6 +10,10 @@
 	"mulberrylug.example/mulberrylug/internal/core/suspect"
 )
 
+// silenceLimit is the time after which an upstream that still does not respond has crashed. A sound one may be
+// silent for a second or two, which is no sign against the requests that it runs.
+const silenceLimit = 2 * time.Second
+
 // brokenOff reports whether an attempt ended without showing whether the upstream or the path to it was
 // the reason.
 func brokenOff(o forward.Outcome) bool { return o == forward.Lost || o == forward.Cut }
@@ -50,13 +55,19 @@
 			f = s.paths.check(a.Entry.Address)
 		}
 		s.log.Info("failure_assessed", "request", call.ID, "upstream", a.Entry.ID, "outcome", o, "finding", f)
-		if f != findingDown && f != findingListening {
+		if f == findingPathLost || f == findingUnknown {
 			return
 		}
 		if home != "" && endsGrant {
 			s.sendGrantEnd(home, a, report)
 		}
 		s.announceFailing(call, a, o)
+		if f == findingSilent {
+			sleep(context.Background(), silenceLimit)
+			if f = s.paths.check(a.Entry.Address); f == findingSilent {
+				f = findingDown
+			}
+		}
 		if f == findingDown && !cold { // a cold upstream crashes under too many requests, not by one
 			s.strike(call, a)
 		}
--- a/internal/hosted/paths.go
+++ b/internal/hosted/paths.go
@@ -414,8 +414,10 @@
 	findingListening finding = "listening"
 	// findingPathLost: only other instances reach the upstream.
 	findingPathLost finding = "path_lost"
-	// findingDown: the upstream accepts no connections.
-	findingDown finding = "down"
+	// findingDown: the upstream refuses connections. findingSilent: it does not respond to them, as if it were
+	// down, but it may be sound and go on.
+	findingDown   finding = "down"
+	findingSilent finding = "silent"
 	// findingUnknown: this instance does not reach the upstream, and that may be due to its own path.
 	findingUnknown finding = "unknown"
 )
@@ -428,6 +430,8 @@
 	c, err := p.dial(ctx, address)
 	f := findingUnknown
 	switch {
+	case errors.Is(err, errUpstreamDown) && conn.ResultOf(err) == conn.TimedOut:
+		f = findingSilent
 	case errors.Is(err, errUpstreamDown):
 		f = findingDown
 	case err == nil && isTunnel(c):
