hosted: a head of a response that stops is given up

Cause: since calls are given up only for another upstream, the limit covered the first byte of a response and not the rest of its head, and began anew after each late response.

Change: the head has 0.3 s after its first byte, and one limit holds for all.

--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -36,9 +36,15 @@
 // readResponse reads the head of the response to this request. A late response to an earlier
 // request on the connection is read to its end and dropped.
 func (x *exchange) readResponse(c *conn.Conn, a *forward.Attempt) (*http.Response, Response, error) {
+	giveUpAt := time.Now().Add(a.CancelAt.Sub(a.Sent))
+	if !a.CancelAt.IsZero() {
+		defer func() { _ = c.SetReadDeadline(time.Time{}) }() // fails only on a closed connection
+	}
 	for range 3 {
-		if err := x.awaitResponse(c, a); err != nil {
-			return nil, Response{}, err
+		if !a.CancelAt.IsZero() {
+			if err := x.awaitResponse(c, giveUpAt); err != nil {
+				return nil, Response{}, err
+			}
 		}
 		resp, err := c.ReadResponse(x.r.Method)
 		if err != nil {
@@ -60,25 +66,35 @@
 	return nil, Response{}, errOtherRequest
 }
 
-// replaceInterval is the interval between checks whether an attempt that takes long can be given up.
-const replaceInterval = 100 * time.Millisecond
+const (
+	// replaceInterval is the interval between checks whether an attempt that takes long can be given up.
+	replaceInterval = 100 * time.Millisecond
+	// headTime is how long the head of a response may take after its first byte if the attempt may be given up.
+	headTime = 300 * time.Millisecond
+)
 
 // awaitResponse waits for the first byte of a response. An attempt with a time after which it is cancelled is
 // given up only once another upstream can take the call: until then its upstream may still respond.
-func (x *exchange) awaitResponse(c *conn.Conn, a *forward.Attempt) error {
-	if a.CancelAt.IsZero() {
-		return nil
-	}
-	defer func() { _ = c.SetReadDeadline(time.Time{}) }() // fails only on a closed connection, on which the read fails, too
-	for wait := a.CancelAt.Sub(a.Sent); ; wait = replaceInterval {
-		_ = c.SetReadDeadline(time.Now().Add(wait)) // as above
+func (x *exchange) awaitResponse(c *conn.Conn, giveUpAt time.Time) error {
+	for at := giveUpAt; ; at = time.Now().Add(replaceInterval) {
+		_ = c.SetReadDeadline(at) // fails only on a closed connection, on which the read fails, too
 		err := c.Await()
+		if err == nil {
+			_ = c.SetReadDeadline(later(giveUpAt, time.Now().Add(headTime))) // as above
+		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || x.replace() {
 			return err
 		}
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // replace reports whether the current attempt is to be given up for another upstream.
 func (x *exchange) replace() (taken bool) {
 	x.server.decide(func(now time.Time, g *forward.Gate) { taken = g.Replace(now, x.call) })
--- a/internal/hosted/silent_test.go
+++ b/internal/hosted/silent_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -39,3 +40,21 @@
 		}
 	}
 }
+
+// An upstream sends a part of the head of its response and then nothing. The call must be sent elsewhere in time.
+func TestAHeadThatStopsIsGivenUp(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	r.add(t, "other", hosting.Desk, func(k *hosting.Worker) { k.Work = 20 * time.Millisecond })
+	testkit.Eventually(t, testTimeout, "the other upstream is listed", func() bool { return r.log.has("upstream_joined: upstream=other ") })
+	for _, k := range r.Workers() {
+		if k.ID == "desk" {
+			k.SetFault(hosting.PartOfHead)
+		}
+	}
+	for k := range 4 {
+		if status := r.book(t, fmt.Sprint("part-", k)); status != http.StatusOK {
+			t.Errorf("status %d, want %d of the other upstream", status, http.StatusOK)
+		}
+	}
+}
--- a/internal/standin/hosting/plain.go
+++ b/internal/standin/hosting/plain.go
@@ -50,6 +50,9 @@
 		rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = io.WriteString(rw, body[:len(body)/2]) // an error means that the caller has disconnected
 		panic(http.ErrAbortHandler)
+	case PartOfHead:
+		w.stopInHead(rw, a)
+		return
 	case Extra, Unframed:
 		w.writeRaw(rw, a, body, fault)
 		return
@@ -58,6 +61,18 @@
 	_, _ = io.WriteString(rw, body) // an error means that the caller has disconnected
 }
 
+// stopInHead sends a part of the head of a response and nothing more until the caller has left.
+func (w *Worker) stopInHead(rw http.ResponseWriter, a *Arrival) {
+	c, buf, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nAttempt-Id: " + a.ID + "\r\n") // an error means that the caller has disconnected
+	_ = buf.Flush()                                                           // as above
+	_, _ = c.Read(make([]byte, 1))
+}
+
 // Body returns the response body of a plain service for the request with an id.
 func Body(id, worker string) string { return "answer to " + id + " by " + worker }
 
