forward: a stream is given up early only if another upstream takes it

Cause: a stream without events was given up after a second without its generation although no other upstream accepted it, and ended with 502.

Measured: with one upstream the finding was gone after a second; it waits now until the generation is known to be lost.

--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -164,6 +164,7 @@
 	a := c.current
 	c.current = nil
 	g.recordOutcome(now, c, a, g.blamed(c, o))
+	// The last dial of the call is counted below.
 	if o == NotSent && a.CopyAt != "" && !c.Route.Repeatable() && c.dials < maxDials-1 {
 		c.dials++
 		c.resumeTargets = append(c.resumeTargets, &Attempt{Upstream: a.Upstream, CopyAt: a.CopyAt})
@@ -270,15 +271,20 @@
 // Replace reports whether a call's attempt that takes long is to be given up because another upstream takes
 // the call, and reserves its retry: without one, the attempt may still bring the response.
 func (g *Gate) Replace(now time.Time, c *Call) bool {
-	taken := g.mayRepeat(now, c) && slices.ContainsFunc(g.candidates(c.Service), func(u *roster.Upstream) bool {
-		return !slices.Contains(c.tried, u) && g.available(now, c, u)
-	})
+	taken := g.mayRepeat(now, c) && g.anotherTakes(now, c)
 	if taken {
 		g.reserveRetry(now, c)
 	}
 	return taken
 }
 
+// anotherTakes reports whether an upstream to which a call was not sent accepts it at present.
+func (g *Gate) anotherTakes(now time.Time, c *Call) bool {
+	return slices.ContainsFunc(g.candidates(c.Service), func(u *roster.Upstream) bool {
+		return !slices.Contains(c.tried, u) && g.available(now, c, u)
+	})
+}
+
 // orFailAttempt returns the next step of a call. If that ends a call that was sent before, the call
 // ends as its last attempt did.
 func (g *Gate) orFailAttempt(now time.Time, c *Call, s Step) Step {
--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -161,7 +161,7 @@
 }
 
 // Diagnose returns the diagnosis for an attempt from the upstream's report r; queriedAt is when
-// the report was requested. The connection of an attempt is closed on a finding other than FindingWaiting,
+// the report was requested. A finding other than FindingWaiting moves the stream or closes its connection,
 // so that a report counts only if all reports have shown the same for long enough: a sound upstream may
 // be silent for a second or two and go on. A stream whose events do not arrive is moved if the engine
 // supports moves, else abandoned if it can be resumed at another upstream.
@@ -181,7 +181,7 @@
 		return g.orRepeat(now, c, s.conclude(FindingLost, queriedAt, s.undeliveredSince, lossProof(c.Route)))
 	case s.missingSince.IsZero():
 		return FindingWaiting
-	case c.Events == 0 && g.mayRepeat(now, c):
+	case c.Events == 0 && g.mayRepeat(now, c) && g.anotherTakes(now, c):
 		return g.orRepeat(now, c, s.conclude(FindingLost, queriedAt, s.missingSince, maxReportAge))
 	}
 	return s.conclude(FindingLost, queriedAt, s.missingSince, lossProof(c.Route))
