hosted: a stop that is not confirmed leaves the copy in use

What callers saw: streams whose connections were silent were cut after their generations had been stopped.

Cause: a call that stops a generation was repeated three times within 0.3 s if the engine said that one was in progress; then the copy that had been made was dropped. A refusal without a copy, or of a generation that waits again, was taken for a stop. An attempt that had ended could still be moved while it was found out why. If a destination had no room for the rest, its earlier copy was not tried.

Change: the engine is asked for four seconds. Without its word the call continues from the copy once its stream ends. A missing generation counts as stopped if its report confirms that. The streams of an engine are moved beside each other.

--- a/internal/hosted/broken.go
+++ b/internal/hosted/broken.go
@@ -44,7 +44,7 @@
 	defer cancel()
 	last, err := x.server.copyGeneration(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
 	if err == nil && last.Handle != "" {
-		x.redirect(mv, source, last.Handle, last.Outcome)
+		x.redirect(mv, source, copies{last: last.Handle}, last.Outcome)
 	}
 	return last.Outcome, err
 }
--- a/internal/hosted/ends_internal_test.go
+++ b/internal/hosted/ends_internal_test.go
@@ -17,7 +17,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"mulberrylug.example/mulberrylug/internal/boottime"
+	"mulberrylug.example/mulberrylug/internal/conn"
+	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/metrics"
 )
@@ -245,3 +248,45 @@
 	cancel()
 	<-ended
 }
+
+// An attempt whose connection has ended is not recorded as ended while it is found out why. Its upstream must not be
+// queried about it: the answer would stop a generation that is about to be repeated, or move one that nobody follows.
+func TestAnEndedAttemptIsNotQueried(t *testing.T) {
+	g := forward.New(forward.Options{})
+	g.Adopt(route.NewTable(route.Config{
+		Version:  1,
+		Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.Stream, Generation: true, Timeout: time.Minute, MaxAttempts: 1, Targets: []route.Target{{Service: "pool", Weight: 1}}, Public: true}},
+		Services: []route.Service{{Name: "pool", Engine: &route.Engine{}}},
+	}))
+	now := boottime.Now()
+	g.SetCordons(now, cordon.NewSet(1, nil))
+	g.Confirm(now)
+	u := roster.Entry{ID: "u0", Service: "pool", Address: "u0:80", Software: "v1"}
+	g.Roster().Update(now, []roster.Change{{ID: "u0", Version: 1, Valid: true, Entry: u}}, 1)
+	c, refusal := g.Admit(now, forward.Request{ID: "r1", Host: "h", Path: "/", Replayable: true})
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	g.HomeTimedOut(now.Add(-time.Minute), c)
+	queried := make(chan struct{}, 1)
+	s := &server{gate: g, metrics: metrics.NewMetrics(), log: hclog.NewNullLogger(), running: map[string]*exchange{}, conns: conn.NewPool()}
+	s.wire = queriedWire{queried: queried}
+	s.running["r1"] = &exchange{server: s, call: c}
+	s.checkSilentStreams(t.Context())
+	select {
+	case <-queried:
+		t.Error("the upstream of an attempt without a connection is queried")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+// queriedWire tells that a report is requested.
+type queriedWire struct {
+	namingWire
+	queried chan struct{}
+}
+
+func (w queriedWire) ReportCall() UpstreamCall {
+	w.queried <- struct{}{}
+	return UpstreamCall{Method: http.MethodGet, Target: "/"}
+}
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -20,11 +20,10 @@
 	// whose connection is silent: all streams of an engine can be, and their copies use its link in turn.
 	copyTimeout       = callTimeout
 	queuedCopyTimeout = 4 * time.Second
-	// maxStopCalls is the maximum number of calls to stop a generation whose connection is silent, and
-	// stopInterval the time between them. With callTimeout for each, they end while the first copy is kept,
-	// which is for some seconds.
-	maxStopCalls = 3
-	stopInterval = 100 * time.Millisecond
+	// stopLimit is how long an engine is asked to stop a generation whose connection is silent, and
+	// stopInterval the time between the calls. A copy is kept for some seconds.
+	stopLimit    = 4 * time.Second
+	stopInterval = 200 * time.Millisecond
 )
 
 // activeMove is a move of a running generation in progress.
@@ -165,7 +164,7 @@
 	if handle == "" {
 		return last.Outcome, err // there is no copy to continue from
 	}
-	x.redirect(mv, source, handle, last.Outcome)
+	x.redirect(mv, source, copies{last: handle, earlier: earlier}, last.Outcome)
 	return last.Outcome, err
 }
 
@@ -173,8 +172,8 @@
 var errDelivers = errors.New("the connection of the stream delivers events again")
 
 // moveSilent moves a generation whose connection delivers nothing, so that the end of its stream does not
-// arrive either. The connection is closed only after the source has confirmed that the generation does not
-// run there any more, and a copy exists: otherwise the generation could run twice, or be lost.
+// arrive either. The connection is closed only once it is known that the generation does not run at the source
+// any more, and a copy exists: otherwise the generation could run twice, or be lost.
 func (x *exchange) moveSilent(mv *activeMove, source *forward.Attempt) (msg.MoveOutcome, error) {
 	before := x.eventCount()
 	handle, outcome, err := x.copyRunning(mv, source, queuedCopyTimeout)
@@ -185,25 +184,37 @@
 		x.server.dropCopy(source.Entry.Address, handle)
 		return msg.MoveEnded, errDelivers
 	}
-	uncancelled := context.WithoutCancel(x.ctx)
-	for range maxStopCalls {
-		var last CopyResult
-		ctx, cancel := context.WithTimeout(uncancelled, callTimeout)
-		last, err = x.server.copyGeneration(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
-		cancel()
-		if x.ctx.Err() != nil {
+	for end := time.Now().Add(stopLimit); ; sleep(x.ctx, stopInterval) {
+		last, err := x.stopOnce(mv, source)
+		switch {
+		case x.ctx.Err() != nil:
 			x.server.dropCopy(source.Entry.Address, cmp.Or(last.Handle, handle))
 			return msg.MoveEnded, x.ctx.Err()
-		}
-		if err == nil && last.Outcome != msg.MoveFailed {
-			x.redirect(mv, source, cmp.Or(last.Handle, handle), last.Outcome)
+		case last.Handle != "" || last.Outcome == msg.MoveNoRun && x.isGone(source):
+			x.redirect(mv, source, copies{last: cmp.Or(last.Handle, handle), earlier: handle}, last.Outcome)
 			x.closeConn(source)
 			return last.Outcome, nil
+		case time.Now().After(end):
+			// Whether the generation stopped is not known: the copy is used only if its stream ends.
+			x.redirect(mv, source, copies{last: handle}, msg.MoveFailed)
+			return msg.MoveFailed, err
 		}
-		sleep(x.ctx, stopInterval)
 	}
-	x.server.dropCopy(source.Entry.Address, handle)
-	return msg.MoveFailed, err
+}
+
+// stopOnce tells the source to stop a generation and to copy what an earlier copy lacks.
+func (x *exchange) stopOnce(mv *activeMove, source *forward.Attempt) (CopyResult, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(x.ctx), callTimeout)
+	defer cancel()
+	return x.server.copyGeneration(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
+}
+
+// isGone reports whether the upstream of an attempt reports neither the call's generation nor one that waits,
+// which may be the same one after it was preempted.
+func (x *exchange) isGone(a *forward.Attempt) bool {
+	report, err := x.server.requestReport(x.ctx, a.Entry.Address)
+	_, listed := report.Events[x.call.ID]
+	return err == nil && !listed && report.Waiting == 0
 }
 
 // eventCount returns the number of events that the caller has got, or that are buffered for it.
@@ -212,19 +223,26 @@
 	return events
 }
 
-// redirect makes the call continue from the copy: at the destination, with the source as the
-// fallback, or at the source if the destination had no room.
-func (x *exchange) redirect(mv *activeMove, source *forward.Attempt, handle string, o msg.MoveOutcome) {
+// copies are the handles of the copies of a generation: of the last one, and of one that was made at the
+// destination before, or "".
+type copies struct{ last, earlier string }
+
+// redirect makes the call continue from a copy: at the destination, with the source as the fallback, or at the
+// source if the destination had no room, with the earlier copy at the destination as the fallback.
+func (x *exchange) redirect(mv *activeMove, source *forward.Attempt, c copies, o msg.MoveOutcome) {
 	s := x.server
+	at := func(handle string) string { return s.wire.CopyAt(source.Entry.Address, handle) }
 	s.decide(func(_ time.Time, g *forward.Gate) {
 		to := x.destination(g, mv.order)
-		copyAt := s.wire.CopyAt(source.Entry.Address, handle)
-		fallback := &forward.Attempt{Upstream: source.Upstream, CopyAt: copyAt}
-		if o == msg.MoveNoRoom {
-			g.Redirect(x.call, source.Upstream, copyAt, nil)
+		if o != msg.MoveNoRoom {
+			g.Redirect(x.call, to, at(c.last), &forward.Attempt{Upstream: source.Upstream, CopyAt: at(c.last)})
 			return
 		}
-		g.Redirect(x.call, to, copyAt, fallback)
+		var fallback *forward.Attempt
+		if c.earlier != "" {
+			fallback = &forward.Attempt{Upstream: to, CopyAt: at(c.earlier)}
+		}
+		g.Redirect(x.call, source.Upstream, at(c.last), fallback)
 	})
 }
 
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -26,7 +26,7 @@
 	due := map[string][]silentAttempt{}
 	s.decide(func(now time.Time, g *forward.Gate) {
 		for _, x := range s.running {
-			if x.activeMove == nil && g.QueryDue(now, x.call) {
+			if x.conn != nil && x.activeMove == nil && g.QueryDue(now, x.call) {
 				a := x.call.Current()
 				due[a.Entry.Address] = append(due[a.Entry.Address], silentAttempt{exchange: x, attempt: a})
 			}
@@ -70,7 +70,7 @@
 	s.decide(func(now time.Time, g *forward.Gate) {
 		for _, r := range silent {
 			x := r.exchange
-			if g.QueryFailed(now, x.call, r.attempt, sentAt) == forward.FindingOutOfReach && x.conn != nil {
+			if x.conn != nil && g.QueryFailed(now, x.call, r.attempt, sentAt) == forward.FindingOutOfReach {
 				x.conn.Close() // no event can be recorded between the finding and the end
 				givenUp = append(givenUp, r)
 			}
@@ -101,8 +101,12 @@
 	var silentFor, took time.Duration
 	s.decide(func(now time.Time, g *forward.Gate) {
 		forwarded, silentFor, took = r.exchange.call.Events, r.exchange.call.SilentFor(now), now.Sub(sentAt)
+		if r.exchange.conn == nil {
+			finding = forward.FindingWaiting // the attempt has ended
+			return
+		}
 		finding = g.Diagnose(now, r.exchange.call, r.attempt, sentAt, forward.RunReport{Listed: listed, Events: events, Waiting: report.Waiting})
-		if finding == forward.FindingLost && r.exchange.conn != nil {
+		if finding == forward.FindingLost {
 			r.exchange.conn.Close() // no event can be recorded between the finding and the end
 		}
 	})
@@ -111,7 +115,7 @@
 		"listed", listed, "made", events, "passed_on", forwarded, "waiting_there", report.Waiting,
 		"silent_for", silentFor.Round(time.Millisecond), "report_took", took.Round(time.Millisecond))
 	if finding == forward.FindingLinkSilent {
-		r.exchange.resumeElsewhere(r.attempt, r.exchange.moveSilent)
+		go r.exchange.resumeElsewhere(r.attempt, r.exchange.moveSilent)
 	}
 }
 
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -225,13 +225,23 @@
 		return
 	}
 	w.mu.Lock()
-	gen := w.generations[m.ID]
+	gen, inProgress := w.generations[m.ID], w.moving[m.ID]
+	w.moving[m.ID] = true
 	w.mu.Unlock()
+	if inProgress {
+		rw.WriteHeader(http.StatusConflict)
+		return
+	}
+	defer w.withLock(nil, func() { delete(w.moving, m.ID) })
 	if gen == nil {
 		rw.WriteHeader(http.StatusNotFound)
 		return
 	}
 	to := w.workerAt(m.To)
+	if m.Last && w.RefusesStop {
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if to == nil {
 		time.Sleep(w.CopyTime)
 		rw.WriteHeader(http.StatusServiceUnavailable)
@@ -263,6 +273,9 @@
 
 // transfer waits as long as a copy takes. With QueueCopies, it waits for other copies before.
 func (w *Worker) transfer(handle string, last bool) {
+	if last {
+		time.Sleep(w.StopTime)
+	}
 	if !w.QueueCopies {
 		if !last {
 			time.Sleep(w.CopyTime)
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -38,6 +38,8 @@
 	// Extra responds twice: the second response arrives where the caller expects the
 	// response to its next request.
 	Extra Fault = "extra"
+	// PartOfHead sends a part of the head of a response, and no more.
+	PartOfHead Fault = "part_of_head"
 	// Unframed responds without a content length.
 	Unframed Fault = "unframed"
 	// Bare streams without a length or chunks and ends with the connection. BareEmpty does so before the
@@ -112,6 +114,10 @@
 	// QueueCopies makes copies wait for each other, as on the link of an engine. A copy that stops the generation
 	// then takes time, too.
 	QueueCopies bool
+	// StopTime is how much longer a copy takes that stops the generation. RefusesStop makes the engine turn such
+	// calls away, and go on.
+	StopTime    time.Duration
+	RefusesStop bool
 	// ReportLag is the age of what the load report says about generations.
 	ReportLag time.Duration
 
@@ -142,6 +148,7 @@
 	generations   map[string]*generation // in progress, by attempt id
 	copies        map[string]*generation // received and not yet resumed, by handle
 	reported      []*generation          // in progress, or ended a short time ago
+	moving        map[string]bool        // those of which a copy is in progress, by attempt id
 	// copiesSent maps the handles of the copies that this upstream sent to the
 	// upstreams that store them.
 	copiesSent map[string]*Worker
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -107,7 +107,7 @@
 func (w *World) newWorker(id, service string, configure func(*Worker)) *Worker {
 	k := &Worker{
 		ID: id, Service: service, Born: time.Now().UnixMilli(), Zone: DefaultZone, coldPerS: w.ColdPerS, state: "ready", table: w.Table,
-		generations: map[string]*generation{}, copies: map[string]*generation{}, copiesSent: map[string]*Worker{}, workerAt: w.workerAt, crashOn: w.crashOn, stop: make(chan struct{}),
+		generations: map[string]*generation{}, moving: map[string]bool{}, copies: map[string]*generation{}, copiesSent: map[string]*Worker{}, workerAt: w.workerAt, crashOn: w.crashOn, stop: make(chan struct{}),
 	}
 	configure(k)
 	return k
