forward: a taken-up stream goes on at a leaving upstream, tested

What a caller would see without it: it takes a stream up, and is refused with no_upstream_of_version although the upstream that began the stream has just begun to leave and still serves for a while.

Cause: the look at leaving upstreams was tested only for a stream that breaks off within one answer.

Change: a test for streams that are taken up, also where a home places generations, and the safeguard's line. The code is unchanged.

--- a/internal/core/forward/origin_test.go
+++ b/internal/core/forward/origin_test.go
@@ -223,3 +223,37 @@
 		}
 	}
 }
+
+// A caller takes a stream up whose only upstream of its version has just begun to leave. That one still serves for a
+// while and must get the stream, also if a pool's home places generations; the caller would be refused otherwise.
+func TestATakenUpStreamGoesOnAtALeavingUpstreamOfItsVersion(t *testing.T) {
+	for _, generation := range []bool{false, true} {
+		for after, want := range map[time.Duration]bool{100 * time.Millisecond: true, 1700 * time.Millisecond: false} {
+			o := options()
+			o.DrainWithin = 2 * time.Second
+			g := gateWith(o, 2)
+			if generation {
+				c := config(4)
+				c.Services[0].Engine = &route.Engine{Slots: 24}
+				for k := range c.Routes {
+					c.Routes[k].Generation = c.Routes[k].Kind == route.Stream
+				}
+				g.Adopt(route.NewTable(c))
+			}
+			setSoftware(g, "u1", "v2", 10)
+			g.roster.Confirm(start)
+			c := admit(t, g, resumed("/resumable/1"))
+			if refusal := g.Bind(start, c, g.roster.Find("u0").Entry.Origin()); refusal != nil {
+				t.Fatalf("refused: %+v", refusal)
+			}
+			g.LearnLeaving(start.Add(50*time.Millisecond), g.roster.Find("u0").Run())
+			s := g.Start(start.Add(after), c)
+			switch {
+			case want && (s.Send == nil || s.Send.Entry.ID != "u0"):
+				t.Errorf("generation %v, after %v: step %+v, want the stream sent to u0", generation, after, s)
+			case !want && (s.Refuse == nil || s.Why != NoSameSoftware || s.Refuse.RetryAfter == 0):
+				t.Errorf("generation %v, after %v: step %+v, want a refusal at once with a Retry-After", generation, after, s)
+			}
+		}
+	}
+}
