hosted: homes of an earlier release get exclusions, tested

What a caller would see without them: in a fleet of two releases a stream that is taken up is refused with no_upstream_of_version while an upstream of its version is free. The home ignores the software of the request and grants upstreams of another version, each of which is given back, up to the limit.

Cause: no test sent a request for a grant to such a home.

The code is unchanged.

--- a/internal/hosted/place_test.go
+++ b/internal/hosted/place_test.go
@@ -5,8 +5,12 @@
 	"testing"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/boottime"
+	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/placement"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 )
 
@@ -46,3 +50,56 @@
 		}
 	}
 }
+
+// A caller takes a stream up whose pool has a home of an earlier release, which ignores the software of a request. Such
+// a home must get the upstreams of other versions, and those that state none, as exclusions. Otherwise it grants them
+// time after time, and the caller is refused while an upstream of its version is free.
+func TestOldHomesGetUpstreamsOfOtherVersionsAsExclusions(t *testing.T) {
+	for _, release := range []struct{ load, software bool }{{false, false}, {true, false}, {true, true}} {
+		now, s := boottime.Now(), newTestServer("u0:80")
+		s.gate.Adopt(route.NewTable(route.Config{
+			Version: 1, Services: []route.Service{{Name: "pool", Engine: &route.Engine{Slots: 4}}},
+			Routes: []route.Route{{
+				Host: "h", Prefix: "/", Kind: route.Stream, Resumable: true, Generation: true, Timeout: time.Minute, MaxAttempts: 2,
+				Targets: []route.Target{{Service: "pool", Weight: 1}},
+			}},
+		}))
+		s.gate.SetCordons(now, cordon.NewSet(1, nil))
+		for k, e := range []roster.Entry{{ID: "u0", Software: "v1"}, {ID: "u1", Software: "v2"}, {ID: "u2"}, {ID: "u3", Software: "v1"}} {
+			e.Service, e.Address, e.DataCentre, e.Born = "pool", e.ID+":80", "dc-a", 7
+			version := int64(10 + k)
+			s.gate.Roster().Update(now, []roster.Change{{ID: e.ID, Version: version, Valid: true, Entry: e}}, version)
+		}
+		call, refusal := s.gate.Admit(now, forward.Request{ID: "r1", Host: "h", Path: "/x", AfterEvent: "3", Resumes: "r0", Replayable: true})
+		if refusal != nil {
+			t.Fatalf("refused: %+v", refusal)
+		}
+		s.gate.Bind(now, call, s.gate.Roster().Find("u0").Origin())
+		if step := s.gate.Start(now, call); !step.RequestGrant {
+			t.Fatalf("step %+v, want a request for a grant", step)
+		}
+		x := &exchange{server: s, call: call, ctx: t.Context(), grants: make(chan msg.GrantResponse, 1)}
+		var sent placement.Request
+		s.homes = homeLink{
+			homeOf:              func(string) string { return "home" },
+			understandsLoad:     func(string) bool { return release.load },
+			understandsSoftware: func(string) bool { return release.software },
+			reportSilent:        func(string) {},
+			send: func(_ string, m msg.Message) {
+				switch m := m.(type) {
+				case msg.GrantRequest:
+					sent = m.Request
+				case msg.RankedGrantRequest:
+					sent = m.Grant.Request
+				}
+				x.grants <- msg.GrantResponse{Decision: placement.Decision{Attempt: sent.Attempt, Kind: placement.Refused, Reason: placement.ReasonNoUpstream}}
+			},
+		}
+		x.requestGrant()
+		excluded := slices.Sorted(slices.Values(sent.Exclude))
+		if sent.Software != "v1" || !release.software && !slices.Equal(excluded, []string{"u1", "u2"}) {
+			t.Errorf("home that understands urgency: %v, software: %v; request for %q without %v, want v1, and u1 and u2 excluded unless it understands software",
+				release.load, release.software, sent.Software, excluded)
+		}
+	}
+}
