forward: streams keep off cold upstreams of other versions, tested

What a caller would see without the check: in a release its stream that breaks off goes on at an upstream of the new version that has just started, with events of two versions in one answer. And one that no upstream takes now is refused as cold, or not as cold, by the state of upstreams that may not take it.

Cause: no test had cold upstreams of another version.

Change: tests of the choice and of the Retry-After while upstreams are cold, and their lines. The upstream in backoff that is the last resort gets a line, too; TestPropertyAttemptsKeepTheirPromises noticed that one before. The code is unchanged.

--- a/internal/core/forward/origin_test.go
+++ b/internal/core/forward/origin_test.go
@@ -257,3 +257,73 @@
 		}
 	}
 }
+
+// coldGate returns a gate with the upstreams "u0" of version v1 and "u1" of v2. Those of the given ids are cold.
+func coldGate(cold ...string) *Gate {
+	o := options()
+	o.Name = "i0"
+	g := gateWith(o, 0)
+	c := config(4)
+	c.Services[0].ColdFor, c.Services[0].ColdRate = time.Second, 4
+	g.Adopt(route.NewTable(c))
+	g.SetPeers([]Peer{{Name: "i0", DataCentre: "dc-a"}})
+	addUpstreams(g, 2)
+	setSoftware(g, "u1", "v2", 10)
+	for _, id := range cold {
+		g.roster.Find(id).ColdUntil = start.Add(time.Second)
+	}
+	return g
+}
+
+// In a release the upstreams of the new version have just started and are cold and empty. A stream that breaks off at
+// the only upstream of its version must go on there: what two versions write does not fit together.
+func TestAStreamDoesNotGoOnAtAColdUpstreamOfAnotherVersion(t *testing.T) {
+	for name, path := range map[string]func(g *Gate) Step{
+		"breaks off": func(g *Gate) Step {
+			return g.Ended(start, begin(t, g), Cut, true)
+		},
+		"after a failed dial": func(g *Gate) Step {
+			c := begin(t, g)
+			g.load(g.roster.Find("u0")).backOff(start)
+			return g.Ended(start, c, Cut, true)
+		},
+		"is taken up": func(g *Gate) Step {
+			c := admit(t, g, resumed("/resumable/1"))
+			g.Bind(start, c, g.roster.Find("u0").Entry.Origin())
+			g.load(g.roster.Find("u0")).Note(start, true)
+			return g.Start(start, c)
+		},
+	} {
+		for _, cold := range [][]string{{"u1"}, {"u0", "u1"}} {
+			if s := path(coldGate(cold...)); s.Send != nil && s.Send.Entry.ID != "u0" {
+				t.Errorf("%s, %v cold: step %+v, want nothing sent to the other version", name, cold, s)
+			}
+		}
+	}
+}
+
+// No upstream takes a stream that goes on now. Its caller must be told when one of its own version does: cold upstreams of
+// others do not count, and neither do warm ones while those of its version are cold.
+func TestAStreamWaitsForColdUpstreamsOfItsVersionOnly(t *testing.T) {
+	takeUp := func(g *Gate) Step {
+		c := admit(t, g, resumed("/resumable/1"))
+		g.Bind(start, c, g.roster.Find("u0").Entry.Origin())
+		return g.Start(start, c)
+	}
+	g := coldGate("u1")
+	g.ObservePause(start, g.roster.Find("u0"), time.Second)
+	for g.Start(start, admit(t, g, request("/resumable/1"))).Send != nil { // new requests use up the share of u1
+	}
+	if s := takeUp(g); s.Refuse == nil || s.Why != Paused {
+		t.Errorf("the upstream of its version pauses, that of another one is cold: step %+v, want a refusal for the pause", s)
+	}
+	g = coldGate("u0")
+	for s := takeUp(g); s.Send != nil; s = takeUp(g) {
+		if s.Send.Entry.ID != "u0" {
+			t.Fatalf("step %+v, want the stream sent to u0", s)
+		}
+	}
+	if s := takeUp(g); s.Refuse == nil || s.Why != Cold {
+		t.Errorf("the upstream of its version is cold and has got its share, that of another one is warm: step %+v, want a refusal as cold", s)
+	}
+}
