soak, proctest: drains beside silent upstreams

Cause: the soak excused what ended while an instance drained, and no test drained or reloaded an instance while an engine was silent.

Change: a test of both signals beside each kind of silence. In the soak, only kills and freezes of the instance excuse an answer that ended early.

--- a/internal/proctest/hosted_silent_upstreams_test.go
+++ b/internal/proctest/hosted_silent_upstreams_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -222,6 +223,24 @@
 	})
 }
 
+// Instances drain and reload their settings while an engine is silent, and end its streams.
+func TestHostedDrainOutlastsSilentEngine(t *testing.T) {
+	t.Parallel()
+	forEachSilence(t, anyEngine, func(t *testing.T, s *silentRun, fall fallSilent) {
+		s.send(silentGenerations, 0, shortPrompt)
+		time.Sleep(500 * time.Millisecond)
+		fall(s.pool[0], silence, backOff)
+		time.Sleep(100 * time.Millisecond)
+		for n, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+			if err := s.procs[n].signal(sig); err != nil {
+				t.Error(err)
+			}
+		}
+		s.check(t, s.pool[0])
+		s.procs[0].waitExit(t)
+	})
+}
+
 // changeConfiguration changes what does not concern the requests of the tests, or not those in progress.
 func changeConfiguration(c map[string]any, n int) {
 	routes, services := c["routes"].([]map[string]any), c["services"].([]map[string]any)
--- a/internal/proctest/rules_test.go
+++ b/internal/proctest/rules_test.go
@@ -41,6 +41,8 @@
 type disturbance struct {
 	instance string
 	from, to time.Time
+	// planned is set if the instance drained: it ends no answers then.
+	planned bool
 }
 
 // excuses reports whether a disturbance excuses an instance in a window.
--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -376,10 +376,10 @@
 }
 
 // disturb records that an instance is disturbed from a time until now.
-func (s *soak) disturb(n int, from time.Time) {
+func (s *soak) disturb(n int, from time.Time, planned bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.disturbances = append(s.disturbances, disturbance{instance: s.machines[n].Name, from: from, to: time.Now()})
+	s.disturbances = append(s.disturbances, disturbance{instance: s.machines[n].Name, from: from, to: time.Now(), planned: planned})
 }
 
 // restart ends an instance with a signal and starts it again. Other instances may be restarting at
@@ -396,7 +396,7 @@
 		s.t.Error(err)
 	}
 	s.restarts.Go(func() {
-		defer s.disturb(n, from)
+		defer s.disturb(n, from, sig == syscall.SIGTERM)
 		select {
 		case <-p.ended:
 		case <-time.After(10 * time.Second):
@@ -420,7 +420,7 @@
 // freeze stops an instance for 0.2 to 1.5 s.
 func (s *soak) freeze(n int) {
 	p := s.process(n)
-	defer s.disturb(n, time.Now())
+	defer s.disturb(n, time.Now(), false)
 	if err := p.signal(syscall.SIGSTOP); err != nil {
 		s.t.Error(err)
 	}
@@ -603,7 +603,7 @@
 		return
 	case a.result.err == nil && (a.result.status != http.StatusBadGateway || !once):
 		return
-	case excuses(s.disturbances, a.instance, a.sent, a.at):
+	case excuses(slices.DeleteFunc(slices.Clone(s.disturbances), func(d disturbance) bool { return d.planned }), a.instance, a.sent, a.at):
 		return
 	}
 	var silent []disturbance
