--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -32,6 +32,9 @@
 
 // nextStep requests a grant from the pool's home, or starts the next attempt.
 func (g *Gate) nextStep(now time.Time, c *Call) Step {
+	if s, refused := g.refuseInDrain(now, c); refused {
+		return s
+	}
 	if why := g.unavailableReason(c); why != "" {
 		return g.refuse(c, why, retryAfterFor(why, busyRetryAfter))
 	}
@@ -107,7 +110,10 @@
 // sendTo starts the next attempt at a given upstream, or refuses the call if too little time is
 // left.
 func (g *Gate) sendTo(now time.Time, c *Call, u *roster.Upstream) Step {
-	left := c.Deadline.Sub(now)
+	if s, refused := g.refuseInDrain(now, c); refused {
+		return s
+	}
+	left := g.timeLeft(now, c)
 	if left < minTimeLeft {
 		return g.refuse(c, OutOfTime, 0)
 	}
@@ -123,8 +129,8 @@
 	c.sends++
 	a := &Attempt{Upstream: u, Entry: u.Entry, Number: c.sends, Sent: now, TimeLimit: left, tokens: c.tokens(), bodyBytes: c.bodyBytes(), Choice: c.choice}
 	c.tried = append(c.tried, u)
-	if c.Route.Kind == route.Idempotent && c.sends < c.Route.MaxAttempts {
-		a.CancelAt = now.Add(time.Duration(attemptTimeShare * float64(left)))
+	if cancelAt := now.Add(time.Duration(attemptTimeShare * float64(left))); c.Route.Kind == route.Idempotent && c.sends < c.Route.MaxAttempts && g.mayRetryAt(cancelAt, c) {
+		a.CancelAt = cancelAt
 	}
 	g.beginAttempt(c, a)
 	if c.sends > 1 {
@@ -187,7 +193,7 @@
 // blamed returns the outcome of an attempt as far as its upstream is the reason: the stream of a generation that
 // was moved ends there as ordered, or because this instance has closed its connection.
 func (g *Gate) blamed(c *Call, o Outcome) Outcome {
-	if len(c.resumeTargets) > 0 && !c.resumed && (o == Lost || o == Cut) {
+	if c.Redirected() && (o == Lost || o == Cut) {
 		return Cancelled
 	}
 	return o
@@ -244,7 +250,7 @@
 
 // mayRepeat reports whether a call may be sent to another upstream once more.
 func (g *Gate) mayRepeat(now time.Time, c *Call) bool {
-	return c.Route.Repeatable() && c.Replayable && c.sends < c.Route.MaxAttempts && g.hasBudget(now, c)
+	return c.Route.Repeatable() && c.Replayable && c.sends < c.Route.MaxAttempts && g.hasBudget(now, c) && g.mayRetryAt(now, c)
 }
 
 // hasBudget reports whether the retry budget has room for a retry of a call.
@@ -348,8 +354,11 @@
 	return Step{Refuse: &Refusal{Status: code, Reason: why, RetryAfter: retryAfter}, Why: why}
 }
 
-// Expired ends a call whose deadline passed during an attempt.
+// Expired ends a call whose deadline passed, or which the process can no longer finish.
 func (g *Gate) Expired(now time.Time, c *Call, headerDelivered bool) Step {
+	if g.DrainOver(now) && now.Before(c.Deadline) {
+		return g.endWithProcess(now, c, headerDelivered)
+	}
 	if a := c.current; a != nil {
 		c.current = nil
 		c.mayHaveRun = true
--- a/internal/hosted/ends.go
+++ b/internal/hosted/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -98,6 +99,8 @@
 	switch {
 	case step.Why == forward.OutOfTime:
 		return endOutOfTime
+	case step.Why == forward.Draining:
+		return endProcess
 	case x.isConvicted():
 		return endConvicted
 	case x.moving:
@@ -114,7 +117,10 @@
 
 // deadlineReason returns why a response is broken off whose deadline passed while parts of it were buffered.
 func (x *exchange) deadlineReason() endReason {
-	if x.outcome == forward.Done {
+	switch {
+	case !errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+		return endProcess
+	case x.outcome == forward.Done:
 		return endDelivery
 	}
 	return endOutOfTime
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -69,6 +69,10 @@
 	// convicted is closed when the parts of the prompt are found to crash upstreams.
 	convicted     chan struct{}
 	convictedOnce sync.Once
+	// giveUp is closed when the request waits and can't end before the process does; givenUp is then
+	// set. Guarded by the server's lock.
+	giveUp  chan struct{}
+	givenUp bool
 	// conn carries the current attempt; nil between attempts. Guarded by the server's lock.
 	conn *conn.Conn
 }
@@ -103,6 +107,7 @@
 	if outcome != forward.Done {
 		x.awaitMove()
 	}
+	x.stopBroken(a, outcome)
 	found := x.findCrash(a, outcome)
 	next := x.decideStep(func(now time.Time, g *forward.Gate) forward.Step {
 		if outcome != forward.Done && x.isConvicted() {
@@ -147,7 +152,7 @@
 		x.finish("upstream_failure", x.upstreamError.status)
 	case step.Abort:
 		x.breakOff("cut", x.cutReason(step), "why", step.Why, "error", x.lastErr)
-	case undelivered != nil && errors.Is(x.ctx.Err(), context.DeadlineExceeded):
+	case undelivered != nil && x.outOfTime():
 		x.breakOff("cut", x.deadlineReason()) // the caller was still reading
 	case x.callerLeft():
 		reason, err := x.callerReason()
@@ -224,6 +229,7 @@
 			c.Close()
 		}
 	}()
+	extended := x.extendTimeouts(c)
 	sent := x.send(c, a)
 	if x.body.replayable() {
 		if err := <-sent; err != nil {
@@ -244,12 +250,25 @@
 		return outcome, err
 	}
 	if err == nil && c.Reusable(resp) && !ans.Closing {
+		if extended {
+			_ = c.ExtendTimeouts(false) // fails only on a closed connection, which the pool drops
+		}
 		pooled = true
 		x.server.conns.Put(c, conn.KeepAlive(resp.Header))
 	}
 	return outcome, err
 }
 
+// extendTimeouts makes the kernel tolerate a long silence of a connection for a stream whose upstream is queried
+// while it is silent, and reports whether it did.
+func (x *exchange) extendTimeouts(c *conn.Conn) (extended bool) {
+	x.server.decide(func(_ time.Time, g *forward.Gate) { extended = g.WatchesSilence(x.call) })
+	if extended {
+		_ = c.ExtendTimeouts(true) // fails only on a closed connection, on which the attempt fails, too
+	}
+	return extended
+}
+
 // send writes the request and returns a channel that receives the result of the write. A body
 // that is not fully buffered is sent while the response is awaited.
 func (x *exchange) send(c *conn.Conn, a *forward.Attempt) <-chan error {
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -55,7 +55,7 @@
 	// directoryTTL is the lifetime of a directory response. Callers lose up to that time on a dead
 	// instance.
 	directoryTTL = time.Second
-	// drainMargin is the part of the grace period that is left for sending the last bytes.
+	// drainMargin is the part of the grace period that is left for sending the last answers.
 	drainMargin = 500 * time.Millisecond
 	// lingerTTLs is the number of directory lifetimes for which a leaving instance accepts
 	// requests: some callers use a directory response for three times its lifetime.
@@ -82,6 +82,8 @@
 	traffic     *conn.Traffic
 	heap        *heapUse
 	connections func() float64
+	// callers serves the callers' listener.
+	callers *http.Server
 	// usageMu guards usage, the measured use of this instance's resources.
 	usageMu sync.Mutex
 	usage   *fleet.Usage
@@ -234,8 +236,14 @@
 
 // Serve runs the instance until the context ends or it has drained.
 func (i *Instance) Serve(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	outer := ctx
+	ctx, cancel := context.WithCancel(context.WithoutCancel(outer))
 	defer cancel()
+	stop := context.AfterFunc(outer, func() {
+		i.server.logUnfinished() // before the callers' connections are closed
+		cancel()
+	})
+	defer stop()
 	if i.settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(i.settings.MemoryBytes)))
 	}
@@ -289,6 +297,7 @@
 			i.connections = connectionsInUse(ln)
 			ln = callerListener{ln}
 			server.ConnContext = withCallerConn
+			i.callers = server
 		}
 		tree.Add(&httpService{name: l.name, listener: ln, server: server})
 	}
--- a/internal/hosted/slow_test.go
+++ b/internal/hosted/slow_test.go
@@ -40,6 +40,8 @@
 	instance *hosted.Instance
 	engines  []*hosting.Worker
 	log      *syncBuffer
+	// stop ends the instance at once.
+	stop func()
 }
 
 // syncBuffer is a buffer for the log of an instance.
@@ -92,11 +94,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- r.instance.Serve(ctx) }()
-	t.Cleanup(func() {
+	r.stop = sync.OnceFunc(func() {
 		cancel()
 		if err := <-ended; err != nil {
 			t.Errorf("Serve: %v", err)
 		}
+	})
+	t.Cleanup(func() {
+		r.stop()
 		if t.Failed() {
 			t.Log(r.log.buf.String())
 		}
