proctest: an unknown route excuses a request only if it has not run

Cause: the check of silent upstreams took each 404 for a refusal without a run. Change: it counts as one only if no upstream ran the request; the doc of the stand-ins names silences.

--- a/internal/proctest/hosted_silent_upstreams_test.go
+++ b/internal/proctest/hosted_silent_upstreams_test.go
@@ -116,7 +116,7 @@
 				reached++
 			}
 		}
-		if r.status == http.StatusNotFound || refusedNotRun(r.status) && countRuns(arrivals[c.id]) == 0 {
+		if (r.status == http.StatusNotFound || refusedNotRun(r.status)) && countRuns(arrivals[c.id]) == 0 {
 			refused++
 			continue
 		}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -1,4 +1,4 @@
-// Package standin runs the stand-ins for outside systems as HTTP servers that can crash
+// Package standin runs the stand-ins for outside systems as HTTP servers that can crash, fall silent
 // and start again, and repeats periodic work such as their announcements to the platform.
 package standin
 
