Responses that have begun may complete at the end of a drain

A response that had begun when a drain ended was broken off at once, although half a second of the grace period was left. Requests without a response now get their final answers first, with the listener closed, and responses go on for another 0.2 s; what is left then is broken off and logged.

--- a/internal/hosted/drain.go
+++ b/internal/hosted/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/boottime"
@@ -12,9 +13,12 @@
 const (
 	// drainCheckInterval is the interval between checks whether a drain is over.
 	drainCheckInterval = 50 * time.Millisecond
-	// flushTime is how long final answers may take to reach callers once the requests in progress have
-	// ended. The rest of drainMargin is for the exit itself.
-	flushTime = 300 * time.Millisecond
+	// completionTime is how long responses that have begun may go on after the other requests in progress
+	// have got their final answers.
+	completionTime = 200 * time.Millisecond
+	// flushTime is how long final answers may take to reach callers. The rest of drainMargin is for the exit
+	// itself.
+	flushTime = 100 * time.Millisecond
 )
 
 // Drain directs callers to other instances and ends Serve once no request is in progress or the
@@ -68,26 +72,46 @@
 }
 
 // endRequests ends the requests that are still in progress with their final answers, and waits until these
-// were sent.
+// were sent. Responses that have begun get some time to complete.
 func (i *Instance) endRequests() {
-	open := map[string]int{}
-	i.server.decide(func(now time.Time, g *forward.Gate) {
-		for _, x := range i.server.running {
-			open[progressOf(x.call)]++
-			x.cancel()
-		}
-	})
+	open := i.server.cancelRequests(waiting, sent)
 	for progress, n := range open {
 		i.metrics.Add("requests_at_exit_total", progress, int64(n))
 	}
 	i.log.Info("drain_ended", "name", i.settings.Name, "waiting", open[waiting], "sent", open[sent], "responding", open[responding], "tunnels", i.tunnels.open.Load())
-	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
-	defer cancel()
-	if err := i.callers.Shutdown(ctx); err != nil {
+	if i.closeCallers(completionTime) == nil {
+		return
+	}
+	i.server.cancelRequests(waiting, sent, responding)
+	if err := i.closeCallers(flushTime); err != nil {
 		i.log.Warn("answers_not_sent", "open_requests", i.server.openRequests(), "error", err)
 	}
 }
 
+// cancelRequests cancels the requests in progress that are in one of the given states, and returns the number
+// of requests in progress by state.
+func (s *server) cancelRequests(states ...string) map[string]int {
+	open := map[string]int{}
+	s.decide(func(time.Time, *forward.Gate) {
+		for _, x := range s.running {
+			state := progressOf(x.call)
+			open[state]++
+			if slices.Contains(states, state) {
+				x.cancel()
+			}
+		}
+	})
+	return open
+}
+
+// closeCallers closes the callers' listener and their idle connections, and waits until the others have
+// become idle, for a limited time.
+func (i *Instance) closeCallers(limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return i.callers.Shutdown(ctx)
+}
+
 // Progress of requests at the end of the process, as metric labels.
 const (
 	// waiting: not sent to an upstream at present.
--- a/internal/proctest/hosted_exit_test.go
+++ b/internal/proctest/hosted_exit_test.go
@@ -262,3 +262,26 @@
 	}
 	f.procs[0].waitExit(t)
 }
+
+// A stream is in progress at the end of a drain. It must go on for a little longer than requests without a
+// response, as one that is almost complete would otherwise be broken off, and still end before the kill.
+func TestHostedResponsesGoOnAtTheEndOfADrain(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	for _, k := range f.pool {
+		k.EventEvery, k.EventCount = 10*time.Millisecond, 2000
+	}
+	done := make(chan result)
+	go func() { done <- f.do(f.machines[0], generation("long")) }()
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	send(t, f.procs[0], syscall.SIGTERM)
+	r := <-done
+	if after := time.Since(began); !r.truncated || after < grace-350*time.Millisecond || after > grace {
+		t.Errorf("a stream was broken off (%v) %v after SIGTERM, want some 0.3 s before the grace period of %v is over", r.truncated, after, grace)
+	}
+	f.procs[0].waitExit(t)
+	if !strings.Contains(f.procs[0].output(), "event=request_ended request=long outcome=cut") {
+		t.Error("the end of the stream is not logged, want a line")
+	}
+}
