conn, hosted: no keep-alive ends a connection that is watched otherwise

What callers saw: some streams still ended with "connection timed out" in a second silence, at the time at which the last probe after the first one was due, and some that passed another instance's tunnel.

Cause: a longer series of probes moves that time and does not remove it. The onward connection of a tunnel had the usual limits.

Change: a watched stream's connection has no keep-alive; the queries find an upstream that is gone. What a tunnel carries is watched by its entry.

--- a/internal/conn/dial.go
+++ b/internal/conn/dial.go
@@ -63,27 +63,23 @@
 	return nil
 }
 
-// streamTimeout is how long the other end of a connection may be out of reach while a stream is in progress
-// whose silence its user watches itself.
-const streamTimeout = 15 * time.Second
+// watchedAckTimeout is how long bytes sent on a watched connection may stay unacknowledged.
+const watchedAckTimeout = 15 * time.Second
 
-// streamKeepAlive is the TCP keep-alive setting of such a connection.
-var streamKeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: int(streamTimeout / keepAliveInterval)}
-
-// ExtendTimeouts makes the kernel keep the connection while the other end is out of reach for up to
-// streamTimeout, or restores its usual limits. The kernel can't tell a silence from a loss, and its limits for
-// idle connections are short. It does nothing if the connection is no socket.
-func (c *Conn) ExtendTimeouts(extend bool) error {
+// Watch makes the kernel tolerate that the other end of a connection is silent, or restores its usual limits:
+// the user of the connection watches it meanwhile. The kernel can't tell a silence from a loss, and its limits
+// are those of idle connections. It does nothing if the connection is no socket.
+func Watch(c net.Conn, watched bool) error {
 	timeout, probes := ackTimeout, keepAlive
-	if extend {
-		timeout, probes = streamTimeout, streamKeepAlive
+	if watched {
+		timeout, probes = watchedAckTimeout, net.KeepAliveConfig{}
 	}
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.(*net.TCPConn); ok {
 		if err := tcp.SetKeepAliveConfig(probes); err != nil {
 			return fmt.Errorf("set keep-alive: %w", err)
 		}
 	}
-	return SetAckTimeout(c.Conn, timeout)
+	return SetAckTimeout(c, timeout)
 }
 
 // SetAckTimeout sets how long bytes sent on a connection may wait for an acknowledgement. It does nothing
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -229,7 +229,7 @@
 			c.Close()
 		}
 	}()
-	extended := x.extendTimeouts(c)
+	watched := x.watch(c)
 	sent := x.send(c, a)
 	if x.body.replayable() {
 		if err := <-sent; err != nil {
@@ -250,8 +250,8 @@
 		return outcome, err
 	}
 	if err == nil && c.Reusable(resp) && !ans.Closing {
-		if extended {
-			_ = c.ExtendTimeouts(false) // fails only on a closed connection, which the pool drops
+		if watched {
+			_ = conn.Watch(c.Conn, false) // fails only on a closed connection, which the pool drops
 		}
 		pooled = true
 		x.server.conns.Put(c, conn.KeepAlive(resp.Header))
@@ -259,14 +259,14 @@
 	return outcome, err
 }
 
-// extendTimeouts makes the kernel tolerate a long silence of a connection for a stream whose upstream is queried
-// while it is silent, and reports whether it did.
-func (x *exchange) extendTimeouts(c *conn.Conn) (extended bool) {
-	x.server.decide(func(_ time.Time, g *forward.Gate) { extended = g.WatchesSilence(x.call) })
-	if extended {
-		_ = c.ExtendTimeouts(true) // fails only on a closed connection, on which the attempt fails, too
+// watch makes the kernel tolerate a silence of a connection for a stream whose upstream is queried while it is
+// silent, and reports whether it did.
+func (x *exchange) watch(c *conn.Conn) (watched bool) {
+	x.server.decide(func(_ time.Time, g *forward.Gate) { watched = g.WatchesSilence(x.call) })
+	if watched {
+		_ = conn.Watch(c.Conn, true) // fails only on a closed connection, on which the attempt fails, too
 	}
-	return extended
+	return watched
 }
 
 // send writes the request and returns a channel that receives the result of the write. A body
--- a/internal/hosted/tunnel.go
+++ b/internal/hosted/tunnel.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/memory"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
@@ -58,6 +59,7 @@
 		}
 		return
 	}
+	_ = conn.Watch(upstream, true) // the entry watches; fails only on a closed connection, on which Carry fails, too
 	if err := end.Carry(upstream); err != nil {
 		t.server.log.Debug("tunnel_ended", "peer", from, "upstream", m.Upstream, "address", m.Address, "error", err)
 	}
