An instance goes on when nothing reads its log any more

When the reader of the log ended, callers of the instance got closed connections: the next write to standard output raised SIGPIPE, whose default action ends the process with all requests in progress. Instances now ignore it; other commands still end, as in a pipeline.

TestHostedLogReaderEnds fails on the code before: the second booking gets a closed connection.

--- a/internal/cli/signal.go
+++ b/internal/cli/signal.go
@@ -40,6 +40,9 @@
 // follow begins to deliver the signals. Those that have arrived before take effect before it returns.
 func (s *signals) follow(p lifecycle.Policy, e effects) {
 	s.machine, s.effects = lifecycle.New(p), e
+	if p.Drains {
+		signal.Ignore(syscall.SIGPIPE) // a log that nobody reads must not end the requests in progress
+	}
 	for len(s.received) > 0 {
 		s.deliver(<-s.received)
 	}
--- a/internal/proctest/hosted_signal_test.go
+++ b/internal/proctest/hosted_signal_test.go
@@ -1,8 +1,11 @@
 package proctest
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -152,3 +155,37 @@
 		t.Fatal(err)
 	}
 }
+
+// Whatever reads the log of an instance ends. The next write would end the process by SIGPIPE, with its requests
+// in progress.
+func TestHostedLogReaderEnds(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	m, err := f.MachineIn("unread", hosting.DefaultZone)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(f.builds.next(), "serve")
+	cmd.Env, cmd.Stdout, cmd.Stderr = append(os.Environ(), "MULBERRYLUG_SETTINGS="+m.Settings), writer, writer
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill() // fails only if the process has ended
+		_ = cmd.Wait()         // the process was killed
+	})
+	writer.Close()
+	go func() { _, _ = io.Copy(io.Discard, reader) }() // ends with an error when the reader is closed
+	testkit.Eventually(t, waitTimeout, "the instance is ready", func() bool { return f.ready(m) })
+	reader.Close()
+	for k := range 5 {
+		if r := f.do(m, booking(fmt.Sprintf("unread-%d", k))); r.status != http.StatusOK {
+			t.Fatalf("booking %d after the log is no longer read: %+v, want a success", k, r)
+		}
+		time.Sleep(100 * time.Millisecond) // the log is written in the background
+	}
+}
