forward: a stream goes on at an upstream that begins to leave while it is placed

What callers saw: a stream that was to go on was refused, though the only upstream of its version still served.

Cause: an upstream that has just begun to leave was looked at before the request for a grant, and not when the home had granted, refused or been silent.

Change: each of these looks once more.

Measured: TestAStreamGoesOnAtAnUpstreamThatBeginsToLeaveWhileItIsPlaced failed before in all three cases and passes.

--- a/internal/core/forward/deferred_test.go
+++ b/internal/core/forward/deferred_test.go
@@ -27,7 +27,7 @@
 		t.Errorf("maximum wait without deferrals = %s, want %s", got, want)
 	}
 	c.poolsTried = maxPools
-	s := g.HomeRefused(c, placement.ReasonDeferred, 7*time.Second)
+	s := g.HomeRefused(start, c, placement.ReasonDeferred, 7*time.Second)
 	if s.Refuse == nil || s.Refuse.Reason != Deferred || s.Refuse.RetryAfter != 7*time.Second || !PromisesNotRun(s.Refuse.Status) {
 		t.Errorf("step after a deferral = %+v, want a refusal that promises that nothing ran, with the home's Retry-After", s)
 	}
--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -146,7 +146,10 @@
 
 // HomeRefused processes the home's refusal: a grant is requested from another pool, or the call is
 // refused with the Retry-After that the home gave.
-func (g *Gate) HomeRefused(c *Call, reason string, retryAfter time.Duration) Step {
+func (g *Gate) HomeRefused(now time.Time, c *Call, reason string, retryAfter time.Duration) Step {
+	if s, sent := g.sendToLeaving(now, c); sent {
+		return s
+	}
 	if g.nextPool(c) {
 		c.grantRetries++
 		return Step{RequestGrant: true}
--- a/internal/core/forward/origin.go
+++ b/internal/core/forward/origin.go
@@ -103,6 +103,20 @@
 	return last
 }
 
+// sendToLeaving sends a stream that has begun to an upstream that has just begun to leave, if no other one may go on
+// with it, and reports whether there is one.
+func (g *Gate) sendToLeaving(now time.Time, c *Call) (Step, bool) {
+	if !g.originUnavailable(c) {
+		return Step{}, false
+	}
+	u := g.leavingOfOrigin(now, c)
+	if u == nil {
+		return Step{}, false
+	}
+	c.selfChosen = true
+	return g.sendTo(now, c, u), true
+}
+
 // NotAdmitted lists the ids of the known upstreams whose software may not run a call. A home of an earlier
 // release does not know the origin of a call, and gets them as exclusions.
 func (g *Gate) NotAdmitted(c *Call) (ids []string) {
--- a/internal/core/forward/origin_test.go
+++ b/internal/core/forward/origin_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 )
@@ -327,3 +328,37 @@
 		t.Errorf("the upstream of its version is cold and has got its share, that of another one is warm: step %+v, want a refusal as cold", s)
 	}
 }
+
+// A stream that goes on waits for the decision of its pool's home when the only upstream of its version begins to
+// leave. That one still serves for a while and must get the stream, as it would if it had begun to leave before the
+// request for a grant.
+func TestAStreamGoesOnAtAnUpstreamThatBeginsToLeaveWhileItIsPlaced(t *testing.T) {
+	for name, path := range map[string]func(now time.Time, g *Gate, c *Call) Step{
+		"granted": func(now time.Time, g *Gate, c *Call) Step { return g.Granted(now, start, c, granted("u0", nil)) },
+		"refused": func(now time.Time, g *Gate, c *Call) Step {
+			return g.HomeRefused(now, c, placement.ReasonNoUpstream, 0)
+		},
+		"home is silent": func(now time.Time, g *Gate, c *Call) Step { return g.HomeTimedOut(now, c) },
+	} {
+		o := options()
+		o.DrainWithin = 2 * time.Second
+		g := gateWith(o, 2)
+		engines := config(4)
+		engines.Services[0].Engine = &route.Engine{Slots: 24}
+		for k := range engines.Routes {
+			engines.Routes[k].Generation = engines.Routes[k].Kind == route.Stream
+		}
+		g.Adopt(route.NewTable(engines))
+		setSoftware(g, "u1", "v2", 10)
+		g.roster.Confirm(start)
+		c := admit(t, g, resumed("/resumable/1"))
+		g.Bind(start, c, g.roster.Find("u0").Entry.Origin())
+		if s := g.Start(start, c); !s.RequestGrant {
+			t.Fatalf("step %+v, want a request for a grant", s)
+		}
+		g.LearnLeaving(start.Add(50*time.Millisecond), g.roster.Find("u0").Run())
+		if s := path(start.Add(100*time.Millisecond), g, c); s.Send == nil || s.Send.Entry.ID != "u0" {
+			t.Errorf("%s: step %+v, want the stream sent to u0", name, s)
+		}
+	}
+}
--- a/internal/core/forward/pools_test.go
+++ b/internal/core/forward/pools_test.go
@@ -79,10 +79,10 @@
 	c := admit(t, g, request("/stream/1"))
 	g.Start(start, c)
 	first, grant := c.Pool, c.Grant()
-	if s := g.HomeRefused(c, placement.ReasonQueueFull, time.Second); !s.RequestGrant || c.Pool == first || c.Grant() == grant {
+	if s := g.HomeRefused(start, c, placement.ReasonQueueFull, time.Second); !s.RequestGrant || c.Pool == first || c.Grant() == grant {
 		t.Fatalf("pool %s after %s, step %+v, want a new grant request to another pool", c.Pool, first, s)
 	}
-	if s := g.HomeRefused(c, placement.ReasonQueueFull, time.Second); s.Refuse == nil || s.Refuse.RetryAfter != time.Second {
+	if s := g.HomeRefused(start, c, placement.ReasonQueueFull, time.Second); s.Refuse == nil || s.Refuse.RetryAfter != time.Second {
 		t.Errorf("step %+v, want a refusal with the Retry-After of the home", s)
 	}
 	undivided := gate(t, 1)
@@ -90,7 +90,7 @@
 	undivided.table.Service("desk").Engine = &route.Engine{}
 	c = admit(t, undivided, request("/stream/1"))
 	undivided.nextStep(start, c)
-	if s := undivided.HomeRefused(c, placement.ReasonQueueFull, time.Second); s.Refuse == nil {
+	if s := undivided.HomeRefused(start, c, placement.ReasonQueueFull, time.Second); s.Refuse == nil {
 		t.Errorf("undivided service with one pool: step %+v, want a refusal", s)
 	}
 }
@@ -141,7 +141,7 @@
 		"the home refuses": func(g *Gate, c *Call) Step {
 			s := Step{RequestGrant: true}
 			for s.RequestGrant {
-				s = g.HomeRefused(c, placement.ReasonQueueFull, time.Second)
+				s = g.HomeRefused(start, c, placement.ReasonQueueFull, time.Second)
 			}
 			return s
 		},
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -41,11 +41,10 @@
 	if c.TakesUp() && c.origin == nil {
 		return g.refuse(c, UnknownOrigin, 0)
 	}
+	if s, sent := g.sendToLeaving(now, c); sent {
+		return s
+	}
 	if g.originUnavailable(c) {
-		if u := g.leavingOfOrigin(now, c); u != nil {
-			c.selfChosen = true
-			return g.sendTo(now, c, u)
-		}
 		return g.refuse(c, NoSameSoftware, originRetryAfter)
 	}
 	if g.placedByHome(c) {
@@ -67,6 +66,9 @@
 	}
 	u := g.choose(now, c)
 	if u == nil {
+		if s, sent := g.sendToLeaving(now, c); sent {
+			return s
+		}
 		if s, refused := g.refuseFull(now, c); refused {
 			return g.orAsUrgent(now, c, s)
 		}
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -109,8 +109,8 @@
 func (x *exchange) onDecision(q *grantRequest, a msg.GrantResponse) forward.Step {
 	s := x.server
 	if a.Decision.Kind == placement.Refused {
-		return x.decideStep(func(_ time.Time, g *forward.Gate) forward.Step {
-			return g.HomeRefused(x.call, a.Decision.Reason, a.Decision.RetryAfter)
+		return x.decideStep(func(now time.Time, g *forward.Gate) forward.Step {
+			return g.HomeRefused(now, x.call, a.Decision.Reason, a.Decision.RetryAfter)
 		})
 	}
 	x.home = q.home
@@ -173,7 +173,7 @@
 func (s *server) sendGrantEnd(granter string, a *forward.Attempt, end msg.GrantEnd) {
 	s.homes.send(granter, end)
 	granted := end.Pool
-	s.decide(func(_ time.Time, g *forward.Gate) { end.Pool = g.PoolOf(a) })
+	s.decide(func(now time.Time, g *forward.Gate) { end.Pool = g.PoolOf(a) })
 	if home := s.homes.homeOf(end.Pool); end.Pool != granted || home != granter {
 		s.homes.send(home, end)
 	}
