--- a/internal/hosted/crash.go
+++ b/internal/hosted/crash.go
@@ -55,7 +55,7 @@
 			f = s.paths.check(a.Entry.Address)
 		}
 		s.log.Info("failure_assessed", "request", call.ID, "upstream", a.Entry.ID, "outcome", o, "finding", f)
-		if f == findingPathLost || f == findingUnknown {
+		if !f.isAboutUpstream() {
 			return
 		}
 		if home != "" && endsGrant {
--- a/internal/hosted/home.go
+++ b/internal/hosted/home.go
@@ -185,7 +185,7 @@
 	case err != nil:
 		f := h.server.paths.check(target.Address)
 		h.log.Info("upstream_silent", "upstream", target.ID, "pool", name, "finding", f, "error", err)
-		if f != findingPathLost && f != findingUnknown {
+		if f.isAboutUpstream() {
 			h.withHome(name, func(now time.Time, p *pool.Home) { p.Unreachable(now, target.ID) })
 		}
 		return
--- a/internal/hosted/paths.go
+++ b/internal/hosted/paths.go
@@ -422,6 +422,11 @@
 	findingUnknown finding = "unknown"
 )
 
+// isAboutUpstream reports whether a finding is about the upstream, and not about this instance's own path to it.
+func (f finding) isAboutUpstream() bool {
+	return f == findingListening || f == findingDown || f == findingSilent
+}
+
 // check connects to an upstream to find out why it has failed a request or is silent. The connection is
 // kept for the next request.
 func (p *paths) check(address string) finding {
--- a/internal/hosted/silence_crash_test.go
+++ b/internal/hosted/silence_crash_test.go
@@ -13,13 +13,9 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"mulberrylug.example/mulberrylug/internal/conn"
-	"mulberrylug.example/mulberrylug/internal/hosted"
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
 	"mulberrylug.example/mulberrylug/internal/testkit"
-	"mulberrylug.example/mulberrylug/platform"
 )
 
 // silentNet makes connections to upstreams, of which some are silent. A lost request for a connection is sent again
@@ -54,30 +50,7 @@
 	return conn.Dialer().DialContext(ctx, "tcp", address)
 }
 
-func (f *fleetRig) addSilentInstance(t *testing.T, name, zone string, n *silentNet) {
-	t.Helper()
-	m, err := f.MachineIn(name, zone)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s, err := platform.LoadSettings(m.Settings)
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.CPUShare, s.MemoryBytes = 0, 0
-	log := &syncBuffer{}
-	i := hosted.New(s, platform.Wire{}, platform.NewStore(s.StoreAddress), hclog.New(&hclog.LoggerOptions{Output: log}))
-	i.SetDial(n.dial)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- i.Serve(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
-	f.machines, f.logs = append(f.machines, m), append(f.logs, log)
-}
-
+// popularLookUp sends the same look-up as all others and returns its status, 0 without a response.
 func (f *fleetRig) popularLookUp(k int) int {
 	c, err := testkit.DialSlow(f.machines[k].Callers)
 	if err != nil {
@@ -105,7 +78,7 @@
 		f.addUpstreams(t, zone, func(w *hosting.Worker) { w.Work = 30 * time.Millisecond })
 	})
 	for k := range 3 {
-		f.addSilentInstance(t, fmt.Sprintf("entry-%d", k), "zone-a", n)
+		f.addInstanceThrough(t, fmt.Sprintf("entry-%d", k), "zone-a", n.dial)
 	}
 	for k := range f.machines {
 		testkit.Eventually(t, testTimeout, "serves", func() bool { return f.book(k) == http.StatusOK && f.popularLookUp(k) == http.StatusOK })
--- a/internal/hosted/uplink_test.go
+++ b/internal/hosted/uplink_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/hosted"
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
 	"mulberrylug.example/mulberrylug/internal/standin/uplink"
@@ -95,6 +96,14 @@
 }
 
 func (f *fleetRig) addInstance(t *testing.T, name, zone string) {
+	t.Helper()
+	up := uplink.New()
+	f.addInstanceThrough(t, name, zone, up.Dial)
+	f.uplinks = append(f.uplinks, up)
+}
+
+// addInstanceThrough adds an instance that connects to upstreams in the given way.
+func (f *fleetRig) addInstanceThrough(t *testing.T, name, zone string, dial conn.DialFunc) {
 	t.Helper()
 	m, err := f.MachineIn(name, zone)
 	if err != nil {
@@ -105,9 +114,9 @@
 		t.Fatal(err)
 	}
 	s.CPUShare, s.MemoryBytes = 0, 0 // unknown, as the instances share one process
-	log, up := &syncBuffer{}, uplink.New()
+	log := &syncBuffer{}
 	i := hosted.New(s, platform.Wire{}, platform.NewStore(s.StoreAddress), hclog.New(&hclog.LoggerOptions{Output: log}))
-	i.SetDial(up.Dial)
+	i.SetDial(dial)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- i.Serve(ctx) }()
@@ -117,7 +126,7 @@
 	})
 	t.Cleanup(stop)
 	f.stop, f.drain = append(f.stop, stop), append(f.drain, i.Drain)
-	f.machines, f.uplinks, f.logs = append(f.machines, m), append(f.uplinks, up), append(f.logs, log)
+	f.machines, f.logs = append(f.machines, m), append(f.logs, log)
 }
 
 // book sends a request that may run once to an instance and returns the status, 0 without a whole response.
