hosted: a test of callers that pause for their patience

Cause: since connections tolerate a silence of 2.5 s, the test of slow callers passed without the longer tolerance of a caller that reads nothing: its pause is shorter.

Measured: TestACallerMayPauseForItsPatience fails without c.toleratePause.

--- a/internal/hosted/slow_test.go
+++ b/internal/hosted/slow_test.go
@@ -233,6 +233,26 @@
 	}
 }
 
+// A caller reads nothing for longer than the kernel tolerates on other connections, and less long than its patience. It is
+// alive, and must get the whole stream.
+func TestACallerMayPauseForItsPatience(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	version := r.Configure(func(c map[string]any) {
+		for _, route := range c["routes"].([]map[string]any) {
+			route["target_latency_ms"] = 1000 // callers wait for four times as long
+		}
+	})
+	testkit.Eventually(t, testTimeout, "the configuration is in force", func() bool {
+		return r.log.has(fmt.Sprintf("configuration_adopted: version=%d ", version))
+	})
+	conn := r.stream(t, "pauses")
+	time.Sleep(3500 * time.Millisecond)
+	if body, err := readSlowly(conn, 10_000_000); err != nil || body != whole("pauses") {
+		t.Errorf("received %d bytes, error %v; want the whole stream", len(body), err)
+	}
+}
+
 // A caller that reads nothing, or that disconnects, leaves events in the buffer. They are dropped:
 // otherwise it would hold their memory until the deadline of its call. The call must not count as a
 // failure of the upstream, nor be sent again, nor look complete.
