standin: a brittle upstream runs no more requests at once than it has slots

TestBrittleUpstreamsDoNotFallOver failed in some runs on loaded machines. The stand-in stated 4 slots and a queue, but ran up to 20 requests at once. As its room shrinks to 6 requests, it fell over until the limit was low enough.

Requests now wait for one of the slots.

--- a/internal/standin/hosting/brittle.go
+++ b/internal/standin/hosting/brittle.go
@@ -1,6 +1,7 @@
 package hosting
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -15,6 +16,8 @@
 	// PerSecond is stated in all responses; 0 makes the upstream one that only turns requests away.
 	PerSecond int
 
+	start    sync.Once
+	running  chan struct{} // has one element for each request in a slot
 	mu       sync.Mutex
 	open     int
 	rejected []time.Time
@@ -57,6 +60,17 @@
 	return false, falls
 }
 
+// run waits for a slot and then calls work, unless the context ends before.
+func (b *Brittle) run(ctx context.Context, work func()) {
+	b.start.Do(func() { b.running = make(chan struct{}, b.Slots) })
+	select {
+	case b.running <- struct{}{}:
+		defer func() { <-b.running }()
+		work()
+	case <-ctx.Done():
+	}
+}
+
 func (b *Brittle) leave(h http.Header) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -84,11 +98,13 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.withLock(a, func() { a.Ran = true })
-	select {
-	case <-time.After(w.Work):
-	case <-r.Context().Done():
-	}
+	w.Brittle.run(r.Context(), func() {
+		w.withLock(a, func() { a.Ran = true })
+		select {
+		case <-time.After(w.Work):
+		case <-r.Context().Done():
+		}
+	})
 	w.Brittle.leave(rw.Header())
 	rw.Header().Set("Response-Seal", "seal-"+a.ID)
 	_, _ = rw.Write([]byte(Body(a.ID, w.ID))) // an error means that the caller has disconnected
