hosted, conn: clearer log of closed attempts, reasons and names

A line for a request whose attempt this instance had closed said that its upstream was still at work. That is not known: it may have lost the generation, or be out of reach. It says unknown now.

callerReason was the name of a function and of a method. The time-out of watched connections and the second dial of the holder of a copy lacked their reasons.

--- a/internal/conn/dial.go
+++ b/internal/conn/dial.go
@@ -63,7 +63,8 @@
 	return nil
 }
 
-// watchedAckTimeout is how long bytes sent on a watched connection may stay unacknowledged.
+// watchedAckTimeout is how long bytes sent on a watched connection may stay unacknowledged. Queries give up a stream
+// after 3 s, or half of its caller's patience, which is less for all routes with a target of up to 7.5 s.
 const watchedAckTimeout = 15 * time.Second
 
 // Watch makes the kernel tolerate that the other end of a connection is silent, or restores its usual limits:
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -166,7 +166,8 @@
 	a := c.current
 	c.current = nil
 	g.recordOutcome(now, c, a, g.blamed(c, o))
-	// The last dial of the call is counted below.
+	// The holder of the copy is dialled again, as only it can go on. The last dial that the call may use is
+	// counted below, where it ends the call.
 	if o == NotSent && a.CopyAt != "" && !c.Route.Repeatable() && c.dials < maxDials-1 {
 		c.dials++
 		c.resumeTargets = append(c.resumeTargets, &Attempt{Upstream: a.Upstream, CopyAt: a.CopyAt})
--- a/internal/hosted/ends.go
+++ b/internal/hosted/ends.go
@@ -55,9 +55,9 @@
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
 }
 
-// callerReason returns why a read from a caller's connection or a write to it failed, or "" if the error is
+// connReason returns why a read from a caller's connection or a write to it failed, or "" if the error is
 // not one of the connection.
-func callerReason(err error) endReason {
+func connReason(err error) endReason {
 	switch {
 	case errors.Is(err, errReadsNothing):
 		return endCallerReadsNothing
@@ -83,7 +83,7 @@
 	}
 	why, cause := endCallerClosed, cmp.Or(failed...)
 	for _, err := range failed {
-		if reason := callerReason(err); reason != "" && reason != endCallerClosed {
+		if reason := connReason(err); reason != "" && reason != endCallerClosed {
 			why, cause = reason, err
 			break
 		}
@@ -146,9 +146,9 @@
 // far as this instance knows.
 func (x *exchange) upstreamAtWork(reason endReason) string {
 	switch {
-	case x.outcome == forward.Cancelled, reason == endAttemptClosed, reason == endConvicted:
+	case x.outcome == forward.Cancelled, reason == endConvicted:
 		return "yes"
-	case reason == endUpstreamUnreachable, reason == endMoving:
+	case reason == endUpstreamUnreachable, reason == endMoving, reason == endAttemptClosed:
 		return "unknown"
 	}
 	return "no"
@@ -170,7 +170,7 @@
 
 // abortUnreceived aborts the connection of a request whose body was not received.
 func (s *server) abortUnreceived(id string, began time.Time, err error) {
-	reason := callerReason(err)
+	reason := connReason(err)
 	if reason == "" {
 		reason = endBodyMalformed
 	}
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -257,7 +257,8 @@
 	}
 }
 
-// copyGeneration copies a generation's memory once, within the time limit of the context; with final, the generation is stopped first.
+// copyGeneration copies a generation's memory once, within the time limit of the context. With final, the
+// generation is stopped first.
 func (s *server) copyGeneration(ctx context.Context, source, id, to string, final bool) (CopyResult, error) {
 	call, err := s.wire.CopyCall(id, to, final)
 	if err != nil {
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -173,7 +173,7 @@
 func (s *server) sendGrantEnd(granter string, a *forward.Attempt, end msg.GrantEnd) {
 	s.homes.send(granter, end)
 	granted := end.Pool
-	s.decide(func(now time.Time, g *forward.Gate) { end.Pool = g.PoolOf(a) })
+	s.decide(func(_ time.Time, g *forward.Gate) { end.Pool = g.PoolOf(a) })
 	if home := s.homes.homeOf(end.Pool); end.Pool != granted || home != granter {
 		s.homes.send(home, end)
 	}
