hosted: tunnels to plain services keep the kernel's probes

An instance that carries a tunnel made the kernel tolerate a silence of its upstream, as the requester watches the streams that pass it. It did so for tunnels to plain services, too, which nobody asks about: an upstream that is gone was noticed only after 15 s without an acknowledgement, also on idle connections that are used again. Before watched connections existed, keep-alive probes found that out.

Only tunnels to engines, and to upstreams that the carrier does not know, are watched now.

--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -113,11 +113,13 @@
 
 // WatchesSilence reports whether upstreams are queried about a call's stream while it is silent.
 func (g *Gate) WatchesSilence(c *Call) bool {
-	if g.options.Without.Has(mechanism.SilenceProbes) || !c.Route.Generation || c.Route.Kind != route.Stream {
-		return false
-	}
-	s := g.table.Service(c.Service)
-	return s != nil && s.Engine != nil
+	return c.Route.Generation && c.Route.Kind == route.Stream && g.QueriesService(c.Service)
+}
+
+// QueriesService reports whether the upstreams of a service are queried about silent streams.
+func (g *Gate) QueriesService(name string) bool {
+	s := g.table.Service(name)
+	return s != nil && s.Engine != nil && !g.options.Without.Has(mechanism.SilenceProbes)
 }
 
 // QueryDue reports whether a query to the upstream is due about a stream that has been silent
--- a/internal/hosted/tunnel.go
+++ b/internal/hosted/tunnel.go
@@ -59,12 +59,24 @@
 		}
 		return
 	}
-	_ = conn.Watch(upstream, true) // the entry watches; fails only on a closed connection, on which Carry fails, too
+	if t.isWatched(m) {
+		_ = conn.Watch(upstream, true) // fails only on a closed connection, on which Carry fails, too
+	}
 	if err := end.Carry(upstream); err != nil {
 		t.server.log.Debug("tunnel_ended", "peer", from, "upstream", m.Upstream, "address", m.Address, "error", err)
 	}
 }
 
+// isWatched reports whether the requester watches the streams that pass a tunnel. An upstream that this instance
+// does not know may be an engine.
+func (t *tunnels) isWatched(m msg.TunnelRequest) (watched bool) {
+	t.server.decide(func(_ time.Time, g *forward.Gate) {
+		u := g.Roster().Find(m.Upstream)
+		watched = u == nil || g.QueriesService(u.Service)
+	})
+	return watched
+}
+
 // connect makes the connection that a request asks for.
 func (t *tunnels) connect(m msg.TunnelRequest) (msg.TunnelStatus, net.Conn) {
 	address, known := t.addressOf(m)
