--- a/internal/standin/hosting/table.go
+++ b/internal/standin/hosting/table.go
@@ -29,6 +29,10 @@
 	Lost Mode = "lost"
 	// Slow delays every response by slowDelay.
 	Slow Mode = "slow"
+	// Away closes the connections of all calls, also of waiting ones.
+	Away Mode = "away"
+	// StalledFeed never responds to queries for changes, and serves all other calls normally.
+	StalledFeed Mode = "stalled_feed"
 )
 
 // slowDelay is the delay of each response in mode Slow.
@@ -44,6 +48,12 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
+// loggedRow is a row of the history with the time of its write.
+type loggedRow struct {
+	Row
+	at time.Time
+}
+
 // id returns the key of a row in Table.rows.
 func (r Row) id() string { return r.Table + "\x00" + r.Part + "\x00" + r.Key }
 
@@ -53,10 +63,14 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	rows    map[string]Row // by Row.id
-	// log is the history of the rows, with their deletions.
-	log []Row
+	// log is the history of the rows, with their deletions, as far as it has not been dropped, and written
+	// the whole history.
+	log     []Row
+	written []loggedRow
 	// ver is the version of the latest write.
 	ver int64
+	// era rises with each Restore.
+	era int64
 	// trimmedTo is the version up to which the history has been dropped.
 	trimmedTo int64
 	mode      Mode
@@ -69,7 +83,7 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		changed: make(chan struct{}), rows: map[string]Row{}, callerModes: map[string]Mode{},
+		changed: make(chan struct{}), rows: map[string]Row{}, callerModes: map[string]Mode{}, era: 1,
 		calls: map[string]int{}, startedAt: time.Now(),
 	}
 }
@@ -89,6 +103,14 @@
 	t.write(Row{Table: table, Key: key, Value: raw})
 }
 
+// Has reports whether a row exists.
+func (t *Table) Has(table, key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ok := t.rows[Row{Table: table, Key: key}.id()]
+	return ok
+}
+
 // Remove deletes a row.
 func (t *Table) Remove(table, key string) {
 	t.mu.Lock()
@@ -106,15 +128,47 @@
 		t.rows[r.id()] = r
 	}
 	t.log = append(t.log, r)
+	t.written = append(t.written, loggedRow{Row: r, at: time.Now()})
+	t.signal()
+}
+
+// signal wakes the waiting queries for changes. The caller holds the lock.
+func (t *Table) signal() {
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
 
+// Restore replaces the content by that of some time ago, as a store does that comes back from an older copy:
+// later writes are lost, their versions are given out again, and the era rises. It returns the versions
+// before and after.
+func (t *Table) Restore(age time.Duration) (before, after int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before, limit := t.ver, time.Now().Add(-age)
+	t.written = slices.DeleteFunc(t.written, func(w loggedRow) bool { return w.at.After(limit) })
+	t.rows, t.log, t.ver = map[string]Row{}, nil, 0
+	for _, w := range t.written {
+		t.rows[w.id()] = w.Row
+		if w.Deleted {
+			delete(t.rows, w.id())
+		}
+		t.ver = w.Ver
+		t.log = append(t.log, w.Row)
+	}
+	t.era++
+	t.trimmedTo = 0
+	t.signal()
+	return before, t.ver
+}
+
 // Set changes the mode for all callers that have no mode from SetFor.
 func (t *Table) Set(m Mode) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.mode = m
+	if m == Away {
+		t.signal()
+	}
 }
 
 // SetFor changes the mode for the calls of one instance, which HandlerFor serves.
@@ -137,8 +191,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.trimmedTo, t.log = t.ver, nil
-	close(t.changed)
-	t.changed = make(chan struct{})
+	t.signal()
 }
 
 // Calls returns the number of calls to a path.
@@ -148,10 +201,14 @@
 	return t.calls[path]
 }
 
+// pathFeed is the path of queries for changes.
+const pathFeed = "/v1/rows-feed"
+
 // serve serves a call of an instance.
 func (t *Table) serve(w http.ResponseWriter, r *http.Request, instance string) {
 	t.mu.Lock()
 	t.calls[r.URL.Path]++
+	w.Header().Set("Store-Era", strconv.FormatInt(t.era, 10))
 	t.mu.Unlock()
 	mode := t.modeFor(instance)
 	if t.applyMode(w, r, mode) {
@@ -160,7 +217,7 @@
 	switch r.URL.Path {
 	case "/v1/rows-get":
 		t.serveGet(w, r)
-	case "/v1/rows-feed":
+	case pathFeed:
 		t.serveFeed(w, r, instance)
 	case "/v1/rows-tx":
 		t.serveTransaction(w, r, mode)
@@ -191,6 +248,13 @@
 		return true
 	case Slow:
 		time.Sleep(slowDelay)
+	case Away:
+		panic(http.ErrAbortHandler)
+	case StalledFeed:
+		if r.URL.Path == pathFeed {
+			<-r.Context().Done()
+			return true
+		}
 	case Well, Lost:
 	}
 	return false
@@ -235,7 +299,7 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		t.mu.Lock()
-		if after < t.trimmedTo {
+		if after < t.trimmedTo || after > t.ver {
 			t.reply(w, http.StatusGone, nil)
 			t.mu.Unlock()
 			return
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -135,12 +135,15 @@
 	listedAddress string
 	table         *Table
 
-	// copying is held by the copy that uses the link.
-	copying sync.Mutex
+	// copying is held by the copy that uses the link, and listing by a write of the upstream's row, so that no
+	// heartbeat overwrites a later state.
+	copying, listing sync.Mutex
 
 	mu    sync.Mutex
 	fault Fault
 	state string
+	// withdrawn is set once the upstream has removed its row.
+	withdrawn bool
 	// drainingSince is the time at which the upstream announced that it leaves; zero
 	// before that.
 	drainingSince time.Time
@@ -234,7 +237,7 @@
 	defer t.Stop()
 	for {
 		w.server.AwaitStall()
-		w.table.Put("servers", w.ID, w.listRow())
+		w.writeRow()
 		select {
 		case <-w.stop:
 			return
@@ -243,12 +246,40 @@
 	}
 }
 
+// writeRow writes the upstream's row. If the upstream has withdrawn it, the row is removed from a table that
+// has come back from a copy with it.
+func (w *Worker) writeRow() {
+	w.listing.Lock()
+	defer w.listing.Unlock()
+	if !w.isWithdrawn() {
+		w.table.Put("servers", w.ID, w.listRow())
+	} else if w.table.Has("servers", w.ID) {
+		w.Vanish()
+	}
+}
+
 // Leave announces that the upstream is draining and will leave.
 func (w *Worker) Leave() {
 	w.mu.Lock()
 	w.state, w.drainingSince = "draining", time.Now()
 	w.mu.Unlock()
-	w.table.Put("servers", w.ID, w.listRow())
+	w.writeRow()
+}
+
+// Withdraw removes the upstream's row for good and returns when that was done. The upstream serves on and
+// announces nothing.
+func (w *Worker) Withdraw() (at time.Time) {
+	w.mu.Lock()
+	w.withdrawn = true
+	w.mu.Unlock()
+	w.writeRow()
+	return time.Now()
+}
+
+func (w *Worker) isWithdrawn() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.withdrawn
 }
 
 // reportLag is the delay after which a drain appears in the load report.
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -54,6 +54,9 @@
 	// stores holds the servers of the table, one for each instance.
 	stores  []*standin.Server
 	version int64
+	// config is the newest configuration, and cordoned holds the cordoned data centres.
+	config   map[string]any
+	cordoned map[string]bool
 	// seeds holds the control addresses of the first instances, at most maxSeeds.
 	seeds []string
 	// Zones maps each data centre to its region. It must be set before the first call of
@@ -75,7 +78,9 @@
 
 // NewWorld returns a platform with an empty table store. Settings files are written to dir.
 func NewWorld(dir string) *World {
-	return &World{Table: NewTable(), Dir: dir, Zones: map[string]string{DefaultZone: DefaultRegion}, RetryBudgetSlack: 100}
+	return &World{
+		Table: NewTable(), Dir: dir, Zones: map[string]string{DefaultZone: DefaultRegion}, RetryBudgetSlack: 100, cordoned: map[string]bool{},
+	}
 }
 
 // Close stops the table store and the upstreams.
@@ -212,10 +217,39 @@
 	if change != nil {
 		change(c)
 	}
+	w.mu.Lock()
+	w.config = c
+	w.mu.Unlock()
 	w.Table.Put("op", "config", c)
 	return version
 }
 
+// Restore brings the table back from a copy of some time ago, after it was away for a while. The operator
+// writes the configuration and the cordons again some time later, the upstreams with their next heartbeats.
+func (w *World) Restore(age, away, rewriteAfter time.Duration) {
+	w.Table.Set(Away)
+	time.Sleep(away)
+	w.Table.Restore(age)
+	w.Table.Set(Well)
+	time.AfterFunc(rewriteAfter, w.rewrite)
+}
+
+// rewrite writes what the operator had written before the table was restored.
+func (w *World) rewrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Table.Put("op", "config", w.config)
+	for zone, cordoned := range w.cordoned {
+		key := cordonKeyPrefix + zone
+		switch {
+		case cordoned:
+			w.Table.Put("op", key, map[string]any{})
+		case w.Table.Has("op", key):
+			w.Table.Remove("op", key)
+		}
+	}
+}
+
 // Machine holds the data centre, the addresses and the settings file of one instance.
 type Machine struct {
 	Name string
@@ -236,10 +270,22 @@
 const cordonKeyPrefix = "evacuate/"
 
 // Cordon cordons a data centre: instances send no more requests to its upstreams.
-func (w *World) Cordon(zone string) { w.Table.Put("op", cordonKeyPrefix+zone, map[string]any{}) }
+func (w *World) Cordon(zone string) {
+	w.noteCordon(zone, true)
+	w.Table.Put("op", cordonKeyPrefix+zone, map[string]any{})
+}
 
 // Uncordon removes the cordon of a data centre.
-func (w *World) Uncordon(zone string) { w.Table.Remove("op", cordonKeyPrefix+zone) }
+func (w *World) Uncordon(zone string) {
+	w.noteCordon(zone, false)
+	w.Table.Remove("op", cordonKeyPrefix+zone)
+}
+
+func (w *World) noteCordon(zone string, cordoned bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cordoned[zone] = cordoned
+}
 
 // Machine writes the settings file of another instance in the default data centre, and
 // returns the instance's addresses.
