forward, hosted: check again that the upstream is available directly before a request is sent

Callers saw nothing; requests reached upstreams that the sending instance knew to leave. An attempt chose its upstream, then connected, directly or through other instances, and sent without another look. Connecting takes up to 0.7 s, and longer through other instances, so that the time from the choice to the sending was no part of the bound on leaving.

The check covers the other reasons to keep away as well: pauses, cordons, and an id that is used again. An attempt that is withheld counts neither as a send nor as a retry, and a grant is given back. Resumes from a copy are still sent to upstreams that leave; the line sent_to_leaving tells of them.

--- a/internal/core/forward/leaving_test.go
+++ b/internal/core/forward/leaving_test.go
@@ -1,12 +1,15 @@
 package forward
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/status"
 )
 
 // While the store is silent the list goes on showing a leaving upstream as ready. A path that does
@@ -89,3 +92,86 @@
 		t.Errorf("next step %+v, want a refusal with a Retry-After", s)
 	}
 }
+
+// Connecting to an upstream can take longer than a leaving one may get requests. An attempt must be withheld if its
+// upstream has left, was replaced, asked for a pause or was cordoned since the choice.
+func TestAnAttemptIsWithheldIfItsUpstreamIsNoLongerAvailable(t *testing.T) {
+	update := func(g *Gate, change func(c *roster.Change)) {
+		c := roster.Change{ID: "u0", Version: 90, Valid: true, Entry: g.roster.Find("u0").Entry}
+		change(&c)
+		g.roster.Update(start, []roster.Change{c}, 90)
+	}
+	for name, happens := range map[string]func(g *Gate){
+		"it is listed as leaving": func(g *Gate) { update(g, func(c *roster.Change) { c.Entry.Leaving = true }) },
+		"its entry is removed":    func(g *Gate) { update(g, func(c *roster.Change) { c.Removed = true }) },
+		"its id is used again":    func(g *Gate) { update(g, func(c *roster.Change) { c.Entry.Born++ }) },
+		"it states that it leaves": func(g *Gate) {
+			g.LearnLeaving(start, g.roster.Find("u0").Run())
+		},
+		"it asks for a pause": func(g *Gate) { g.ObservePause(start, g.roster.Find("u0"), 3*time.Second) },
+		"its data centre is cordoned": func(g *Gate) {
+			g.SetCordons(start, cordon.NewSet(9, []string{"dc-a"}))
+		},
+	} {
+		g := gate(t, 2)
+		c := admit(t, g, request("/once/1"))
+		a := g.sendTo(start, c, g.roster.Find("u0")).Send
+		if !g.MayStillSend(start, c, a) {
+			t.Fatal("the attempt may not be sent to an upstream that stays, want that it may")
+		}
+		if happens(g); g.MayStillSend(start, c, a) {
+			t.Errorf("%s: the attempt may still be sent", name)
+			continue
+		}
+		s := g.Ended(start, c, Withheld, false)
+		if name == "its data centre is cordoned" {
+			if s.Refuse == nil || s.Refuse.Status != status.ServiceUnavailable {
+				t.Errorf("%s: step %+v, want a refusal that promises that the request did not run", name, s)
+			}
+			continue
+		}
+		if s.Send == nil || s.Send.Entry.ID != "u1" || c.Sends() != 1 {
+			t.Errorf("%s: step %+v after %d sends, want the first send at the other upstream", name, s, c.Sends())
+		}
+	}
+}
+
+// A stream that may go on only at an upstream that leaves is sent there on purpose, while it still serves. Connecting
+// must not take it beyond that time.
+func TestAStreamThatIsSentToALeavingUpstreamIsWithheldInTime(t *testing.T) {
+	o := options()
+	o.DrainWithin = 2 * time.Second
+	g := gateWith(o, 2)
+	setSoftware(g, "u1", "v2", 10)
+	c := begin(t, g)
+	g.roster.Confirm(start)
+	g.roster.MarkLeaving(start, g.roster.Find("u0"))
+	c.tried = nil
+	s := g.Ended(start, c, Cut, true)
+	if s.Send == nil || s.Send.Entry.ID != "u0" {
+		t.Fatalf("step %+v, want the stream sent to u0", s)
+	}
+	for after, want := range map[time.Duration]bool{time.Second: true, o.DrainWithin: false} {
+		if got := g.MayStillSend(start.Add(after), c, s.Send); got != want {
+			t.Errorf("may be sent %v after the leaving: %v, want %v", after, got, want)
+		}
+	}
+}
+
+// A granted upstream leaves while the entry connects. The grant is given back, and another one requested that
+// excludes the upstream.
+func TestAWithheldGrantIsRequestedAgain(t *testing.T) {
+	g := largeGate(t)
+	u := g.roster.All()[0]
+	c := admit(t, g, request("/resumable/1"))
+	g.Start(start, c)
+	s, before := g.Granted(start, start, c, granted(u.ID, nil)), c.Grant()
+	g.LearnLeaving(start, u.Run())
+	if g.MayStillSend(start, c, s.Send) {
+		t.Fatal("the attempt may be sent to an upstream that leaves")
+	}
+	s = g.Ended(start, c, Withheld, false)
+	if !s.RequestGrant || c.Grant() == before || !slices.Contains(g.GrantRequest(start, c).Request.Exclude, u.ID) {
+		t.Errorf("step %+v with grant %s, want a request for another grant without %s", s, c.Grant(), u.ID)
+	}
+}
--- a/internal/core/forward/origin.go
+++ b/internal/core/forward/origin.go
@@ -93,7 +93,7 @@
 func (g *Gate) leavingOfOrigin(now time.Time, c *Call) (last *roster.Upstream) {
 	for _, u := range g.roster.UpstreamsOf(c.Service) {
 		switch {
-		case u.Removed || u.LeavingAsOf.IsZero() || now.Sub(u.LeavingAsOf) > g.options.DrainWithin-leaveMargin:
+		case !g.mayServeLeaving(now, u):
 		case !g.admits(c, u.Entry) || !g.mayUse(c, u.DataCentre) || slices.Contains(c.tried, u):
 		case g.limits[u.Run()] != nil || g.load(u).inBackoff(now) || !g.wantsCalls(now, c, u):
 		case last == nil || u.LeavingAsOf.After(last.LeavingAsOf):
@@ -103,6 +103,12 @@
 	return last
 }
 
+// mayServeLeaving reports whether a listed upstream that leaves has begun to do so so lately that a request still reaches
+// it within Options.DrainWithin.
+func (g *Gate) mayServeLeaving(now time.Time, u *roster.Upstream) bool {
+	return !u.Removed && !u.LeavingAsOf.IsZero() && now.Sub(u.LeavingAsOf) <= g.options.DrainWithin-leaveMargin
+}
+
 // sendToLeaving sends a stream that has begun to an upstream that has just begun to leave, if no other one may go on
 // with it, and reports whether there is one.
 func (g *Gate) sendToLeaving(now time.Time, c *Call) (Step, bool) {
@@ -114,7 +120,11 @@
 		return Step{}, false
 	}
 	c.selfChosen = true
-	return g.sendTo(now, c, u), true
+	s := g.sendTo(now, c, u)
+	if s.Send != nil {
+		s.Send.toLeaving = true
+	}
+	return s, true
 }
 
 // NotAdmitted lists the ids of the known upstreams whose software may not run a call. A home of an earlier
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -125,6 +125,9 @@
 	Done Outcome = "done"
 	// NotSent: no connection could be established and nothing was sent.
 	NotSent Outcome = "not_sent"
+	// Withheld: the upstream no longer accepted the request once the connection was established, and nothing was
+	// sent.
+	Withheld Outcome = "withheld"
 	// Rejected: the upstream responded that it has not run the request.
 	Rejected Outcome = "rejected"
 	// Misdirected: the address now belongs to another upstream, which did not run the request.
@@ -158,6 +161,8 @@
 	// CopyAt references the copy of a moved generation from which the upstream continues; ""
 	// starts from the beginning.
 	CopyAt string
+	// toLeaving is set if the upstream was known to leave when it was chosen; see sendToLeaving.
+	toLeaving bool
 	// AvoidedFor is for how long this instance sends nothing more to the upstream, which turned the
 	// attempt away because it was full; 0 otherwise.
 	AvoidedFor time.Duration
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -160,6 +160,33 @@
 	}
 }
 
+// MayStillSend reports whether an attempt may be sent now that its connection is established. Connecting can take
+// longer than a leaving upstream may get requests, and the upstream may have begun to leave, asked for a pause or
+// been cordoned meanwhile. An instance must check this directly before it sends, on every way to the upstream.
+func (g *Gate) MayStillSend(now time.Time, c *Call, a *Attempt) bool {
+	u := a.Upstream
+	switch {
+	case a.CopyAt != "":
+		return g.mayResumeAt(now, c, u)
+	case g.paused(now, u.Run()):
+		return false
+	case a.toLeaving:
+		return g.mayServeLeaving(now, u) && g.mayUse(c, u.DataCentre)
+	}
+	return g.maySend(c, u) && !g.roster.RecentlyRemoved(a.Entry)
+}
+
+// withheld returns the next step of a call whose attempt was not sent, as its upstream no longer accepted it.
+func (g *Gate) withheld(now time.Time, c *Call, a *Attempt, headerDelivered bool) Step {
+	if a.CopyAt != "" {
+		return g.retry(now, c, Withheld, headerDelivered)
+	}
+	c.sends--
+	c.retryReserved = c.sends > 0 // counted already, if it was one
+	c.headerDelivered = headerDelivered
+	return g.avoid(now, c, a.Upstream, NoUpstream, busyRetryAfter)
+}
+
 // Ended processes the outcome of the current attempt and returns the next step.
 // headerDelivered is set if a response header was delivered to the caller.
 func (g *Gate) Ended(now time.Time, c *Call, o Outcome, headerDelivered bool) Step {
@@ -187,6 +214,8 @@
 		if c.dials >= maxDials {
 			return g.failCall(c, NoUpstream, busyRetryAfter, headerDelivered)
 		}
+	case Withheld:
+		return g.withheld(now, c, a, headerDelivered)
 	case Rejected, Misdirected:
 	default:
 		c.mayHaveRun = true
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -16,6 +16,9 @@
 	"mulberrylug.example/mulberrylug/internal/core/reach"
 )
 
+// errWithheld reports that a request was not sent, as its upstream no longer accepted it once it was reached.
+var errWithheld = errors.New("the upstream no longer accepts the request")
+
 // errOtherRequest reports a response that belongs to another request on the connection.
 var errOtherRequest = errors.New("response belongs to another request")
 
@@ -179,12 +182,16 @@
 		}
 		return forward.NotSent
 	}
+	if !x.mayStillSend(a) {
+		c.Close()
+		x.lastErr = errWithheld
+		return forward.Withheld
+	}
 	// When the caller disconnects or the deadline passes, closing the connection stops the
 	// upstream's work.
 	stop := context.AfterFunc(x.ctx, func() { c.Close() })
 	defer stop()
 	x.setConn(c)
-	x.noteLeaving(a)
 	silent := time.AfterFunc(reach.SilenceLimit, func() { x.checkSilent(a) })
 	outcome, err := x.roundTrip(c, a)
 	silent.Stop()
@@ -198,21 +205,24 @@
 	return outcome
 }
 
-// noteLeaving logs and counts an attempt that is about to be sent to an upstream that is known to leave.
-func (x *exchange) noteLeaving(a *forward.Attempt) {
+// mayStillSend reports whether an attempt may be sent now that its connection is established. It logs and counts
+// those to upstreams that are known to leave.
+func (x *exchange) mayStillSend(a *forward.Attempt) (may bool) {
 	s := x.server
 	var since, sinceConfirmed time.Duration
-	s.decide(func(now time.Time, _ *forward.Gate) {
+	s.decide(func(now time.Time, g *forward.Gate) {
+		may = g.MayStillSend(now, x.call, a)
 		if a.Leaving() {
 			since, sinceConfirmed = now.Sub(a.Upstream.LeavingSince), now.Sub(a.Upstream.LeavingAsOf)
 		}
 	})
-	if since == 0 {
-		return
+	if !may || since == 0 {
+		return may
 	}
 	s.metrics.Count("sent_to_leaving_total", x.call.Service)
 	s.log.Info("sent_to_leaving", "request", x.call.ID, "upstream", a.Entry.ID, "leaving_for", since.Round(time.Millisecond),
 		"listed_before", sinceConfirmed.Round(time.Millisecond), "copy", a.CopyAt != "", "chosen_before", boottime.Now().Sub(a.Sent).Round(time.Millisecond))
+	return true
 }
 
 // checkSilent checks the path to the upstream of an attempt that is still in progress and has got no
--- a/internal/hosted/place.go
+++ b/internal/hosted/place.go
@@ -152,7 +152,7 @@
 		if end.Unreachable = errors.Is(x.lastErr, errUpstreamDown); !end.Unreachable {
 			end.Upstream = ""
 		}
-	case brokenOff(o):
+	case o == forward.Withheld, brokenOff(o):
 		end.Upstream = ""
 	}
 	x.server.sendGrantEnd(x.home, a, end)
