roster, hosted: a removal after a failed read counts at once, and a drop without a version is told

Requests reached an upstream until it exited, from all instances but the one that reads the store.

- A single failed read of the list counted as an outage of the store, in which entries expire by themselves, so that the removals of the next 1.5 s were put off until 2 s after it.
- The reader then dropped the upstream under the version that its list had.
The instances that follow it had that version already and were told nothing, unless the store had a newer one within 3 s.

An outage must now have left the list unconfirmed for 2 s, in which entries can expire. Groups from which an upstream was dropped without a version are sent to each requester, three times as messages can be lost; an instance that turns to another source requests everything; and an upstream whose entry has expired is dropped if a source does not list it, whatever the version. What another source still lists goes on to expire.

Test with processes: the store refuses the reader for 0.2 s, 0.5 s before an upstream removes its entry.

--- a/internal/core/roster/bench_test.go
+++ b/internal/core/roster/bench_test.go
@@ -21,7 +21,7 @@
 	r, q := largeList(b)
 	b.ReportAllocs()
 	for b.Loop() {
-		r.Respond(start, q)
+		r.Respond(start, "x", q)
 	}
 }
 
@@ -32,7 +32,7 @@
 	r.Update(start, []Change{{ID: removed, Version: v + 1, Removed: true}}, v+1)
 	b.ReportAllocs()
 	for b.Loop() {
-		r.Respond(start, q)
+		r.Respond(start, "x", q)
 	}
 }
 
--- /dev/null
+++ b/internal/core/roster/drops_test.go
@@ -0,0 +1,48 @@
+package roster
+
+import (
+	"testing"
+	"time"
+)
+
+// An upstream's entry is missing after an outage of the store, and is dropped by the reader once it was not renewed in
+// time. The store has no newer version then. If the drop has none either, the instances that follow the reader have
+// its version already, are told nothing, and send to the upstream for ever.
+func TestADropAfterAnOutageIsToldWithoutANewVersion(t *testing.T) {
+	reader, follower := New(), New()
+	reader.Replace(start, []Change{listed("a", 5), listed("b", 6)}, 6)
+	ask := func(now time.Time) {
+		if s, ok := reader.Respond(now, "x", follower.Request(nil, true)); ok && s != nil {
+			follower.Adopt(now, *s)
+		}
+	}
+	ask(start)
+	reader.StoreDown()
+	reader.StoreUp(at(time.Second))
+	reader.Replace(at(time.Second), []Change{listed("a", 5)}, 7)
+	for after := time.Second; after < 10*time.Second; after += 100 * time.Millisecond {
+		reader.Tick(at(after))
+		ask(at(after))
+	}
+	if reader.Find("b") != nil || follower.Find("b") != nil {
+		t.Errorf("upstream b is listed at the reader: %v, at its follower: %v, want at none", reader.Find("b") != nil, follower.Find("b") != nil)
+	}
+}
+
+// A read of the store fails once, and an upstream removes its entry. The store was not away for long enough for
+// entries to expire, so that the upstream must be dropped at once, not after the time for which an upstream is kept whose
+// entry may have expired.
+func TestARemovalAfterAFailedReadCountsAtOnce(t *testing.T) {
+	for unconfirmed, want := range map[time.Duration]bool{700 * time.Millisecond: false, 3 * time.Second: true} {
+		r := New()
+		r.Replace(start, []Change{listed("a", 5), listed("b", 6)}, 6)
+		r.Confirm(start)
+		r.StoreDown()
+		now := at(unconfirmed)
+		r.StoreUp(now)
+		r.Replace(now, []Change{listed("a", 5)}, 7)
+		if kept := r.Find("b") != nil; kept != want {
+			t.Errorf("%v without a confirmation: the upstream is kept: %v, want %v", unconfirmed, kept, want)
+		}
+	}
+}
--- a/internal/core/roster/expiry.go
+++ b/internal/core/roster/expiry.go
@@ -14,6 +14,11 @@
 // outage: the store reports the expiries of the outage late.
 const outageGrace = 1500 * time.Millisecond
 
+// minExpiryOutage is the shortest time without a confirmation of the list in which entries can have expired: they do so
+// after three heartbeats, of which the last one before may have just been written. A removal after a shorter one was
+// ordered by the upstream.
+const minExpiryOutage = 2 * time.Second
+
 // A group from which an expired entry was dropped is announced again every reannounceInterval
 // for reannounceDuration. The versions seen by two readers are less than a second apart.
 const (
@@ -30,9 +35,10 @@
 
 // StoreUp records that the store responded to a request.
 func (r *Roster) StoreUp(now time.Time) {
-	if r.storeDown {
-		r.storeDown, r.storeReturned = false, now
+	if r.storeDown && now.Sub(r.confirmedAt) >= minExpiryOutage {
+		r.storeReturned = now
 	}
+	r.storeDown = false
 }
 
 // remove handles the removal of an upstream's entry. It drops the upstream and returns it. If
@@ -73,10 +79,12 @@
 		if !u.ExpiresAt.IsZero() && !r.storeDown && !now.Before(u.ExpiresAt) {
 			g := r.layout.GroupOf(u.Entry)
 			r.droppedAt[g], r.reannouncedAt[g] = now, now
+			r.drops.note(now, g)
 			left = append(left, r.drop(now, u))
 		}
 	}
 	r.reannounce(now)
+	r.drops.expire(now)
 	if left != nil {
 		r.rebuildIndexes()
 	}
--- a/internal/core/roster/group_test.go
+++ b/internal/core/roster/group_test.go
@@ -260,7 +260,7 @@
 	r := newReader(t, spread("large", 1000)...)
 	layout, layoutVersion := r.Layout()
 	q := ListRequest{Version: r.NewestVersion(), LayoutVersion: layoutVersion, Groups: layout.GroupsFor("large", "a", "i1", allOpen)}
-	if allocs := testing.AllocsPerRun(100, func() { r.Respond(start, q) }); allocs > 3 {
+	if allocs := testing.AllocsPerRun(100, func() { r.Respond(start, "x", q) }); allocs > 3 {
 		t.Errorf("Respond without changes makes %.0f allocations, want at most 3", allocs)
 	}
 }
@@ -284,14 +284,14 @@
 		{"a group unknown to the follower", ListRequest{LayoutVersion: layoutVersion, Groups: other, Missing: other}, false},
 		{"all groups", ListRequest{LayoutVersion: layoutVersion, All: true}, false},
 	} {
-		if _, ok := follower.Respond(start, c.q); ok != c.ok {
+		if _, ok := follower.Respond(start, "x", c.q); ok != c.ok {
 			t.Errorf("request for %s: Respond of a follower returns %v, want %v", c.name, ok, c.ok)
 		}
-		if _, ok := r.Respond(start, c.q); !ok {
+		if _, ok := r.Respond(start, "x", c.q); !ok {
 			t.Errorf("request for %s: Respond of a reader returns false, want true", c.name)
 		}
 	}
-	if _, ok := New().Respond(start, ListRequest{}); ok {
+	if _, ok := New().Respond(start, "x", ListRequest{}); ok {
 		t.Error("Respond of an instance without a list returns true, want false")
 	}
 }
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -116,6 +116,8 @@
 	// droppedAt and reannouncedAt hold, by group, when an expired entry was last dropped and
 	// when the group was last announced again because of that.
 	droppedAt, reannouncedAt map[Group]time.Time
+	// drops holds the drops that have no version, for the requesters that must be told.
+	drops drops
 	// joined holds the runs first listed since the last call of Joined.
 	joined []*Upstream
 	// lacksSoftware is set while the list came from an instance whose release does not state the
@@ -135,7 +137,7 @@
 func New() *Roster {
 	return &Roster{
 		byID: map[string]*Upstream{}, versions: map[string]int64{}, removedAt: map[string]time.Time{}, byService: map[string][]*Upstream{},
-		droppedAt: map[Group]time.Time{}, reannouncedAt: map[Group]time.Time{},
+		droppedAt: map[Group]time.Time{}, reannouncedAt: map[Group]time.Time{}, drops: newDrops(),
 		byGroup: map[Group][]*Upstream{}, completeGroups: map[Group]bool{}, changed: map[Group]int64{}, leftAt: map[Run]time.Time{},
 		removedSoftware: map[listedSoftware]time.Time{},
 	}
--- a/internal/core/roster/software_test.go
+++ b/internal/core/roster/software_test.go
@@ -11,7 +11,7 @@
 // update returns the list of a reader as an instance receives it; states is false if the reader is of an
 // earlier release, which does not pass on the software of upstreams.
 func update(reader *Roster, q ListRequest, states bool) ListUpdate {
-	s, _ := reader.Respond(start, q)
+	s, _ := reader.Respond(start, "x", q)
 	if s == nil {
 		return ListUpdate{}
 	}
--- a/internal/core/roster/sync.go
+++ b/internal/core/roster/sync.go
@@ -182,9 +182,9 @@
 	All     bool
 }
 
-// Respond returns the changes since the versions of a request, or nil if there are none. It
+// Respond returns the changes since the versions of a request of an instance, or nil if there are none. It
 // returns false if this instance lacks some of the requested groups.
-func (r *Roster) Respond(now time.Time, q ListRequest) (s *ListUpdate, ok bool) {
+func (r *Roster) Respond(now time.Time, requester string, q ListRequest) (s *ListUpdate, ok bool) {
 	if !r.Received() || q.All && !r.complete {
 		return nil, false
 	}
@@ -206,12 +206,28 @@
 			}
 		}
 	}
+	s.Groups = append(s.Groups, r.droppedFor(now, requester, q, s.Groups)...)
 	if s.Layout == nil && len(s.Groups) == 0 {
 		return nil, true
 	}
 	return s, true
 }
 
+// droppedFor returns copies of those requested groups of which a requester must be told that an upstream was dropped,
+// except those that it gets anyway.
+func (r *Roster) droppedFor(now time.Time, requester string, q ListRequest, sent []GroupCopy) (out []GroupCopy) {
+	if len(r.drops.at) == 0 {
+		return nil
+	}
+	for _, g := range r.drops.due(now, requester) {
+		included := slices.ContainsFunc(sent, func(c GroupCopy) bool { return c.Group == g })
+		if !included && (q.All || g.Count == 0 || slices.Contains(q.Groups, g)) {
+			out = append(out, r.copy(now, g))
+		}
+	}
+	return out
+}
+
 // knowsAll reports whether all upstreams of each group are known.
 func (r *Roster) knowsAll(groups []Group) bool {
 	return !slices.ContainsFunc(groups, func(g Group) bool { return !r.HasGroup(g) })
@@ -251,9 +267,6 @@
 // expiryGrace: the sender has already waited for expired entries to be renewed.
 func (r *Roster) Adopt(now time.Time, s ListUpdate) (left []*Upstream) {
 	r.storeDown, r.storeReturned = false, time.Time{}
-	for _, u := range r.byID {
-		u.ExpiresAt = time.Time{}
-	}
 	switch {
 	case s.Layout != nil && s.LayoutVersion != r.layoutVersion:
 		r.adoptLayout(s.Layout, s.LayoutVersion)
@@ -264,9 +277,14 @@
 		return nil
 	}
 	r.adoptSoftware(s)
+	before := r.newest
 	for _, c := range s.Groups {
 		changes := append(slices.Clip(c.List), r.removals(c.List, s.Version, r.byGroup[c.Group])...)
-		left = append(left, r.Update(now, changes, s.Version)...)
+		dropped := append(r.dropUnlisted(now, c), r.Update(now, changes, s.Version)...)
+		if s.Version == before && slices.ContainsFunc(dropped, func(u *Upstream) bool { return u.Removed }) {
+			r.drops.note(now, c.Group) // those that follow this instance may have the version, too
+		}
+		left = append(left, dropped...)
 		r.markChanged(c.Group, s.Version)
 		if c.Group.Count > 0 {
 			r.completeGroups[c.Group] = true
@@ -279,6 +297,21 @@
 	return left
 }
 
+// dropUnlisted drops those upstreams whose entries have expired here and that a copy of their group does not contain. The
+// version of the copy does not matter, as such a drop has none. Those that it contains still expire unless their
+// entry is newer: the sender may not know yet that they are gone.
+func (r *Roster) dropUnlisted(now time.Time, c GroupCopy) (dropped []*Upstream) {
+	for _, u := range r.byGroup[c.Group] {
+		if !u.ExpiresAt.IsZero() && !slices.ContainsFunc(c.List, func(l Change) bool { return l.ID == u.ID }) {
+			dropped = append(dropped, r.drop(now, u))
+		}
+	}
+	if dropped != nil {
+		r.rebuildIndexes()
+	}
+	return dropped
+}
+
 // Keep drops all groups of divided services except the given ones. It reports whether upstreams
 // were dropped.
 func (r *Roster) Keep(groups []Group) bool {
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -21,6 +21,9 @@
 	neededGroups func(*forward.Gate) []roster.Group
 	// wake makes the next query due when another group is needed.
 	wake chan struct{}
+	// listSource is the instance from which the list was last received or confirmed; "" if it was the store. Another
+	// one may know of drops that have no version.
+	listSource string
 }
 
 // syncResponse is a response to a query and the instance that sent it.
@@ -98,7 +101,7 @@
 	full, states := p.follower.isSource(), p.follower.peers.understandsSoftware(q.Source)
 	p.follower.server.decide(func(_ time.Time, g *forward.Gate) {
 		m.List = g.Roster().Request(p.neededGroups(g), full)
-		if states && g.Roster().LacksSoftware() {
+		if states && g.Roster().LacksSoftware() || q.Source != p.listSource {
 			m.List = m.List.RequestFull()
 		}
 		m.Cordons = g.Cordons().Version
@@ -137,6 +140,7 @@
 		return
 	}
 	f.queryAnswered(number, sentAt)
+	p.listSource = ""
 	if got.query.List {
 		f.wantList() // the store responds to this instance
 	}
@@ -174,6 +178,7 @@
 	if got.List != nil {
 		p.applyList(got.from, *got.List)
 	}
+	p.listSource = got.from
 	// The list is confirmed once its changes are applied: until then it may lack an upstream.
 	f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(sentAt.Add(-got.ListAge)) })
 }
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -71,7 +71,7 @@
 // has not been told, or if the poll must not be held. Otherwise it holds the poll.
 func (r *relay) handlePoll(from string, m msg.SyncRequest) {
 	arrived := boottime.Now()
-	response, confirmed, updated := r.response(m, arrived)
+	response, confirmed, updated := r.response(from, m, arrived)
 	if updated || r.hasNews(arrived, from, confirmed) {
 		r.respond(from, response, confirmed)
 		return
@@ -131,7 +131,7 @@
 	waiting := r.held.Waiting()
 	r.mu.Unlock()
 	for _, q := range waiting {
-		response, confirmed, updated := r.response(q.Message, q.Arrived)
+		response, confirmed, updated := r.response(q.From, q.Message, q.Arrived)
 		r.mu.Lock()
 		due := (updated || r.held.IsDue(boottime.Now(), q, confirmed)) && r.held.Remove(q)
 		r.mu.Unlock()
@@ -141,9 +141,9 @@
 	}
 }
 
-// response returns the updates since the requester's versions, the time as of which the state was
+// response returns the updates for a requester since its versions, the time as of which the state was
 // confirmed, and whether there are any updates. arrived is the time at which the request arrived.
-func (r *relay) response(m msg.SyncRequest, arrived time.Time) (a msg.SyncResponse, confirmed time.Time, updated bool) {
+func (r *relay) response(from string, m msg.SyncRequest, arrived time.Time) (a msg.SyncResponse, confirmed time.Time, updated bool) {
 	a = msg.SyncResponse{Number: m.Number, ConfigAge: msg.NoAge}
 	var newer *sharedConfig
 	r.server.decide(func(now time.Time, g *forward.Gate) {
@@ -161,7 +161,7 @@
 		if c := g.Cordons(); c.Version > m.Cordons {
 			a.Cordons, updated = &c, true
 		}
-		share, ok := g.Roster().Respond(now, m.List)
+		share, ok := g.Roster().Respond(now, from, m.List)
 		if !ok {
 			a.ListAge = msg.NoAge
 			return
--- a/internal/hosted/relay_test.go
+++ b/internal/hosted/relay_test.go
@@ -34,19 +34,19 @@
 	r := newTestRelay(4)
 	for name, c := range map[string]*sharedConfig{"missing": nil, "older than the one in force": {config: &route.Config{Version: 3}}} {
 		r.config = c
-		if a, _, _ := r.response(msg.SyncRequest{Number: 1, Config: 3}, boottime.Now()); a.ConfigAge != msg.NoAge || a.Config != nil {
+		if a, _, _ := r.response("requester", msg.SyncRequest{Number: 1, Config: 3}, boottime.Now()); a.ConfigAge != msg.NoAge || a.Config != nil {
 			t.Errorf("response while the configuration to send is %s = %+v, want neither a confirmation nor a configuration", name, a)
 		}
 	}
 	r.config = &sharedConfig{config: &route.Config{Version: 4}}
-	a, _, updated := r.response(msg.SyncRequest{Number: 2, Config: 3}, boottime.Now())
+	a, _, updated := r.response("requester", msg.SyncRequest{Number: 2, Config: 3}, boottime.Now())
 	if !updated || a.ConfigAge == msg.NoAge {
 		t.Fatalf("response to a requester with version 3 = %+v, updated = %v; want a confirmation and an update", a, updated)
 	}
 	if c, err := a.Config.Unpack(); err != nil || c.Version != 4 {
 		t.Errorf("configuration in the response = %+v, error %v; want version 4", c, err)
 	}
-	if a, _, updated := r.response(msg.SyncRequest{Number: 3, Config: 4, Cordons: 1}, boottime.Now()); updated || a.ConfigAge == msg.NoAge || a.Config != nil {
+	if a, _, updated := r.response("requester", msg.SyncRequest{Number: 3, Config: 4, Cordons: 1}, boottime.Now()); updated || a.ConfigAge == msg.NoAge || a.Config != nil {
 		t.Errorf("response to a requester with version 4 = %+v, want a confirmation and no update", a)
 	}
 }
@@ -61,7 +61,7 @@
 	}
 	now := boottime.Now()
 	f.adopt(now, now, update{config: &route.Config{Version: 5}}, "store")
-	if a, _, updated := r.response(msg.SyncRequest{Number: 1, Config: 4}, boottime.Now()); !updated || a.Config == nil || a.ConfigAge == msg.NoAge {
+	if a, _, updated := r.response("requester", msg.SyncRequest{Number: 1, Config: 4}, boottime.Now()); !updated || a.Config == nil || a.ConfigAge == msg.NoAge {
 		t.Errorf("response right after version 5 took effect = %+v, want version 5 and a confirmation", a)
 	}
 }
@@ -81,8 +81,8 @@
 	for name, shared := range map[string]*sharedConfig{"read from the store": {config: c}, "received": {config: c, packed: received}} {
 		r := newTestRelay(4)
 		r.config = shared
-		first, _, _ := r.response(msg.SyncRequest{Number: 1}, boottime.Now())
-		second, _, _ := r.response(msg.SyncRequest{Number: 2}, boottime.Now())
+		first, _, _ := r.response("requester", msg.SyncRequest{Number: 1}, boottime.Now())
+		second, _, _ := r.response("requester", msg.SyncRequest{Number: 2}, boottime.Now())
 		if len(first.Config) == 0 || &first.Config[0] != &second.Config[0] {
 			t.Errorf("configuration %s: two receivers got different packed forms or an empty one, want one shared form", name)
 		}
--- a/internal/proctest/hosted_drain_bound_test.go
+++ b/internal/proctest/hosted_drain_bound_test.go
@@ -1,6 +1,7 @@
 package proctest
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -41,3 +42,47 @@
 	l.open.Wait()
 	checkNothingAfter(t, f.desk[0], left)
 }
+
+// reader returns the index of the instance that reads the store for the others, as its last line about that says.
+func (f *fixture) reader() int {
+	for k, p := range f.procs {
+		source := "store"
+		for line := range strings.Lines(p.output()) {
+			if _, rest, ok := strings.Cut(line, "event=source_changed "); ok {
+				_, to, _ := strings.Cut(rest, " to=")
+				source, _, _ = strings.Cut(to, " ")
+			}
+		}
+		if source == "store" {
+			return k
+		}
+	}
+	return 0
+}
+
+// newQuietFixture starts a platform whose versions rise only with changes, not with heartbeats.
+func newQuietFixture(t *testing.T) *fixture {
+	t.Helper()
+	return newFixtureWith(t, "", func(w *hosting.World) { w.QuietHeartbeats = true }, func(*hosting.Worker) {})
+}
+
+// The store refuses one instance for a moment, the one that reads it for all others, and an upstream removes its
+// entry. If that counts as an outage, in which entries expire by themselves, the removal is put off, and the other
+// instances may never learn of it, as the store has no newer version when it counts.
+func TestHostedRemovalWhileTheReaderIsRefusedForAMoment(t *testing.T) {
+	t.Parallel()
+	f := newQuietFixture(t)
+	l := newSteadyLoad(f, 90, plainRequest)
+	l.run(4 * time.Second)
+	for k := range 2 {
+		reader := f.machines[f.reader()].Name
+		f.Table.SetFor(reader, hosting.Away)
+		l.run(200 * time.Millisecond) // seldom long enough for a read of the configuration, after which another one would read
+		f.Table.SetFor(reader, hosting.Well)
+		l.run(500 * time.Millisecond)
+		left := f.desk[k].Withdraw()
+		l.run(drainBound + 2*time.Second)
+		l.open.Wait()
+		checkNothingAfter(t, f.desk[k], left)
+	}
+}
--- a/internal/standin/hosting/table.go
+++ b/internal/standin/hosting/table.go
@@ -31,8 +31,10 @@
 	Slow Mode = "slow"
 	// Away closes the connections of all calls, also of waiting ones.
 	Away Mode = "away"
-	// StalledFeed never responds to queries for changes, and serves all other calls normally.
+	// StalledFeed never responds to queries for changes, NoList never to any call about the list of upstreams.
+	// All other calls are served normally.
 	StalledFeed Mode = "stalled_feed"
+	NoList      Mode = "no_list"
 )
 
 // slowDelay is the delay of each response in mode Slow.
@@ -176,6 +178,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.callerModes[instance] = m
+	if m == Away {
+		t.signal()
+	}
 }
 
 // HandlerFor returns the handler of one instance's calls. Each instance needs an address of the
@@ -250,8 +255,8 @@
 		time.Sleep(slowDelay)
 	case Away:
 		panic(http.ErrAbortHandler)
-	case StalledFeed:
-		if r.URL.Path == pathFeed {
+	case StalledFeed, NoList:
+		if r.URL.Path == pathFeed || mode == NoList && r.URL.Query().Get("table") == "servers" {
 			<-r.Context().Done()
 			return true
 		}
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -138,6 +139,9 @@
 	// copying is held by the copy that uses the link, and listing by a write of the upstream's row, so that no
 	// heartbeat overwrites a later state.
 	copying, listing sync.Mutex
+	// listed is the row as last written, without its sequence. quietHeartbeats is that of the World.
+	listed          map[string]any
+	quietHeartbeats bool
 
 	mu    sync.Mutex
 	fault Fault
@@ -252,12 +256,25 @@
 	w.listing.Lock()
 	defer w.listing.Unlock()
 	if !w.isWithdrawn() {
-		w.table.Put("servers", w.ID, w.listRow())
+		w.putRow()
 	} else if w.table.Has("servers", w.ID) {
 		w.Vanish()
 	}
 }
 
+// putRow writes the upstream's row. With QuietHeartbeats, a row in which only the sequence differs is left as it is,
+// so that the table gets no new version.
+func (w *Worker) putRow() {
+	row := w.listRow()
+	listed := maps.Clone(row)
+	delete(listed, "sequence")
+	if w.quietHeartbeats && maps.Equal(listed, w.listed) && w.table.Has("servers", w.ID) {
+		return
+	}
+	w.listed = listed
+	w.table.Put("servers", w.ID, row)
+}
+
 // Leave announces that the upstream is draining and will leave.
 func (w *Worker) Leave() {
 	w.mu.Lock()
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -71,6 +71,9 @@
 	// RetryBudgetSlack is the number of retries in the retry budget's window beyond the share of requests. It
 	// must be set before the first call of Machine or MachineIn.
 	RetryBudgetSlack int
+	// QuietHeartbeats is set if a heartbeat that changes nothing gives a row no new version. It must be set
+	// before Add and AddBehindRelay.
+	QuietHeartbeats bool
 }
 
 // maxSeeds is the maximum number of seed addresses in a settings file.
@@ -111,7 +114,7 @@
 // newWorker returns an upstream that is not started yet.
 func (w *World) newWorker(id, service string, configure func(*Worker)) *Worker {
 	k := &Worker{
-		ID: id, Service: service, Born: time.Now().UnixMilli(), Zone: DefaultZone, coldPerS: w.ColdPerS, state: "ready", table: w.Table,
+		ID: id, Service: service, Born: time.Now().UnixMilli(), Zone: DefaultZone, coldPerS: w.ColdPerS, state: "ready", table: w.Table, quietHeartbeats: w.QuietHeartbeats,
 		generations: map[string]*generation{}, moving: map[string]bool{}, copies: map[string]*generation{}, copiesSent: map[string]*Worker{}, workerAt: w.workerAt, crashOn: w.crashOn, stop: make(chan struct{}),
 	}
 	configure(k)
