roster, platform, hosted: a store that comes back from an older copy begins a new era

Requests reached an upstream until it exited, from all instances, after the store had come back from an older copy and accepted that the upstream leaves. The store gives versions out again after that. They were compared as plain numbers, so that a removal under such a version counted as old and was lost for good; a copy of the list that was refused as old confirmed the list all the same; and no log line told of either.

The class: a position in a history is compared without the history that it belongs to. The platform adapter now reads the store's era from each response, errors included, and joins era and version to one revision, which compares by the era first. So every comparison is covered: list, configuration, cordons, rows, feeds, what instances pass on to each other. Releases without eras read the revisions of the first era as versions.

What is in force does not revert: the configuration stays until the store holds it or a newer one, and a copy without it confirms nothing; cordons stay for 3 s; a run that is known to leave stays so, entries of runs that are known to be gone are set aside for 3 s, and upstreams that the copy lacks are kept for 2 s. An instance that starts awaits the others for a read interval before it uses the store's configuration. Instances write their rows again; rows of an earlier era are not removed.

--- a/internal/core/roster/drops_test.go
+++ b/internal/core/roster/drops_test.go
@@ -46,3 +46,22 @@
 		}
 	}
 }
+
+// An instance keeps an upstream whose entry may have expired, and then follows another one that has dropped it under the
+// same version. It must drop the upstream, too, and not before its own time is over if that one still lists it.
+func TestAnExpiredUpstreamIsDroppedWithTheSource(t *testing.T) {
+	for name, list := range map[string][]Change{"dropped": {listed("a", 5)}, "listed": {listed("a", 5), listed("b", 6)}} {
+		r := New()
+		r.Replace(start, []Change{listed("a", 5), listed("b", 6)}, 6)
+		r.StoreDown()
+		r.StoreUp(start)
+		r.Replace(start, []Change{listed("a", 5)}, 7)
+		r.Adopt(at(time.Second), ListUpdate{Version: 7, Complete: true, Groups: []GroupCopy{{Group: Undivided("pool"), List: list}}})
+		if kept := r.Find("b") != nil; kept != (name == "listed") {
+			t.Errorf("%s by the source: the upstream is kept: %v", name, kept)
+		}
+		if r.Tick(at(expiryGrace)); r.Find("b") != nil {
+			t.Errorf("%s by the source: the upstream is kept after its time", name)
+		}
+	}
+}
--- a/internal/core/roster/expiry.go
+++ b/internal/core/roster/expiry.go
@@ -42,12 +42,16 @@
 }
 
 // remove handles the removal of an upstream's entry. It drops the upstream and returns it. If
-// the entry may have expired in an outage of the store, remove keeps the upstream for
-// expiryGrace and returns nil.
+// the entry may have expired in an outage of the store, or been written after the copy was made from which the store
+// has come back, remove keeps the upstream for expiryGrace and returns nil.
 func (r *Roster) remove(now time.Time, u *Upstream) *Upstream {
 	if u == nil {
 		return nil
 	}
+	if r.era.entering {
+		u.ExpiresAt = now.Add(expiryGrace)
+		return nil
+	}
 	if r.storeDown || now.Sub(r.storeReturned) < outageGrace && !r.storeReturned.IsZero() {
 		u.ExpiresAt = r.storeReturned.Add(expiryGrace)
 		if r.storeDown {
@@ -62,7 +66,7 @@
 func (r *Roster) drop(now time.Time, u *Upstream) *Upstream {
 	r.markChanged(r.layout.GroupOf(u.Entry), r.newest)
 	delete(r.byID, u.ID)
-	r.removedAt[u.ID] = now
+	r.removedAt[u.ID], r.removedRuns[u.ID] = now, u.Run()
 	r.noteRemoved(now, u.Entry)
 	if u.LeavingSince.IsZero() {
 		u.LeavingSince = now
@@ -85,6 +89,7 @@
 	}
 	r.reannounce(now)
 	r.drops.expire(now)
+	left = append(left, r.endEraChange(now)...)
 	if left != nil {
 		r.rebuildIndexes()
 	}
@@ -118,8 +123,10 @@
 		switch {
 		case r.byID[id] != nil:
 			delete(r.removedAt, id)
+			delete(r.removedRuns, id)
 		case now.Sub(at) > tombstoneTTL:
 			delete(r.removedAt, id)
+			delete(r.removedRuns, id)
 			delete(r.versions, id)
 		}
 	}
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -1,11 +1,14 @@
 // Package roster holds an instance's copy of the platform's list of upstreams: the entries with
-// their versions, and which upstreams accept new work. It does no I/O.
+// their versions, and which upstreams accept new work. Versions are revisions, which tell the states of a
+// store apart that comes back from an older copy (era.go). It does no I/O.
 package roster
 
 import (
 	"cmp"
 	"slices"
 	"time"
+
+	"mulberrylug.example/mulberrylug/internal/core/revision"
 )
 
 // Entry is the row of one upstream in the platform's list. The upstream writes it.
@@ -40,7 +43,7 @@
 // Upstream is one run of an upstream, from start to shutdown.
 type Upstream struct {
 	Entry
-	// Version is the version of the entry in the list.
+	// Version is the revision of the entry in the list.
 	Version int64
 	// FirstSeen is when the entry of this run was first received.
 	FirstSeen time.Time
@@ -84,9 +87,12 @@
 type Roster struct {
 	byID     map[string]*Upstream
 	versions map[string]int64
-	// removedAt holds, by id, when an upstream was removed. Its version is kept until the
-	// tombstone expires.
-	removedAt map[string]time.Time
+	// removedAt holds, by id, when an upstream was removed, and removedRuns its run. Its version is kept until
+	// the tombstone expires.
+	removedAt   map[string]time.Time
+	removedRuns map[string]Run
+	// era is the state of a change of the store's era.
+	era       eraChange
 	byService map[string][]*Upstream
 	byGroup   map[Group][]*Upstream
 	// layout is the current division of services into groups, nil before the first decision;
@@ -136,7 +142,7 @@
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
-		byID: map[string]*Upstream{}, versions: map[string]int64{}, removedAt: map[string]time.Time{}, byService: map[string][]*Upstream{},
+		byID: map[string]*Upstream{}, versions: map[string]int64{}, removedAt: map[string]time.Time{}, removedRuns: map[string]Run{}, byService: map[string][]*Upstream{},
 		droppedAt: map[Group]time.Time{}, reannouncedAt: map[Group]time.Time{}, drops: newDrops(),
 		byGroup: map[Group][]*Upstream{}, completeGroups: map[Group]bool{}, changed: map[Group]int64{}, leftAt: map[Run]time.Time{},
 		removedSoftware: map[listedSoftware]time.Time{},
@@ -171,15 +177,25 @@
 
 // Update applies changes up to the version upTo and returns the upstreams that began to leave
 // or were removed. Changes that are not newer than the known version of their id are ignored:
-// responses can be late or come from a stale replica.
+// responses can be late or come from a stale replica. So are all changes of an earlier era of the store.
 func (r *Roster) Update(now time.Time, changes []Change, upTo int64) []*Upstream {
+	if revision.Era(upTo) < revision.Era(r.newest) {
+		return nil
+	}
+	if r.entersEra(upTo) {
+		r.enterEra(now, upTo)
+	}
 	var left []*Upstream
 	changed := false
 	for _, c := range changes {
-		if c.Version <= r.versions[c.ID] {
+		if c.Version <= r.versions[c.ID] || r.isOutdated(now, c) {
 			continue
 		}
 		r.versions[c.ID] = c.Version
+		r.forgetOutdated(c.ID, c.Version)
+		// An entry can lose its mark: another instance has heard of the leaving, or the store has come back from an
+		// older copy. The entry is passed on with it.
+		c.Entry.Leaving = c.Entry.Leaving || !r.leftAt[c.Entry.Run()].IsZero()
 		if r.isChange(now, c) {
 			r.markGroups(c)
 			changed = true
@@ -218,8 +234,14 @@
 		return nil, false
 	}
 	r.complete, r.lacksSoftware = true, false
-	left = r.Update(now, append(all, r.removals(all, version, r.All())...), version)
-	return left, true
+	r.keepOutdated(all, version, func(Group) bool { return true })
+	changes := append(all, r.removals(all, version, r.All())...)
+	if r.entersEra(version) {
+		r.enterEra(now, version)
+		r.era.entering = true
+		defer func() { r.era.entering = false }()
+	}
+	return r.Update(now, changes, version), true
 }
 
 // removals returns removals of the known upstreams that a copy of the list does not contain.
--- a/internal/core/roster/sync.go
+++ b/internal/core/roster/sync.go
@@ -146,7 +146,7 @@
 		e.ColdRemaining = max(u.ColdUntil.Sub(now), 0)
 		c.List = append(c.List, Change{ID: u.ID, Version: u.Version, Valid: true, Entry: e})
 	}
-	return c
+	return r.withOutdated(c)
 }
 
 // compareGroups orders groups by service, data centre and index.
@@ -276,9 +276,13 @@
 	if s.Version < r.newest {
 		return nil
 	}
+	if r.entersEra(s.Version) {
+		r.enterEra(now, s.Version) // the sender has waited for entries that the store lacks
+	}
 	r.adoptSoftware(s)
 	before := r.newest
 	for _, c := range s.Groups {
+		r.keepOutdated(c.List, s.Version, func(g Group) bool { return g == c.Group })
 		changes := append(slices.Clip(c.List), r.removals(c.List, s.Version, r.byGroup[c.Group])...)
 		dropped := append(r.dropUnlisted(now, c), r.Update(now, changes, s.Version)...)
 		if s.Version == before && slices.ContainsFunc(dropped, func(u *Upstream) bool { return u.Removed }) {
--- a/internal/hosted/cordon.go
+++ b/internal/hosted/cordon.go
@@ -34,12 +34,14 @@
 }
 
 // changedCordons returns the cordons in a response of the store, or nil if they are unchanged.
-// Their version is that of the first response that contained them.
+// Their version is that of the first response that contained them. Shortly after the store has come back from an
+// older copy, known cordons stay as they are.
 func (f *follower) changedCordons(read ConfigResponse) (changed *cordon.Set) {
 	f.logUnreadable(read)
+	settles := f.eraSettles()
 	f.server.decide(func(_ time.Time, g *forward.Gate) {
 		next := cordon.NewSet(read.Version, read.Cordoned)
-		if known := g.Cordons(); !known.Known() || !known.Same(next) {
+		if known := g.Cordons(); !known.Known() || !settles && !known.Same(next) {
 			changed = &next
 		}
 	})
--- a/internal/hosted/fleet.go
+++ b/internal/hosted/fleet.go
@@ -33,6 +33,8 @@
 	// must be notified of the running generations immediately.
 	onPeerLost func()
 
+	// era returns the newest era of the store that is known.
+	era func() int64
 	// statements returns what upstreams have stated, for an instance that starts.
 	statements func() []msg.Message
 	// evidence returns the evidence against parts of prompts, for the same purpose.
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -11,6 +11,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/core/revision"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/watch"
@@ -59,7 +60,7 @@
 	divideServices bool
 	freshness      *freshness
 
-	// mu guards the fields up to lastSource. queries decides on the queries, as timing says.
+	// mu guards the fields up to eraSeenAt. queries decides on the queries, as timing says.
 	mu      sync.Mutex
 	timing  watch.Timing
 	queries *watch.Follower
@@ -71,6 +72,15 @@
 	// lastSource is the preferred source as of the last check.
 	lastSource string
 
+	// heardOthers is set once another instance that has a configuration has responded; storeReadAt is the time of
+	// the first response of the store.
+	heardOthers bool
+	storeReadAt time.Time
+	// eraSeen is the newest era of the store that is known, 0 before the first response, and eraSeenAt when it
+	// became known; zero for the first one that this instance has seen. eraLogged is the last one logged.
+	eraSeen, eraLogged int64
+	eraSeenAt          time.Time
+
 	// configVersion and listVersion are the store's versions in the latest responses with the
 	// configuration and with the list. If listVersion is 0, the full list is read next.
 	configVersion int64
@@ -84,11 +94,16 @@
 // read instead of a feed of changes: a feed can stall, and its silence must not confirm that keys are
 // still valid.
 func (f *follower) applyConfig(sentAt time.Time, read ConfigResponse) bool {
+	f.noteEra(read.Version)
 	var cordonsVersion int64
 	f.server.decide(func(_ time.Time, g *forward.Gate) { cordonsVersion = g.Cordons().Version })
 	if read.Version < max(f.configVersion, cordonsVersion) {
 		f.metrics.Count("stale_answers_total", "configuration")
-		f.log.Warn("configuration_answer_stale", "version", read.Version, "known", max(f.configVersion, cordonsVersion))
+		known := max(f.configVersion, cordonsVersion)
+		f.log.Warn("configuration_answer_stale", "version", revision.Version(read.Version), "era", revision.Era(read.Version), "known", revision.Version(known), "known_era", revision.Era(known))
+		return false
+	}
+	if f.awaitsOthers(read) {
 		return false
 	}
 	f.configVersion = read.Version
@@ -131,8 +146,8 @@
 				f.relay.config = &sharedConfig{config: c, packed: u.packed}
 			}
 		}
-		if g.Table() == nil || c != nil && c.Version < g.Table().Version {
-			return
+		if g.Table() == nil || c == nil && source == sourceName(watch.Store) || c != nil && c.Version < g.Table().Version {
+			return // a store that has come back from an older copy does not hold the configuration in force yet
 		}
 		confirmed = g.Confirm(asOf)
 		version = g.Table().Version
@@ -250,18 +265,19 @@
 	f.changeRoster("list", func(now time.Time, g *forward.Gate) (left []*roster.Upstream) {
 		r := g.Roster()
 		r.StoreUp(now)
-		defer r.Confirm(sentAt) // after the changes: what is new was not listed at the confirmation before
+		known = r.NewestVersion()
 		switch {
+		case read.Version < known:
+			refused = true
+			return nil // it confirms nothing
 		case full:
-			known = r.NewestVersion()
-			var ok bool
-			left, ok = r.Replace(now, read.Changes, read.Version)
-			refused = !ok
+			left, _ = r.Replace(now, read.Changes, read.Version)
 		case r.Complete():
 			left = r.Update(now, read.Changes, read.Version)
 		default:
 			return nil // groups were dropped while the request was in progress
 		}
+		r.Confirm(sentAt) // after the changes: what is new was not listed at the confirmation before
 		if divided = f.divideServices && r.Divide(now); divided {
 			layout, version := r.Layout()
 			f.log.Info("services_divided", "layout", layout, "version", version, "listed", r.Len())
@@ -270,8 +286,9 @@
 	})
 	if refused {
 		f.metrics.Count("stale_answers_total", "list")
-		f.log.Warn("list_answer_stale", "version", read.Version, "known", known)
+		f.log.Warn("list_answer_stale", "version", revision.Version(read.Version), "era", revision.Era(read.Version), "known", revision.Version(known), "known_era", revision.Era(known))
 	}
+	f.noteEra(read.Version)
 	if divided {
 		f.server.announceRunning() // the homes of the new pools do not know the running generations
 	}
@@ -279,6 +296,9 @@
 		f.log.Info("dependency_regained", "dependency", "store", "version", read.Version)
 	}
 	f.listVersion = max(f.listVersion, read.Version)
+	if refused && full {
+		f.listVersion = 0
+	}
 	f.relay.tick()
 }
 
@@ -344,6 +364,7 @@
 	f.mu.Unlock()
 	f.freshness.check(source, unconfirmed)
 	f.freshness.checkList(source, listUnconfirmed)
+	f.logEra()
 	f.changeRoster("lapse", func(now time.Time, g *forward.Gate) []*roster.Upstream { return g.Roster().Tick(now) })
 }
 
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -138,6 +139,8 @@
 		divideServices: !s.Without.Has(mechanism.Parts), regions: s.Regions,
 		freshness: &freshness{metrics: m, log: log, bound: srv.configBound},
 	}
+	i.peers.era = i.follower.era
+	m.Set("store_era", expvar.Func(func() any { return i.follower.era() }))
 	i.homes = &homes{
 		server: srv, metrics: m, log: log, self: s.Name, send: i.peers.sendTo, deliverLocal: i.onPeer, dataCentreOf: i.peers.dataCentreOf, without: s.Without, ways: s.Ways,
 		pools: map[string]*pool.Home{}, usedAt: map[string]time.Time{},
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -170,6 +170,7 @@
 		u.config, u.packed = c, got.Config
 	}
 	asOf := sentAt.Add(-got.ConfigAge)
+	f.noteHeard()
 	f.adopt(sentAt, asOf, u, got.from)
 	f.queryAnswered(got.Number, asOf)
 	if got.ListAge == msg.NoAge {
@@ -188,6 +189,7 @@
 func (p *poller) applyList(source string, share roster.ListUpdate) {
 	f := p.follower
 	full := f.isSource()
+	f.noteEra(share.Version)
 	var before, after int64
 	f.changeRoster(source, func(now time.Time, g *forward.Gate) []*roster.Upstream {
 		r := g.Roster()
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -20,7 +20,7 @@
 
 // ConfigResponse is a response of the store with the configuration and the cordons.
 type ConfigResponse struct {
-	// Version is the version of the store that the response reflects.
+	// Version is the revision of the store that the response reflects; see package revision.
 	Version int64
 	// Config is nil if the response holds none.
 	Config *route.Config
@@ -32,20 +32,24 @@
 
 // ListResponse is a response of the store with the list of upstreams, or with changes of it.
 type ListResponse struct {
+	// Version is the revision of the store that the response reflects.
 	Version int64
 	Changes []roster.Change
 	// Unreadable holds an error for each entry among the changes that cannot be used.
 	Unreadable []error
 }
 
-// Store is the platform's store. ListSince is a long poll for changes after a version, and
-// returns ErrChangesExpired if those are no longer held.
+// Store is the platform's store. It can come back from an older copy, in a new era; all versions are revisions.
+// ListSince is a long poll for changes after a version, and returns ErrChangesExpired if those are no longer
+// held, or the version is of an earlier era.
 type Store interface {
+	// Era returns the newest era that a response has stated; 0 before the first one.
+	Era() int64
 	Config(ctx context.Context) (ConfigResponse, error)
 	List(ctx context.Context) (ListResponse, error)
 	ListSince(ctx context.Context, after int64, wait time.Duration) (ListResponse, error)
 	// Join registers an instance, Members lists the registered ones, Remove deletes rows that
-	// have not been written since they were read.
+	// have not been written since they were read. Those that were read in an earlier era are kept.
 	Join(ctx context.Context, self msg.Heartbeat) error
 	Members(ctx context.Context) ([]fleet.Row, error)
 	Remove(ctx context.Context, rows []fleet.Row) error
--- a/internal/hosted/rows.go
+++ b/internal/hosted/rows.go
@@ -45,6 +45,9 @@
 	// peer is alive.
 	lastRead   time.Time
 	aloneSince time.Time
+	// era is the store's era at the last access: the row may be missing in a copy from which the store has come
+	// back.
+	era int64
 	// aloneTimeout is the time without live peers after which the rows are read.
 	aloneTimeout time.Duration
 }
@@ -60,10 +63,11 @@
 		k.aloneSince, k.aloneTimeout = now, rowsDelayAlone/2+rand.N(rowsDelayAlone)
 	}
 	timedOut := alone && now.Sub(k.aloneSince) >= k.aloneTimeout
-	if !timedOut && (!mustRegister || !k.lastRead.IsZero() && now.Sub(k.lastRead) < rowsInterval) {
+	era := f.era()
+	if !timedOut && (!mustRegister || !k.lastRead.IsZero() && now.Sub(k.lastRead) < rowsInterval && era == k.era) {
 		return false
 	}
-	k.lastRead, k.aloneSince = now, time.Time{}
+	k.lastRead, k.aloneSince, k.era = now, time.Time{}, era
 	return true
 }
 
