watch, hosted: the list of upstreams has the bound of the configuration

Requests reached an upstream until it exited, from instances that reach the store, while their reader got the configuration from it and never the list. Only the age of the configuration made an instance turn to further sources. An instance whose sources fail read the configuration from the store first and the list after it.

Now the older one of both confirmations counts, in queries of further sources and in the choice of a source. Each read of the configuration states the newest version of the store: a list of that version is confirmed by it, and otherwise the held query must deliver within one step, or it is ended and the changes are queried at once. The list is read from the store together with the configuration. A test adds up the shares for each way by which an instance learns of a leaving and the check before the sending: each sum is within the bound.

Test with processes: the reader gets no list.

--- a/internal/core/watch/timing.go
+++ b/internal/core/watch/timing.go
@@ -17,6 +17,7 @@
 	stepPercent          = 5
 	maxAgePercent        = 70
 	homeHoldPercent      = 7
+	sendPercent          = 5
 )
 
 // Timing holds the intervals and time limits by which an instance follows the configuration, the
@@ -31,9 +32,9 @@
 	// StoreTimeout is the time limit of a read of the store, beyond the time for which the store may
 	// delay its response.
 	StoreTimeout time.Duration
-	// ListWait is the maximum time for which the store may hold a query for changes of the list. A
-	// connection that stops delivering data is detected only StoreTimeout afterwards; the full list is
-	// then read at once.
+	// ListWait is the maximum time for which the store may hold a query for changes of the list. Each read of the
+	// configuration checks that the list is not behind; if it is after one Step, the held query is ended and the
+	// changes are queried at once.
 	ListWait time.Duration
 	// Hold is the maximum time for which an instance holds a query while it has nothing new. A
 	// confirmation by the reader ends the hold earlier.
@@ -56,6 +57,9 @@
 	// sources whichever it prefers. It saves those queries while the preferred source lags. It is less than the
 	// bound, so that no state counts as recent that may lack a change that must be in force.
 	MaxAge time.Duration
+	// SendWithin is the time from the last look at the list to the sending of a request, in which no network is
+	// waited for.
+	SendWithin time.Duration
 	// Backoff is how long an unresponsive or outdated source is not preferred.
 	Backoff time.Duration
 }
@@ -71,7 +75,7 @@
 		Bound: bound, ReadInterval: read, StoreTimeout: share(storeTimeoutPercent), ListWait: share(listWaitPercent),
 		Hold: read + step, HomeHold: share(homeHoldPercent), ResponseTimeout: read + 3*step,
 		Overdue: share(overduePercent), SourceOverdue: share(sourceOverduePercent),
-		Step: step, MaxAge: share(maxAgePercent), Backoff: bound,
+		Step: step, MaxAge: share(maxAgePercent), SendWithin: share(sendPercent), Backoff: bound,
 	}
 }
 
--- a/internal/core/watch/watch_test.go
+++ b/internal/core/watch/watch_test.go
@@ -205,3 +205,36 @@
 		}
 	}
 }
+
+// The times that may pass one after the other from the store's acknowledgement that an upstream leaves to the last request
+// sent there must not exceed the bound, on each way by which an instance learns of it. The instance checks the list again
+// directly before it sends (forward.Gate.MayStillSend), so that connecting, waiting for a permit or for a grant add nothing.
+func TestTheLongestPathOfALeavingKeepsTheBound(t *testing.T) {
+	small := Choice{Designated: []string{"reader", "standby"}, Successors: []string{"third", "fourth"}, Others: []string{"1", "2", "3"}}
+	large := Choice{Large: true, Designated: []string{"relay", "other relay", "reader", "standby"}, Successors: small.Successors, Others: small.Others}
+	source := Choice{Large: true, IsSource: true, Designated: small.Designated}
+	for _, bound := range []time.Duration{500 * time.Millisecond, DefaultBound, 4 * time.Second} {
+		tm := NewTiming(bound)
+		// A query of the store for the list is sent together with that for the configuration.
+		fromStore := func(c Choice, overdue, response time.Duration) time.Duration {
+			return overdue + time.Duration(slices.Index(overdueOrder(c), Store))*tm.Step + response
+		}
+		relayed := 2 * tm.Step // reader, relay, instance
+		for way, sum := range map[string]time.Duration{
+			"the store's held query delivers the change": tm.Step + relayed,
+			// The next read of the configuration shows that the list is behind; one step later it is queried.
+			"the held query is silent or fails":             tm.ReadInterval + tm.StoreTimeout + tm.Step + tm.StoreTimeout + relayed,
+			"the sources of an instance fail":               fromStore(small, tm.Overdue, tm.StoreTimeout),
+			"the sources of a relay fail":                   fromStore(source, tm.SourceOverdue, tm.StoreTimeout) + tm.Step,
+			"the sources of an instance fail, large fleet":  fromStore(large, tm.Overdue, tm.StoreTimeout/5),
+			"the upstream states it to this instance":       0,
+			"the upstream states it to another instance":    tm.Step,
+			"the source has the configuration and no list":  fromStore(small, tm.Overdue, tm.StoreTimeout),
+			"a store that came back from a copy is noticed": tm.ReadInterval + tm.StoreTimeout + tm.Step + tm.StoreTimeout + relayed,
+		} {
+			if sum += tm.SendWithin; sum > tm.Bound {
+				t.Errorf("bound %v: %s: the last request may be sent %v after the acknowledgement", bound, way, sum)
+			}
+		}
+	}
+}
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -72,6 +72,10 @@
 	// lastSource is the preferred source as of the last check.
 	lastSource string
 
+	// interruptFeed ends the query for changes of the list that the store holds; nil if there is none.
+	// interrupted is set if it was called: the next query must not be held.
+	interruptFeed context.CancelFunc
+	interrupted   bool
 	// heardOthers is set once another instance that has a configuration has responded; storeReadAt is the time of
 	// the first response of the store.
 	heardOthers bool
@@ -107,6 +111,7 @@
 		return false
 	}
 	f.configVersion = read.Version
+	f.checkList(sentAt, read.Version)
 	f.adopt(sentAt, sentAt, update{config: read.Config, cordons: f.changedCordons(read)}, watch.Store)
 	return true
 }
@@ -203,6 +208,8 @@
 		f.listVersion = 0
 		f.storeFailed(ctx, "list", err)
 		sleep(ctx, retryBackoff)
+	case f.feedInterrupted():
+		// the changes are queried again at once, with a query that the store does not hold
 	default:
 		f.listVersion = 0
 		f.metrics.Count("store_failures_total", "list")
@@ -241,10 +248,9 @@
 	if full {
 		read, err = f.store.List(ctx)
 	} else {
-		timing := f.currentTiming()
-		limited, cancel := context.WithTimeout(ctx, timing.ListWait+timing.StoreTimeout)
-		defer cancel()
-		read, err = f.store.ListSince(limited, f.listVersion, timing.ListWait)
+		limited, wait, end := f.beginFeed(ctx)
+		read, err = f.store.ListSince(limited, f.listVersion, wait)
+		end()
 	}
 	if err != nil {
 		return err
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -94,6 +94,9 @@
 // send sends a query.
 func (p *poller) send(ctx context.Context, q watch.Query) {
 	if q.Source == watch.Store {
+		if q.List {
+			p.follower.wantList() // at the same time: one read after the other would take too long
+		}
 		go p.readStore(ctx, q)
 		return
 	}
@@ -141,9 +144,6 @@
 	}
 	f.queryAnswered(number, sentAt)
 	p.listSource = ""
-	if got.query.List {
-		f.wantList() // the store responds to this instance
-	}
 }
 
 // apply applies an instance's response.
@@ -171,17 +171,25 @@
 	}
 	asOf := sentAt.Add(-got.ConfigAge)
 	f.noteHeard()
-	f.adopt(sentAt, asOf, u, got.from)
-	f.queryAnswered(got.Number, asOf)
-	if got.ListAge == msg.NoAge {
-		return
-	}
 	if got.List != nil {
 		p.applyList(got.from, *got.List)
 	}
-	p.listSource = got.from
-	// The list is confirmed once its changes are applied: until then it may lack an upstream.
-	f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(sentAt.Add(-got.ListAge)) })
+	listAsOf := asOf
+	if got.ListAge != msg.NoAge {
+		listAsOf, p.listSource = sentAt.Add(-got.ListAge), got.from
+		// The list is confirmed once its changes are applied: until then it may lack an upstream.
+		f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(listAsOf) })
+	}
+	f.adopt(sentAt, asOf, u, got.from)
+	f.queryAnswered(got.Number, older(asOf, listAsOf))
+}
+
+// older returns the earlier one of two times.
+func older(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // applyList applies a list received from another instance, and drops the groups that are not needed here
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// response returns the updates for a requester since its versions, the time as of which the state was
-// confirmed, and whether there are any updates. arrived is the time at which the request arrived.
+// response returns the updates for a requester since its versions, the time as of which both the configuration and the
+// list were confirmed, and whether there are any updates. arrived is the time at which the request arrived.
 func (r *relay) response(from string, m msg.SyncRequest, arrived time.Time) (a msg.SyncResponse, confirmed time.Time, updated bool) {
 	a = msg.SyncResponse{Number: m.Number, ConfigAge: msg.NoAge}
 	var newer *sharedConfig
@@ -167,6 +167,7 @@
 			return
 		}
 		a.ListAge, a.List = msg.AgeAt(arrived, g.Roster().Confirmed()), share
+		confirmed = older(confirmed, g.Roster().Confirmed())
 		updated = updated || share != nil
 	})
 	if newer == nil {
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -70,7 +70,7 @@
 func (f *follower) dueQueries() (due []watch.Query, wait time.Duration) {
 	var state watch.State
 	f.server.decide(func(_ time.Time, g *forward.Gate) {
-		state.Confirmed = g.Confirmed()
+		state.Confirmed = confirmedAt(g)
 	})
 	state.IsHome = f.isHome()
 	f.mu.Lock()
@@ -91,6 +91,15 @@
 	return due, wait
 }
 
+// confirmedAt returns the time as of which both the configuration and the list of upstreams were confirmed to be the
+// newest. A list that lacks upstreams that this instance needs is not confirmed by anybody, and is left out.
+func confirmedAt(g *forward.Gate) time.Time {
+	if r := g.Roster(); r.Received() && r.Complete() {
+		return older(g.Confirmed(), r.Confirmed())
+	}
+	return g.Confirmed()
+}
+
 // querySent returns when a query was sent to a source, and whether its response is late. ok is unset
 // if there is no such query, or its response has been processed.
 func (f *follower) querySent(source string, number int64) (sentAt time.Time, late, ok bool) {
--- a/internal/proctest/hosted_drain_bound_test.go
+++ b/internal/proctest/hosted_drain_bound_test.go
@@ -86,3 +86,19 @@
 		checkNothingAfter(t, f.desk[k], left)
 	}
 }
+
+// The reader gets the configuration from the store and never the list of upstreams. The others must not rely on it
+// for the list, however well it confirms the configuration.
+func TestHostedRemovalWhileTheReaderGetsNoList(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	l := newSteadyLoad(f, 45, plainRequest)
+	l.run(4 * time.Second)
+	reader := f.reader()
+	f.Table.SetFor(f.machines[reader].Name, hosting.NoList)
+	l.run(contactTime)
+	left := f.desk[0].Withdraw()
+	l.run(drainBound + 3*time.Second)
+	l.open.Wait()
+	checkNothingAfter(t, f.desk[0], left)
+}
