forward: a test that a stream does not go on at a leaving upstream of another version

leavingOfOrigin without its check of the software failed no test: the streams in the tests had no leaving upstream of another version. With that check taken out, the new test fails.

--- a/internal/core/forward/origin_test.go
+++ b/internal/core/forward/origin_test.go
@@ -225,6 +225,23 @@
 	}
 }
 
+// All upstreams of a service leave, as in a release of which both versions end. A stream that breaks off must not go on at
+// one of the other version, although that leaves last.
+func TestAStreamDoesNotGoOnAtALeavingUpstreamOfAnotherVersion(t *testing.T) {
+	o := options()
+	o.DrainWithin = 2 * time.Second
+	g := gateWith(o, 2)
+	setSoftware(g, "u1", "v2", 10)
+	c := begin(t, g)
+	g.roster.Confirm(start)
+	g.roster.MarkLeaving(start.Add(50*time.Millisecond), g.roster.Find("u0"))
+	g.roster.Confirm(start.Add(60 * time.Millisecond))
+	g.roster.MarkLeaving(start.Add(70*time.Millisecond), g.roster.Find("u1"))
+	if s := g.Ended(start.Add(100*time.Millisecond), c, Cut, true); !s.Abort || s.Why != NoSameSoftware {
+		t.Errorf("step %+v, want the response broken off: only an upstream of another version has not been tried", s)
+	}
+}
+
 // A caller takes a stream up whose only upstream of its version has just begun to leave. That one still serves for a
 // while and must get the stream, also if a pool's home places generations; the caller would be refused otherwise.
 func TestATakenUpStreamGoesOnAtALeavingUpstreamOfItsVersion(t *testing.T) {
