--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -54,6 +54,12 @@
 	loadRand *rand.Rand
 	// silenceRand draws the silences of upstreams.
 	silenceRand *rand.Rand
+	// storeRand draws the returns of the store from a copy, and upstreams that remove their entries, which
+	// withdrawals holds.
+	storeRand   *rand.Rand
+	withdrawals []withdrawal
+	// storeReturns is the number of returns.
+	storeReturns int
 	// silences holds the silences of each upstream, with the id of the upstream, and left when upstreams
 	// announced that they leave.
 	silences []disturbance
@@ -109,7 +115,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		fixture: newFixtureWith(t, "", func(*hosting.World) {}, soakEngine), t: t, rand: rand.New(rand.NewPCG(seed, seed)), loadRand: rand.New(rand.NewPCG(seed, seed+1)),
-		silenceRand: rand.New(rand.NewPCG(seed, seed+2)), left: map[string]time.Time{}, stop: make(chan struct{}),
+		silenceRand: rand.New(rand.NewPCG(seed, seed+2)), storeRand: rand.New(rand.NewPCG(seed, seed+3)), left: map[string]time.Time{}, stop: make(chan struct{}),
 		requests: map[string]sentRequest{}, key: hosting.Key, revoked: map[string]time.Time{}, storeFaultSince: map[string]time.Time{},
 	}
 	s.addRelays()
@@ -131,6 +137,7 @@
 		s.injectFault()
 		s.changeLoad()
 		s.silenceUpstreams()
+		s.disturbStore()
 		time.Sleep(time.Duration(100+s.rand.IntN(500)) * time.Millisecond)
 	}
 	s.restarts.Wait()
@@ -138,7 +145,7 @@
 	close(s.stop)
 	callers.Wait()
 	s.check()
-	t.Logf("seed=%d requests=%d served=%d taken_up=%+v silences=%d", seed, len(s.requests), s.served, s.taken, len(s.silences))
+	t.Logf("seed=%d requests=%d served=%d taken_up=%+v silences=%d returns=%d withdrawals=%d", seed, len(s.requests), s.served, s.taken, len(s.silences), s.storeReturns, len(s.withdrawals))
 }
 
 // addRelays adds an upstream of each service behind a relay.
@@ -548,6 +555,7 @@
 		}
 	}
 	s.checkStatements()
+	s.checkWithdrawals()
 	for _, stream := range s.streams {
 		if *otherBuild == "" && (len(stream.software) > 1 || stream.gap) {
 			s.t.Errorf("%s has events of the versions %v, gap %v", stream.id, stream.software, stream.gap)
