hosted: only the first query of another preferred source requests the whole list

Queries of further sources, which hundreds of instances send at the same time when a reader fails, requested whole groups each time. An instance now does so once, when its preferred source has changed, and again only if the response was lost. An instance that starts after a return of the store from a copy logs that it awaits the others.

--- a/internal/hosted/era.go
+++ b/internal/hosted/era.go
@@ -86,13 +86,17 @@
 	first, others := false, false
 	f.server.decide(func(_ time.Time, g *forward.Gate) { first = g.Table() == nil })
 	f.peers.with(func(_ time.Time, v *fleet.Fleet) { others = len(v.Live()) > 0 })
+	if !first || !others {
+		return false
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
 	if f.storeReadAt.IsZero() {
 		f.storeReadAt = now
+		f.log.Info("first_configuration_awaits_others", "era", revision.Era(read.Version))
 	}
-	return first && others && !f.heardOthers && now.Sub(f.storeReadAt) < f.timing.ReadInterval
+	return !f.heardOthers && now.Sub(f.storeReadAt) < f.timing.ReadInterval
 }
 
 // noteHeard records that another instance which has a configuration has responded.
--- a/internal/hosted/poll.go
+++ b/internal/hosted/poll.go
@@ -21,9 +21,8 @@
 	neededGroups func(*forward.Gate) []roster.Group
 	// wake makes the next query due when another group is needed.
 	wake chan struct{}
-	// listSource is the instance from which the list was last received or confirmed; "" if it was the store. Another
-	// one may know of drops that have no version.
-	listSource string
+	// listSource is where the list came from.
+	listSource listSource
 }
 
 // syncResponse is a response to a query and the instance that sent it.
@@ -104,7 +103,7 @@
 	full, states := p.follower.isSource(), p.follower.peers.understandsSoftware(q.Source)
 	p.follower.server.decide(func(_ time.Time, g *forward.Gate) {
 		m.List = g.Roster().Request(p.neededGroups(g), full)
-		if states && g.Roster().LacksSoftware() || q.Source != p.listSource {
+		if states && g.Roster().LacksSoftware() || p.listSource.mustRequestAll(q) {
 			m.List = m.List.RequestFull()
 		}
 		m.Cordons = g.Cordons().Version
@@ -143,7 +142,7 @@
 		return
 	}
 	f.queryAnswered(number, sentAt)
-	p.listSource = ""
+	p.listSource.onStoreRead()
 }
 
 // apply applies an instance's response.
@@ -176,7 +175,8 @@
 	}
 	listAsOf := asOf
 	if got.ListAge != msg.NoAge {
-		listAsOf, p.listSource = sentAt.Add(-got.ListAge), got.from
+		listAsOf = sentAt.Add(-got.ListAge)
+		p.listSource.onResponse(got.from, got.Number)
 		// The list is confirmed once its changes are applied: until then it may lack an upstream.
 		f.server.decide(func(_ time.Time, g *forward.Gate) { g.Roster().Confirm(listAsOf) })
 	}
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -92,7 +92,8 @@
 }
 
 // confirmedAt returns the time as of which both the configuration and the list of upstreams were confirmed to be the
-// newest. A list that lacks upstreams that this instance needs is not confirmed by anybody, and is left out.
+// newest. Where services are divided into groups, only sources know the whole list; for the others the configuration
+// counts alone, as nobody confirms a list to an instance that lacks one of its groups.
 func confirmedAt(g *forward.Gate) time.Time {
 	if r := g.Roster(); r.Received() && r.Complete() {
 		return older(g.Confirmed(), r.Confirmed())
