--- a/internal/core/roster/era.go
+++ b/internal/core/roster/era.go
@@ -14,9 +14,9 @@
 //   - an entry of the copy whose run this instance knows to be removed or replaced is set aside;
 //   - a run that is known to leave stays so, whatever its entry says (leaving.go).
 
-// eraSettleTime is how long after the store has come back from a copy its entries may be out of date. Live
-// upstreams and those that have left write their state again within two seconds.
-const eraSettleTime = 3 * time.Second
+// EraSettleTime is how long after the store has come back from a copy its rows may be out of date. Operators, live
+// upstreams and those that have left write theirs again within two seconds.
+const EraSettleTime = 3 * time.Second
 
 // eraChange is the state of the last change of the era.
 type eraChange struct {
@@ -70,7 +70,7 @@
 // isOutdated reports whether a change is an entry of the older copy that this instance knows to be out of date,
 // and sets it aside.
 func (r *Roster) isOutdated(now time.Time, c Change) bool {
-	if c.Removed || !c.Valid || c.Version > r.era.floor || now.Sub(r.era.enteredAt) >= eraSettleTime {
+	if c.Removed || !c.Valid || c.Version > r.era.floor || now.Sub(r.era.enteredAt) >= EraSettleTime {
 		return false
 	}
 	u := r.byID[c.ID]
@@ -114,7 +114,7 @@
 // endEraChange uses the entries that were set aside and are still listed once the time has passed in which
 // upstreams write their state again.
 func (r *Roster) endEraChange(now time.Time) []*Upstream {
-	if len(r.era.outdated) == 0 || now.Sub(r.era.enteredAt) < eraSettleTime {
+	if len(r.era.outdated) == 0 || now.Sub(r.era.enteredAt) < EraSettleTime {
 		return nil
 	}
 	var changes []Change
--- a/internal/core/roster/era_test.go
+++ b/internal/core/roster/era_test.go
@@ -74,7 +74,7 @@
 	// The upstream that joined writes its entry again; that of the removed one is still there when all must have
 	// written theirs, so that it lives.
 	r.Update(at(time.Second), []Change{in(2, listed("joined", 5))}, revision.Of(2, 5))
-	r.Tick(at(eraSettleTime))
+	r.Tick(at(EraSettleTime))
 	if got, want := working(), []string{"joined1", "removed1", "replaced1", "stays1"}; !slices.Equal(got, want) {
 		t.Errorf("upstreams that take work after the time to settle: %v, want %v", got, want)
 	}
--- a/internal/hosted/era.go
+++ b/internal/hosted/era.go
@@ -12,11 +12,7 @@
 
 // The store can come back from an older copy, in a new era (package revision). What the copy lacks was acknowledged
 // and stays in force here until it is written again: the configuration by its own version (adopt), the list by
-// what the roster knows, and the cordons for eraSettleTime.
-
-// eraSettleTime is how long after a change of the era cordons stay as they were, if the copy has others. Operators
-// write what the store has lost again within two seconds.
-const eraSettleTime = 3 * time.Second
+// what the roster knows, and the cordons for roster.EraSettleTime.
 
 // noteEra records that a revision of the store is known.
 func (f *follower) noteEra(version int64) {
@@ -73,7 +69,7 @@
 func (f *follower) eraSettles() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.eraSeen > 1 && boottime.Now().Sub(f.eraSeenAt) < eraSettleTime
+	return f.eraSeen > 1 && boottime.Now().Sub(f.eraSeenAt) < roster.EraSettleTime
 }
 
 // awaitsOthers reports whether a response of the store must not be used yet, because it would be the first
--- a/internal/hosted/era_test.go
+++ b/internal/hosted/era_test.go
@@ -11,6 +11,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/revision"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/watch"
 	"mulberrylug.example/mulberrylug/internal/metrics"
@@ -91,7 +92,7 @@
 	if f.confirmed() == confirmed {
 		t.Error("the configuration is not confirmed once the store holds it again")
 	}
-	f.eraSeenAt = f.eraSeenAt.Add(-eraSettleTime)
+	f.eraSeenAt = f.eraSeenAt.Add(-roster.EraSettleTime)
 	f.applyConfig(boottime.Now(), read(2, 131, 7))
 	if _, cordons := f.inForce(); cordons.Has("dc-x") {
 		t.Error("a cordon that was not written again in time is still in force")
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -209,14 +209,19 @@
 // those to upstreams that are known to leave.
 func (x *exchange) mayStillSend(a *forward.Attempt) (may bool) {
 	s := x.server
+	leaving := false
 	var since, sinceConfirmed time.Duration
 	s.decide(func(now time.Time, g *forward.Gate) {
 		may = g.MayStillSend(now, x.call, a)
-		if a.Leaving() {
-			since, sinceConfirmed = now.Sub(a.Upstream.LeavingSince), now.Sub(a.Upstream.LeavingAsOf)
+		if leaving = a.Leaving(); !leaving {
+			return
+		}
+		since = now.Sub(a.Upstream.LeavingSince)
+		if !a.Upstream.LeavingAsOf.IsZero() {
+			sinceConfirmed = now.Sub(a.Upstream.LeavingAsOf)
 		}
 	})
-	if !may || since == 0 {
+	if !may || !leaving {
 		return may
 	}
 	s.metrics.Count("sent_to_leaving_total", x.call.Service)
