roster: a drop by a newer copy is told to those that have its version

A relay that keeps an upstream whose entry has expired drops it when a source does not list it. If the source's copy was of a newer version, the drop was told under that version only, and an instance that had the version from elsewhere kept the upstream. The new test failed before: listed at the follower, not at the relay.

--- a/internal/core/roster/drops_test.go
+++ b/internal/core/roster/drops_test.go
@@ -65,3 +65,23 @@
 		}
 	}
 }
+
+// A relay drops an upstream whose entry has expired, by a copy of a version that the instance which follows it already has
+// from elsewhere, with the upstream. The instance must be told, although it has the version.
+func TestADropByANewerCopyIsToldToThoseThatHaveItsVersion(t *testing.T) {
+	relay, follower := New(), New()
+	for _, r := range []*Roster{relay, follower} {
+		r.Replace(start, []Change{listed("a", 5), listed("b", 6)}, 6)
+	}
+	relay.StoreDown()
+	relay.StoreUp(start)
+	relay.Replace(start, []Change{listed("a", 5)}, 7)
+	follower.Adopt(start, ListUpdate{Version: 8, Complete: true})
+	relay.Adopt(start, ListUpdate{Version: 8, Complete: true, Groups: []GroupCopy{{Group: Undivided("pool"), List: []Change{listed("a", 5)}}}})
+	if s, ok := relay.Respond(start, "follower", follower.Request(nil, true)); ok && s != nil {
+		follower.Adopt(start, *s)
+	}
+	if relay.Find("b") != nil || follower.Find("b") != nil {
+		t.Errorf("upstream b is listed at the relay: %v, at its follower: %v, want at none", relay.Find("b") != nil, follower.Find("b") != nil)
+	}
+}
--- a/internal/core/roster/sync.go
+++ b/internal/core/roster/sync.go
@@ -284,8 +284,9 @@
 	for _, c := range s.Groups {
 		r.keepOutdated(c.List, s.Version, func(g Group) bool { return g == c.Group })
 		changes := append(slices.Clip(c.List), r.removals(c.List, s.Version, r.byGroup[c.Group])...)
-		dropped := append(r.dropUnlisted(now, c), r.Update(now, changes, s.Version)...)
-		if s.Version == before && slices.ContainsFunc(dropped, func(u *Upstream) bool { return u.Removed }) {
+		unlisted := r.dropUnlisted(now, c)
+		dropped := append(unlisted, r.Update(now, changes, s.Version)...)
+		if len(unlisted) > 0 || s.Version == before && slices.ContainsFunc(dropped, func(u *Upstream) bool { return u.Removed }) {
 			r.drops.note(now, c.Group) // those that follow this instance may have the version, too
 		}
 		left = append(left, dropped...)
