roster: an empty list is sent to an instance that has none

While no upstream was listed, the response of a source to an instance that had received no list held no groups and no layout, and was left out as if nothing had changed. The requester now gets the version of the empty list. The new test failed before: no response.

--- a/internal/core/roster/group_test.go
+++ b/internal/core/roster/group_test.go
@@ -295,3 +295,21 @@
 		t.Error("Respond of an instance without a list returns true, want false")
 	}
 }
+
+// No upstream is listed while an instance starts. If the response of its source omits the empty list, the instance
+// is not ready until an upstream joins.
+func TestAnEmptyListIsSentToAnInstanceWithoutAList(t *testing.T) {
+	reader, r := newReader(t), New()
+	reader.newest = 7
+	s, ok := reader.Respond(start, "x", r.Request(nil, false))
+	if !ok || s == nil {
+		t.Fatalf("response %+v, %v, want the empty list", s, ok)
+	}
+	r.Adopt(start, *s)
+	if !r.Received() || !r.Complete() || r.Len() != 0 {
+		t.Errorf("received %v, complete %v, %d upstreams, want the empty list known", r.Received(), r.Complete(), r.Len())
+	}
+	if s, ok := reader.Respond(start, "x", r.Request(nil, false)); !ok || s != nil {
+		t.Errorf("second response %+v, %v, want none", s, ok)
+	}
+}
--- a/internal/core/roster/sync.go
+++ b/internal/core/roster/sync.go
@@ -182,8 +182,8 @@
 	All     bool
 }
 
-// Respond returns the changes since the versions of a request of an instance, or nil if there are none. It
-// returns false if this instance lacks some of the requested groups.
+// Respond returns the changes since the versions of a request of an instance, or nil if there are none and the
+// requester has a list. It returns false if this instance lacks some of the requested groups.
 func (r *Roster) Respond(now time.Time, requester string, q ListRequest) (s *ListUpdate, ok bool) {
 	if !r.Received() || q.All && !r.complete {
 		return nil, false
@@ -207,7 +207,8 @@
 		}
 	}
 	s.Groups = append(s.Groups, r.droppedFor(now, requester, q, s.Groups)...)
-	if s.Layout == nil && len(s.Groups) == 0 {
+	// A requester that has received no list must learn that it is empty: it is not ready before.
+	if s.Layout == nil && len(s.Groups) == 0 && q.Version > 0 {
 		return nil, true
 	}
 	return s, true
