cli: the exit of a process waits for its log for a limited time

A process whose standard output is a pipe that stays open and is not read ended its drain, answered all its requests and then waited for its log without a limit, until it was killed. A supervisor that waits for the exit starts it again only then. The exit now waits 0.1 s for the log, which is a part of the half second that a drain leaves before the kill.

--- a/internal/cli/log.go
+++ b/internal/cli/log.go
@@ -15,6 +15,10 @@
 // logQueueLen is the maximum number of lines that wait to be written.
 const logQueueLen = 4096
 
+// flushTimeout is how long an exiting process waits for its log to be written. A reader that has stopped reading
+// must not keep the process from ending: the time is a part of the grace period that a drain leaves for the exit.
+const flushTimeout = 100 * time.Millisecond
+
 // lineSink writes each log event as one line of key=value pairs. It never blocks
 // the caller: the reader of the log may pause, and an instance whose event loop
 // waited for the reader would look dead to its callers and peers. Lines for
@@ -31,8 +35,8 @@
 }
 
 // newLogger returns a logger that writes to w, and a function that waits until
-// all queued lines have been written. The logger must not be used after that
-// function has been called.
+// all queued lines have been written, for at most flushTimeout. The logger must
+// not be used after that function has been called.
 func newLogger(w io.Writer, level string) (hclog.Logger, func()) {
 	s := &lineSink{
 		level: hclog.LevelFromString(level), lines: make(chan string, logQueueLen), finished: make(chan struct{}),
@@ -43,7 +47,10 @@
 	return log, func() {
 		log.DeregisterSink(s)
 		s.once.Do(func() { close(s.lines) })
-		<-s.finished
+		select {
+		case <-s.finished:
+		case <-time.After(flushTimeout):
+		}
 	}
 }
 
--- a/internal/cli/log_test.go
+++ b/internal/cli/log_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 )
@@ -69,6 +70,20 @@
 	}
 }
 
+// The reader of the log has stopped reading as the process ends. Waiting for it would keep the process from
+// exiting until it is killed.
+func TestFlushDoesNotWaitForAPausedReader(t *testing.T) {
+	w := &pausedWriter{release: make(chan struct{})}
+	defer close(w.release)
+	log, flush := newLogger(w, "info")
+	log.Info("stopped")
+	began := time.Now()
+	flush()
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("flush returned after %v, want about %v", took, flushTimeout)
+	}
+}
+
 func BenchmarkLogLine(b *testing.B) {
 	b.ReportAllocs()
 	size := 0
--- a/internal/proctest/hosted_signal_test.go
+++ b/internal/proctest/hosted_signal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,6 +11,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
 	"mulberrylug.example/mulberrylug/internal/testkit"
 )
@@ -156,20 +157,18 @@
 	}
 }
 
-// Whatever reads the log of an instance ends. The next write would end the process by SIGPIPE, with its requests
-// in progress.
-func TestHostedLogReaderEnds(t *testing.T) {
-	t.Parallel()
-	f := newFixture(t)
-	m, err := f.MachineIn("unread", hosting.DefaultZone)
+// startWithLog starts an instance whose log goes to a pipe, and waits until it is ready.
+func (f *fixture) startWithLog(t *testing.T, name string) (cmd *exec.Cmd, m hosting.Machine, log *os.File) {
+	t.Helper()
+	m, err := f.MachineIn(name, hosting.DefaultZone)
 	if err != nil {
 		t.Fatal(err)
 	}
-	reader, writer, err := os.Pipe()
+	log, writer, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(f.builds.next(), "serve")
+	cmd = exec.Command(f.builds.next(), "serve")
 	cmd.Env, cmd.Stdout, cmd.Stderr = append(os.Environ(), "MULBERRYLUG_SETTINGS="+m.Settings), writer, writer
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -179,9 +178,17 @@
 		_ = cmd.Wait()         // the process was killed
 	})
 	writer.Close()
-	go func() { _, _ = io.Copy(io.Discard, reader) }() // ends with an error when the reader is closed
 	testkit.Eventually(t, waitTimeout, "the instance is ready", func() bool { return f.ready(m) })
-	reader.Close()
+	return cmd, m, log
+}
+
+// Whatever reads the log of an instance ends. The next write would end the process by SIGPIPE, with its requests
+// in progress.
+func TestHostedLogReaderEnds(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	_, m, log := f.startWithLog(t, "unread")
+	log.Close()
 	for k := range 5 {
 		if r := f.do(m, booking(fmt.Sprintf("unread-%d", k))); r.status != http.StatusOK {
 			t.Fatalf("booking %d after the log is no longer read: %+v, want a success", k, r)
@@ -189,3 +196,33 @@
 		time.Sleep(100 * time.Millisecond) // the log is written in the background
 	}
 }
+
+// The log of an instance is a pipe that stays open and is not read any more. A write to it blocks, and an exit that
+// waits for it would last until the process is killed.
+func TestHostedLogIsNotRead(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	cmd, m, log := f.startWithLog(t, "blocked")
+	defer log.Close()
+	if _, err := unix.FcntlInt(log.Fd(), unix.F_SETPIPE_SZ, 4096); err != nil {
+		t.Fatal(err)
+	}
+	for k := range 50 {
+		if r := f.do(m, booking(fmt.Sprintf("blocked-%d", k))); r.status != http.StatusOK {
+			t.Fatalf("booking %d while the log is not read: %+v, want a success", k, r)
+		}
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("the process ended with %v, want a regular exit", err)
+		}
+	case <-time.After(grace):
+		t.Errorf("the process has not ended within the grace period")
+	}
+}
