forward: a drain withholds what is late once its upstream is connected

A drain refuses what can't end before the process does, when a request arrives and before each attempt. Connecting comes after that decision and may take longer than what is left, and a drain may begin meanwhile; the request was sent nevertheless and got 504 at the end of the process, although it could have been told that it has not run. The last check before the sending now applies the same rule.

--- a/internal/core/forward/drain_test.go
+++ b/internal/core/forward/drain_test.go
@@ -103,6 +103,30 @@
 	}
 }
 
+// Connecting takes so long that the call can't end before the process any more, or the drain begins meanwhile. The
+// call must be refused as not run: once it is sent, its caller gets 504.
+func TestADrainRefusesWhatIsLateOnceItsUpstreamIsConnected(t *testing.T) {
+	for _, c := range []struct {
+		connected time.Duration
+		sent      bool
+	}{{100 * time.Millisecond, true}, {140 * time.Millisecond, false}} {
+		g := crowdedGate(t, options(), 2, Report{Slots: 6})
+		call := admit(t, g, request("/once/1"))
+		s := g.Start(start, call)
+		g.Drain(start.Add(400 * time.Millisecond))
+		now := start.Add(c.connected)
+		if got := g.MayStillSend(now, call, s.Send); got != c.sent {
+			t.Errorf("connected after %s: sent: %v, want %v", c.connected, got, c.sent)
+		}
+		if c.sent {
+			continue
+		}
+		if s := g.Ended(now, call, Withheld, false); s.Refuse == nil || s.Refuse.Status != http.StatusServiceUnavailable || s.Refuse.Reason != Draining {
+			t.Errorf("connected after %s: step %+v, want a refusal as not run", c.connected, s)
+		}
+	}
+}
+
 // An attempt that is given up for a retry that the drain doesn't allow would fail for nothing.
 func TestADrainGivesUpNoAttemptWithoutARetry(t *testing.T) {
 	for left, cancelled := range map[time.Duration]bool{900 * time.Millisecond: true, 400 * time.Millisecond: false} {
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -162,12 +162,15 @@
 
 // MayStillSend reports whether an attempt may be sent now that its connection is established. Connecting can take
 // longer than a leaving upstream may get requests, and the upstream may have begun to leave, asked for a pause or
-// been cordoned meanwhile. An instance must check this directly before it sends, on every way to the upstream.
+// been cordoned meanwhile, and the process may no longer have the time for the request before it ends. An instance
+// must check this directly before it sends, on every way to the upstream.
 func (g *Gate) MayStillSend(now time.Time, c *Call, a *Attempt) bool {
 	u := a.Upstream
 	switch {
 	case a.CopyAt != "":
 		return g.mayResumeAt(now, c, u)
+	case g.Draining() && !g.endsInDrain(now, c):
+		return false
 	case g.paused(now, u.Run()):
 		return false
 	case a.toLeaving:
