hosted: the last answers of a drain arrive before the kill with a share of a core, too

A drain left 0.5 s of its grace period. Added up, the check of the drain, the completion of responses that have begun and the flush take 0.35 s; a process with a share of a core can stand still for the rest of a tenth of a second before it handles the signal, and once more before the check, which makes 0.55 s. The margin is 0.6 s now, and TestTheLastAnswersArriveBeforeTheKill adds up its parts; with 0.5 s it fails.

--- a/internal/cli/log.go
+++ b/internal/cli/log.go
@@ -10,14 +10,16 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+
+	"mulberrylug.example/mulberrylug/internal/hosted"
 )
 
 // logQueueLen is the maximum number of lines that wait to be written.
 const logQueueLen = 4096
 
 // flushTimeout is how long an exiting process waits for its log to be written. A reader that has stopped reading
-// must not keep the process from ending: the time is a part of the grace period that a drain leaves for the exit.
-const flushTimeout = 100 * time.Millisecond
+// must not keep the process from ending.
+const flushTimeout = hosted.ExitTime
 
 // lineSink writes each log event as one line of key=value pairs. It never blocks
 // the caller: the reader of the log may pause, and an instance whose event loop
--- a/internal/hosted/drain.go
+++ b/internal/hosted/drain.go
@@ -16,9 +16,10 @@
 	// completionTime is how long responses that have begun may go on after the other requests in progress
 	// have got their final answers.
 	completionTime = 200 * time.Millisecond
-	// flushTime is how long final answers may take to reach callers. The rest of drainMargin is for the exit
-	// itself.
+	// flushTime is how long final answers may take to reach callers.
 	flushTime = 100 * time.Millisecond
+	// ExitTime is what a process may take for its exit after the last answers, as for writing its log.
+	ExitTime = 100 * time.Millisecond
 )
 
 // Drain directs callers to other instances and ends Serve once no request is in progress or the
--- a/internal/hosted/ends_internal_test.go
+++ b/internal/hosted/ends_internal_test.go
@@ -290,3 +290,17 @@
 	w.queried <- struct{}{}
 	return UpstreamCall{Method: http.MethodGet, Target: "/"}
 }
+
+// The times that pass one after the other from the signal to stop to the last answer must end before the kill, also
+// if the process has a share of a core and stands still twice for the rest of its quota: before it handles the signal
+// and before it checks whether the drain is over.
+func TestTheLastAnswersArriveBeforeTheKill(t *testing.T) {
+	const quotaPeriod = 100 * time.Millisecond
+	answers := drainCheckInterval + completionTime + flushTime
+	if late := answers + 2*quotaPeriod; late > drainMargin {
+		t.Errorf("the last answers may take %v, want at most %v", late, drainMargin)
+	}
+	if exit := answers + ExitTime; exit > drainMargin {
+		t.Errorf("the exit may take %v, want at most %v", exit, drainMargin)
+	}
+}
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -56,8 +56,9 @@
 	// directoryTTL is the lifetime of a directory response. Callers lose up to that time on a dead
 	// instance.
 	directoryTTL = time.Second
-	// drainMargin is the part of the grace period that is left for sending the last answers.
-	drainMargin = 500 * time.Millisecond
+	// drainMargin is the part of the grace period that is left for sending the last answers and for the exit, on
+	// a core of which the process has only a share.
+	drainMargin = 600 * time.Millisecond
 	// lingerTTLs is the number of directory lifetimes for which a leaving instance accepts
 	// requests: some callers use a directory response for three times its lifetime.
 	lingerTTLs = 3
