conn, hosted: the head of a response has a limit, within the account of memory

An upstream that sent a head without an end (one line, fields, informational responses, bytes that are no HTTP) was read until it stopped or the request's time was over: http.ReadResponse has no limit, and what it reads was in no account. A head, with the informational responses before it, is now limited to 32 KB; what exceeds the 4 KB of the connection's buffer is reserved in the account at 16 times its size, as 32 KB of short fields take 15 times that. The attempt ends as the limit is passed. The same limit holds for reports, moves and all other calls, whose bodies of over 64 KB now end their connection. Each such attempt has reason, limit and bytes in its line, and responses_over_limit_total counts them by place.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -101,11 +101,16 @@
 }
 
 // ReadResponse reads the head of the next final response to a request with the given method;
-// informational (1xx) responses are skipped. The body must be read to its end before the
-// connection is reused.
+// informational (1xx) responses are skipped. Together they are limited to MaxResponseHead; beyond it, the
+// error is a LimitError. The body must be read to its end before the connection is reused.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
+	c.in.begin()
+	defer c.in.end()
 	for {
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if c.in.failed != nil {
+			err = c.in.failed // the parser may have failed at the line that was cut off
+		}
 		if err != nil {
 			return nil, fmt.Errorf("read response of %s: %w", c.address, err)
 		}
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -30,9 +30,13 @@
 // Conn is a connection that carries one exchange at a time.
 type Conn struct {
 	net.Conn
+	// in limits the heads that r reads.
+	in      headLimiter
 	r       *bufio.Reader
 	traffic *Traffic
 	address string
+	// held is the memory that the current exchange has reserved.
+	held reservation
 	// idleUntil is when an idle connection expires.
 	idleUntil time.Time
 }
@@ -47,11 +51,14 @@
 	Dialled func()
 	// Traffic counts the bytes of all connections of the pool. It must be set before the first Get.
 	Traffic *Traffic
+	// Memory accounts for what responses take beside the buffers of their connections. It must be set before the
+	// first Get.
+	Memory Memory
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: map[string][]*Conn{}, Dial: dial, Dialled: func() {}, Traffic: &Traffic{}}
+	return &Pool{idle: map[string][]*Conn{}, Dial: dial, Dialled: func() {}, Traffic: &Traffic{}, Memory: noAccount{}}
 }
 
 // Get returns an idle connection that is still usable, or dials a new one.
@@ -75,10 +82,22 @@
 
 func (p *Pool) newConn(raw net.Conn, address string) *Conn {
 	p.Dialled()
-	r := bufio.NewReaderSize(p.Traffic.Reader(raw), readBufferSize)
-	return &Conn{Conn: raw, r: r, traffic: p.Traffic, address: address}
+	c := &Conn{Conn: raw, traffic: p.Traffic, address: address, held: reservation{of: p.Memory}}
+	c.in = headLimiter{from: p.Traffic.Reader(raw), held: &c.held}
+	c.r = bufio.NewReaderSize(&c.in, readBufferSize)
+	return c
+}
+
+// Close implements net.Conn. It returns the memory of the current exchange.
+func (c *Conn) Close() error {
+	c.held.releaseAll()
+	return c.Conn.Close()
 }
 
+// Reserve reserves n bytes of memory for the current exchange and reports whether they are available. They are
+// returned when the connection is put back or closed.
+func (c *Conn) Reserve(n int) bool { return c.held.reserve(n) }
+
 // Adopt keeps a new connection to an address for the next exchange.
 func (p *Pool) Adopt(raw net.Conn, address string) { p.Put(p.newConn(raw, address), 0) }
 
@@ -98,6 +117,7 @@
 // server keeps an idle connection, 0 if the server did not state it. A connection that can't be
 // kept is closed.
 func (p *Pool) Put(c *Conn, serverTimeout time.Duration) {
+	c.held.releaseAll()
 	c.idleUntil = time.Now().Add(defaultIdleTimeout)
 	if serverTimeout > 0 {
 		c.idleUntil = time.Now().Add(min(serverTimeout-idleMargin, 4*defaultIdleTimeout))
--- a/internal/hosted/account.go
+++ b/internal/hosted/account.go
@@ -115,16 +115,19 @@
 	h.of.with(func(now time.Time, _ *memory.Account) { h.held.ReleaseAll(now) })
 }
 
-// messageMemory reserves the memory of messages that are queued for other instances.
-type messageMemory struct{ *memoryAccount }
+// purposeMemory accounts for memory of one purpose that belongs to no request.
+type purposeMemory struct {
+	*memoryAccount
+	purpose memory.Purpose
+}
 
-// Reserve implements peer.Memory.
-func (m messageMemory) Reserve(n int) (ok bool) {
-	m.with(func(_ time.Time, a *memory.Account) { ok = a.Reserve(memory.Messages, int64(n)) })
+// Reserve implements peer.Memory and conn.Memory.
+func (m purposeMemory) Reserve(n int) (ok bool) {
+	m.with(func(_ time.Time, a *memory.Account) { ok = a.Reserve(m.purpose, int64(n)) })
 	return ok
 }
 
-// Release implements peer.Memory.
-func (m messageMemory) Release(n int) {
-	m.with(func(now time.Time, a *memory.Account) { a.Release(now, memory.Messages, int64(n)) })
+// Release implements peer.Memory and conn.Memory.
+func (m purposeMemory) Release(n int) {
+	m.with(func(now time.Time, a *memory.Account) { a.Release(now, m.purpose, int64(n)) })
 }
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -130,7 +130,7 @@
 }
 
 // errTooLarge reports a response larger than maxBufferedResponse.
-var errTooLarge = errors.New("response is too large to be buffered")
+var errTooLarge = &conn.LimitError{Part: conn.PartBody, Limit: maxBufferedResponse, Read: maxBufferedResponse + 1}
 
 // bufferResponse reads the body of a response into memory. With an error it returns the bytes that
 // were read before. The error is that of the read, errTooLarge if the body is longer than
--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -21,6 +20,9 @@
 	probeTimeout = 400 * time.Millisecond
 	// maxCallResponse is the maximum size of the response body of such a call, in bytes.
 	maxCallResponse = 64 << 10
+	// usualCallResponse is the size in bytes of a body that needs no reservation. The report of an engine with
+	// 24 generations takes 2 KB.
+	usualCallResponse = 4 << 10
 )
 
 // errUnreadable reports a response that cannot be decoded.
@@ -63,15 +65,17 @@
 	resp, err := c.ReadResponse(call.Method)
 	if err != nil {
 		c.Close()
+		s.noteOverLimit(address, call, err)
 		go s.paths.checkSilent(address)
 		return callResponse{}, err
 	}
 	s.paths.heard(c, address)
 	s.observeStatementFrom(address, sentAt, resp)
 	got := callResponse{status: resp.StatusCode, closing: resp.Close}
-	got.body, err = io.ReadAll(io.LimitReader(resp.Body, maxCallResponse))
+	got.body, err = readCallBody(c, resp)
 	if err != nil || !c.Reusable(resp) {
 		c.Close()
+		s.noteOverLimit(address, call, err)
 		return got, err
 	}
 	s.conns.Put(c, conn.KeepAlive(resp.Header))
--- a/internal/hosted/call_test.go
+++ b/internal/hosted/call_test.go
@@ -1,13 +1,20 @@
 package hosted
 
 import (
+	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
+	"github.com/hashicorp/go-hclog"
+
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
 // fakeWire supports only requests for an upstream's report, and decodes each response to an
@@ -48,3 +55,33 @@
 		upstream.Close()
 	}
 }
+
+// The body of a report is longer than the limit. The connection must not be used again: its next response would be
+// read from the rest of the body.
+func TestACallWithATooLongBodyEndsItsConnection(t *testing.T) {
+	var connections atomic.Int64
+	upstream := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(2*maxCallResponse))
+		_, _ = w.Write(make([]byte, 2*maxCallResponse)) // an error means that the caller has disconnected
+	}))
+	upstream.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	upstream.Start()
+	defer upstream.Close()
+	s := &server{wire: fakeWire{}, conns: conn.NewPool(), gate: forward.New(forward.Options{}), metrics: metrics.NewMetrics(), log: hclog.NewNullLogger()}
+	s.paths = pathsWithoutPeers(s)
+	const calls = 2
+	for range calls {
+		_, err := s.requestReport(t.Context(), strings.TrimPrefix(upstream.URL, "http://"))
+		var over *conn.LimitError
+		if !errors.As(err, &over) || over.Part != conn.PartBody {
+			t.Errorf("error %v, want a LimitError of the body", err)
+		}
+	}
+	if n := connections.Load(); n != calls {
+		t.Errorf("%d connections for %d calls, want a new one for each", n, calls)
+	}
+}
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/memory"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
@@ -17,7 +18,7 @@
 // maxEventBytes is the maximum size of an event of a stream.
 const maxEventBytes = 1 << 20
 
-var errEventTooLarge = errors.New("event is too large")
+var errEventTooLarge = &conn.LimitError{Part: conn.PartEvent, Limit: maxEventBytes, Read: maxEventBytes + 1}
 
 // errNoEvent reports a stream that ended before its first event. An answer has at least one; without a length
 // or chunks, an engine that crashed looks like this.
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -343,6 +343,7 @@
 		"outcome", o, "after", boottime.Now().Sub(a.Sent).Round(time.Millisecond),
 		"upstream_leaving", s.isLeavingUpstream(a), "events", x.call.Events, "error", x.lastErr,
 	}
+	pairs = append(pairs, s.overLimitPairs(x.lastErr)...)
 	if a.AvoidedFor > 0 {
 		s.metrics.Count("upstream_statements_total", "upstream_full")
 		pairs = append(pairs, "avoided_for", a.AvoidedFor.Round(time.Millisecond))
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -23,6 +23,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
+	"mulberrylug.example/mulberrylug/internal/core/memory"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/pool"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
@@ -110,6 +111,7 @@
 		wire: wire, conns: conns, memory: newMemoryAccount(s.MemoryBytes, m, log), readAhead: !s.Without.Has(mechanism.ReadAhead), metrics: m, log: log,
 		gate: gate, running: map[string]*exchange{}, permits: map[string]chan msg.PermitResponse{},
 	}
+	conns.Memory = purposeMemory{srv.memory, memory.Responses}
 	srv.paths, srv.origins = newPaths(srv, m, log), newOrigins(srv, m, log)
 	m.Set("cordons", srv.cordonMetric())
 	m.Set("upstream_rate_limits", srv.rateLimitMetric())
@@ -324,7 +326,7 @@
 	peers.OnConnectionEnded = i.peers.linkEnded
 	peers.OnQueued = i.countSent
 	peers.OnTunnel = i.tunnels.serve
-	peers.Memory = messageMemory{i.server.memory}
+	peers.Memory = purposeMemory{i.server.memory, memory.Messages}
 	i.peers.transport = peers
 	tree.Add(peers)
 	return nil
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -29,6 +29,8 @@
 	homes   homeLink
 	paths   *paths
 	origins *origins
+	// overLimit limits the log of calls whose responses are too large.
+	overLimit overLimitLog
 	// readAhead is set if responses are read ahead of callers that read slowly.
 	readAhead bool
 
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -183,6 +183,10 @@
 	// pause is the pause that the upstream asks for while it turns all requests away; 0 while
 	// it accepts them.
 	pause time.Duration
+	// endless is how the upstream responds without an end, with at most endlessMost bytes on a connection; nil if it
+	// does not. endlessSent is the most that it has sent on one.
+	endless                  *Endless
+	endlessMost, endlessSent int64
 }
 
 // Address returns the address at which instances connect to the upstream.
@@ -347,6 +351,9 @@
 
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if w.serveEndless(rw, r) {
+		return
+	}
 	rw.Header().Set(HeaderWorker, w.ID)
 	if w.closesConnections() {
 		rw.Header().Set("Connection", "close")
