hosted: the rest of a discarded response is not read as the next one

A late response to an earlier request is discarded. If it was longer than the 64 KB that are read of it, the next head was read from within its body: an upstream, or whoever writes what it sends, could forge the answer to another request. The new test failed before: a booking got 200 with the forged body. The attempt now ends, and its connection is closed: a booking gets 502, a request that may be repeated goes to another upstream.

--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -34,7 +34,8 @@
 }
 
 // readResponse reads the head of the response to this request. A late response to an earlier
-// request on the connection is read to its end and dropped.
+// request on the connection is read to its end and dropped. If it is longer than
+// maxBufferedResponse, the attempt ends: its rest must not be read as the head of the next response.
 func (x *exchange) readResponse(c *conn.Conn, a *forward.Attempt) (*http.Response, Response, error) {
 	giveUpAt := time.Now().Add(a.CancelAt.Sub(a.Sent))
 	if !a.CancelAt.IsZero() {
@@ -59,8 +60,9 @@
 		}
 		x.server.observeStatement(a.Upstream, time.Time{}, resp)
 		x.server.metrics.Count("late_answers_total", "dropped")
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedResponse)); err != nil || resp.Close {
-			break
+		_, err = io.Copy(io.Discard, http.MaxBytesReader(nil, resp.Body, maxBufferedResponse))
+		if err != nil || resp.Close {
+			return nil, Response{}, errors.Join(errOtherRequest, overLimit(err, conn.PartBody))
 		}
 	}
 	return nil, Response{}, errOtherRequest
--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -149,6 +149,24 @@
 	r.expectEnd(t, "works", "outcome=cut", "reason=out_of_time", "attempt_outcome=cancelled", "upstream_at_work=yes")
 }
 
+// A late response to an earlier request is longer than what is discarded, and its rest looks like the response to the
+// current request. The caller must not get it.
+func TestTheRestOfADiscardedResponseIsNotTheNextResponse(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	r.desk.SetEndless(&hosting.Endless{
+		Head: "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 64<<10) +
+			"HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\nContent-Length: 6\r\n\r\nforged",
+		Unit: "x",
+	}, 2<<20)
+	if status := r.book(t, "discards"); status != http.StatusBadGateway {
+		t.Errorf("status %d, want %d", status, http.StatusBadGateway)
+	}
+	if !r.log.has("reason=body_too_large limit=65536 read=65537") {
+		t.Error("the attempt's line does not tell that the response was too large")
+	}
+}
+
 // The grace period ends while a stream is in progress, or the process is told to end at once. Without a line, its request
 // could not be told from one that never arrived.
 func TestEndsWithTheProcess(t *testing.T) {
--- a/internal/hosted/slow_test.go
+++ b/internal/hosted/slow_test.go
@@ -39,6 +39,7 @@
 	machine  hosting.Machine
 	instance *hosted.Instance
 	engines  []*hosting.Worker
+	desk     *hosting.Worker
 	log      *syncBuffer
 	// stop ends the instance at once.
 	stop func()
@@ -78,7 +79,7 @@
 			k.EventEvery, k.EventCount, k.EventBytes, k.UnreadLimit = 2*time.Millisecond, slowEvents, slowEventBytes, unreadLimit
 		}))
 	}
-	r.add(t, "desk", hosting.Desk, func(k *hosting.Worker) { k.Work = 300 * time.Millisecond })
+	r.desk = r.add(t, "desk", hosting.Desk, func(k *hosting.Worker) { k.Work = 300 * time.Millisecond })
 	var err error
 	if r.machine, err = w.Machine("entry"); err != nil {
 		t.Fatal(err)
