hosted: a write to a slow caller ends at the deadline

A write that was not buffered waited for its caller for the patience of the connection, two seconds or more, although the deadline had passed and the upstream's connection was closed: a body without an end was forwarded for 2.35 s where the route's timeout is 1.5 s, and for up to 3.7 s in a trial with 20 callers. The deadline now aborts the write, once the head was sent. The new test failed before for a caller that reads 20 KB a second without read-ahead; with it, 1.5 s as before.

--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -214,6 +214,7 @@
 	x.markHeadSent()
 	x.firstByte = time.Since(x.started)
 	x.w.WriteHeader(resp.StatusCode)
+	defer x.out.abortAtDeadline()()
 	if _, err := x.out.Write(h.body); err != nil {
 		return forward.Cut, err
 	}
--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/hosted"
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
 	"mulberrylug.example/mulberrylug/internal/testkit"
@@ -149,6 +150,36 @@
 	r.expectEnd(t, "works", "outcome=cut", "reason=out_of_time", "attempt_outcome=cancelled", "upstream_at_work=yes")
 }
 
+// An upstream sends a signed body without an end, and its caller reads slowly, with and without memory to read ahead. Both
+// connections must be closed at the route's timeout: a write that waits for the caller would go on for its patience.
+func TestABodyWithoutAnEndIsForwardedNoLongerThanTheTimeout(t *testing.T) {
+	t.Parallel()
+	const timeout, slack = 1500 * time.Millisecond, 300 * time.Millisecond
+	endless := hosting.Endless{Head: "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\n\r\n", Unit: "x"}
+	for name, change := range map[string]func(*hosted.Settings){
+		"read ahead":     nil,
+		"not read ahead": func(s *hosted.Settings) { s.Without = mechanism.Of(mechanism.ReadAhead) },
+	} {
+		r := newRig(t, 1, change)
+		r.desk.SetEndless(&endless, 1<<30)
+		began := time.Now()
+		c := r.send(t, head(http.MethodGet, hosting.PathLookUp, "endless", ""))
+		read := make(chan error, 1)
+		go func() {
+			_, err := readSlowly(c, 20_000)
+			read <- err
+		}()
+		r.expectEnd(t, "endless", "outcome=cut", "reason=out_of_time")
+		if took := time.Since(began); took > timeout+slack {
+			t.Errorf("%s: the request ended after %v, want %v", name, took, timeout)
+		}
+		testkit.Eventually(t, slack, "the upstream's connection is closed", func() bool { return r.desk.EndlessSent() > 0 })
+		if err := <-read; err == nil {
+			t.Errorf("%s: the response looks complete", name)
+		}
+	}
+}
+
 // A late response to an earlier request is longer than what is discarded, and its rest looks like the response to the
 // current request. The caller must not get it.
 func TestTheRestOfADiscardedResponseIsNotTheNextResponse(t *testing.T) {
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -103,6 +103,7 @@
 	events := newEventReader(resp.Body, x.reserveEvent)
 	defer func() { x.hold.release(memory.Streams, events.reserved) }()
 	x.gaps.startAttempt()
+	var forget func() bool
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) && x.call.Events == 0 {
@@ -121,6 +122,10 @@
 		if !x.sendHead(resp) {
 			return forward.Lost, errConvicted
 		}
+		if forget == nil {
+			forget = x.out.abortAtDeadline()
+			defer forget()
+		}
 		if gap, ok := x.gaps.record(time.Now()); ok {
 			x.server.metrics.Observe("event_gap_milliseconds", x.call.Route.Name, gap)
 		}
--- a/internal/hosted/output.go
+++ b/internal/hosted/output.go
@@ -38,8 +38,8 @@
 	request string
 	w       http.ResponseWriter
 	flush   *http.ResponseController
-	// conn is nil if the caller's connection is unknown; nothing is then buffered.
-	conn *callerConn
+	// caller is the caller's connection, nil if it is unknown. conn is the same if parts may be buffered, else nil.
+	caller, conn *callerConn
 	hold *hold
 	// ctx is the call's context; stop cancels it when the caller has left.
 	ctx  context.Context
@@ -72,8 +72,9 @@
 		},
 	}
 	o.wrote = sync.NewCond(&o.mu)
+	o.caller = callerConnOf(x.r.Context())
 	if readAhead {
-		o.conn = callerConnOf(x.r.Context())
+		o.conn = o.caller
 	}
 	return o
 }
@@ -266,6 +267,17 @@
 	return o.err
 }
 
+// abortAtDeadline makes the writing fail once the call's context ends, until the returned function is called. A
+// response without an end must not be written for longer than the deadline to a caller that reads slowly. It is
+// called once the head of the response was sent: a refusal could not be written after the abort.
+func (o *output) abortAtDeadline() (stop func() bool) {
+	return context.AfterFunc(o.ctx, func() {
+		if o.caller != nil {
+			o.caller.abort()
+		}
+	})
+}
+
 // abort makes the writing of buffered parts fail.
 func (o *output) abort() {
 	o.mu.Lock()
