upstream: the beginning of a response that is too long is no answer

On the project's own interface, a response of a plain service was read up to 1 MB, and what was read was given to the caller as the whole answer. The stand-in of bytes without an end is shared by both platforms' stand-ins.

--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -13,6 +13,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/hosted"
+	"mulberrylug.example/mulberrylug/internal/standin"
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
 	"mulberrylug.example/mulberrylug/internal/testkit"
 )
@@ -155,7 +156,7 @@
 func TestABodyWithoutAnEndIsForwardedNoLongerThanTheTimeout(t *testing.T) {
 	t.Parallel()
 	const timeout, slack = 1500 * time.Millisecond, 300 * time.Millisecond
-	endless := hosting.Endless{Head: "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\n\r\n", Unit: "x"}
+	endless := standin.Endless{Head: "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\n\r\n", Unit: "x"}
 	for name, change := range map[string]func(*hosted.Settings){
 		"read ahead":     nil,
 		"not read ahead": func(s *hosted.Settings) { s.Without = mechanism.Of(mechanism.ReadAhead) },
@@ -185,7 +186,7 @@
 func TestTheRestOfADiscardedResponseIsNotTheNextResponse(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, 1, nil)
-	r.desk.SetEndless(&hosting.Endless{
+	r.desk.SetEndless(&standin.Endless{
 		Head: "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nContent-Length: 1000000\r\n\r\n" + strings.Repeat("x", 64<<10) +
 			"HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\nContent-Length: 6\r\n\r\nforged",
 		Unit: "x",
--- a/internal/hosted/output.go
+++ b/internal/hosted/output.go
@@ -40,7 +40,7 @@
 	flush   *http.ResponseController
 	// caller is the caller's connection, nil if it is unknown. conn is the same if parts may be buffered, else nil.
 	caller, conn *callerConn
-	hold *hold
+	hold         *hold
 	// ctx is the call's context; stop cancels it when the caller has left.
 	ctx  context.Context
 	stop context.CancelFunc
--- a/internal/proctest/hosted_endless_test.go
+++ b/internal/proctest/hosted_endless_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/standin"
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
 	"mulberrylug.example/mulberrylug/internal/testkit"
 )
@@ -71,7 +72,7 @@
 }
 
 // checkEndless checks the requests from a number on, which were sent while upstreams sent bytes without an end.
-func (l *steadyLoad) checkEndless(t *testing.T, kind hosting.Endless, from int) {
+func (l *steadyLoad) checkEndless(t *testing.T, kind standin.Endless, from int) {
 	t.Helper()
 	arrivals := l.Arrivals()
 	failed, refused := 0, 0
--- a/internal/standin/hosting/table.go
+++ b/internal/standin/hosting/table.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin"
 )
 
 // Mode selects how the table responds.
@@ -35,8 +37,14 @@
 	// All other calls are served normally.
 	StalledFeed Mode = "stalled_feed"
 	NoList      Mode = "no_list"
+	// EndlessHead and EndlessBody respond to all calls without an end.
+	EndlessHead Mode = "endless_head"
+	EndlessBody Mode = "endless_body"
 )
 
+// endlessMost is what the table sends at most in a response without an end, in bytes.
+const endlessMost = 64 << 20
+
 // slowDelay is the delay of each response in mode Slow.
 const slowDelay = 300 * time.Millisecond
 
@@ -255,6 +263,13 @@
 		time.Sleep(slowDelay)
 	case Away:
 		panic(http.ErrAbortHandler)
+	case EndlessHead:
+		standin.EndlessHeads[0].Send(w, "", endlessMost)
+		return true
+	case EndlessBody:
+		rows := standin.Endless{Head: "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[", Unit: `{"table":"servers"},`}
+		rows.Send(w, "", endlessMost)
+		return true
 	case StalledFeed, NoList:
 		if r.URL.Path == pathFeed || mode == NoList && r.URL.Query().Get("table") == "servers" {
 			<-r.Context().Done()
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -185,7 +185,7 @@
 	pause time.Duration
 	// endless is how the upstream responds without an end, with at most endlessMost bytes on a connection; nil if it
 	// does not. endlessSent is the most that it has sent on one.
-	endless                  *Endless
+	endless                  *standin.Endless
 	endlessMost, endlessSent int64
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -27,8 +27,11 @@
 	// pollTimeout is the timeout of a load poll, cancelTimeout that of a request to cancel.
 	pollTimeout   = 600 * time.Millisecond
 	cancelTimeout = 2 * time.Second
-	// maxResponse is the maximum number of bytes read from the response body of a plain service.
+	// maxResponse is the maximum size of the response body of a plain service in bytes. A longer one is no
+	// answer: its beginning would look complete.
 	maxResponse = 1 << 20
+	// maxReport is the maximum size of a load report in bytes.
+	maxReport = 1 << 20
 
 	headerRequestID = "X-Request-Id"
 	headerPriority  = "X-Priority"
@@ -67,9 +70,9 @@
 	dialer := conn.Dialer()
 	return &Client{
 		sink:   sink,
-		pooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}},
+		pooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: conn.MaxResponseHead}},
 		unpooled: &http.Client{
-			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: conn.MaxResponseHead},
 			// When it follows a redirect, the library sends a call without a body
 			// a second time, to the address named in the first response.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -191,7 +194,7 @@
 		return r, isRefused(err), fmt.Errorf("poll %s: %w", address, err)
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&r); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxReport)).Decode(&r); err != nil {
 		return r, false, fmt.Errorf("poll %s: decode report: %w", address, err)
 	}
 	return r, false, nil
@@ -272,7 +275,7 @@
 	}
 	defer resp.Body.Close()
 	c.observe(c, resp)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxResponse))
 	if err != nil {
 		c.fail(ctx, "read", err)
 		return
