platform, client, cli: every response that is read has a limit

The responses of the stores of both platforms, of instances to callers and operators were read without a limit: 192 MB of a body, the most that the new test sends, were taken by all of them, and heads up to 10 MB.

--- a/client/call.go
+++ b/client/call.go
@@ -115,7 +115,7 @@
 	if resp.Header.Get("X-Outcome") != string(Done) {
 		return Answer{}, readProblem(resp)
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxBody))
 	if err != nil {
 		c.avoid(address)
 		return Answer{}, &Problem{Outcome: Unknown, Reason: reasonLost, Step: "read", Peer: address}
--- a/client/client.go
+++ b/client/client.go
@@ -82,6 +82,10 @@
 	// idleTimeout limits the time without data on a stream. Entries send a
 	// keep-alive every second.
 	idleTimeout = 4 * time.Second
+	// maxHead and maxBody limit the head and the body of a response in bytes, streams aside. Instances forward
+	// answers of at most 1 MB.
+	maxHead = 64 << 10
+	maxBody = 2 << 20
 	// entriesTimeout limits one request for the list of entries.
 	entriesTimeout = time.Second
 )
@@ -112,7 +116,7 @@
 		// Each request uses a new connection. A pooled connection may no
 		// longer deliver anything, and net/http resends a request on its own
 		// when a pooled connection turns out to be closed.
-		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}},
+		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead}},
 	}
 }
 
@@ -231,7 +235,7 @@
 		Addresses   []string `json:"addresses"`
 		KeepSeconds float64  `json:"keep_seconds"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxBody)).Decode(&list); err != nil {
 		return nil, 0, fmt.Errorf("get entries from %s: decode response: %w", address, err)
 	}
 	return list.Addresses, time.Duration(list.KeepSeconds * float64(time.Second)), nil
@@ -259,7 +263,7 @@
 // readProblem decodes a response that reports a problem.
 func readProblem(resp *http.Response) *Problem {
 	var w wireProblem
-	if json.NewDecoder(resp.Body).Decode(&w) != nil || w.Outcome == "" {
+	if json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxBody)).Decode(&w) != nil || w.Outcome == "" {
 		// Without a complete body the outcome is unknown, for example because
 		// the connection broke while the body was being sent.
 		return &Problem{Outcome: Unknown, Status: resp.StatusCode, Reason: "unreadable_answer", Step: "read"}
--- a/internal/apply/remote.go
+++ b/internal/apply/remote.go
@@ -12,6 +12,10 @@
 	"mulberrylug.example/mulberrylug/internal/core/config"
 )
 
+// maxResponse is the maximum size of the response of an instance in bytes. The largest one has a configuration as
+// large as an apply request may be.
+const maxResponse = 64 << 20
+
 // Result is the body of an instance's HTTP response to an operator who applies a
 // change through it. Exactly one field is set.
 type Result struct {
@@ -101,7 +105,7 @@
 	}
 	defer resp.Body.Close()
 	var a Result
-	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxResponse)).Decode(&a); err != nil {
 		return noResponse(fmt.Errorf("status %d: decode response: %w", resp.StatusCode, err))
 	}
 	return a.result()
@@ -130,7 +134,7 @@
 		return 0, nil, fmt.Errorf("get configuration from %s: status %d", address, resp.StatusCode)
 	}
 	var f InForce
-	if err := json.NewDecoder(resp.Body).Decode(&f); err != nil || f.Config == nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxResponse)).Decode(&f); err != nil || f.Config == nil {
 		return 0, nil, fmt.Errorf("get configuration from %s: decode response: %w", address, err)
 	}
 	return f.Number, f.Config, nil
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -14,6 +14,9 @@
 	"github.com/google/subcommands"
 )
 
+// maxOperatorResponse is the maximum size of the response to an operator's request, in bytes.
+const maxOperatorResponse = 16 << 20
+
 // operatorTimeout limits a request to an instance's operator address.
 const operatorTimeout = 6 * time.Second
 
@@ -31,7 +34,7 @@
 		return nil, fmt.Errorf("ask %s: %w", address, err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxOperatorResponse))
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", address, err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,6 +39,8 @@
 	// idleTimeout is how long a caller's or an operator's connection is kept open without a
 	// request.
 	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes is the maximum size of the head of a request in bytes.
+	maxHeaderBytes = 64 << 10
 )
 
 // Platform is the set of platform services that a daemon uses.
@@ -198,7 +200,7 @@
 // exited then would truncate responses that are still being written. After a drain there is no
 // limit on the wait for open responses.
 func (d *Daemon) serveHTTP(ctx context.Context, ln net.Listener, h http.Handler, drained <-chan struct{}) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
 	shutdownDone := make(chan struct{})
 	go func() {
 		defer close(shutdownDone)
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -38,7 +38,7 @@
 		return nil, fmt.Errorf("platform %s at %s: %w", path, c.base, err)
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
+	raw, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, maxResponse))
 	switch {
 	case err != nil:
 		return nil, fmt.Errorf("platform %s at %s: read response: %w", path, c.base, err)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -63,12 +63,20 @@
 	list listCache
 }
 
+const (
+	// maxResponse is the maximum size of the body of a response in bytes, except for objects: a list of the
+	// instances and upstreams of the target size takes 0.3 MB, a scan of the table 1 MB.
+	maxResponse = 8 << 20
+	// maxObject is the maximum size of an object in bytes. Operators may apply a configuration of that size.
+	maxObject = 64 << 20
+)
+
 // NewClient returns a client for the platform with the given base URL.
 func NewClient(base string) *Client {
 	return &Client{base: base, http: &http.Client{
 		Timeout: callTimeout,
 		Transport: &http.Transport{
-			DialContext: conn.Dialer().DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: 10 * time.Second,
+			DialContext: conn.Dialer().DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: conn.MaxResponseHead,
 		},
 	}}
 }
@@ -106,12 +114,12 @@
 
 // Get implements Objects.
 func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
-	return c.bytes(ctx, http.MethodGet, "/objects/"+name, nil)
+	return c.bytes(ctx, http.MethodGet, "/objects/"+name, nil, maxObject)
 }
 
 // Put implements Objects.
 func (c *Client) Put(ctx context.Context, name string, data []byte) error {
-	_, err := c.bytes(ctx, http.MethodPut, "/objects/"+name, data)
+	_, err := c.bytes(ctx, http.MethodPut, "/objects/"+name, data, maxResponse)
 	return err
 }
 
@@ -136,7 +144,7 @@
 			return fmt.Errorf("platform %s: encode request: %w", path, err)
 		}
 	}
-	raw, err := c.bytes(ctx, method, path, body)
+	raw, err := c.bytes(ctx, method, path, body, maxResponse)
 	if err != nil || out == nil {
 		return err
 	}
@@ -146,7 +154,8 @@
 	return nil
 }
 
-func (c *Client) bytes(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+// bytes makes a call and returns the body of its response, which has at most most bytes.
+func (c *Client) bytes(ctx context.Context, method, path string, body []byte, most int64) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("platform %s: make request: %w", path, err)
@@ -159,7 +168,7 @@
 		return nil, fmt.Errorf("platform %s at %s: %w", path, c.base, err)
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
+	raw, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, most))
 	if err != nil {
 		return nil, fmt.Errorf("platform %s at %s: read response: %w", path, c.base, err)
 	}
--- a/internal/prooftest/endless/endless_test.go
+++ b/internal/prooftest/endless/endless_test.go
@@ -9,9 +9,13 @@
 	"testing"
 	"time"
 
+	"mulberrylug.example/mulberrylug/client"
+	"mulberrylug.example/mulberrylug/internal/apply"
 	"mulberrylug.example/mulberrylug/internal/core"
+	internalplatform "mulberrylug.example/mulberrylug/internal/platform"
 	"mulberrylug.example/mulberrylug/internal/standin"
 	"mulberrylug.example/mulberrylug/internal/upstream"
+	"mulberrylug.example/mulberrylug/platform"
 )
 
 const (
@@ -77,6 +81,26 @@
 	limit int64
 	call  func(ctx context.Context, address string) error
 }{
+	{"configuration", 8 << 20, func(ctx context.Context, a string) error {
+		_, err := platform.NewStore(a).Config(ctx)
+		return err
+	}},
+	{"changes of the list", 8 << 20, func(ctx context.Context, a string) error {
+		_, err := platform.NewStore(a).ListSince(ctx, 1, 8*time.Second)
+		return err
+	}},
+	{"table", 8 << 20, func(ctx context.Context, a string) error {
+		_, err := internalplatform.NewClient("http://"+a).Read(ctx, []string{"key"})
+		return err
+	}},
+	{"list of instances", 8 << 20, func(ctx context.Context, a string) error {
+		_, err := internalplatform.NewClient("http://" + a).List(ctx)
+		return err
+	}},
+	{"object", 64 << 20, func(ctx context.Context, a string) error {
+		_, err := internalplatform.NewClient("http://"+a).Get(ctx, "name")
+		return err
+	}},
 	{"plain service", 1 << 20, func(ctx context.Context, a string) error {
 		return upstreamCall(func(c *upstream.Client) {
 			c.Run(ctx, core.Dispatch{Attempt: "a", Address: a, Method: http.MethodPost, Path: "/", Timeout: 2 * enough})
@@ -90,6 +114,14 @@
 	{"report", 1 << 20, func(ctx context.Context, a string) error {
 		return upstreamCall(func(c *upstream.Client) { c.Poll(ctx, "u", a) })
 	}},
+	{"caller", 2 << 20, func(ctx context.Context, a string) error {
+		_, err := client.New(client.Options{Seeds: []string{a}}).Do(ctx, client.Call{Service: "s", Path: "/"})
+		return err
+	}},
+	{"operator", 64 << 20, func(ctx context.Context, a string) error {
+		_, _, err := apply.CurrentThrough(ctx, a)
+		return err
+	}},
 }
 
 // A server sends a response without an end. A client that reads on takes as much memory as the server sends; one that
