--- a/internal/hosted/era.go
+++ b/internal/hosted/era.go
@@ -74,7 +74,8 @@
 
 // awaitsOthers reports whether a response of the store must not be used yet, because it would be the first
 // configuration of this instance and the store has come back from an older copy before: other instances may have a
-// newer one, in which keys are revoked. They have one read interval to respond.
+// newer one, in which keys are revoked. They have one read interval to respond. The copy may lack their rows, too: while no
+// other instance is known, they have the time in which rows are written again.
 func (f *follower) awaitsOthers(read ConfigResponse) bool {
 	if revision.Era(read.Version) == 1 {
 		return false
@@ -82,7 +83,7 @@
 	first, others := false, false
 	f.server.decide(func(_ time.Time, g *forward.Gate) { first = g.Table() == nil })
 	f.peers.with(func(_ time.Time, v *fleet.Fleet) { others = len(v.Live()) > 0 })
-	if !first || !others {
+	if !first {
 		return false
 	}
 	f.mu.Lock()
@@ -90,9 +91,18 @@
 	now := boottime.Now()
 	if f.storeReadAt.IsZero() {
 		f.storeReadAt = now
-		f.log.Info("first_configuration_awaits_others", "era", revision.Era(read.Version))
+		f.log.Info("first_configuration_awaits_others", "era", revision.Era(read.Version), "others_known", others)
 	}
-	return !f.heardOthers && now.Sub(f.storeReadAt) < f.timing.ReadInterval
+	if others && f.othersKnownAt.IsZero() {
+		f.othersKnownAt = now
+	}
+	switch {
+	case f.heardOthers:
+		return false
+	case others:
+		return now.Sub(f.othersKnownAt) < f.timing.ReadInterval
+	}
+	return now.Sub(f.storeReadAt) < roster.EraSettleTime
 }
 
 // noteHeard records that another instance which has a configuration has responded.
--- a/internal/hosted/era_test.go
+++ b/internal/hosted/era_test.go
@@ -19,10 +19,22 @@
 
 // newTestFollower returns a follower of an instance that has just started and knows another one.
 func newTestFollower(t *testing.T) *follower {
+	t.Helper()
+	f := newLoneTestFollower(t)
+	f.meet("other")
+	return f
+}
+
+// meet makes another instance known.
+func (f *follower) meet(name string) {
+	f.peers.with(func(now time.Time, v *fleet.Fleet) { v.OnHeartbeat(now, testRow(name).Heartbeat) })
+}
+
+// newLoneTestFollower returns a follower that knows no other instance.
+func newLoneTestFollower(t *testing.T) *follower {
 	t.Helper()
 	s, timing := newTestServer("127.0.0.1:1"), watch.NewTiming(300*time.Millisecond)
 	peers := newTestPeers(t, &memberStore{})
-	peers.with(func(now time.Time, v *fleet.Fleet) { v.OnHeartbeat(now, testRow("other").Heartbeat) })
 	return &follower{
 		server: s, metrics: metrics.NewMetrics(), log: hclog.NewNullLogger(), peers: peers, relay: newRelay(s, timing), timing: timing,
 		queries: watch.NewFollower(timing, 1), onAdopted: func(bool) {}, onLeaving: func() {},
@@ -69,6 +81,30 @@
 	}
 }
 
+// The copy lacks the rows of the other instances, too, so that an instance which starts knows none. It must not use the
+// old configuration before the others had the time to write their rows again.
+func TestTheFirstConfigurationAwaitsTheRowsOfOthers(t *testing.T) {
+	f := newLoneTestFollower(t)
+	if f.applyConfig(boottime.Now(), read(2, 5, 3)) {
+		t.Error("the configuration of a copy is used although no other instance is known yet")
+	}
+	f.storeReadAt = f.storeReadAt.Add(-roster.EraSettleTime / 2)
+	f.meet("other")
+	if f.applyConfig(boottime.Now(), read(2, 5, 3)) {
+		t.Error("the configuration of a copy is used as another instance becomes known, want that awaited")
+	}
+	f.noteHeard()
+	if f.applyConfig(boottime.Now(), read(2, 5, 3)); !f.isInForce(3) {
+		t.Error("the configuration is not used once another instance has responded")
+	}
+	f = newLoneTestFollower(t)
+	f.applyConfig(boottime.Now(), read(2, 5, 3))
+	f.storeReadAt = f.storeReadAt.Add(-roster.EraSettleTime)
+	if f.applyConfig(boottime.Now(), read(2, 5, 3)); !f.isInForce(3) {
+		t.Error("the configuration is not used although there are no others")
+	}
+}
+
 func (f *follower) isInForce(version int64) bool {
 	config, _ := f.inForce()
 	return config == version
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -77,9 +77,9 @@
 	interruptFeed context.CancelFunc
 	interrupted   bool
 	// heardOthers is set once another instance that has a configuration has responded; storeReadAt is the time of
-	// the first response of the store.
-	heardOthers bool
-	storeReadAt time.Time
+	// the first response of the store, othersKnownAt of the first one at which another instance was known.
+	heardOthers                bool
+	storeReadAt, othersKnownAt time.Time
 	// eraSeen is the newest era of the store that is known, 0 before the first response, and eraSeenAt when it
 	// became known; zero for the first one that this instance has seen. eraLogged is the last one logged.
 	eraSeen, eraLogged int64
