proctest, standin: bytes without end in the soak and in the store

The soak draws responses without an end of upstreams and of the store, beside signals and outages, and checks the peak memory of each instance.

--- a/internal/proctest/hosted_endless_test.go
+++ b/internal/proctest/hosted_endless_test.go
@@ -43,12 +43,7 @@
 		l.open.Wait()
 		l.checkEndless(t, kind, began)
 	}
-	for k, peak := range f.peaksKB(t) {
-		t.Logf("%s: peak memory %d KB, %d KB before", f.procs[k].name, peak, before[k])
-		if rise := peak - before[k]; rise > memoryRise || peak > 120<<10 {
-			t.Errorf("%s: the peak memory has risen by %d KB to %d KB, want at most %d KB more", f.procs[k].name, rise, peak, memoryRise)
-		}
-	}
+	f.checkPeaks(t, before)
 	if sent := faulty.EndlessSent(); sent > 8<<20 {
 		t.Errorf("an instance has taken %d bytes on one connection", sent)
 	}
@@ -71,6 +66,17 @@
 	return peaks
 }
 
+// checkPeaks checks how far the peak memory of the instances has risen.
+func (f *fixture) checkPeaks(t *testing.T, beforeKB []int) {
+	t.Helper()
+	for k, peak := range f.peaksKB(t) {
+		t.Logf("%s: peak memory %d KB, %d KB before", f.procs[k].name, peak, beforeKB[k])
+		if rise := peak - beforeKB[k]; rise > memoryRise || peak > 120<<10 {
+			t.Errorf("%s: the peak memory has risen by %d KB to %d KB, want at most %d KB more", f.procs[k].name, rise, peak, memoryRise)
+		}
+	}
+}
+
 // checkEndless checks the requests from a number on, which were sent while upstreams sent bytes without an end.
 func (l *steadyLoad) checkEndless(t *testing.T, kind standin.Endless, from int) {
 	t.Helper()
@@ -114,3 +120,36 @@
 	})
 	l.open.Wait()
 }
+
+// The store responds without an end, in the head or in the body, to each instance. The instances go on with what
+// they know within their memory, and follow the store again afterwards.
+func TestHostedStoreResponsesWithoutEnd(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	l := newSteadyLoad(f, 45, plainRequest)
+	l.run(2 * time.Second)
+	before := f.peaksKB(t)
+	for _, mode := range []hosting.Mode{hosting.EndlessHead, hosting.EndlessBody} {
+		began := len(l.sentAt)
+		f.Table.Set(mode)
+		l.run(1500 * time.Millisecond)
+		f.Table.Set(hosting.Well)
+		l.open.Wait()
+		for n := began; n < len(l.sentAt); n++ {
+			if r := l.deliveries[fmt.Sprintf("load-%d", n)].result; r.status != http.StatusOK || r.truncated {
+				t.Errorf("%s: request %d ended with %d, error %v", mode, n, r.status, r.err)
+			}
+		}
+		l.run(time.Second)
+	}
+	l.open.Wait()
+	f.checkPeaks(t, before)
+	f.Configure(func(c map[string]any) {
+		c["tenants"] = []map[string]any{{"name": hosting.Owner, "api_keys": []string{"key-two"}, "priority": 1}}
+	})
+	for _, m := range f.machines {
+		testkit.Eventually(t, waitTimeout, m.Name+" follows the store again", func() bool {
+			return f.do(m, lookUp("after-"+m.Name)).status == http.StatusUnauthorized
+		})
+	}
+}
--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -32,6 +32,7 @@
 
 // soakRegressions are seeds that failed in the past, each with its cause.
 var soakRegressions = []uint64{
+	100,  // an instance that started after a return of the store, whose copy lacked the others' rows, used the copy's keys
 	3031, // a request was sent to a second upstream, whose statement counted as the first one's
 }
 
@@ -58,6 +59,9 @@
 	// withdrawals holds.
 	storeRand   *rand.Rand
 	withdrawals []withdrawal
+	// endlessRand draws responses without an end, of which there were endlessSpells.
+	endlessRand   *rand.Rand
+	endlessSpells int
 	// storeReturns is the number of returns.
 	storeReturns int
 	// silences holds the silences of each upstream, with the id of the upstream, and left when upstreams
@@ -115,7 +119,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		fixture: newFixtureWith(t, "", func(*hosting.World) {}, soakEngine), t: t, rand: rand.New(rand.NewPCG(seed, seed)), loadRand: rand.New(rand.NewPCG(seed, seed+1)),
-		silenceRand: rand.New(rand.NewPCG(seed, seed+2)), storeRand: rand.New(rand.NewPCG(seed, seed+3)), left: map[string]time.Time{}, stop: make(chan struct{}),
+		silenceRand: rand.New(rand.NewPCG(seed, seed+2)), storeRand: rand.New(rand.NewPCG(seed, seed+3)), endlessRand: rand.New(rand.NewPCG(seed, seed+4)), left: map[string]time.Time{}, stop: make(chan struct{}),
 		requests: map[string]sentRequest{}, key: hosting.Key, revoked: map[string]time.Time{}, storeFaultSince: map[string]time.Time{},
 	}
 	s.addRelays()
@@ -138,6 +142,7 @@
 		s.changeLoad()
 		s.silenceUpstreams()
 		s.disturbStore()
+		s.sendWithoutEnd()
 		time.Sleep(time.Duration(100+s.rand.IntN(500)) * time.Millisecond)
 	}
 	s.restarts.Wait()
@@ -145,7 +150,8 @@
 	close(s.stop)
 	callers.Wait()
 	s.check()
-	t.Logf("seed=%d requests=%d served=%d taken_up=%+v silences=%d returns=%d withdrawals=%d", seed, len(s.requests), s.served, s.taken, len(s.silences), s.storeReturns, len(s.withdrawals))
+	s.checkMemory()
+	t.Logf("seed=%d requests=%d served=%d taken_up=%+v silences=%d returns=%d withdrawals=%d endless=%d", seed, len(s.requests), s.served, s.taken, len(s.silences), s.storeReturns, len(s.withdrawals), s.endlessSpells)
 }
 
 // addRelays adds an upstream of each service behind a relay.
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -58,6 +58,8 @@
 	LostMove Fault = "lost_move"
 	// NoCopies discards the copies that other upstreams send.
 	NoCopies Fault = "no_copies"
+	// WithoutEnd is the fault of a response that SetEndless has set.
+	WithoutEnd Fault = "without_end"
 )
 
 // Arrival is a request that reached an upstream.
