hosted: the heads of callers' requests stay within the account of memory

What exceeds the 4 KB buffer of a connection is reserved now, as for responses, for a purpose of its own with a tenth of the machine's memory: heads take nothing from usual requests. The new test failed before: 100 callers with 40 KB each, no accounted memory, 200 in place of 431. In the stand-in, an endless response to a resume no longer counts as a second run.

--- a/internal/conn/head.go
+++ b/internal/conn/head.go
@@ -11,9 +11,11 @@
 	// MaxResponseHead is the maximum size in bytes of the head of a response, together with the
 	// informational responses before it. Servers and proxies commonly send and accept 8 to 16 KB.
 	MaxResponseHead = 32 << 10
-	// headCost is the memory in bytes that a byte of a head takes. A head of many short fields takes 15 times
+	// HeadCost is the memory in bytes that a byte of a head takes. A head of many short fields takes 15 times
 	// its size, for the strings and the entries of the map.
-	headCost = 16
+	HeadCost = 16
+	// HeadBuffer is the size in bytes of the heads that need no memory beside the buffer of their connection.
+	HeadBuffer = readBufferSize
 )
 
 // Parts of messages that have a limit, as they are named in logs and metrics.
@@ -104,9 +106,9 @@
 		return 0, l.failed
 	}
 	n, err := l.from.Read(p[:min(len(p), left)])
-	before := max(l.read, readBufferSize)
+	before := max(l.read, HeadBuffer)
 	l.read += n
-	if more := l.read - before; more > 0 && !l.held.reserve(more*headCost) {
+	if more := l.read - before; more > 0 && !l.held.reserve(more*HeadCost) {
 		l.failed = fmt.Errorf("read a head of more than %d bytes: %w", before, ErrNoMemory)
 		return 0, l.failed
 	}
--- a/internal/conn/head_test.go
+++ b/internal/conn/head_test.go
@@ -80,7 +80,7 @@
 		if sent := r.sent.Load(); sent > MaxResponseHead+(64<<10) || time.Since(began) > time.Second {
 			t.Errorf("%s: ended after %d bytes and %v", name, sent, time.Since(began))
 		}
-		if want := (MaxResponseHead - readBufferSize) * headCost; m.most != want {
+		if want := (MaxResponseHead - HeadBuffer) * HeadCost; m.most != want {
 			t.Errorf("%s: %d bytes of memory reserved, want %d", name, m.most, want)
 		}
 		c.Close()
--- a/internal/core/forward/admit.go
+++ b/internal/core/forward/admit.go
@@ -49,6 +49,9 @@
 	if refusal := setRegions(c, org); refusal != nil {
 		return nil, refusal
 	}
+	if maxHead := g.table.Limits.MaxHeaderBytes; maxHead > 0 && r.HeadBytes > maxHead {
+		return nil, &Refusal{Status: status.HeadTooLarge, Reason: HeadTooLarge}
+	}
 	if maxBody := g.table.Limits.MaxBodyBytes; maxBody > 0 && r.Length > maxBody {
 		return nil, &Refusal{Status: status.ContentTooLarge, Reason: TooLarge}
 	}
--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -35,6 +35,8 @@
 	// Parts are hashes of the parts of the prompt that other requests may share: all but the last. At most
 	// suspect.MaxParts are considered.
 	Parts []uint64
+	// HeadBytes is the size of the head in bytes, without the spaces round the values of its fields.
+	HeadBytes int
 	// Length is the Content-Length in bytes, -1 if unknown.
 	Length int64
 	// Replayable is set if the complete body is buffered, so that it can be sent again.
@@ -94,6 +96,7 @@
 	// NoMemory: the memory account of this instance has no room for another request.
 	NoMemory     Reason = "memory"
 	TooLarge     Reason = "body_too_large"
+	HeadTooLarge Reason = "head_too_large"
 	GrantExpired Reason = "grant_lapsed"
 )
 
--- a/internal/core/memory/account.go
+++ b/internal/core/memory/account.go
@@ -19,11 +19,14 @@
 	Streams
 	// Messages are the messages queued for other instances.
 	Messages
+	// Heads are the parts of the heads of requests and responses that exceed the buffers of their connections, as
+	// they are stored once parsed.
+	Heads
 	// PurposeCount is the number of purposes.
 	PurposeCount
 )
 
-var purposeNames = [PurposeCount]string{Bodies: "bodies", Responses: "responses", Streams: "streams", Messages: "messages"}
+var purposeNames = [PurposeCount]string{Bodies: "bodies", Responses: "responses", Streams: "streams", Messages: "messages", Heads: "heads"}
 
 // String returns the name of the purpose in metrics and logs.
 func (p Purpose) String() string { return purposeNames[p] }
--- a/internal/core/memory/limits.go
+++ b/internal/core/memory/limits.go
@@ -9,6 +9,9 @@
 	// minimum in bytes, for machines whose memory size is unknown.
 	bodyShare     = 0.15
 	minBodyMemory = 4 << 20
+	// headShare is the fraction of the machine's memory for heads that exceed the buffers of their connections.
+	// Usual heads do not. On a machine of 120 MB it suffices for 26 heads of the maximum size at once.
+	headShare = 0.1
 	// assumedMemory is assumed in bytes if the size of the machine's memory is unknown: the size
 	// of the smallest machines.
 	assumedMemory = 120 << 20
@@ -27,6 +30,7 @@
 		machine = assumedMemory
 	}
 	l.Total = int64(totalShare * float64(machine))
+	l.Max[Heads] = int64(headShare * float64(machine))
 	for p, share := range guaranteedShares {
 		l.Guaranteed[p] = int64(share * float64(machine))
 	}
--- a/internal/core/status/status.go
+++ b/internal/core/status/status.go
@@ -16,6 +16,7 @@
 	MisdirectedRequest  = 421
 	UnprocessableEntity = 422
 	TooManyRequests     = 429
+	HeadTooLarge        = 431
 	BadGateway          = 502
 	ServiceUnavailable  = 503
 	GatewayTimeout      = 504
--- a/internal/hosted/callerconn.go
+++ b/internal/hosted/callerconn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"mulberrylug.example/mulberrylug/internal/conn"
 )
 
 const (
@@ -38,14 +40,17 @@
 	readErr atomic.Pointer[error]
 	// paused is set once the kernel was told to tolerate a pause of the caller.
 	paused atomic.Bool
+	// head accounts for the head of the next request.
+	head headAccount
 	// poll, fds and full belong to writable.
 	poll func(fd uintptr)
 	fds  [1]unix.PollFd
 	full bool
 }
 
-func newCallerConn(c net.Conn) *callerConn {
-	out := &callerConn{Conn: c}
+func newCallerConn(c net.Conn, m conn.Memory) *callerConn {
+	out := &callerConn{Conn: c, head: headAccount{memory: m}}
+	out.head.begin()
 	out.setPatience(defaultPatience)
 	out.poll = out.pollSocket
 	if sc, ok := c.(syscall.Conn); ok {
@@ -63,6 +68,10 @@
 // It interrupts its own reads by a deadline, which ends nothing.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if !c.head.add(n) {
+		c.Conn.Close() // net/http may take the line that is cut off for an invalid one, and must not say so
+		return 0, errNoHeadMemory
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		first := err
 		c.readErr.CompareAndSwap(nil, &first)
@@ -143,7 +152,10 @@
 }
 
 // callerListener wraps accepted connections in callerConns.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	memory conn.Memory
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -151,7 +163,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newCallerConn(c), nil
+	return newCallerConn(c, l.memory), nil
 }
 
 // callerConnKey is the key of the caller's connection in the context of a request.
--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"strings"
 	"testing"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
+	"mulberrylug.example/mulberrylug/internal/core/memory"
 	"mulberrylug.example/mulberrylug/internal/hosted"
 	"mulberrylug.example/mulberrylug/internal/standin"
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
@@ -199,6 +202,45 @@
 	}
 }
 
+// Callers send heads that are longer than usual, many of them at once and without an end. They must not take more
+// memory than heads may have, nor that of other requests, and one beyond the limit of the configuration is refused.
+func TestCallersHeadsStayWithinTheirMemory(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, func(s *hosted.Settings) { s.MemoryBytes = 120 << 20 })
+	const callers = 100
+	begun := "GET " + hosting.PathLookUp + " HTTP/1.1\r\nHost: " + hosting.Host + "\r\n"
+	var open []net.Conn
+	for range callers {
+		open = append(open, r.send(t, begun+strings.Repeat("A:\r\n", 40<<10/len("A:\r\n"))))
+	}
+	limit := int64(memory.LimitsFor(120 << 20).Max[memory.Heads])
+	testkit.Eventually(t, testTimeout, "heads take most of their memory", func() bool { return r.metrics(t).Bytes["heads"] > limit/2 })
+	if n := r.metrics(t).Bytes["heads"]; n > limit {
+		t.Errorf("heads take %d bytes, want at most %d", n, limit)
+	}
+	if status := r.book(t, "beside"); status != http.StatusOK {
+		t.Errorf("status %d of a usual request, want %d", status, http.StatusOK)
+	}
+	closed := 0
+	for _, c := range open {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Millisecond)) // fails only on a closed connection
+		if n, err := c.Read(make([]byte, 100)); n > 0 {
+			t.Errorf("%d bytes in response to a head that was not read", n)
+		} else if !errors.Is(err, os.ErrDeadlineExceeded) {
+			closed++
+		}
+		c.Close()
+	}
+	if closed == 0 || closed == callers {
+		t.Errorf("%d of %d connections were closed, want those without memory", closed, callers)
+	}
+	r.expectNothingInUse(t)
+	c := r.send(t, head(http.MethodGet, hosting.PathLookUp, "long", "X-Filler: "+strings.Repeat("x", 20<<10)+"\r\n"))
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("response %v, error %v, want status 431 for a head above the configuration's limit", resp, err)
+	}
+}
+
 // The grace period ends while a stream is in progress, or the process is told to end at once. Without a line, its request
 // could not be told from one that never arrived.
 func TestEndsWithTheProcess(t *testing.T) {
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -45,6 +45,8 @@
 	// its narrower limits, is known.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
+	// maxControlHeaderBytes limits the heads of requests to the other listeners, whose memory is not accounted for.
+	maxControlHeaderBytes = 4 << 10
 	// idleTimeout is the time after which callers' idle connections are closed. It is far above
 	// the time for which configurations allow a connection to be reused, so that no request is
 	// sent on a connection that is being closed.
@@ -111,7 +113,7 @@
 		wire: wire, conns: conns, memory: newMemoryAccount(s.MemoryBytes, m, log), readAhead: !s.Without.Has(mechanism.ReadAhead), metrics: m, log: log,
 		gate: gate, running: map[string]*exchange{}, permits: map[string]chan msg.PermitResponse{},
 	}
-	conns.Memory = purposeMemory{srv.memory, memory.Responses}
+	conns.Memory = purposeMemory{srv.memory, memory.Heads}
 	srv.paths, srv.origins = newPaths(srv, m, log), newOrigins(srv, m, log)
 	m.Set("cordons", srv.cordonMetric())
 	m.Set("upstream_rate_limits", srv.rateLimitMetric())
@@ -295,14 +297,15 @@
 		}
 		ln = i.traffic.Listener(ln)
 		server := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxControlHeaderBytes, IdleTimeout: idleTimeout,
 			ErrorLog: newServerLog(l.name, i.log, i.metrics),
 		}
 		if l.name == callersListener {
 			ln = limitConnections(ln, i.settings.MaxDescriptors)
 			i.connections = connectionsInUse(ln)
-			ln = callerListener{ln}
-			server.ConnContext = withCallerConn
+			ln = callerListener{Listener: ln, memory: purposeMemory{i.server.memory, memory.Heads}}
+			server.ConnContext, server.ConnState = withCallerConn, trackHeads
+			server.MaxHeaderBytes = maxHeaderBytes
 			i.callers = server
 		}
 		tree.Add(&httpService{name: l.name, listener: ln, server: server})
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -64,10 +64,14 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var req forward.Request
 	began := time.Now()
+	if c := callerConnOf(r.Context()); c != nil {
+		c.head.end()
+	}
 	s.handling.Add(1)
 	defer s.handling.Add(-1)
 	defer s.onPanic(&req, began)
 	req = s.wire.Request(r)
+	req.HeadBytes = headBytes(r)
 	h := s.memory.newHold()
 	defer h.releaseAll()
 	if !h.reserve(memory.Responses, requestBytes) {
--- a/internal/hosted/slow_test.go
+++ b/internal/hosted/slow_test.go
@@ -200,7 +200,7 @@
 func (r *rig) inUse(t *testing.T) int64 {
 	t.Helper()
 	bytes := r.metrics(t).Bytes
-	return bytes["bodies"] + bytes["responses"] + bytes["streams"]
+	return bytes["bodies"] + bytes["responses"] + bytes["streams"] + bytes["heads"]
 }
 
 func (r *rig) expectNothingInUse(t *testing.T) {
--- a/internal/standin/hosting/endless.go
+++ b/internal/standin/hosting/endless.go
@@ -53,7 +53,7 @@
 	w.mu.Lock()
 	e, most := w.endless, w.endlessMost
 	if e != nil && id != "" {
-		w.arrivals = append(w.arrivals, &Arrival{Worker: w.ID, ID: id, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Ran: true, At: time.Now(), Fault: WithoutEnd})
+		w.arrivals = append(w.arrivals, &Arrival{Worker: w.ID, ID: id, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Ran: true, At: time.Now(), Fault: WithoutEnd, Resumed: r.Header.Get("Kv-From") != ""})
 	}
 	w.mu.Unlock()
 	if e == nil {
