--- a/internal/cli/signal.go
+++ b/internal/cli/signal.go
@@ -41,7 +41,7 @@
 func (s *signals) follow(p lifecycle.Policy, e effects) {
 	s.machine, s.effects = lifecycle.New(p), e
 	if p.Drains {
-		signal.Ignore(syscall.SIGPIPE) // a log that nobody reads must not end the requests in progress
+		signal.Ignore(syscall.SIGPIPE) // an unread log must not end the requests in progress
 	}
 	for len(s.received) > 0 {
 		s.deliver(<-s.received)
--- a/internal/core/forward/drain.go
+++ b/internal/core/forward/drain.go
@@ -106,7 +106,7 @@
 }
 
 // endWithProcess ends a call because the process ends. One that was sent and has no response gets 504: it
-// may have run, and no caller is told otherwise.
+// may have run, and no caller gets another statement.
 func (g *Gate) endWithProcess(now time.Time, c *Call, headerDelivered bool) Step {
 	if a := c.current; a != nil {
 		c.current, c.mayHaveRun = nil, true
--- a/internal/core/roster/drops.go
+++ b/internal/core/roster/drops.go
@@ -6,7 +6,7 @@
 )
 
 // drops holds the groups from which an upstream was dropped without a change in the store: its expired entry was not
-// renewed in time. Such a drop has no version, and a requester that has the newest version would not be told. The
+// renewed in time. Such a drop has no version, and a requester that has the newest version would not be notified. The
 // group is therefore sent to each requester. Messages can be lost, so it is sent several times. A requester that
 // comes from another source requests everything (ListRequest.RequestFull).
 type drops struct {
@@ -22,7 +22,7 @@
 // note records a drop.
 func (d *drops) note(now time.Time, g Group) { d.at[g] = now }
 
-// expire forgets drops that all requesters were told of.
+// expire forgets drops that all requesters were notified of.
 func (d *drops) expire(now time.Time) {
 	for g, at := range d.at {
 		if now.Sub(at) <= reannounceDuration {
--- a/internal/core/roster/era.go
+++ b/internal/core/roster/era.go
@@ -11,7 +11,7 @@
 // made, and lists some that were removed. Upstreams write theirs again within some seconds. Until then
 //
 //   - an upstream that is not listed any more is kept for expiryGrace, as after an outage;
-//   - an entry of the copy whose run this instance knows to be removed or replaced is set aside;
+//   - an entry of the copy whose run this instance knows to be removed or replaced is withheld;
 //   - a run that is known to leave stays so, whatever its entry says (leaving.go).
 
 // EraSettleTime is how long after the store has come back from a copy its rows may be out of date. Operators, live
@@ -24,7 +24,7 @@
 	// entries up to it may be from the copy.
 	enteredAt time.Time
 	floor     int64
-	// outdated holds the entries that were set aside, by id.
+	// outdated holds the entries that are withheld, by id.
 	outdated map[string]Change
 	// entering is set while the copy is applied with which the era was entered.
 	entering bool
@@ -81,7 +81,7 @@
 	return outdated
 }
 
-// withOutdated adds the entries that were set aside to a copy of their group. Without them, the receiver would drop an
+// withOutdated adds the entries that are withheld to a copy of their group. Without them, the receiver would drop an
 // upstream that has written its entry again.
 func (r *Roster) withOutdated(c GroupCopy) GroupCopy {
 	for id, o := range r.era.outdated {
@@ -92,7 +92,7 @@
 	return c
 }
 
-// forgetOutdated forgets an entry that was set aside, because it has changed at a version. Its group counts as changed:
+// forgetOutdated forgets a withheld entry, because it has changed at a version. Its group counts as changed:
 // other instances may have received the entry from this one, and use it.
 func (r *Roster) forgetOutdated(id string, version int64) {
 	if o, ok := r.era.outdated[id]; ok {
@@ -101,7 +101,7 @@
 	}
 }
 
-// keepOutdated forgets the entries that were set aside, if they are of the given groups and a copy of these at a later
+// keepOutdated forgets the entries that are withheld, if they are of the given groups and a copy of these at a later
 // version does not contain them.
 func (r *Roster) keepOutdated(list []Change, version int64, of func(Group) bool) {
 	for id, o := range r.era.outdated {
@@ -111,7 +111,7 @@
 	}
 }
 
-// endEraChange uses the entries that were set aside and are still listed once the time has passed in which
+// endEraChange uses the entries that are withheld and are still listed once the time has passed in which
 // upstreams write their state again.
 func (r *Roster) endEraChange(now time.Time) []*Upstream {
 	if len(r.era.outdated) == 0 || now.Sub(r.era.enteredAt) < EraSettleTime {
--- a/internal/core/roster/roster.go
+++ b/internal/core/roster/roster.go
@@ -122,7 +122,7 @@
 	// droppedAt and reannouncedAt hold, by group, when an expired entry was last dropped and
 	// when the group was last announced again because of that.
 	droppedAt, reannouncedAt map[Group]time.Time
-	// drops holds the drops that have no version, for the requesters that must be told.
+	// drops holds the drops that have no version, for the requesters that must be notified.
 	drops drops
 	// joined holds the runs first listed since the last call of Joined.
 	joined []*Upstream
--- a/internal/core/roster/sync.go
+++ b/internal/core/roster/sync.go
@@ -214,7 +214,7 @@
 	return s, true
 }
 
-// droppedFor returns copies of those requested groups of which a requester must be told that an upstream was dropped,
+// droppedFor returns copies of those requested groups of which a requester must be notified that an upstream was dropped,
 // except those that it gets anyway.
 func (r *Roster) droppedFor(now time.Time, requester string, q ListRequest, sent []GroupCopy) (out []GroupCopy) {
 	if len(r.drops.at) == 0 {
@@ -264,7 +264,7 @@
 }
 
 // Adopt applies copies of groups from another instance and returns the upstreams that began to
-// leave or were removed. Upstreams that a copy does not contain are removed at once, without
+// leave or were removed. Upstreams that a copy does not contain are removed immediately, without
 // expiryGrace: the sender has already waited for expired entries to be renewed.
 func (r *Roster) Adopt(now time.Time, s ListUpdate) (left []*Upstream) {
 	r.storeDown, r.storeReturned = false, time.Time{}
--- a/internal/core/watch/follower.go
+++ b/internal/core/watch/follower.go
@@ -233,7 +233,7 @@
 	return Query{Source: source, Number: f.lastNumber, Hold: hold}
 }
 
-// Restart makes the next query of the preferred source due at once, because the instance needs
+// Restart makes the next query of the preferred source due immediately, because the instance needs
 // something else than the open query has requested.
 func (f *Follower) Restart() {
 	for _, q := range f.open {
--- a/internal/core/watch/held.go
+++ b/internal/core/watch/held.go
@@ -30,7 +30,7 @@
 // SetTiming replaces the time limits.
 func (h *Held[M]) SetTiming(t Timing) { h.timing = t }
 
-// HasNews reports whether a query should be responded to at once because its sender has not been told of
+// HasNews reports whether a query should be responded to immediately because its sender has not been notified of
 // the last confirmation, which is recent.
 func (h *Held[M]) HasNews(now time.Time, from string, confirmed time.Time) bool {
 	return now.Sub(confirmed) < h.timing.SourceOverdue && confirmed.Sub(h.told[from]) >= h.timing.ReadInterval/2
--- a/internal/core/watch/timing.go
+++ b/internal/core/watch/timing.go
@@ -34,7 +34,7 @@
 	StoreTimeout time.Duration
 	// ListWait is the maximum time for which the store may hold a query for changes of the list. Each read of the
 	// configuration checks that the list is not behind; if it is after one Step, the held query is ended and the
-	// changes are queried at once.
+	// changes are queried immediately.
 	ListWait time.Duration
 	// Hold is the maximum time for which an instance holds a query while it has nothing new. A
 	// confirmation by the reader ends the hold earlier.
@@ -57,7 +57,7 @@
 	// sources whichever it prefers. It saves those queries while the preferred source lags. It is less than the
 	// bound, so that no state counts as recent that may lack a change that must be in force.
 	MaxAge time.Duration
-	// SendWithin is the time from the last look at the list to the sending of a request, in which no network is
+	// SendWithin is the time from the last check of the list to the sending of a request, in which no network is
 	// waited for.
 	SendWithin time.Duration
 	// Backoff is how long an unresponsive or outdated source is not preferred.
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -209,7 +209,7 @@
 		f.storeFailed(ctx, "list", err)
 		sleep(ctx, retryBackoff)
 	case f.feedInterrupted():
-		// the changes are queried again at once, with a query that the store does not hold
+		// the changes are queried again immediately, with a query that the store does not hold
 	default:
 		f.listVersion = 0
 		f.metrics.Count("store_failures_total", "list")
--- a/internal/hosted/listcheck.go
+++ b/internal/hosted/listcheck.go
@@ -10,7 +10,7 @@
 // A query for changes of the list that the store holds says nothing until it ends: nothing may have changed, or the
 // changes may not arrive. Each read of the configuration therefore checks the list. It states the newest version of
 // the store, and a list of that version is the newest one. Otherwise the held query must deliver within a step, or it
-// is ended and the changes are queried at once.
+// is ended and the changes are queried immediately.
 
 // checkList confirms the list if it has the version that the store had at a read, which was sent at a time, and ends
 // the held query for its changes if that does not bring them within a step.
--- a/internal/hosted/listsource.go
+++ b/internal/hosted/listsource.go
@@ -2,7 +2,7 @@
 
 import "mulberrylug.example/mulberrylug/internal/core/watch"
 
-// listSource is the instance whose list this instance has in whole. A drop without a version is told only to those
+// listSource is the instance whose list this instance has in whole. A drop without a version is sent only to those
 // that query an instance all the time, so that the first query of another one must request the whole list.
 type listSource struct {
 	// name is "" if the list was read from the store. requested is the number of the last query for the whole list.
--- a/internal/hosted/origins.go
+++ b/internal/hosted/origins.go
@@ -108,7 +108,7 @@
 }
 
 // recordOrigin records where a stream begins, before its first event leaves for the caller: the caller may come
-// back to any instance at once. Other instances get the record unless they know where all streams of the
+// back to any instance immediately. Other instances get the record unless they know where all streams of the
 // service began; the first event then waits until one of them has it.
 func (x *exchange) recordOrigin() {
 	o := x.server.origins
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -68,7 +68,7 @@
 }
 
 // handlePoll responds to a poll immediately if there is an update, or a confirmation of which its sender
-// has not been told, or if the poll must not be held. Otherwise it holds the poll.
+// has not been notified, or if the poll must not be held. Otherwise it holds the poll.
 func (r *relay) handlePoll(from string, m msg.SyncRequest) {
 	arrived := boottime.Now()
 	response, confirmed, updated := r.response(from, m, arrived)
@@ -85,7 +85,7 @@
 	r.held.Add(arrived, from, m, m.Hold, confirmed)
 }
 
-// hasNews reports whether the sender of a poll has not been told of a recent confirmation.
+// hasNews reports whether the sender of a poll has not been notified of a recent confirmation.
 func (r *relay) hasNews(now time.Time, from string, confirmed time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -128,7 +128,7 @@
 	}
 }
 
-// restartQueries makes the next query due at once.
+// restartQueries makes the next query due immediately.
 func (f *follower) restartQueries() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -39,7 +39,7 @@
 	ReloadLater Action = "reload_later"
 	// Drain completes the requests in progress and then ends the process.
 	Drain Action = "drain"
-	// Stop ends the process at once.
+	// Stop ends the process immediately.
 	Stop Action = "stop"
 )
 
@@ -47,7 +47,7 @@
 type Policy struct {
 	// Drains is set if the process serves requests, which it completes before it ends.
 	Drains bool
-	// SecondStops is set if a second Terminate ends a drain at once.
+	// SecondStops is set if a second Terminate ends a drain immediately.
 	SecondStops bool
 	// Reloads is set if Hangup reloads the settings. Otherwise Hangup is the same as Terminate.
 	Reloads bool
--- a/internal/proctest/hosted_endless_test.go
+++ b/internal/proctest/hosted_endless_test.go
@@ -16,8 +16,8 @@
 	endlessMost = 64 << 20
 	// memoryRise is how far the peak memory of an instance may rise while upstreams send bytes without an end.
 	memoryRise = 60 << 10 // KB
-	// knownAtOnce is how long after its upstream's usual time a request may take that got no answer.
-	knownAtOnce = 300 * time.Millisecond
+	// giveUpWithin is how long after its upstream's usual time a request may take that got no answer.
+	giveUpWithin = 300 * time.Millisecond
 	// routeTimeout is the timeout of the routes to the plain service.
 	routeTimeout = 1500 * time.Millisecond
 )
@@ -90,7 +90,7 @@
 			reached = reached || a.Worker == l.desk[0].ID || a.Worker == l.pool[0].ID
 		}
 		whole := got.status == http.StatusOK && !got.truncated
-		late := took > routeTimeout+knownAtOnce
+		late := took > routeTimeout+giveUpWithin
 		isStream, isLookUp := n%10 == 9, n%3 == 2
 		switch {
 		case whole && (!kind.Signed || !reached):
@@ -99,14 +99,14 @@
 		case isStream && kind.Every > 0 && reached: // the next engine takes it after some time
 		case reached && kind.Signed && !late:
 		case reached && kind.Every > 0 && got.status == http.StatusGatewayTimeout && !late:
-		case reached && !isLookUp && !isStream && got.status == http.StatusBadGateway && took < knownAtOnce:
+		case reached && !isLookUp && !isStream && got.status == http.StatusBadGateway && took < giveUpWithin:
 		default:
 			failed++
 			t.Logf("%s: %s (reached the faulty upstream: %v, stream: %v, look-up: %v) ended with %d after %v, error %v, truncated %v", kind.Name, id, reached, isStream, isLookUp, got.status, took.Round(time.Millisecond), got.err, got.truncated)
 		}
 	}
 	if sent := len(l.sentAt) - from; failed*100 > sent || refused*10 > sent {
-		t.Errorf("%s: %d of %d requests failed that a sound upstream could have served, or were told late, and %d were refused", kind.Name, failed, sent, refused)
+		t.Errorf("%s: %d of %d requests failed that a sound upstream could have served, or late, and %d were refused", kind.Name, failed, sent, refused)
 	}
 }
 
--- a/internal/prooftest/endless/endless_test.go
+++ b/internal/prooftest/endless/endless_test.go
@@ -138,7 +138,7 @@
 				began := time.Now()
 				err := c.call(ctx, s.Address())
 				if took := time.Since(began); err == nil || took >= enough {
-					t.Errorf("ended after %v with error %v, want an error at once", took, err)
+					t.Errorf("ended after %v with error %v, want an error immediately", took, err)
 				}
 				s.Close()
 				if sent := s.sent.Load(); sent > c.limit+socketBuffers {
