hosted: a connection whose writes were aborted serves no further request

If a deadline passed in the moment in which a response ended, the abort of its writes could come after the response, and the next request on the kept connection would be read without an answer. Such a connection is closed as it becomes idle. An attempt's line no longer repeats the error of the attempt before.

--- a/internal/core/memory/account.go
+++ b/internal/core/memory/account.go
@@ -20,7 +20,7 @@
 	// Messages are the messages queued for other instances.
 	Messages
 	// Heads are the parts of the heads of requests and responses that exceed the buffers of their connections, as
-	// they are stored once parsed.
+	// they are stored once parsed, and the bodies of responses to calls other than requests.
 	Heads
 	// PurposeCount is the number of purposes.
 	PurposeCount
--- a/internal/hosted/callerhead.go
+++ b/internal/hosted/callerhead.go
@@ -79,6 +79,10 @@
 	}
 	switch state {
 	case http.StateIdle:
+		if caller.aborted.Load() {
+			caller.Close() // the deadline has passed as the response ended: no other one can be written
+			return
+		}
 		caller.head.begin()
 	case http.StateClosed, http.StateHijacked:
 		caller.head.end()
--- a/internal/hosted/ends_internal_test.go
+++ b/internal/hosted/ends_internal_test.go
@@ -291,6 +291,24 @@
 	return UpstreamCall{Method: http.MethodGet, Target: "/"}
 }
 
+// The deadline passes in the moment in which a response is complete, and aborts the writes of its connection. The next
+// request on the connection would be read and never answered.
+func TestAnAbortedConnectionIsNotUsedAgain(t *testing.T) {
+	for _, aborted := range []bool{false, true} {
+		ours, theirs := net.Pipe()
+		c := newCallerConn(ours, purposeMemory{})
+		if aborted {
+			c.abort()
+		}
+		trackHeads(c, http.StateIdle)
+		_ = theirs.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // fails only on a closed connection
+		if _, err := theirs.Read(make([]byte, 1)); errors.Is(err, io.EOF) != aborted {
+			t.Errorf("aborted: %v, read: %v, want the connection closed if it was aborted", aborted, err)
+		}
+		c.Close()
+	}
+}
+
 // The times that pass one after the other from the signal to stop to the last answer must end before the kill, also
 // if the process has a share of a core and stands still twice for the rest of its quota: before it handles the signal
 // and before it checks whether the drain is over.
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -174,6 +174,7 @@
 // sendAttempt sends the request to one upstream and forwards the response.
 func (x *exchange) sendAttempt(a *forward.Attempt) forward.Outcome {
 	s := x.server
+	x.lastErr = nil
 	c, err := s.conns.Get(x.ctx, a.Entry.Address)
 	if err != nil {
 		x.lastErr = err
