--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,6 +14,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(f *fleet, out *record, trouble bool) (broken bool, err error){
+	"poison": poison,
 	"large":  large,
 	"upload": upload,
 }
