hosted: log what ends a response, and events that do not follow the last one

The log could not tell whether a stream had a length, chunks or neither, whether it passed another instance, nor whether its events follow each other. request_ended and attempt_ended have framing, via and the ids of the events; an event that does not follow the last one is logged and counted. Nothing else changes.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -120,6 +120,29 @@
 	}
 }
 
+// Framing is what ends the body of a response.
+type Framing string
+
+// Framings of bodies. Only the first two prove by the body's own bytes that it is complete.
+const (
+	// FramedByLength: the body has a length. FramedByChunks: it is sent in chunks, with a last one.
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose: the body ends with its connection.
+	FramedByClose Framing = "close"
+)
+
+// FramingOf returns what ends the body of a response.
+func FramingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByClose
+}
+
 // Reusable reports whether the connection can be reused for another exchange after a response whose
 // body was read to its end.
 func (c *Conn) Reusable(resp *http.Response) bool {
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -105,6 +105,7 @@
 
 // forwardResponse forwards the response and returns the attempt's outcome.
 func (x *exchange) forwardResponse(c *conn.Conn, a *forward.Attempt, resp *http.Response, ans Response) (forward.Outcome, error) {
+	x.framing = conn.FramingOf(resp)
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if success && x.call.Route.Kind == route.Stream && ans.Signed {
 		return x.forwardStream(resp)
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -129,10 +129,12 @@
 		if gap, ok := x.gaps.record(time.Now()); ok {
 			x.server.metrics.Observe("event_gap_milliseconds", x.call.Route.Name, gap)
 		}
+		id := eventID(event)
+		x.observeOrder(id)
 		if _, err := x.out.Write(event); err != nil {
 			return forward.Cut, fmt.Errorf("forward event: %w", err)
 		}
-		x.recordProgress(eventID(event))
+		x.recordProgress(id)
 	}
 }
 
@@ -158,6 +160,21 @@
 	return nil
 }
 
+// observeOrder logs and counts an event that does not follow the last one that the caller has.
+func (x *exchange) observeOrder(id string) {
+	var order forward.EventOrder
+	last := ""
+	x.server.decide(func(time.Time, *forward.Gate) { order, last = x.call.OrderOf(id), x.call.LastEvent })
+	if x.call.Events == 0 {
+		x.firstEvent = id
+	}
+	if order == forward.InOrder {
+		return
+	}
+	x.server.metrics.Count("events_out_of_order_total", string(order))
+	x.server.log.Info("event_out_of_order", "request", x.call.ID, "upstream", x.upstream, "order", order, "event", id, "last_event", last, "after_event", x.call.AfterEvent, "events", x.call.Events)
+}
+
 // recordProgress records an event that was accepted by the output. On the first event it notifies the
 // pool's home that the prefill is complete.
 func (x *exchange) recordProgress(id string) {
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -46,6 +46,10 @@
 	// upstreamError is an upstream's error response, held back until a retry is decided.
 	upstreamError *bufferedResponse
 	lastErr       error
+	// framing is what ends the body of the last response, "" before it. via is the instance that the last attempt passed,
+	// "" if it connected directly. firstEvent is the id of the first event of the stream. All are logged.
+	framing         conn.Framing
+	via, firstEvent string
 	// outcome is how the last attempt ended, "" before, and moving is set if its generation was being moved
 	// then. writeErr is the error of the write of a buffered response.
 	outcome  forward.Outcome
@@ -193,6 +197,7 @@
 	stop := context.AfterFunc(x.ctx, func() { c.Close() })
 	defer stop()
 	x.setConn(c)
+	x.framing, x.via = "", viaOf(c.Conn)
 	silent := time.AfterFunc(reach.SilenceLimit, func() { x.checkSilent(a) })
 	outcome, err := x.roundTrip(c, a)
 	silent.Stop()
@@ -342,7 +347,7 @@
 	pairs := []any{
 		"request", x.call.ID, "attempt", a.Number, "upstream", a.Entry.ID, "address", a.Entry.Address, "software", softwareName(a.Entry.Software),
 		"outcome", o, "after", boottime.Now().Sub(a.Sent).Round(time.Millisecond),
-		"upstream_leaving", s.isLeavingUpstream(a), "events", x.call.Events, "error", x.lastErr,
+		"upstream_leaving", s.isLeavingUpstream(a), "events", x.call.Events, "last_event", x.call.LastEvent, "framing", x.framing, "via", x.via, "error", x.lastErr,
 	}
 	pairs = append(pairs, s.overLimitPairs(x.lastErr)...)
 	if a.AvoidedFor > 0 {
@@ -376,7 +381,8 @@
 	pairs := []any{
 		"request", x.call.ID, "outcome", outcome, "status", status, "route", x.call.Route.Name,
 		"service", x.call.Service, "upstream", x.upstream, "home", x.home, "list_age", x.listAge.Round(time.Millisecond), "organisation", x.call.Organisation, "config", x.call.ConfigVersion,
-		"sends", x.call.Sends(), "events", x.call.Events, "first", x.firstByte.Round(time.Millisecond),
+		"sends", x.call.Sends(), "events", x.call.Events, "first_event", x.firstEvent, "last_event", x.call.LastEvent,
+		"framing", x.framing, "via", x.via, "first", x.firstByte.Round(time.Millisecond),
 		"longest_gap", x.gaps.longest.Round(time.Millisecond), "read_ahead", ahead, "dropped", dropped, "took", took.Round(time.Millisecond),
 	}
 	if x.choice != (forward.Choice{}) {
--- a/internal/hosted/paths.go
+++ b/internal/hosted/paths.go
@@ -361,6 +361,14 @@
 	return ok
 }
 
+// viaOf returns the instance that a connection passes, "" for a direct one.
+func viaOf(c net.Conn) string {
+	if t, ok := c.(*countedTunnel); ok {
+		return t.via
+	}
+	return ""
+}
+
 // connected records a direct connection to an upstream. Tunnels that are idle are no longer needed.
 func (p *paths) connected(address string) {
 	var change reach.Change
