proctest: show that streams without a length end as complete when they are stopped or their engine crashes

Engines of the stand-in can answer without a length and without chunks, and close the connection in order: at the end, when a run is stopped for a move, and when they crash. A report names the start of its process, as the hosting platform's do.

--- /dev/null
+++ b/internal/proctest/hosted_bare_test.go
@@ -0,0 +1,54 @@
+package proctest
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+)
+
+// startBareGenerations does the same as startGenerations on engines whose streams end with their connections.
+func startBareGenerations(t *testing.T, n int) *moveFixture {
+	t.Helper()
+	return startGenerationsOn(t, n, func(w *hosting.Worker) { w.SetBareStreams(true) })
+}
+
+// The streams of two engines that leave are moved. Without a length or chunks, a stream that its engine has stopped
+// for the move ends like a complete one, and must not end so for its caller.
+func TestHostedStreamsWithoutALengthGoOnAfterAMove(t *testing.T) {
+	t.Parallel()
+	m := startBareGenerations(t, 12)
+	for _, k := range m.pool[:2] {
+		k.Leave()
+	}
+	if complete := m.check(t); complete != 12 {
+		t.Errorf("%d of 12 generations are complete, want all", complete)
+	}
+}
+
+// Two engines crash in the middle of streams without a length or chunks, and the kernel closes the connections in
+// order. The streams must not look complete; those that may be resumed must go on.
+func TestHostedStreamsWithoutALengthOfACrashedEngine(t *testing.T) {
+	t.Parallel()
+	m := startBareGenerations(t, 12)
+	resumable := make([]result, 12)
+	for k := range resumable {
+		m.wg.Go(func() {
+			c := generation(fmt.Sprintf("resumable%d", k))
+			c.path = hosting.PathBrief + "x"
+			resumable[k] = m.do(m.machines[k%len(m.machines)], c)
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, k := range m.pool[:2] {
+		k.Crash()
+	}
+	m.check(t)
+	for k, r := range resumable {
+		if id := fmt.Sprintf("resumable%d", k); r.truncated || r.body != streamBody(id) {
+			t.Errorf("%s: status %d, truncated %v, %d events; want a complete stream", id, r.status, r.truncated, strings.Count(r.body, "\n\n"))
+		}
+	}
+}
--- a/internal/proctest/hosted_move_test.go
+++ b/internal/proctest/hosted_move_test.go
@@ -28,7 +28,13 @@
 // startGenerations starts n generations, spread over all instances, and waits until they run.
 func startGenerations(t *testing.T, n int) *moveFixture {
 	t.Helper()
-	m := &moveFixture{fixture: newFixture(t), results: make([]result, n)}
+	return startGenerationsOn(t, n, func(*hosting.Worker) {})
+}
+
+// startGenerationsOn does the same on engines that are changed before their start.
+func startGenerationsOn(t *testing.T, n int, engine func(*hosting.Worker)) *moveFixture {
+	t.Helper()
+	m := &moveFixture{fixture: newFixtureWith(t, "", func(*hosting.World) {}, engine), results: make([]result, n)}
 	for _, k := range m.pool {
 		k.EventEvery = slowEventInterval
 	}
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -102,6 +102,15 @@
 	})
 	rw.Header().Set("Content-Type", "text/event-stream")
 	rw.Header().Set("Response-Seal", "seal-"+a.ID)
+	if w.isBare() {
+		b := bare(rw)
+		if b == nil {
+			return
+		}
+		defer b.conn.Close()
+		b.begin()
+		rw = b
+	}
 	flush := http.NewResponseController(rw)
 	before := w.EventEvery
 	if !a.Resumed {
@@ -355,6 +364,6 @@
 		}
 	}
 	_ = json.NewEncoder(rw).Encode(map[string]any{
-		"running": len(runs), "waiting": 0, "state": w.reportedState(), "runs": runs,
+		"running": len(runs), "waiting": 0, "state": w.reportedState(), "runs": runs, "born": w.Born,
 	}) // an error means that the caller has disconnected
 }
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -147,7 +147,9 @@
 
 	mu    sync.Mutex
 	fault Fault
-	state string
+	// bareStreams makes streams end with their connection; see SetBareStreams.
+	bareStreams bool
+	state       string
 	// withdrawn is set once the upstream has removed its row.
 	withdrawn bool
 	// drainingSince is the time at which the upstream announced that it leaves; zero
@@ -207,6 +209,20 @@
 	w.fault = f
 }
 
+// SetBareStreams makes streams from now on end with their connection, without a length or chunks. Their end can't be
+// told by its bytes from that of a run that was stopped, or of an upstream that crashed.
+func (w *Worker) SetBareStreams(bare bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bareStreams = bare
+}
+
+func (w *Worker) isBare() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.bareStreams
+}
+
 // Shed makes the upstream turn all requests away and ask each sender for a pause; 0 makes it
 // accept requests again.
 func (w *Worker) Shed(pause time.Duration) {
@@ -336,12 +352,12 @@
 	if !first {
 		return false
 	}
+	w.server.Close() // before the streams, whose connections may be out of its hands: nobody connects after their end
 	w.mu.Lock()
 	for _, r := range w.generations {
 		r.stop()
 	}
 	w.mu.Unlock()
-	w.server.Close()
 	return true
 }
 
