hosted: a stream whose generation was told to stop is not complete when its connection ends

What callers saw: a complete response that lacks the rest of its events, where the stream was being moved off an engine that leaves.

Cause: an answer may have no length and end with its connection. An engine that is told to stop a generation closes its stream without its end, and without a length or chunks the two look the same. forwardStream took the end of the connection for the end of the stream while the move was still in progress, and the copy was dropped.

Now such an end awaits the outcome of the move: if the call is to go on from a copy, it does. An engine that does not know the generation any more had ended it, and the end counts.

--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -110,6 +110,9 @@
 			return x.brokenStreamOutcome(), errNoEvent
 		}
 		if errors.Is(err, io.EOF) {
+			if err := x.confirmEnd(); err != nil {
+				return x.brokenStreamOutcome(), fmt.Errorf("end of the stream after %d events: %w", x.call.Events, err)
+			}
 			x.clearEnded()
 			return forward.Done, nil
 		}
