hosted: a stream without a length is complete only if its upstream goes on

What callers saw: a complete response that lacks its last events, where an engine crashes.

Cause: an answer may have no length and end with its connection; only one that is reset is known to be incomplete. The kernel closes the connections of a process that is killed in order if nothing unread lies in them, so that a crash looks like the end of the stream.

Now the upstream is asked after such an end. The stream is complete if the process that ran it responds, by the start that its report states, and has made no event that did not arrive; where the upstream may not be asked, if it accepts a new connection. Until it responds the response stays open, as a sound upstream may be silent for a second or two; if it is down or has started again, the stream goes on at another upstream or is broken off. Responses with a length or chunks are not concerned.

--- a/internal/core/forward/sequence.go
+++ b/internal/core/forward/sequence.go
@@ -47,3 +47,14 @@
 	}
 	return c.LastEvent
 }
+
+// HasEnded reports whether the generation of an attempt whose connection has ended is complete, by a report that the
+// upstream gave after that: it is still the process that ran the generation, and has made no event that did not arrive. The
+// report may be older than the end, and still list the generation.
+func (c *Call) HasEnded(a *Attempt, r RunReport) bool {
+	if r.Born != 0 && a.Entry.Born != 0 && r.Born != a.Entry.Born {
+		return false
+	}
+	received, known := c.received()
+	return !r.Listed || !known || r.Events <= received
+}
--- a/internal/core/forward/sequence_test.go
+++ b/internal/core/forward/sequence_test.go
@@ -1,6 +1,10 @@
 package forward
 
-import "testing"
+import (
+	"testing"
+
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+)
 
 // An event that comes twice, that leaves others out, or that nothing places must not count as the next one.
 func TestOrderOfEvents(t *testing.T) {
@@ -27,3 +31,24 @@
 		}
 	}
 }
+
+// A crashed upstream, or one whose last events did not arrive, must not count as the end of a stream.
+func TestTheEndOfAConnectionIsTheEndOfAStreamOnlyIfTheUpstreamAgrees(t *testing.T) {
+	call := Call{Events: 2, Request: Request{AfterEvent: "3"}}
+	a := &Attempt{Entry: roster.Entry{Born: 7}}
+	for _, c := range []struct {
+		name   string
+		report RunReport
+		want   bool
+	}{
+		{"it has forgotten the generation", RunReport{Born: 7}, true},
+		{"an older report lists the generation", RunReport{Born: 7, Listed: true, Events: 4}, true},
+		{"it has made more events", RunReport{Born: 7, Listed: true, Events: 6}, false},
+		{"it has started again", RunReport{Born: 8}, false},
+		{"it does not say when it started", RunReport{}, true},
+	} {
+		if got := call.HasEnded(a, c.report); got != c.want {
+			t.Errorf("%s: ended %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -43,6 +43,8 @@
 
 // RunReport is an upstream's report about one generation.
 type RunReport struct {
+	// Born identifies the run of the upstream's process; 0 if unknown.
+	Born int64
 	// Listed is set if the upstream runs the generation. Events is the number of events that it
 	// has produced.
 	Listed bool
@@ -122,6 +124,12 @@
 	return s != nil && s.Engine != nil && !g.options.Without.Has(mechanism.SilenceProbes)
 }
 
+// Reports reports whether the upstreams of a service report their generations.
+func (g *Gate) Reports(name string) bool {
+	s := g.table.Service(name)
+	return s != nil && s.Engine != nil
+}
+
 // QueryDue reports whether a query to the upstream is due about a stream that has been silent
 // for too long, and schedules the next query. A network device may have lost track of the
 // connection, which then stays open but delivers nothing. Only engines report their generations.
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -108,7 +108,7 @@
 	x.framing = conn.FramingOf(resp)
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if success && x.call.Route.Kind == route.Stream && ans.Signed {
-		return x.forwardStream(resp)
+		return x.forwardStream(a, resp)
 	}
 	h, err := x.bufferResponse(resp, ans)
 	switch {
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -99,7 +99,7 @@
 
 // forwardStream forwards complete events as they arrive. A partial event must not reach the
 // caller, because the stream may continue on another upstream.
-func (x *exchange) forwardStream(resp *http.Response) (forward.Outcome, error) {
+func (x *exchange) forwardStream(a *forward.Attempt, resp *http.Response) (forward.Outcome, error) {
 	events := newEventReader(resp.Body, x.reserveEvent)
 	defer func() { x.hold.release(memory.Streams, events.reserved) }()
 	x.gaps.startAttempt()
@@ -110,7 +110,7 @@
 			return x.brokenStreamOutcome(), errNoEvent
 		}
 		if errors.Is(err, io.EOF) {
-			if err := x.confirmEnd(); err != nil {
+			if err := x.confirmStreamEnd(a); err != nil {
 				return x.brokenStreamOutcome(), fmt.Errorf("end of the stream after %d events: %w", x.call.Events, err)
 			}
 			x.clearEnded()
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -87,6 +87,8 @@
 
 // Report is an upstream's state as of some hundred milliseconds ago.
 type Report struct {
+	// Born identifies the run of the upstream's process, like roster.Entry; 0 if unknown.
+	Born    int64
 	Leaving bool
 	// Closing is set if the upstream closes the connection of the report.
 	Closing bool
--- a/internal/hosted/streamend.go
+++ b/internal/hosted/streamend.go
@@ -1,28 +1,93 @@
 package hosted
 
 import (
+	"context"
 	"errors"
+	"fmt"
+	"syscall"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 )
 
+// A response without a length and without chunks ends with its connection. The kernel also closes the connections of a
+// process that is killed, so that the end alone does not prove that the response is complete: the upstream must
+// show that its process goes on.
+
+const (
+	// endProofTimeout is for how long an upstream may be silent before the end of its response counts as unproved.
+	// A sound upstream may be silent for a second or two.
+	endProofTimeout = 3 * time.Second
+	// endProofInterval is the time between two attempts to reach it.
+	endProofInterval = 100 * time.Millisecond
+)
+
 // errStopped reports that a stream ended with its connection after its generation was told to stop.
 var errStopped = errors.New("the generation was stopped")
 
-// confirmEnd returns an error if the end of a stream's connection does not prove that the stream is complete.
-func (x *exchange) confirmEnd() error {
+// errEndUnproved reports that a response ended with its connection, and that its upstream may have crashed.
+var errEndUnproved = errors.New("the end of the response is not proved")
+
+// confirmStreamEnd returns an error if the end of a stream's connection does not prove that the stream is complete.
+func (x *exchange) confirmStreamEnd(a *forward.Attempt) error {
 	if x.framing != conn.FramedByClose {
 		return nil
 	}
 	// An engine that stops a generation closes its stream. Whether it was still running, only the response to the
 	// call tells.
 	x.awaitMove()
+	err := x.awaitEndProof(a)
 	stopped := false
 	x.server.decide(func(time.Time, *forward.Gate) { stopped = x.call.Redirected() })
 	if stopped {
 		return errStopped
 	}
-	return nil
+	return err
+}
+
+// awaitEndProof returns nil once the upstream of an attempt has shown that its process did not end with the response.
+func (x *exchange) awaitEndProof(a *forward.Attempt) error {
+	ctx, cancel := context.WithTimeout(x.ctx, endProofTimeout)
+	defer cancel()
+	for {
+		proved, err := x.checkUpstreamGoesOn(ctx, a)
+		switch {
+		case proved:
+			x.server.metrics.Count("closed_responses_total", "complete")
+			return nil
+		case err == nil, ctx.Err() != nil, errors.Is(err, errUpstreamDown), errors.Is(err, syscall.ECONNREFUSED):
+			x.server.metrics.Count("closed_responses_total", "unproved")
+			return errors.Join(errEndUnproved, err)
+		}
+		sleep(ctx, endProofInterval)
+	}
+}
+
+// checkUpstreamGoesOn reports whether the process of an attempt's upstream goes on, by its report or, where it gives
+// none, by a new connection. An error means that it was not reached.
+func (x *exchange) checkUpstreamGoesOn(ctx context.Context, a *forward.Attempt) (bool, error) {
+	s, reports := x.server, false
+	s.decide(func(_ time.Time, g *forward.Gate) { reports = g.Reports(x.call.Service) })
+	if reports {
+		report, err := s.requestReport(ctx, a.Entry.Address)
+		if !errors.Is(err, errNotPermitted) {
+			return err == nil && x.isEndOf(a, report), err
+		}
+	}
+	c, err := s.conns.Dial(ctx, a.Entry.Address)
+	if err != nil {
+		return false, fmt.Errorf("connect to %s after its response: %w", a.Entry.Address, err)
+	}
+	s.conns.Adopt(c, a.Entry.Address)
+	return true, nil
+}
+
+// isEndOf reports whether a report agrees that the generation of an attempt has ended.
+func (x *exchange) isEndOf(a *forward.Attempt, r Report) (ended bool) {
+	events, listed := r.Events[x.call.ID]
+	x.server.decide(func(time.Time, *forward.Gate) {
+		ended = x.call.HasEnded(a, forward.RunReport{Born: r.Born, Listed: listed, Events: events})
+	})
+	return ended
 }
