hosted: a plain answer without a length is complete only if its upstream goes on

What callers saw: a part of an answer as the whole one, with the upstream's signature, where an upstream of a plain service crashes.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -135,7 +135,7 @@
 // FramingOf returns what ends the body of a response.
 func FramingOf(resp *http.Response) Framing {
 	switch {
-	case resp.ContentLength >= 0:
+	case resp.ContentLength >= 0, resp.Body == http.NoBody:
 		return FramedByLength
 	case len(resp.TransferEncoding) > 0:
 		return FramedByChunks
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -117,11 +117,18 @@
 	case ans.NotRun:
 		return forward.Rejected, err
 	case (errors.Is(err, errTooLarge) || errors.Is(err, errNoMemory)) && success && ans.Signed:
-		return x.forwardLarge(resp, h)
+		return x.forwardLarge(a, resp, h)
 	case err != nil:
 		return forward.Lost, err
 	case success && !ans.Signed:
 		return forward.Lost, errUnsigned
+	}
+	if x.framing == conn.FramedByClose {
+		if err := x.awaitEndProof(a); err != nil {
+			return forward.Lost, err
+		}
+	}
+	switch {
 	case resp.StatusCode >= http.StatusInternalServerError || forward.PromisesNotRun(resp.StatusCode):
 		// Unless the upstream states otherwise, it may have run the request.
 		x.upstreamError = h
@@ -206,7 +213,7 @@
 }
 
 // forwardLarge forwards the buffered beginning of a response, and then the rest as it arrives.
-func (x *exchange) forwardLarge(resp *http.Response, h *bufferedResponse) (forward.Outcome, error) {
+func (x *exchange) forwardLarge(a *forward.Attempt, resp *http.Response, h *bufferedResponse) (forward.Outcome, error) {
 	x.server.wire.CopyHeaders(x.w.Header(), resp.Header, true)
 	suppressContentSniffing(x.w.Header())
 	if resp.ContentLength >= 0 {
@@ -226,6 +233,11 @@
 	if _, err := io.CopyBuffer(x.out, resp.Body, buf); err != nil {
 		return forward.Cut, err
 	}
+	if x.framing == conn.FramedByClose {
+		if err := x.awaitEndProof(a); err != nil {
+			return forward.Cut, err
+		}
+	}
 	return forward.Done, nil
 }
 
--- a/internal/proctest/hosted_bare_test.go
+++ b/internal/proctest/hosted_bare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -52,3 +53,25 @@
 		}
 	}
 }
+
+// An upstream of a plain service crashes in the middle of an answer without a length, and the kernel closes the
+// connection in order. The answer must not look complete.
+func TestHostedAnswersWithoutALengthOfACrashedUpstream(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]call{"booking": booking("cut"), "look-up": lookUp("cut")} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			for _, k := range f.desk {
+				k.SetFault(hosting.CrashInAnswer)
+			}
+			r := f.do(f.machines[0], c)
+			if r.status == http.StatusOK && !r.truncated {
+				t.Errorf("a complete response with body %q, of which each upstream has sent half; want none", r.body)
+			}
+			if len(f.Arrivals()[c.id]) == 0 {
+				t.Error("no upstream got the request; the test checks nothing")
+			}
+		})
+	}
+}
--- a/internal/standin/hosting/plain.go
+++ b/internal/standin/hosting/plain.go
@@ -53,7 +53,7 @@
 	case PartOfHead:
 		w.stopInHead(rw, a)
 		return
-	case Extra, Unframed:
+	case Extra, Unframed, CrashInAnswer:
 		w.writeRaw(rw, a, body, fault)
 		return
 	}
@@ -84,6 +84,13 @@
 		return
 	}
 	head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + a.ID + "\r\nResponse-Seal: seal-" + a.ID + "\r\n"
+	if fault == CrashInAnswer {
+		fmt.Fprintf(buf, "%sConnection: close\r\n\r\n%s", head, body[:len(body)/2])
+		_ = buf.Flush() // an error means that the caller has disconnected
+		w.Crash()
+		c.Close()
+		return
+	}
 	if fault == Unframed {
 		fmt.Fprintf(buf, "%sConnection: close\r\n\r\n%s", head, body)
 		_ = buf.Flush() // an error means that the caller has disconnected
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -43,6 +43,9 @@
 	PartOfHead Fault = "part_of_head"
 	// Unframed responds without a content length.
 	Unframed Fault = "unframed"
+	// CrashInAnswer crashes in the middle of a plain response without a length, whose connection the kernel closes in
+	// order.
+	CrashInAnswer Fault = "crash_in_answer"
 	// Bare streams without a length or chunks and ends with the connection. BareEmpty does so before the
 	// first event, BareCut within an event.
 	Bare      Fault = "bare"
