hosted: an event with a line as long as the read buffer is passed on whole

What callers saw: where an upstream breaks off behind such a line, a part of an event; if the stream goes on at another upstream, the rest of that event is missing and it is joined with the next one.

Cause: a line that fills the buffer of 2,048 bytes is read in two pieces. If its end is all that is left, the second piece looks like the empty line that ends an event. Found by reading the ways of a stream's bytes.

TestEventReaderPreservesBytes has two cases that failed before.

--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -64,7 +64,7 @@
 // one. The returned bytes are valid until the next call.
 func (e *eventReader) next() ([]byte, error) {
 	e.buf = e.buf[:0]
-	for {
+	for lineBegins := true; ; {
 		line, err := e.r.ReadSlice('\n')
 		if err := e.grow(len(line)); err != nil {
 			return nil, err
@@ -75,15 +75,17 @@
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
+			lineBegins = false // what follows is the rest of the line, even if it is only its end
 			continue
 		case errors.Is(err, io.EOF) && len(e.buf) > 0:
 			return e.buf, io.ErrUnexpectedEOF
 		case err != nil:
 			return e.buf, err
 		}
-		if (len(line) == 1 || len(line) == 2 && line[0] == '\r') && len(e.buf) > len(line) {
+		if lineBegins && (len(line) == 1 || len(line) == 2 && line[0] == '\r') && len(e.buf) > len(line) {
 			return e.buf, nil
 		}
+		lineBegins = true
 	}
 }
 
--- a/internal/hosted/events_test.go
+++ b/internal/hosted/events_test.go
@@ -31,6 +31,8 @@
 		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, io.EOF},
 		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []string{"id: 1\r\ndata: a\r\n\r\n"}, io.EOF},
 		{"long event", "data: " + strings.Repeat("x", 9000) + "\n\n", []string{"data: " + strings.Repeat("x", 9000) + "\n\n"}, io.EOF},
+		{"line as long as the read buffer", "id: 1\ndata: " + strings.Repeat("x", 2042) + "\n\nid: 2\n\n", []string{"id: 1\ndata: " + strings.Repeat("x", 2042) + "\n\n", "id: 2\n\n"}, io.EOF},
+		{"stream ends after a line as long as the read buffer", "id: 1\ndata: " + strings.Repeat("x", 2042) + "\n", nil, io.ErrUnexpectedEOF},
 		{"stream ends within a line", "id: 1\ndata: a\n\nid: 2\nda", []string{"id: 1\ndata: a\n\n"}, io.ErrUnexpectedEOF},
 		{"stream ends before the empty line", "id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
 		{"empty stream", "", nil, io.EOF},
