hosted: the first event of an attempt is the next one for the caller

What callers saw: events twice, numbers that go back, or a gap, in a response that ends as complete, where an upstream does not go on after the last event of a stream that is resumed.

Cause: forwardStream passed on any event, with any id or none, and took its id for the last one. A run that begins anew, a copy that is older or newer than what the caller has, or a late response to the same request would each have reached the caller. After an event without an id, the stream would have been resumed after an earlier one.

Now the first event of an attempt must be the next one, and numbers must rise within it; otherwise the attempt is given up and the stream goes on elsewhere or is broken off, without the memory of that run. Upstreams whose numbers leave others out in one attempt keep doing so.

--- a/internal/core/forward/request.go
+++ b/internal/core/forward/request.go
@@ -174,6 +174,8 @@
 	// rounds is the predicted duration of the attempt in service times; 0 if the load of the upstream
 	// was not known.
 	rounds float64
+	// events counts the events of the attempt that were delivered to the caller or buffered for it.
+	events int
 	// tokens is the estimated work, and bodyBytes the size of the body in bytes. Both are counted at
 	// the upstream while the attempt runs.
 	tokens    int
@@ -200,8 +202,10 @@
 	ConfigVersion int64
 	// Events counts the events that were delivered to the caller or are buffered for it.
 	Events int
-	// LastEvent is the id of the last of these events that had one.
+	// LastEvent is the id of the last of these events, "" if it had none.
 	LastEvent string
+	// sparse is set once the events of an attempt were not numbered one by one.
+	sparse bool
 
 	// origin is where the stream began; nil until its first event.
 	origin *roster.Origin
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -96,14 +96,14 @@
 // The first event of a resumed attempt uses up the copy and discards the alternatives that
 // remain from the move, which must not be tried any more.
 func (c *Call) Progress(now time.Time, id string) {
-	c.Events++
-	if c.current != nil {
-		c.bind(c.current.Entry)
+	if a := c.current; a != nil {
+		c.sparse = c.sparse || a.events > 0 && c.OrderOf(id) == Gap
+		a.events++
+		c.bind(a.Entry)
 	}
+	c.Events++
+	c.LastEvent = id
 	c.silence.onEvent(now, c.Route)
-	if id != "" {
-		c.LastEvent = id
-	}
 	if c.resumed {
 		c.resumeTargets, c.resumed = nil, false
 	}
--- a/internal/core/forward/sequence.go
+++ b/internal/core/forward/sequence.go
@@ -7,11 +7,11 @@
 
 // Orders of events.
 const (
-	// InOrder: the event is the next one, or the first that the caller gets.
+	// InOrder: the event is the next one, or nothing is known of the last one.
 	InOrder EventOrder = "in_order"
 	// Repeated: the caller has the event, or a later one.
 	Repeated EventOrder = "repeated"
-	// Gap: events before it are missing.
+	// Gap: the number of the event is not the next one.
 	Gap EventOrder = "gap"
 	// Unnumbered: the event or the last one has no number as its id, so that nothing tells what follows it.
 	Unnumbered EventOrder = "unnumbered"
@@ -19,17 +19,13 @@
 
 // OrderOf returns how an event with an id follows the last event that the caller has, also from earlier tries.
 func (c *Call) OrderOf(id string) EventOrder {
-	last := c.lastReceived()
-	if last == "" && c.Events == 0 {
+	before, err := strconv.ParseInt(c.lastReceived(), 10, 64)
+	if err != nil && c.Events == 0 {
 		return InOrder
 	}
-	before, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		return Unnumbered
-	}
-	number, err := strconv.ParseInt(id, 10, 64)
+	number, numberErr := strconv.ParseInt(id, 10, 64)
 	switch {
-	case err != nil:
+	case err != nil || numberErr != nil:
 		return Unnumbered
 	case number <= before:
 		return Repeated
@@ -48,6 +44,22 @@
 	return c.LastEvent
 }
 
+// MayFollow reports whether an event in an order may be passed on to the caller. The first event of an attempt must be
+// the next one: another run, an older copy or a late response would repeat events or leave some out. Within an attempt
+// the connection keeps the order, and an upstream may number its events as it likes, as long as the numbers rise.
+func (c *Call) MayFollow(o EventOrder) bool {
+	begins := c.current != nil && c.current.events == 0
+	switch o {
+	case Repeated:
+		return false
+	case Gap:
+		return !begins || c.sparse
+	case Unnumbered:
+		return !begins
+	}
+	return true
+}
+
 // HasEnded reports whether the generation of an attempt whose connection has ended is complete, by a report that the
 // upstream gave after that: it is still the process that ran the generation, and has made no event that did not arrive. The
 // report may be older than the end, and still list the generation.
--- a/internal/hosted/broken.go
+++ b/internal/hosted/broken.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/forward"
@@ -12,7 +13,8 @@
 // request when its connection closes, but one that works on would run it beside the next upstream. If it still
 // ran, the call continues from its memory, also one that may not be repeated.
 func (x *exchange) stopBroken(a *forward.Attempt, o forward.Outcome) {
-	if !brokenOff(o) || x.isConvicted() || !x.mayStillRun(a) {
+	// The memory of a generation whose events do not follow those that the caller has is none to go on from.
+	if !brokenOff(o) || x.isConvicted() || errors.Is(x.lastErr, errOutOfOrder) || !x.mayStillRun(a) {
 		return
 	}
 	order, ok := x.moveOrder(a)
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -121,6 +122,10 @@
 		if err != nil {
 			return x.brokenStreamOutcome(), fmt.Errorf("read stream after %d events: %w", x.call.Events, err)
 		}
+		id := eventID(event)
+		if err := x.checkOrder(id); err != nil {
+			return x.brokenStreamOutcome(), err
+		}
 		if x.call.Events == 0 {
 			x.recordOrigin()
 		}
@@ -134,8 +139,6 @@
 		if gap, ok := x.gaps.record(time.Now()); ok {
 			x.server.metrics.Observe("event_gap_milliseconds", x.call.Route.Name, gap)
 		}
-		id := eventID(event)
-		x.observeOrder(id)
 		if _, err := x.out.Write(event); err != nil {
 			return forward.Cut, fmt.Errorf("forward event: %w", err)
 		}
@@ -165,19 +168,27 @@
 	return nil
 }
 
-// observeOrder logs and counts an event that does not follow the last one that the caller has.
-func (x *exchange) observeOrder(id string) {
-	var order forward.EventOrder
-	last := ""
-	x.server.decide(func(time.Time, *forward.Gate) { order, last = x.call.OrderOf(id), x.call.LastEvent })
+// errOutOfOrder reports that an attempt began with an event that is not the next one for the caller, or repeated one.
+var errOutOfOrder = errors.New("event out of order")
+
+// checkOrder returns an error if an event must not be passed on behind what the caller has. It logs and counts the events
+// that are not the next ones.
+func (x *exchange) checkOrder(id string) error {
 	if x.call.Events == 0 {
 		x.firstEvent = id
 	}
+	order := x.call.OrderOf(id) // only this goroutine changes what it reads
 	if order == forward.InOrder {
-		return
+		return nil
 	}
+	ok, last := x.call.MayFollow(order), x.call.LastEvent
 	x.server.metrics.Count("events_out_of_order_total", string(order))
-	x.server.log.Info("event_out_of_order", "request", x.call.ID, "upstream", x.upstream, "order", order, "event", id, "last_event", last, "after_event", x.call.AfterEvent, "events", x.call.Events)
+	x.server.log.Info("event_out_of_order", "request", x.call.ID, "upstream", x.upstream, "order", order, "event", id, "last_event", last,
+		"after_event", x.call.AfterEvent, "events", x.call.Events, "passed_on", ok)
+	if ok {
+		return nil
+	}
+	return fmt.Errorf("%w: %s, event %q after %q", errOutOfOrder, order, id, cmp.Or(last, x.call.AfterEvent))
 }
 
 // recordProgress records an event that was accepted by the output. On the first event it notifies the
--- a/internal/proctest/hosted_test.go
+++ b/internal/proctest/hosted_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -153,6 +154,41 @@
 	}
 }
 
+// An engine breaks a stream off, and the next one does not go on after the last event: it begins anew, or leaves events
+// out. The caller must not get events twice, in another order or with a gap, nor a complete response.
+func TestHostedStreamsThatDoNotGoOnWhereTheyEnded(t *testing.T) {
+	t.Parallel()
+	for _, fault := range []hosting.Fault{hosting.BeginsAnew, hosting.Skips} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			f.pool[0].SetFault(hosting.Cuts)
+			for _, k := range f.pool[1:] {
+				k.SetFault(fault)
+			}
+			var cut atomic.Int64
+			var wg sync.WaitGroup
+			for k := range 12 {
+				wg.Go(func() {
+					c := generation(fmt.Sprintf("%s%d", fault, k))
+					c.path = hosting.PathBrief + "x"
+					r := f.do(f.machines[k%3], c)
+					if !strings.HasPrefix(streamBody(c.id), r.body) || !r.truncated && r.body != streamBody(c.id) {
+						t.Errorf("%s: truncated %v, body %q; want the events in order, and a complete response only with all", c.id, r.truncated, r.body)
+					}
+					if r.truncated {
+						cut.Add(1)
+					}
+				})
+			}
+			wg.Wait()
+			if cut.Load() == 0 {
+				t.Error("no stream was broken off; the test checks nothing")
+			}
+		})
+	}
+}
+
 // The upstreams' responses to bookings have one kind of fault after another. Callers retry after
 // the outcome not run, so that outcome is allowed only if no upstream ran the booking. A success
 // without the upstream's header Response-Seal must not reach the caller.
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -78,6 +78,12 @@
 	}
 	if last := r.Header.Get("Last-Event-Id"); last != "" {
 		received, _ = strconv.Atoi(last)
+		switch fault {
+		case BeginsAnew:
+			received = 0
+		case Skips:
+			received += 2
+		}
 	}
 	if fault == Bare || fault == BareEmpty || fault == BareCut {
 		w.streamBare(rw, a, received, fault)
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -51,6 +51,9 @@
 	Bare      Fault = "bare"
 	BareEmpty Fault = "bare_empty"
 	BareCut   Fault = "bare_cut"
+	// BeginsAnew ignores the event after which a stream is to go on, and Skips leaves out the next two events.
+	BeginsAnew Fault = "begins_anew"
+	Skips      Fault = "skips"
 	// Early responds before it has read the body.
 	Early Fault = "early"
 	// FalsePromise executes the request and responds with status 503 without the header
