core/forward: no attempt follows a response whose head the caller has, unless a stream goes on

A long answer to a safe request, passed on as it arrives, was completed with the whole answer of another upstream under the signature of the first one: after Cut, Gate.retry tried any repeatable call again, as if it were a stream that may be resumed. forwardLarge wrote the second response behind the first.

Every further attempt passes Ended, since a header is delivered during an attempt only: retry, resume at a copy, avoid, withheld, grants and permits all follow from its step. mayGoOn decides there: once the head was delivered, only a stream goes on, after an event whose id is known, at a copy or where its route allows that.

--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -186,15 +186,23 @@
 	}
 	c.sends--
 	c.retryReserved = c.sends > 0 // counted already, if it was one
-	c.headerDelivered = headerDelivered
 	return g.avoid(now, c, a.Upstream, NoUpstream, busyRetryAfter)
 }
 
+// mayGoOn reports whether another attempt may follow the one that has ended. Once the caller has the head of a
+// response, only a stream can go on, after the last event that the caller has: at the holder of a copy, or at any
+// upstream if its route allows that. Whatever else another upstream sends would become a part of the first response.
+func (c *Call) mayGoOn() bool {
+	known := c.Events == 0 || c.LastEvent != "" // where to go on
+	return !c.headerDelivered || c.Route.Kind == route.Stream && known && (c.Route.Resumable || len(c.resumeTargets) > 0)
+}
+
 // Ended processes the outcome of the current attempt and returns the next step.
-// headerDelivered is set if a response header was delivered to the caller.
+// headerDelivered is set if a response header was delivered to the caller. All further attempts pass mayGoOn here,
+// as a header is delivered during an attempt only.
 func (g *Gate) Ended(now time.Time, c *Call, o Outcome, headerDelivered bool) Step {
 	a := c.current
-	c.current = nil
+	c.current, c.headerDelivered = nil, headerDelivered
 	g.recordOutcome(now, c, a, g.blamed(c, o))
 	// The holder of the copy is dialled again, as only it can go on. The last dial that the call may use is
 	// counted below, where it ends the call.
@@ -202,6 +210,9 @@
 		c.dials++
 		c.resumeTargets = append(c.resumeTargets, &Attempt{Upstream: a.Upstream, CopyAt: a.CopyAt})
 	}
+	if o != Done && o != Cancelled && !c.mayGoOn() {
+		return g.failAttempt(now, c, o, Unrepeatable, headerDelivered)
+	}
 	if len(c.resumeTargets) > 0 && o != Done && o != Cancelled {
 		c.mayHaveRun = true
 		return g.resume(now, c)
@@ -280,7 +291,7 @@
 		c.origin = nil // a copy of memory had bound it, which is not used
 	}
 	c.grantRetries++
-	c.lastOutcome, c.headerDelivered = o, headerDelivered
+	c.lastOutcome = o
 	return g.orFailAttempt(now, c, g.nextStep(now, c))
 }
 
