hosted: a stream that goes on is not followed by a response without events

When a resumed stream met an upstream that answered with an error status of its own, forwardResponse wrote that body behind the events that the caller had.

TestAResumedStreamGetsNoOtherBody fails before the change: outcome done with "none" forwarded.

--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -25,6 +25,10 @@
 // errUnsigned reports a success response that lacks the upstream's signature.
 var errUnsigned = errors.New("success response lacks the upstream's signature")
 
+// errNoStream reports a response without events to a request that goes on with a stream. It can't follow the events
+// that the caller has.
+var errNoStream = errors.New("response to a resumed stream has no events")
+
 // bufferedResponse is an upstream's response whose body was read into memory.
 type bufferedResponse struct {
 	status int
@@ -122,6 +126,8 @@
 		return forward.Lost, err
 	case success && !ans.Signed:
 		return forward.Lost, errUnsigned
+	case x.headSent:
+		return forward.Failed, errNoStream
 	}
 	if x.framing == conn.FramedByClose {
 		if err := x.awaitEndProof(a); err != nil {
--- a/internal/hosted/answer_test.go
+++ b/internal/hosted/answer_test.go
@@ -41,3 +41,16 @@
 		cancel()
 	}
 }
+
+// Another upstream responds to a stream that goes on without events. Its body must not follow the events that the
+// caller has.
+func TestAResumedStreamGetsNoOtherBody(t *testing.T) {
+	m := metrics.NewMetrics()
+	s := &server{wire: copyNothing{}, metrics: m, memory: newMemoryAccount(0, m, hclog.NewNullLogger()), gate: forward.New(forward.Options{})}
+	w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)
+	x := &exchange{server: s, w: w, r: r, ctx: t.Context(), hold: s.memory.newHold(), call: &forward.Call{Route: &route.Route{Kind: route.Stream}}, headSent: true}
+	got, err := x.forwardResponse(nil, nil, &http.Response{StatusCode: http.StatusNotFound, ContentLength: 4, Body: io.NopCloser(strings.NewReader("none"))}, Response{Signed: true})
+	if got != forward.Failed || w.Body.Len() > 0 {
+		t.Errorf("outcome %s (%v) with %q forwarded, want %s and nothing", got, err, w.Body, forward.Failed)
+	}
+}
