hosted: a write that this instance aborts is not a caller that has left

At the end of a drain, or at the deadline, abortAtDeadline makes the write in progress fail. net/http then ends the context of the request, as it does when the caller has gone, and callerLeft took both for that: the log had outcome=caller_left in place of cut, and the call was recorded as one that its caller gave up instead of one that ran out of time (no why=). It needed a write in progress at that moment, as with a caller that reads slowly. What the caller gets is the same.

The context of a request now has a cause: the caller that has left, the process that ends, or the deadline. The first one counts, so that what follows from our own abort cannot change it.

TestAnAbortedWriteIsNotACallerThatLeft has a caller that reads nothing, with and without reading ahead.

--- a/internal/hosted/answer_test.go
+++ b/internal/hosted/answer_test.go
@@ -30,7 +30,7 @@
 	s.memory.newHold().charge(memory.Responses, memory.LimitsFor(0).Guaranteed[memory.Responses])
 	for status, want := range map[int]forward.Outcome{http.StatusOK: forward.Done, http.StatusInternalServerError: forward.Lost} {
 		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)
-		ctx, cancel := context.WithCancel(t.Context())
+		ctx, cancel := context.WithCancelCause(t.Context())
 		x := &exchange{server: s, w: w, r: r, ctx: ctx, cancel: cancel, hold: s.memory.newHold(), call: &forward.Call{Route: &route.Route{}}}
 		x.out = newOutput(x, true)
 		body := strings.Repeat("x", 100_000)
@@ -38,6 +38,6 @@
 		if got != want || want == forward.Done && w.Body.String() != body || want == forward.Lost && w.Body.Len() > 0 {
 			t.Errorf("status %d: outcome %s (%v) with %d bytes forwarded, want %s", status, got, err, w.Body.Len(), want)
 		}
-		cancel()
+		cancel(nil)
 	}
 }
--- a/internal/hosted/drain.go
+++ b/internal/hosted/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -98,7 +97,7 @@
 			state := progressOf(x.call)
 			open[state]++
 			if slices.Contains(states, state) {
-				x.cancel()
+				x.cancel(errProcessEnds)
 			}
 		}
 	})
@@ -133,13 +132,3 @@
 	}
 	return responding
 }
-
-// outOfTime reports whether the deadline of the request has passed, or the process ends, while the caller
-// was still reading.
-func (x *exchange) outOfTime() (out bool) {
-	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
-		return true
-	}
-	x.server.decide(func(now time.Time, g *forward.Gate) { out = x.r.Context().Err() == nil && g.DrainOver(now) })
-	return out
-}
--- a/internal/hosted/ends.go
+++ b/internal/hosted/ends.go
@@ -50,6 +50,12 @@
 	endPanic endReason = "panic"
 )
 
+// Causes of the end of a request's context, beside its deadline and the context that net/http ends.
+var (
+	errCallerLeft  = errors.New("the caller has left")
+	errProcessEnds = errors.New("the process ends")
+)
+
 // isTimeout reports whether the kernel gave up a connection whose peer did not acknowledge or was out of reach.
 func isTimeout(err error) bool {
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
@@ -115,7 +121,8 @@
 	return endUpstreamBrokeOff
 }
 
-// deadlineReason returns why a response is broken off whose deadline passed while parts of it were buffered.
+// deadlineReason returns why a response is broken off whose deadline passed, or whose process ended, while parts of it
+// were buffered.
 func (x *exchange) deadlineReason() endReason {
 	switch {
 	case !errors.Is(x.ctx.Err(), context.DeadlineExceeded):
--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -265,6 +265,25 @@
 	r.expectEnd(t, "unfinished", "outcome=caller_left", "reason=process_ends")
 }
 
+// The end of a drain, or the deadline, aborts the write of an event to a caller that has read nothing for a moment. The
+// caller is still there: the line must not say that it has left.
+func TestAnAbortedWriteIsNotACallerThatLeft(t *testing.T) {
+	t.Parallel()
+	for name, without := range map[string]mechanism.Set{"read ahead": mechanism.Of(), "not read ahead": mechanism.Of(mechanism.ReadAhead)} {
+		r := newRig(t, 1, func(s *hosted.Settings) { s.Grace, s.Without = time.Second, without })
+		text := head(http.MethodPost, hosting.PathDraft, "late", "Deadline-Ms: 600\r\nContent-Length: 2\r\n") + "{}"
+		r.send(t, text)
+		r.expectEnd(t, "late", "outcome=cut", "reason=out_of_time", "attempt_outcome=cancelled", "upstream_at_work=yes", "why=out_of_time")
+		r.stream(t, "drained")
+		testkit.Eventually(t, testTimeout, "the stream has begun", func() bool { return len(r.Arrivals()["drained"]) > 0 })
+		r.instance.Drain()
+		r.expectEnd(t, "drained", "outcome=cut", "reason=process_ends", "attempt_outcome=cancelled", "upstream_at_work=yes", "why=instance_leaving")
+		if t.Failed() {
+			t.Errorf("the lines above are of an instance with %s", name)
+		}
+	}
+}
+
 // A request with a long body is refused before the body is read, and the caller reads the refusal while it sends or after
 // it has sent all. The connection must not end before: net/http waits for half a second before it closes one with unread
 // bytes, whose reset may overtake the refusal.
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -31,9 +31,9 @@
 	// hold is what the request holds of the memory account.
 	hold *hold
 	call *forward.Call
-	// ctx ends when the caller disconnects or the deadline passes; cancel ends it.
+	// ctx ends when the caller disconnects or the deadline passes; cancel ends it. Its cause is what came first.
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// out writes streams and large responses to the caller.
 	out     *output
 	started time.Time
@@ -139,9 +139,17 @@
 	return next.Send != nil && next.Send.CopyAt != "" || next.RequestPermit && x.call.Resuming()
 }
 
-// callerLeft reports whether the caller has disconnected, or has read nothing for too long.
+// callerLeft reports whether the caller has disconnected, or has read nothing for too long. Once the deadline has
+// passed or the process ends, this instance aborts writes itself, upon which net/http ends the context of the request
+// as if the caller had left.
 func (x *exchange) callerLeft() bool {
-	return x.r.Context().Err() != nil || x.out.callerError() != nil
+	switch cause := context.Cause(x.ctx); {
+	case cause == nil:
+		return x.out.callerError() != nil
+	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, errProcessEnds):
+		return false
+	}
+	return true
 }
 
 // end completes the response, or aborts the caller's connection. A response that ends early is
@@ -159,11 +167,11 @@
 		x.finish("upstream_failure", x.upstreamError.status)
 	case step.Abort:
 		x.breakOff("cut", x.cutReason(step), "why", step.Why, "error", x.lastErr)
-	case undelivered != nil && x.outOfTime():
-		x.breakOff("cut", x.deadlineReason()) // the caller was still reading
 	case x.callerLeft():
 		reason, err := x.callerReason()
 		x.breakOff("caller_left", reason, "error", err)
+	case undelivered != nil:
+		x.breakOff("cut", x.deadlineReason()) // the caller was still reading
 	default:
 		x.finish("done", http.StatusOK)
 	}
--- a/internal/hosted/output.go
+++ b/internal/hosted/output.go
@@ -43,7 +43,7 @@
 	hold         *hold
 	// ctx is the call's context; stop cancels it when the caller has left.
 	ctx  context.Context
-	stop context.CancelFunc
+	stop func()
 	// setPaused records whether reading is paused.
 	setPaused func(bool)
 
@@ -66,7 +66,7 @@
 // newOutput returns the output of an exchange. Without readAhead, nothing is buffered.
 func newOutput(x *exchange, readAhead bool) *output {
 	o := &output{
-		request: x.call.ID, w: x.w, flush: http.NewResponseController(x.w), hold: x.hold, ctx: x.ctx, stop: x.cancel,
+		request: x.call.ID, w: x.w, flush: http.NewResponseController(x.w), hold: x.hold, ctx: x.ctx, stop: func() { x.cancel(errCallerLeft) },
 		setPaused: func(paused bool) {
 			x.server.decide(func(now time.Time, _ *forward.Gate) { x.call.SetReadingPaused(now, paused) })
 		},
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -116,8 +116,10 @@
 	if s.isLeaving() {
 		w.Header().Set("Connection", "close")
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), call.Deadline.Sub(call.Arrived))
-	defer cancel()
+	endable, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	ctx, stop := context.WithTimeout(endable, call.Deadline.Sub(call.Arrived))
+	defer stop()
 	if c := callerConnOf(r.Context()); c != nil {
 		c.setPatience(call.Route.Patience())
 	}
@@ -161,7 +163,7 @@
 	defer s.mu.Unlock()
 	s.running[x.call.ID] = x
 	if s.gate.DrainOver(boottime.Now()) {
-		x.cancel() // the others have been ended already
+		x.cancel(errProcessEnds) // the others have been ended already
 	}
 }
 
