hosted: an aborted write does not hide why a caller has left

A caller closes its connection while a write to it waits, as one does that reads slowly and gives up. Its line had reason=process_ends, though the process went on: the end of the request's context aborts the write, which failed with net.ErrClosed, as it does on a connection that this process closes. That error came before the EOF that the read had seen.

An aborted write has an error of its own now, which tells nothing of the connection, so that the read's error decides.

--- a/internal/hosted/callerconn.go
+++ b/internal/hosted/callerconn.go
@@ -26,6 +26,9 @@
 // errReadsNothing reports that a caller has read nothing for its patience.
 var errReadsNothing = errors.New("the caller has read nothing for too long")
 
+// errAborted reports a write that this instance aborted. It says nothing about the connection.
+var errAborted = errors.New("the writes to the caller are aborted")
+
 // callerConn is a connection of a caller. A write fails if the caller accepts no byte for the
 // patience; without a limit, a caller that reads nothing would hold its request's memory for ever.
 type callerConn struct {
@@ -96,7 +99,7 @@
 			return written, err
 		}
 		if c.aborted.Load() {
-			return written, net.ErrClosed
+			return written, errAborted
 		}
 		n, err := c.Conn.Write(b[written:])
 		written += n
--- a/internal/hosted/ends.go
+++ b/internal/hosted/ends.go
@@ -89,8 +89,12 @@
 	}
 	why, cause := endCallerClosed, cmp.Or(failed...)
 	for _, err := range failed {
-		if reason := connReason(err); reason != "" && reason != endCallerClosed {
-			why, cause = reason, err
+		reason := connReason(err)
+		if reason == "" {
+			continue
+		}
+		why, cause = reason, err
+		if reason != endCallerClosed {
 			break
 		}
 	}
--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -69,17 +69,20 @@
 func steady(r *rig) { r.engines[0].EventEvery = 30 * time.Millisecond }
 
 // A caller closes or resets its connection, or reads nothing, while its stream goes on. Each leaves another reason, as
-// only the caller explains the first two.
+// only the caller explains the first two, also if the write that is then aborted waits for the caller to read.
 func TestEndsByCallers(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, 1, nil)
 	mute := r.stream(t, "mute")
 	defer mute.Close()
 	r.expectEnd(t, "mute", "outcome=caller_left", "reason=caller_reads_nothing")
-	closes := r.stream(t, "closes")
+	closes, closesUnread := r.stream(t, "closes"), r.stream(t, "closes-unread")
 	forwarded(t, closes)
 	closes.(*net.TCPConn).CloseWrite()
 	r.expectEnd(t, "closes", "outcome=caller_left", "reason=caller_closed")
+	time.Sleep(300 * time.Millisecond) // until a write waits for the caller to read
+	closesUnread.(*net.TCPConn).CloseWrite()
+	r.expectEnd(t, "closes-unread", "outcome=caller_left", "reason=caller_closed")
 	resets := r.stream(t, "resets")
 	forwarded(t, resets)
 	if err := resets.(*net.TCPConn).SetLinger(0); err != nil {
