hosted: a response that the process closes is cut, not left by its caller

A process that is told to end at once closes its callers' connections (http.Server.Close). net/http then ends the requests as if the callers had left, and their lines had outcome=caller_left with reason=process_ends, so that requests_total counted them with those that callers gave up.

The reason decides: with process_ends the outcome is cut.

--- a/internal/hosted/ends.go
+++ b/internal/hosted/ends.go
@@ -171,8 +171,17 @@
 		x.logEnd(outcome, status)
 		return
 	}
+	x.breakOffAtCaller()
+}
+
+// breakOffAtCaller breaks off a response because the connection to its caller has ended.
+func (x *exchange) breakOffAtCaller() {
 	reason, err := x.callerReason()
-	x.breakOff("caller_left", reason, "error", err)
+	outcome := "caller_left"
+	if reason == endProcess {
+		outcome = "cut" // this process closed the connection, and the caller was there
+	}
+	x.breakOff(outcome, reason, "error", err)
 }
 
 func (s *server) countIncomplete(reason endReason) {
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -168,8 +168,7 @@
 	case step.Abort:
 		x.breakOff("cut", x.cutReason(step), "why", step.Why, "error", x.lastErr)
 	case x.callerLeft():
-		reason, err := x.callerReason()
-		x.breakOff("caller_left", reason, "error", err)
+		x.breakOffAtCaller()
 	case undelivered != nil:
 		x.breakOff("cut", x.deadlineReason()) // the caller was still reading
 	default:
