conn: reset the connection of an HTTP/1.0 response that is not complete

Callers may speak HTTP/1.0: their requests are accepted on both interfaces. A stream, or a response without a length, then has neither chunks nor a length and ends with its connection. After an abort (upstream, deadline, end of a drain), and as the process ends, net/http or the kernel closes that connection in order, so that a stream that lacked its end looked complete.

Before the handler of such a request runs, its connection is now set to be reset when it is closed (SO_LINGER 0); once the handler has returned and what it wrote is handed to the kernel, that is taken back. This covers every way in which a handler or the process ends, a kill too. HTTP/1.1 needs none: net/http sends chunks there, also with Connection: close.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/thejerf/suture/v4"
 
+	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
 	"mulberrylug.example/mulberrylug/internal/core/membership"
@@ -200,7 +201,10 @@
 // exited then would truncate responses that are still being written. After a drain there is no
 // limit on the wait for open responses.
 func (d *Daemon) serveHTTP(ctx context.Context, ln net.Listener, h http.Handler, drained <-chan struct{}) error {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
+	srv := &http.Server{
+		Handler: conn.ResetIncomplete(h), ConnContext: conn.WithServerConn,
+		ReadHeaderTimeout: 10 * time.Second, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+	}
 	shutdownDone := make(chan struct{})
 	go func() {
 		defer close(shutdownDone)
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -181,6 +182,47 @@
 	}
 }
 
+// A response is broken off by its handler or by the end of the instance. It must not look complete to a caller that
+// speaks HTTP/1.0, for which a response without a length ends with its connection.
+func TestBrokenResponsesDoNotLookComplete(t *testing.T) {
+	d, stop := startDaemon(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, "first ")
+		_ = http.NewResponseController(w).Flush() // after an error the body received below differs
+		switch r.URL.Path {
+		case "/aborts":
+			panic(http.ErrAbortHandler)
+		case "/waits":
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, "last")
+	}))
+	for _, path := range []string{"/whole", "/aborts", "/waits"} {
+		conn, err := net.Dial("tcp", d.CallerAddress())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.0\r\n\r\n", path); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if path == "/waits" {
+			d.Kill()
+			if err := stop(); err != nil {
+				t.Error(err)
+			}
+		}
+		whole := path == "/whole"
+		if body, err := io.ReadAll(resp.Body); (err == nil) != whole || whole && string(body) != "first last" {
+			t.Errorf("%s: the caller received %q with error %v, want an error unless it is whole", path, body, err)
+		}
+	}
+}
+
 // A killed instance must close its callers' connections at once, as a process that dies does.
 func TestKillCutsConnections(t *testing.T) {
 	started := make(chan struct{})
--- a/internal/hosted/callerconn.go
+++ b/internal/hosted/callerconn.go
@@ -64,6 +64,14 @@
 	return out
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	if c.socket == nil {
+		return nil, errors.ErrUnsupported
+	}
+	return c.socket, nil
+}
+
 // setPatience sets after which time a caller that reads nothing is treated as having left.
 func (c *callerConn) setPatience(d time.Duration) { c.patience.Store(int64(d)) }
 
@@ -169,16 +177,8 @@
 	return newCallerConn(c, l.memory), nil
 }
 
-// callerConnKey is the key of the caller's connection in the context of a request.
-type callerConnKey struct{}
-
-// withCallerConn adds a connection to the context of its requests, as http.Server.ConnContext.
-func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
-}
-
 // callerConnOf returns the connection of a request, or nil if it is none of callerListener.
 func callerConnOf(ctx context.Context) *callerConn {
-	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	c, _ := conn.ServerConn(ctx).(*callerConn)
 	return c
 }
--- a/internal/hosted/endpoints.go
+++ b/internal/hosted/endpoints.go
@@ -11,6 +11,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/fleet"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/mechanism"
@@ -29,7 +30,7 @@
 // listeners returns the HTTP listeners of the instance.
 func (i *Instance) listeners() []listener {
 	out := []listener{
-		{callersListener, i.settings.CallerAddress, i.server},
+		{callersListener, i.settings.CallerAddress, conn.ResetIncomplete(i.server)},
 		{"readiness", i.settings.ReadyAddress, restrictTo(i.wire.IsReady, i.handleReady)},
 		{"directory", i.settings.DirectoryAddress, restrictTo(i.wire.IsDirectory, i.handleDirectory)},
 	}
--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -287,6 +287,40 @@
 	}
 }
 
+// Callers speak HTTP/1.0, whose responses without a length end with their connections, or close their connections after
+// one response. A stream that its upstream, its deadline or the end of the process breaks off must not look complete to
+// them, and one that is complete must arrive whole.
+func TestStreamsThatEndWithTheirConnections(t *testing.T) {
+	t.Parallel()
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		r := newRig(t, 1, nil)
+		read := func(id, extra string) (int64, error) {
+			text := head(http.MethodPost, hosting.PathDraft, id, "Connection: close\r\nContent-Length: 2\r\n"+extra) + "{}"
+			resp, err := http.ReadResponse(bufio.NewReader(r.send(t, strings.Replace(text, "HTTP/1.1", protocol, 1))), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return io.Copy(io.Discard, resp.Body)
+		}
+		if n, err := read("whole", ""); n != slowEvents*slowEventBytes || err != nil {
+			t.Errorf("%s: a stream ended after %d bytes with error %v, want it whole", protocol, n, err)
+		}
+		r.engines[0].SetFault(hosting.Cuts)
+		if n, err := read("cut", ""); err == nil {
+			t.Errorf("%s: a stream that its upstream broke off looks complete after %d bytes", protocol, n)
+		}
+		r.engines[0].SetFault(hosting.None)
+		steady(r)
+		if n, err := read("late", "Deadline-Ms: 400\r\n"); err == nil {
+			t.Errorf("%s: a stream looks complete at its deadline, after %d bytes", protocol, n)
+		}
+		time.AfterFunc(300*time.Millisecond, r.stop)
+		if n, err := read("unfinished", ""); err == nil {
+			t.Errorf("%s: a stream looks complete as its process ends, after %d bytes", protocol, n)
+		}
+	}
+}
+
 // A request with a long body is refused before the body is read, and the caller reads the refusal while it sends or after
 // it has sent all. The connection must not end before: net/http waits for half a second before it closes one with unread
 // bytes, whose reset may overtake the refusal.
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -304,7 +304,7 @@
 			ln = limitConnections(ln, i.settings.MaxDescriptors)
 			i.connections = connectionsInUse(ln)
 			ln = callerListener{Listener: ln, memory: purposeMemory{i.server.memory, memory.Heads}}
-			server.ConnContext, server.ConnState = withCallerConn, trackHeads
+			server.ConnContext, server.ConnState = conn.WithServerConn, trackHeads
 			server.MaxHeaderBytes = maxHeaderBytes
 			i.callers = server
 		}
