--- a/internal/hosted/ends.go
+++ b/internal/hosted/ends.go
@@ -50,6 +50,12 @@
 	endPanic endReason = "panic"
 )
 
+// Causes of the end of a request's context, beside its deadline and the context that net/http ends.
+var (
+	errCallerLeft  = errors.New("the caller has left")
+	errProcessEnds = errors.New("the process ends")
+)
+
 // isTimeout reports whether the kernel gave up a connection whose peer did not acknowledge or was out of reach.
 func isTimeout(err error) bool {
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH)
@@ -83,8 +89,12 @@
 	}
 	why, cause := endCallerClosed, cmp.Or(failed...)
 	for _, err := range failed {
-		if reason := connReason(err); reason != "" && reason != endCallerClosed {
-			why, cause = reason, err
+		reason := connReason(err)
+		if reason == "" {
+			continue
+		}
+		why, cause = reason, err
+		if reason != endCallerClosed {
 			break
 		}
 	}
@@ -115,7 +125,8 @@
 	return endUpstreamBrokeOff
 }
 
-// deadlineReason returns why a response is broken off whose deadline passed while parts of it were buffered.
+// deadlineReason returns why a response is broken off whose deadline passed, or whose process ended, while parts of it
+// were buffered.
 func (x *exchange) deadlineReason() endReason {
 	switch {
 	case !errors.Is(x.ctx.Err(), context.DeadlineExceeded):
@@ -160,8 +171,17 @@
 		x.logEnd(outcome, status)
 		return
 	}
+	x.breakOffAtCaller()
+}
+
+// breakOffAtCaller breaks off a response because the connection to its caller has ended.
+func (x *exchange) breakOffAtCaller() {
 	reason, err := x.callerReason()
-	x.breakOff("caller_left", reason, "error", err)
+	outcome := "caller_left"
+	if reason == endProcess {
+		outcome = "cut" // this process closed the connection, and the caller was there
+	}
+	x.breakOff(outcome, reason, "error", err)
 }
 
 func (s *server) countIncomplete(reason endReason) {
