hosted: stop a stream that is lost before its first event, too

Callers of a stream that may not be repeated got 502 if the connection to the engine was reset before the first event, though the engine worked on. A stream that may be resumed began anew at another engine while the first one worked on.

Cause: mayStillRun asked for an event (IsMovable). An engine that does not drop a request with its connection runs it before its first event, too.

The generation is stopped with one call at the engine whose connection broke, and goes on from its memory. An engine that has crashed refuses that call at once, and one that does not run the request answers that it has no such run: then the call goes on as before. Moves off a leaving instance still ask for an event.

--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -244,11 +244,15 @@
 	return s != nil && s.Engine != nil && s.Engine.Moves
 }
 
-// IsMovable reports whether a call's stream has begun and its generation can be moved.
-func (g *Gate) IsMovable(c *Call) bool {
-	return c.current != nil && c.Route.Kind == route.Stream && c.Events > 0 && g.canMove(c)
+// CanStop reports whether an upstream may run a call's generation, also if none of its events has arrived, and
+// stops it when told to.
+func (g *Gate) CanStop(c *Call) bool {
+	return c.current != nil && c.Route.Kind == route.Stream && g.canMove(c)
 }
 
+// IsMovable reports whether a call's stream has begun and its generation can be moved.
+func (g *Gate) IsMovable(c *Call) bool { return c.Events > 0 && g.CanStop(c) }
+
 // MoveTarget returns the upstream to which to move a generation off its connection, or nil if no upstream
 // accepts it.
 func (g *Gate) MoveTarget(now time.Time, c *Call) *roster.Upstream {
--- a/internal/hosted/broken.go
+++ b/internal/hosted/broken.go
@@ -33,7 +33,7 @@
 // mayStillRun reports whether the upstream of an attempt may run the call's generation and can be told to stop it.
 func (x *exchange) mayStillRun(a *forward.Attempt) (may bool) {
 	x.server.decide(func(_ time.Time, g *forward.Gate) {
-		may = x.activeMove == nil && x.call.Current() == a && g.IsMovable(x.call) && !x.call.Redirected()
+		may = x.activeMove == nil && x.call.Current() == a && g.CanStop(x.call) && !x.call.Redirected()
 	})
 	return may
 }
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -139,8 +139,8 @@
 			gen.events, a.Events = n, a.Events+1
 			gen.produced = append(gen.produced, time.Now())
 		})
-		if fault == WorksOn && !a.Resumed && n >= received+w.EventCount/2 {
-			if n == received+w.EventCount/2 {
+		if from, breaks := w.breaksFrom(fault, received); breaks && !a.Resumed && n >= from {
+			if n == from {
 				reset(flush)
 			}
 			continue
@@ -157,6 +157,17 @@
 	}
 }
 
+// breaksFrom returns the event from which on a fault keeps the events of a stream from its caller.
+func (w *Worker) breaksFrom(fault Fault, received int) (from int, breaks bool) {
+	switch fault {
+	case WorksOn:
+		return received + w.EventCount/2, true
+	case WorksOnUnseen:
+		return received + 1, true
+	}
+	return 0, false
+}
+
 // reset resets the connection of a response, whose handler goes on.
 func reset(rc *http.ResponseController) {
 	c, _, err := rc.Hijack()
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -32,8 +32,9 @@
 	// Cuts closes the connection in the middle of the response.
 	Cuts Fault = "cuts"
 	// WorksOn resets the connection in the middle of a stream that does not resume from a copy, and produces the
-	// rest of it for nobody.
-	WorksOn Fault = "works_on"
+	// rest of it for nobody. WorksOnUnseen does so before the first event.
+	WorksOn       Fault = "works_on"
+	WorksOnUnseen Fault = "works_on_unseen"
 	// Unsigned responds with status 200 and without the header Response-Seal.
 	Unsigned Fault = "unsigned"
 	// Extra responds twice: the second response arrives where the caller expects the
