hosted: a call is not sent twice on one connection

Callers of a request that may run once were told 503, which promises that it has not run, though it ran.

Cause: an upstream may turn a request away and send that response a second time, late. The connection of an attempt that was turned away returns to the pool, and the next attempt, to the same upstream, may take it. Both responses have the id of the request, so that the late copy counts as the response to the second send.

Evidence: TestALateCopyOfARefusalIsNoResponseToTheNextSend, a booking with two attempts and one upstream: 503 after 1 run and 2 sends.

A connection that has carried an attempt of a call is closed instead of being taken for another one of the same call. Only a call that is sent again to the same address makes a new connection for that; all others reuse connections as before.

--- a/internal/hosted/broken_test.go
+++ b/internal/hosted/broken_test.go
@@ -1,10 +1,14 @@
 package hosted_test
 
 import (
+	"bufio"
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
 // An engine loses the connection of a stream in its middle, or before its first event, and works on. The stream must be stopped there before it goes
@@ -36,3 +40,34 @@
 		}
 	}
 }
+
+// The only upstream of a service turns a booking away, and does so again where the response to the second send is due, on
+// the same connection. The caller must not be told that the booking has not run, nor may it be sent a third time.
+func TestALateCopyOfARefusalIsNoResponseToTheNextSend(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 0, nil)
+	r.desk.SetFault(hosting.ExtraFull)
+	version := r.Configure(func(c map[string]any) {
+		for _, route := range c["routes"].([]map[string]any) {
+			route["max_attempts"] = 2
+		}
+	})
+	testkit.Eventually(t, testTimeout, "the configuration is in force", func() bool {
+		return r.log.has(fmt.Sprintf("configuration_adopted: version=%d", version))
+	})
+	c := r.send(t, head("POST", hosting.PathBooking, "refused", "Content-Length: 2\r\n")+"{}")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond) // what was sent arrives, and runs
+	runs := 0
+	for _, a := range r.Arrivals()["refused"] {
+		if a.Ran {
+			runs++
+		}
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && runs > 0 || len(r.Arrivals()["refused"]) < 2 {
+		t.Errorf("status %d after %d runs and %d sends, want two sends and no promise that none ran", resp.StatusCode, runs, len(r.Arrivals()["refused"]))
+	}
+}
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,6 +83,8 @@
 	givenUp bool
 	// conn carries the current attempt; nil between attempts. Guarded by the server's lock.
 	conn *conn.Conn
+	// returned are the connections of earlier attempts that were returned to the pool.
+	returned []*conn.Conn
 }
 
 // run makes attempts until the call has its final response.
@@ -177,9 +180,8 @@
 
 // sendAttempt sends the request to one upstream and forwards the response.
 func (x *exchange) sendAttempt(a *forward.Attempt) forward.Outcome {
-	s := x.server
 	x.lastErr = nil
-	c, err := s.conns.Get(x.ctx, a.Entry.Address)
+	c, err := x.connect(a)
 	if err != nil {
 		x.lastErr = err
 		if x.ctx.Err() != nil {
@@ -211,6 +213,18 @@
 	return outcome
 }
 
+// connect returns a connection for an attempt that carried no earlier one of this call. An upstream may send a response
+// twice, and nothing tells a late copy of the response to an earlier attempt from the response to this one.
+func (x *exchange) connect(a *forward.Attempt) (*conn.Conn, error) {
+	for {
+		c, err := x.server.conns.Get(x.ctx, a.Entry.Address)
+		if err != nil || !slices.Contains(x.returned, c) {
+			return c, err
+		}
+		c.Close()
+	}
+}
+
 // mayStillSend reports whether an attempt may be sent now that its connection is established. It logs and counts
 // those to upstreams that are known to leave.
 func (x *exchange) mayStillSend(a *forward.Attempt) (may bool) {
@@ -293,6 +307,7 @@
 			_ = conn.Watch(c.Conn, false) // fails only on a closed connection, which the pool drops
 		}
 		pooled = true
+		x.returned = append(x.returned, c)
 		x.server.conns.Put(c, conn.KeepAlive(resp.Header))
 	}
 	return outcome, err
--- a/internal/standin/hosting/plain.go
+++ b/internal/standin/hosting/plain.go
@@ -84,6 +84,9 @@
 		return
 	}
 	head := "HTTP/1.1 200 OK\r\nAttempt-Id: " + a.ID + "\r\nResponse-Seal: seal-" + a.ID + "\r\n"
+	if fault == ExtraFull {
+		head = "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: " + a.ID + "\r\nNot-Executed: 1\r\n"
+	}
 	if fault == CrashInAnswer {
 		fmt.Fprintf(buf, "%sConnection: close\r\n\r\n%s", head, body[:len(body)/2])
 		_ = buf.Flush() // an error means that the caller has disconnected
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -40,6 +40,9 @@
 	// Extra responds twice: the second response arrives where the caller expects the
 	// response to its next request.
 	Extra Fault = "extra"
+	// ExtraFull responds that the request was not executed, and again where the caller expects the response to its next
+	// request, which is executed.
+	ExtraFull Fault = "extra_full"
 	// PartOfHead sends a part of the head of a response, and no more.
 	PartOfHead Fault = "part_of_head"
 	// Unframed responds without a content length.
@@ -433,6 +436,10 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if fault == ExtraFull {
+		w.writeRaw(rw, a, "", fault)
+		return
+	}
 	if w.Brittle != nil {
 		w.serveBrittle(rw, r, a)
 		return
