hosted: a moved stream does not wait for the end of its first part

Callers of a stream that was moved got nothing for 2.5 s if the connection to the source stayed open without delivering the end of the stream, as behind a device that has lost its table. The copy, which engines keep for some seconds, may be gone by then, and the stream is lost if it may not be repeated. Meanwhile the home ordered further moves of the run, each a call that the source turned away.

Cause: after the source had confirmed that the generation was stopped, only the end of its stream led on to the copy. Without that, the connection was closed only once reports had missed the generation for 2 s or a third of the caller's patience.

The connection is closed 300 ms after a confirmed stop, if it is still open and no event waits for the caller. Nothing is lost by that: the stream goes on after the last event that the caller has. A source that closes its streams in time sees no difference.

--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -113,6 +113,9 @@
 	}
 }
 
+// AwaitsEvents reports whether an attempt is in progress and the next event is read as soon as it arrives.
+func (c *Call) AwaitsEvents(a *Attempt) bool { return c.current == a && !c.readingPaused }
+
 // WatchesSilence reports whether upstreams are queried about a call's stream while it is silent.
 func (g *Gate) WatchesSilence(c *Call) bool {
 	return c.Route.Generation && c.Route.Kind == route.Stream && g.QueriesService(c.Service)
--- a/internal/hosted/broken_test.go
+++ b/internal/hosted/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -71,3 +72,30 @@
 		t.Errorf("status %d after %d runs and %d sends, want two sends and no promise that none ran", resp.StatusCode, runs, len(r.Arrivals()["refused"]))
 	}
 }
+
+// A stream is moved, and the end of its first part does not arrive, as on a connection that is silent. It must go on
+// without waiting for that, while its copy is still kept.
+func TestAStreamGoesOnAfterAMoveWhoseEndDoesNotArrive(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	r.engines[0].EventEvery = 4 * time.Millisecond
+	r.engines[0].SetFault(hosting.OpenStop)
+	c := r.send(t, head("POST", hosting.PathDraft, "moved", "Content-Length: 2\r\n")+"{}")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.add(t, "stays", hosting.Pool, func(k *hosting.Worker) {
+		k.EventEvery, k.EventCount, k.EventBytes = 4*time.Millisecond, slowEvents, slowEventBytes
+	})
+	testkit.Eventually(t, testTimeout, "the other engine is known", func() bool { return r.log.has("upstream=stays") })
+	time.AfterFunc(100*time.Millisecond, r.engines[0].Leave)
+	began := time.Now()
+	body, err := io.ReadAll(resp.Body)
+	if took := time.Since(began); err != nil || string(body) != whole("moved") || took > 3500*time.Millisecond {
+		t.Errorf("%d bytes after %v, error %v; want the whole stream, which takes 2 s, without a pause of more than 1 s", len(body), took, err)
+	}
+	if !r.log.has("from=engine-0 to=stays number=1 outcome=done") {
+		t.Error("the stream was not moved")
+	}
+}
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -24,6 +24,9 @@
 	// stopInterval the time between the calls. A copy is kept for some seconds.
 	stopLimit    = 4 * time.Second
 	stopInterval = 200 * time.Millisecond
+	// stoppedEndTimeout is how long the end of a stopped generation's stream may take to arrive. Its last events may
+	// be on their way; those that are lost are made again.
+	stoppedEndTimeout = 300 * time.Millisecond
 )
 
 // activeMove is a move of a running generation in progress.
@@ -165,9 +168,22 @@
 		return last.Outcome, err // there is no copy to continue from
 	}
 	x.redirect(mv, source, copies{last: handle, earlier: earlier}, last.Outcome)
+	if last.Handle != "" {
+		time.AfterFunc(stoppedEndTimeout, func() { x.closeStopped(source) })
+	}
 	return last.Outcome, err
 }
 
+// closeStopped closes the connection of a generation that was stopped, but not while events of it that have arrived
+// wait for the caller.
+func (x *exchange) closeStopped(source *forward.Attempt) {
+	x.server.decide(func(time.Time, *forward.Gate) {
+		if x.conn != nil && x.call.AwaitsEvents(source) {
+			x.conn.Close()
+		}
+	})
+}
+
 // errDelivers reports that a connection that had been silent delivers events again.
 var errDelivers = errors.New("the connection of the stream delivers events again")
 
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -94,12 +94,15 @@
 		w.reported = append(w.reported, gen)
 		w.stateSpeed(rw.Header())
 	})
-	defer w.withLock(a, func() {
-		gen.ended = time.Now()
-		if w.generations[a.ID] == gen {
-			delete(w.generations, a.ID)
-		}
+	end := sync.OnceFunc(func() {
+		w.withLock(a, func() {
+			gen.ended = time.Now()
+			if w.generations[a.ID] == gen {
+				delete(w.generations, a.ID)
+			}
+		})
 	})
+	defer end()
 	rw.Header().Set("Content-Type", "text/event-stream")
 	rw.Header().Set("Response-Seal", "seal-"+a.ID)
 	if w.isBare() {
@@ -120,6 +123,10 @@
 		select {
 		case <-time.After(time.Duration(w.slowdown() * float64(before))):
 		case <-gen.stopped:
+			if fault == OpenStop {
+				end()
+				<-r.Context().Done()
+			}
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			w.withLock(a, func() { a.CallerLeft = true })
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -63,6 +63,8 @@
 	// LostMove executes all moves and drops the responses to the moves that stop a
 	// generation.
 	LostMove Fault = "lost_move"
+	// OpenStop stops generations as ordered, and leaves the connections of their streams open and silent.
+	OpenStop Fault = "open_stop"
 	// NoCopies discards the copies that other upstreams send.
 	NoCopies Fault = "no_copies"
 	// WithoutEnd is the fault of a response that SetEndless has set.
