--- a/internal/hosted/broken_test.go
+++ b/internal/hosted/broken_test.go
@@ -99,3 +99,27 @@
 		t.Error("the stream was not moved")
 	}
 }
+
+// The connection of a caller breaks after the last event and before the end of the stream. The caller takes the stream up,
+// and must get its end, signed; without a length or chunks, an engine that crashed looks the same.
+func TestAStreamIsTakenUpAfterItsLastEvent(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 2, nil)
+	if err := r.whole("first", hosting.PathBrief); err != nil {
+		t.Fatal(err)
+	}
+	for fault, want := range map[hosting.Fault]int{hosting.None: http.StatusOK, hosting.BareEmpty: http.StatusBadGateway} {
+		for _, k := range r.engines {
+			k.SetFault(fault)
+		}
+		c := r.send(t, head("POST", hosting.PathBrief, "ended-"+string(fault), fmt.Sprintf("Resumes: first\r\nLast-Event-Id: %d\r\nContent-Length: 2\r\n", slowEvents))+"{}")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if signed := resp.Header.Get("Response-Seal") != ""; resp.StatusCode != want || err != nil || signed != (want == http.StatusOK) || signed && len(body) > 0 {
+			t.Errorf("fault %q: status %d, signed %v, body %q, error %v; want status %d", fault, resp.StatusCode, signed, body, err, want)
+		}
+	}
+}
