--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -113,6 +113,9 @@
 	}
 }
 
+// AwaitsEvents reports whether an attempt is in progress and the next event is read as soon as it arrives.
+func (c *Call) AwaitsEvents(a *Attempt) bool { return c.current == a && !c.readingPaused }
+
 // WatchesSilence reports whether upstreams are queried about a call's stream while it is silent.
 func (g *Gate) WatchesSilence(c *Call) bool {
 	return c.Route.Generation && c.Route.Kind == route.Stream && g.QueriesService(c.Service)
@@ -244,11 +247,15 @@
 	return s != nil && s.Engine != nil && s.Engine.Moves
 }
 
-// IsMovable reports whether a call's stream has begun and its generation can be moved.
-func (g *Gate) IsMovable(c *Call) bool {
-	return c.current != nil && c.Route.Kind == route.Stream && c.Events > 0 && g.canMove(c)
+// CanStop reports whether an upstream may run a call's generation, also if none of its events has arrived, and
+// stops it when told to.
+func (g *Gate) CanStop(c *Call) bool {
+	return c.current != nil && c.Route.Kind == route.Stream && g.canMove(c)
 }
 
+// IsMovable reports whether a call's stream has begun and its generation can be moved.
+func (g *Gate) IsMovable(c *Call) bool { return c.Events > 0 && g.CanStop(c) }
+
 // MoveTarget returns the upstream to which to move a generation off its connection, or nil if no upstream
 // accepts it.
 func (g *Gate) MoveTarget(now time.Time, c *Call) *roster.Upstream {
--- a/internal/hosted/broken_test.go
+++ b/internal/hosted/broken_test.go
@@ -1,33 +1,125 @@
 package hosted_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
-// An engine loses the connection of a stream in its middle and works on. The stream must be stopped there before it goes
+// An engine loses the connection of a stream in its middle, or before its first event, and works on. The stream must be stopped there before it goes
 // on at another engine: two engines would work on it at once, and one that may not be repeated would be lost.
 func TestABrokenStreamIsStoppedBeforeItGoesOn(t *testing.T) {
 	t.Parallel()
 	for _, path := range []string{hosting.PathBrief, hosting.PathDraft} {
-		r := newRig(t, 2, nil)
-		for _, k := range r.engines {
-			k.EventEvery = 4 * time.Millisecond
-			k.SetFault(hosting.WorksOn)
+		for _, fault := range []hosting.Fault{hosting.WorksOn, hosting.WorksOnUnseen} {
+			t.Run(path+string(fault), func(t *testing.T) {
+				t.Parallel()
+				r := newRig(t, 2, nil)
+				for _, k := range r.engines {
+					k.EventEvery = 4 * time.Millisecond
+					k.SetFault(fault)
+				}
+				c := r.send(t, head("POST", path, "broken", "Content-Length: 2\r\n")+"{}")
+				if body, err := readSlowly(c, 100_000_000); err != nil || body != whole("broken") {
+					t.Errorf("%d bytes, error %v; want the whole stream", len(body), err)
+				}
+				time.Sleep(slowEvents * 4 * time.Millisecond)
+				produced := 0
+				for _, a := range r.Arrivals()["broken"] {
+					produced += a.Events
+				}
+				if produced > slowEvents*11/10 {
+					t.Errorf("engines produced %d events of a stream of %d", produced, slowEvents)
+				}
+			})
+		}
+	}
+}
+
+// The only upstream of a service turns a booking away, and does so again where the response to the second send is due, on
+// the same connection. The caller must not be told that the booking has not run, nor may it be sent a third time.
+func TestALateCopyOfARefusalIsNoResponseToTheNextSend(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 0, nil)
+	r.desk.SetFault(hosting.ExtraFull)
+	version := r.Configure(func(c map[string]any) {
+		for _, route := range c["routes"].([]map[string]any) {
+			route["max_attempts"] = 2
 		}
-		c := r.send(t, head("POST", path, "broken", "Content-Length: 2\r\n")+"{}")
-		if body, err := readSlowly(c, 100_000_000); err != nil || body != whole("broken") {
-			t.Errorf("%s: %d bytes, error %v; want the whole stream", path, len(body), err)
+	})
+	testkit.Eventually(t, testTimeout, "the configuration is in force", func() bool {
+		return r.log.has(fmt.Sprintf("configuration_adopted: version=%d", version))
+	})
+	c := r.send(t, head("POST", hosting.PathBooking, "refused", "Content-Length: 2\r\n")+"{}")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(200 * time.Millisecond) // what was sent arrives, and runs
+	runs := 0
+	for _, a := range r.Arrivals()["refused"] {
+		if a.Ran {
+			runs++
+		}
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && runs > 0 || len(r.Arrivals()["refused"]) < 2 {
+		t.Errorf("status %d after %d runs and %d sends, want two sends and no promise that none ran", resp.StatusCode, runs, len(r.Arrivals()["refused"]))
+	}
+}
+
+// A stream is moved, and the end of its first part does not arrive, as on a connection that is silent. It must go on
+// without waiting for that, while its copy is still kept.
+func TestAStreamGoesOnAfterAMoveWhoseEndDoesNotArrive(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	r.engines[0].EventEvery = 4 * time.Millisecond
+	r.engines[0].SetFault(hosting.OpenStop)
+	c := r.send(t, head("POST", hosting.PathDraft, "moved", "Content-Length: 2\r\n")+"{}")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.add(t, "stays", hosting.Pool, func(k *hosting.Worker) {
+		k.EventEvery, k.EventCount, k.EventBytes = 4*time.Millisecond, slowEvents, slowEventBytes
+	})
+	testkit.Eventually(t, testTimeout, "the other engine is known", func() bool { return r.log.has("upstream=stays") })
+	time.AfterFunc(100*time.Millisecond, r.engines[0].Leave)
+	began := time.Now()
+	body, err := io.ReadAll(resp.Body)
+	if took := time.Since(began); err != nil || string(body) != whole("moved") || took > 3500*time.Millisecond {
+		t.Errorf("%d bytes after %v, error %v; want the whole stream, which takes 2 s, without a pause of more than 1 s", len(body), took, err)
+	}
+	if !r.log.has("from=engine-0 to=stays number=1 outcome=done") {
+		t.Error("the stream was not moved")
+	}
+}
+
+// The connection of a caller breaks after the last event and before the end of the stream. The caller takes the stream up,
+// and must get its end, signed; without a length or chunks, an engine that crashed looks the same.
+func TestAStreamIsTakenUpAfterItsLastEvent(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 2, nil)
+	if err := r.whole("first", hosting.PathBrief); err != nil {
+		t.Fatal(err)
+	}
+	for fault, want := range map[hosting.Fault]int{hosting.None: http.StatusOK, hosting.BareEmpty: http.StatusBadGateway} {
+		for _, k := range r.engines {
+			k.SetFault(fault)
 		}
-		time.Sleep(slowEvents * 4 * time.Millisecond / 2)
-		produced := 0
-		for _, a := range r.Arrivals()["broken"] {
-			produced += a.Events
+		c := r.send(t, head("POST", hosting.PathBrief, "ended-"+string(fault), fmt.Sprintf("Resumes: first\r\nLast-Event-Id: %d\r\nContent-Length: 2\r\n", slowEvents))+"{}")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
 		}
-		if produced > slowEvents*11/10 {
-			t.Errorf("%s: engines produced %d events of a stream of %d", path, produced, slowEvents)
+		body, err := io.ReadAll(resp.Body)
+		if signed := resp.Header.Get("Response-Seal") != ""; resp.StatusCode != want || err != nil || signed != (want == http.StatusOK) || signed && len(body) > 0 {
+			t.Errorf("fault %q: status %d, signed %v, body %q, error %v; want status %d", fault, resp.StatusCode, signed, body, err, want)
 		}
 	}
 }
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -100,12 +100,15 @@
 		w.reported = append(w.reported, gen)
 		w.stateSpeed(rw.Header())
 	})
-	defer w.withLock(a, func() {
-		gen.ended = time.Now()
-		if w.generations[a.ID] == gen {
-			delete(w.generations, a.ID)
-		}
+	end := sync.OnceFunc(func() {
+		w.withLock(a, func() {
+			gen.ended = time.Now()
+			if w.generations[a.ID] == gen {
+				delete(w.generations, a.ID)
+			}
+		})
 	})
+	defer end()
 	rw.Header().Set("Content-Type", "text/event-stream")
 	rw.Header().Set("Response-Seal", "seal-"+a.ID)
 	if w.isBare() {
@@ -126,6 +129,10 @@
 		select {
 		case <-time.After(time.Duration(w.slowdown() * float64(before))):
 		case <-gen.stopped:
+			if fault == OpenStop {
+				end()
+				<-r.Context().Done()
+			}
 			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			w.withLock(a, func() { a.CallerLeft = true })
@@ -145,8 +152,8 @@
 			gen.events, a.Events = n, a.Events+1
 			gen.produced = append(gen.produced, time.Now())
 		})
-		if fault == WorksOn && !a.Resumed && n >= received+w.EventCount/2 {
-			if n == received+w.EventCount/2 {
+		if from, breaks := w.breaksFrom(fault, received); breaks && !a.Resumed && n >= from {
+			if n == from {
 				reset(flush)
 			}
 			continue
@@ -163,6 +170,17 @@
 	}
 }
 
+// breaksFrom returns the event from which on a fault keeps the events of a stream from its caller.
+func (w *Worker) breaksFrom(fault Fault, received int) (from int, breaks bool) {
+	switch fault {
+	case WorksOn:
+		return received + w.EventCount/2, true
+	case WorksOnUnseen:
+		return received + 1, true
+	}
+	return 0, false
+}
+
 // reset resets the connection of a response, whose handler goes on.
 func reset(rc *http.ResponseController) {
 	c, _, err := rc.Hijack()
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -32,13 +32,17 @@
 	// Cuts closes the connection in the middle of the response.
 	Cuts Fault = "cuts"
 	// WorksOn resets the connection in the middle of a stream that does not resume from a copy, and produces the
-	// rest of it for nobody.
-	WorksOn Fault = "works_on"
+	// rest of it for nobody. WorksOnUnseen does so before the first event.
+	WorksOn       Fault = "works_on"
+	WorksOnUnseen Fault = "works_on_unseen"
 	// Unsigned responds with status 200 and without the header Response-Seal.
 	Unsigned Fault = "unsigned"
 	// Extra responds twice: the second response arrives where the caller expects the
 	// response to its next request.
 	Extra Fault = "extra"
+	// ExtraFull responds that the request was not executed, and again where the caller expects the response to its next
+	// request, which is executed.
+	ExtraFull Fault = "extra_full"
 	// PartOfHead sends a part of the head of a response, and no more.
 	PartOfHead Fault = "part_of_head"
 	// Unframed responds without a content length.
@@ -62,6 +66,8 @@
 	// LostMove executes all moves and drops the responses to the moves that stop a
 	// generation.
 	LostMove Fault = "lost_move"
+	// OpenStop stops generations as ordered, and leaves the connections of their streams open and silent.
+	OpenStop Fault = "open_stop"
 	// NoCopies discards the copies that other upstreams send.
 	NoCopies Fault = "no_copies"
 	// WithoutEnd is the fault of a response that SetEndless has set.
@@ -435,6 +441,10 @@
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if fault == ExtraFull {
+		w.writeRaw(rw, a, "", fault)
+		return
+	}
 	if w.Brittle != nil {
 		w.serveBrittle(rw, r, a)
 		return
