hosted: a report with an error status proves nothing

What callers would see: a complete response that lacks its last events, where an engine without a length or chunks crashes and its successor at the same address responds to requests for its report with an error, as while it starts. A stream could also go on from a copy while its engine still ran it.

Cause: requestReport decoded the body of any response. An error in JSON, as {"error":...}, is a report without a start and without generations, by which a stream had ended (awaitEndProof) and a generation that was told to stop was gone (isGone).

Now the body of another status than 200 is not read as a report. An error status does not prove the end of a response, and is asked for again until the limit. Status 404 counts as that of an upstream without reports. A report that does not list generations does not show that one is gone.

TestTheEndOfAResponseAwaitsItsUpstream failed before for statuses 503 (end and stop) and 404 (stop).

--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -93,14 +93,17 @@
 	if err != nil {
 		return Report{}, err
 	}
-	r, err := s.wire.DecodeReport(got.body)
+	var r Report
+	if got.status == http.StatusOK {
+		r, err = s.wire.DecodeReport(got.body)
+	}
 	if err != nil {
 		return Report{}, fmt.Errorf("%w: %w", errUnreadable, err)
 	}
 	if r.Leaving {
 		s.observeLeavingAt(address)
 	}
-	r.Closing = got.closing
+	r.Status, r.Closing = got.status, got.closing
 	return r, nil
 }
 
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -214,7 +214,7 @@
 func (x *exchange) isGone(a *forward.Attempt) bool {
 	report, err := x.server.requestReport(x.ctx, a.Entry.Address)
 	_, listed := report.Events[x.call.ID]
-	return err == nil && !listed && report.Waiting == 0
+	return err == nil && report.Events != nil && !listed && report.Waiting == 0
 }
 
 // eventCount returns the number of events that the caller has got, or that are buffered for it.
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -87,6 +87,8 @@
 
 // Report is an upstream's state as of some hundred milliseconds ago.
 type Report struct {
+	// Status is the status of the response. Without status 200, the rest is unknown.
+	Status int
 	// Born identifies the run of the upstream's process, like roster.Entry; 0 if unknown.
 	Born    int64
 	Leaving bool
--- a/internal/hosted/streamend.go
+++ b/internal/hosted/streamend.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -71,8 +72,14 @@
 	s.decide(func(_ time.Time, g *forward.Gate) { reports = g.Reports(x.call.Service) })
 	if reports {
 		report, err := s.requestReport(ctx, a.Entry.Address)
-		if !errors.Is(err, errNotPermitted) {
-			return err == nil && x.isEndOf(a, report), err
+		switch {
+		case errors.Is(err, errNotPermitted):
+		case err != nil:
+			return false, err
+		case report.Status != http.StatusOK && report.Status != http.StatusNotFound:
+			return false, fmt.Errorf("%w: report of %s with status %d", errUnreadable, a.Entry.Address, report.Status)
+		default: // status 404: it gives no reports, but it responds
+			return x.isEndOf(a, report), nil
 		}
 	}
 	c, err := s.conns.Dial(ctx, a.Entry.Address)
--- /dev/null
+++ b/internal/hosted/streamend_test.go
@@ -0,0 +1,103 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"mulberrylug.example/mulberrylug/internal/conn"
+	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/roster"
+	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/metrics"
+)
+
+// endWire decodes reports that hold nothing but the start of the process.
+type endWire struct{ fakeWire }
+
+func (endWire) CopyHeaders(_, _ http.Header, _ bool) {}
+
+func (endWire) DecodeReport(body []byte) (r Report, err error) {
+	r.Events = map[string]int{}
+	return r, json.Unmarshal(body, &r)
+}
+
+// newEndRig returns an exchange whose stream of an engine has begun, and is resumable, and its attempt at an address.
+func newEndRig(t *testing.T, address string) (*exchange, *forward.Attempt) {
+	t.Helper()
+	s := &server{wire: endWire{}, conns: conn.NewPool(), gate: forward.New(forward.Options{}), metrics: metrics.NewMetrics(), log: hclog.NewNullLogger()}
+	s.gate.Adopt(route.NewTable(route.Config{Services: []route.Service{{Name: "pool", Engine: &route.Engine{}}}}))
+	s.paths = pathsWithoutPeers(s)
+	s.memory = newMemoryAccount(0, s.metrics, s.log)
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	x := &exchange{
+		server: s, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/", nil), ctx: ctx, cancel: cancel,
+		hold: s.memory.newHold(), convicted: make(chan struct{}), framing: conn.FramedByClose,
+		call: &forward.Call{Request: forward.Request{ID: "r1"}, Route: &route.Route{Kind: route.Stream}, Service: "pool", Events: 2, LastEvent: "2"},
+	}
+	x.out = newOutput(x, true)
+	return x, &forward.Attempt{Entry: roster.Entry{ID: "engine", Address: address, Born: 7}}
+}
+
+// A sound upstream may be silent as its response ends, and its caller must get the complete response. One that has
+// started again, is down, states an error or does not respond at all has proved nothing, and must not hold the caller
+// for longer than the limit.
+func TestTheEndOfAResponseAwaitsItsUpstream(t *testing.T) {
+	t.Parallel()
+	const slack = 500 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		status int
+		born   int
+		silent time.Duration
+		proved bool
+		within time.Duration
+	}{
+		{"sound", http.StatusOK, 7, 0, true, slack},
+		{"silent for a while", http.StatusOK, 7, 1200 * time.Millisecond, true, 1200*time.Millisecond + probeTimeout + slack},
+		{"started again", http.StatusOK, 8, 0, false, slack},
+		{"gives no reports", http.StatusNotFound, 0, 0, true, slack},
+		{"states an error", http.StatusServiceUnavailable, 0, 0, false, endProofTimeout + slack},
+		{"never responds", http.StatusOK, 7, time.Hour, false, endProofTimeout + slack},
+		{"down", 0, 0, 0, false, slack},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			began := time.Now()
+			upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-r.Context().Done():
+					return
+				case <-time.After(time.Until(began.Add(c.silent))):
+				}
+				w.WriteHeader(c.status)
+				fmt.Fprintf(w, `{"born": %d}`, c.born)
+			}))
+			defer upstream.Close()
+			address := strings.TrimPrefix(upstream.URL, "http://")
+			if c.status == 0 {
+				upstream.Close()
+			}
+			x, a := newEndRig(t, address)
+			err := x.confirmStreamEnd(a)
+			if took := time.Since(began); (err == nil) != c.proved || took > c.within {
+				t.Errorf("error %v after %v, want the end proved: %v, within %v", err, took, c.proved, c.within)
+			}
+			if err != nil && !errors.Is(err, errEndUnproved) {
+				t.Errorf("error %v, want %v", err, errEndUnproved)
+			}
+			if gone := x.isGone(a); gone != (c.status == http.StatusOK && c.silent < time.Hour) {
+				t.Errorf("the generation counts as gone: %v; only a report shows that", gone)
+			}
+		})
+	}
+}
