hosted: the response without memory of the test is sent in chunks

TestResponseWithoutMemory dereferenced nil since, and ended all tests of the package with it: its response had neither a length nor chunks, so that the upstream is asked whether it goes on, and the test has none. What it checks, that a response for which there is no memory is forwarded as it arrives, does not depend on the framing. The end of responses without a length or chunks is checked by TestTheEndOfAResponseAwaitsItsUpstream and TestHostedAnswersWithoutALengthOfACrashedUpstream.

--- a/internal/hosted/answer_test.go
+++ b/internal/hosted/answer_test.go
@@ -34,7 +34,7 @@
 		x := &exchange{server: s, w: w, r: r, ctx: ctx, cancel: cancel, hold: s.memory.newHold(), call: &forward.Call{Route: &route.Route{}}}
 		x.out = newOutput(x, true)
 		body := strings.Repeat("x", 100_000)
-		got, err := x.forwardResponse(nil, nil, &http.Response{StatusCode: status, ContentLength: -1, Body: io.NopCloser(strings.NewReader(body))}, Response{Signed: true})
+		got, err := x.forwardResponse(nil, nil, &http.Response{StatusCode: status, ContentLength: -1, TransferEncoding: []string{"chunked"}, Body: io.NopCloser(strings.NewReader(body))}, Response{Signed: true})
 		if got != want || want == forward.Done && w.Body.String() != body || want == forward.Lost && w.Body.Len() > 0 {
 			t.Errorf("status %d: outcome %s (%v) with %d bytes forwarded, want %s", status, got, err, w.Body.Len(), want)
 		}
