hosted: an error response does not go on with a stream that has begun

What callers would see: a stream that has events, then the body of an error, and ends as complete with the signature of the first upstream, without its last events.

Cause: a stream that breaks off and goes on at another upstream has its head delivered. forwardResponse forwarded any response with a status below 500 that does not promise that the request did not run, and the attempt was done: of a status as 400, 404 or 301 the body followed the events.

Now a response that is not a stream of events ends the attempt as failed once the head was delivered, and nothing of it is forwarded. The stream goes on elsewhere or is broken off.

TestOnlyEventsFollowEvents failed before for 301, 400 and 404.

--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -25,6 +26,10 @@
 // errUnsigned reports a success response that lacks the upstream's signature.
 var errUnsigned = errors.New("success response lacks the upstream's signature")
 
+// errNoContinuation reports a response other than a stream of events to a call whose response has begun. None of its bytes
+// may follow those that the caller has.
+var errNoContinuation = errors.New("response does not go on with the one that has begun")
+
 // bufferedResponse is an upstream's response whose body was read into memory.
 type bufferedResponse struct {
 	status int
@@ -116,6 +121,8 @@
 		return forward.Misdirected, err
 	case ans.NotRun:
 		return forward.Rejected, err
+	case x.headSent:
+		return forward.Failed, errors.Join(fmt.Errorf("%w: status %d", errNoContinuation, resp.StatusCode), err)
 	case (errors.Is(err, errTooLarge) || errors.Is(err, errNoMemory)) && success && ans.Signed:
 		return x.forwardLarge(a, resp, h)
 	case err != nil:
--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -101,3 +103,27 @@
 		})
 	}
 }
+
+// closedAddress is an address at which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// A stream that has begun is resumed at an upstream that responds with an error, or with a body of its own. Its caller
+// must not get these bytes as the rest of the stream.
+func TestOnlyEventsFollowEvents(t *testing.T) {
+	for _, status := range []int{http.StatusMovedPermanently, http.StatusBadRequest, http.StatusNotFound, http.StatusInternalServerError} {
+		x, a := newEndRig(t, closedAddress(t))
+		x.headSent = true
+		got, err := x.forwardResponse(nil, a, &http.Response{StatusCode: status, ContentLength: 5, Body: io.NopCloser(strings.NewReader("error"))}, Response{Signed: true})
+		if body := x.w.(*httptest.ResponseRecorder).Body.String(); got != forward.Failed || body != "" {
+			t.Errorf("status %d: outcome %s (%v), %q forwarded; want %s and nothing", status, got, err, body, forward.Failed)
+		}
+	}
+}
