hosted: a stream that is taken up after its last event ends

What callers would see: 502, however often they ask, where they have all events of a stream and lost the connection before its end.

Cause: a response without an event counted as one of a crashed upstream (errNoEvent), also if the caller had named the last event that it has: then there may be none left.

Now the end of such a response counts as that of any other stream: by chunks or a length, or by the upstream's word after a close. Its head is forwarded, as the signature is in it. Without Last-Event-Id nothing changes.

TestAStreamWithoutFurtherEventsEnds failed before for a response in chunks.

--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -20,8 +20,8 @@
 
 var errEventTooLarge = &conn.LimitError{Part: conn.PartEvent, Limit: maxEventBytes, Read: maxEventBytes + 1}
 
-// errNoEvent reports a stream that ended before its first event. An answer has at least one; without a length
-// or chunks, an engine that crashed looks like this.
+// errNoEvent reports a stream that ended before its first event. An answer has at least one, unless its caller takes it up
+// after the last one; without a length or chunks, an engine that crashed looks like this.
 var errNoEvent = errors.New("stream ended before its first event")
 
 // usualEventBytes is the size up to which the buffer of an event is a part of requestBytes. Most
@@ -106,7 +106,7 @@
 	var forget func() bool
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) && x.call.Events == 0 {
+		if errors.Is(err, io.EOF) && x.call.Events == 0 && x.call.AfterEvent == "" {
 			return x.brokenStreamOutcome(), errNoEvent
 		}
 		if errors.Is(err, io.EOF) {
@@ -114,6 +114,9 @@
 				return x.brokenStreamOutcome(), fmt.Errorf("end of the stream after %d events: %w", x.call.Events, err)
 			}
 			x.clearEnded()
+			if !x.sendHead(resp) {
+				return forward.Lost, errConvicted
+			}
 			return forward.Done, nil
 		}
 		if err != nil {
--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -127,3 +127,24 @@
 		}
 	}
 }
+
+// A caller that has all events of a stream takes it up to get its end. There is no event left, and the end counts as
+// that of any other stream; for a caller without events it does not.
+func TestAStreamWithoutFurtherEventsEnds(t *testing.T) {
+	for _, c := range []struct {
+		after   string
+		framing string
+		want    forward.Outcome
+	}{{"20", "chunked", forward.Done}, {"20", "", forward.Lost}, {"", "chunked", forward.Lost}} {
+		x, a := newEndRig(t, closedAddress(t))
+		x.call.Events, x.call.LastEvent, x.call.AfterEvent = 0, "", c.after
+		resp := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}
+		if c.framing != "" {
+			resp.TransferEncoding = []string{c.framing}
+		}
+		got, err := x.forwardResponse(nil, a, resp, Response{Signed: true})
+		if got != c.want || x.headSent != (got == forward.Done) {
+			t.Errorf("after %q, %q: outcome %s (%v), head forwarded %v; want %s", c.after, c.framing, got, err, x.headSent, c.want)
+		}
+	}
+}
