hosted: the end of a response at the upstream's time limit is not proved

What callers would see: a complete response that lacks its last events, at the end of a drain: a stream that goes on at another upstream meanwhile gets the time until the end of the drain as its limit, and may go on for 250 ms longer.

Cause: an upstream stops work at the limit that it was sent. Without a length or chunks, its response then ends with its connection like a complete one, while its process goes on and lists the generation no more, which counted as proof.

Now an end after the time limit of the attempt, in the whole milliseconds that were sent, counts as not proved.

TestTheEndOfAResponseAwaitsItsUpstream failed before for this case.

--- a/internal/core/forward/sequence.go
+++ b/internal/core/forward/sequence.go
@@ -1,6 +1,9 @@
 package forward
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
 
 // EventOrder is how an event of a stream follows the last one that the caller has.
 type EventOrder string
@@ -58,3 +61,9 @@
 	received, known := c.received()
 	return !r.Listed || !known || r.Events <= received
 }
+
+// PastTimeLimit reports whether the time limit has passed that the upstream of an attempt was given, in whole milliseconds. It
+// stops work then, whether its response is complete or not.
+func (a *Attempt) PastTimeLimit(now time.Time) bool {
+	return now.Sub(a.Sent) >= a.TimeLimit.Truncate(time.Millisecond)
+}
--- a/internal/hosted/streamend.go
+++ b/internal/hosted/streamend.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 )
@@ -30,6 +31,9 @@
 // errEndUnproved reports that a response ended with its connection, and that its upstream may have crashed.
 var errEndUnproved = errors.New("the end of the response is not proved")
 
+// errTimeLimit reports that a response ended with its connection when its upstream had to stop.
+var errTimeLimit = fmt.Errorf("%w: the time limit of the attempt has passed", errEndUnproved)
+
 // confirmStreamEnd returns an error if the end of a stream's connection does not prove that the stream is complete.
 func (x *exchange) confirmStreamEnd(a *forward.Attempt) error {
 	if x.framing != conn.FramedByClose {
@@ -49,6 +53,10 @@
 
 // awaitEndProof returns nil once the upstream of an attempt has shown that its process did not end with the response.
 func (x *exchange) awaitEndProof(a *forward.Attempt) error {
+	if a.PastTimeLimit(boottime.Now()) {
+		x.server.metrics.Count("closed_responses_total", "unproved")
+		return errTimeLimit
+	}
 	ctx, cancel := context.WithTimeout(x.ctx, endProofTimeout)
 	defer cancel()
 	for {
--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
@@ -47,15 +48,15 @@
 		call: &forward.Call{Request: forward.Request{ID: "r1"}, Route: &route.Route{Kind: route.Stream}, Service: "pool", Events: 2, LastEvent: "2"},
 	}
 	x.out = newOutput(x, true)
-	return x, &forward.Attempt{Entry: roster.Entry{ID: "engine", Address: address, Born: 7}}
+	return x, &forward.Attempt{Entry: roster.Entry{ID: "engine", Address: address, Born: 7}, Sent: boottime.Now(), TimeLimit: time.Minute}
 }
 
 // A sound upstream may be silent as its response ends, and its caller must get the complete response. One that has
-// started again, is down, states an error or does not respond at all has proved nothing, and must not hold the caller
-// for longer than the limit.
+// started again, is down, states an error or does not respond at all has proved nothing, nor has one that had to stop at its
+// time limit. None must hold the caller for longer than the limit.
 func TestTheEndOfAResponseAwaitsItsUpstream(t *testing.T) {
 	t.Parallel()
-	const slack = 500 * time.Millisecond
+	const slack, stopped = 500 * time.Millisecond, "stopped at its time limit"
 	for _, c := range []struct {
 		name   string
 		status int
@@ -71,6 +72,7 @@
 		{"states an error", http.StatusServiceUnavailable, 0, 0, false, endProofTimeout + slack},
 		{"never responds", http.StatusOK, 7, time.Hour, false, endProofTimeout + slack},
 		{"down", 0, 0, 0, false, slack},
+		{stopped, http.StatusOK, 7, 0, false, slack},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -90,6 +92,9 @@
 				upstream.Close()
 			}
 			x, a := newEndRig(t, address)
+			if c.name == stopped {
+				a.TimeLimit = 300 * time.Microsecond // it gets 0 ms
+			}
 			err := x.confirmStreamEnd(a)
 			if took := time.Since(began); (err == nil) != c.proved || took > c.within {
 				t.Errorf("error %v after %v, want the end proved: %v, within %v", err, took, c.proved, c.within)
