hosted: responses to HEAD keep their length, and no body is read as a response

What callers saw: a length of 0 for HEAD. What they could see: a body that an upstream sent to another caller, as the response to their HEAD, if it looks like one.

Cause: a buffered response was sent with the length of its body, which HEAD has none of. A late response to an earlier request, which is read before that to HEAD on the same connection, was read without its body, and the body as the next response.

Now the length is the upstream's. After a late response the attempt of HEAD ends, and a connection that carried HEAD is not used again: a late second response there would be read with a body that it does not have.

TestResponsesToHeadHaveNoBody failed before for both. That the connection is not used again has no test.

--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -40,7 +40,8 @@
 
 // readResponse reads the head of the response to this request. A late response to an earlier
 // request on the connection is read to its end and dropped. If it is longer than
-// maxBufferedResponse, the attempt ends: its rest must not be read as the head of the next response.
+// maxBufferedResponse, the attempt ends: its rest must not be read as the head of the next response. The same holds for
+// its body if this request is HEAD, as a response to HEAD is read without one.
 func (x *exchange) readResponse(c *conn.Conn, a *forward.Attempt) (*http.Response, Response, error) {
 	giveUpAt := time.Now().Add(a.CancelAt.Sub(a.Sent))
 	if !a.CancelAt.IsZero() {
@@ -66,7 +67,7 @@
 		x.server.observeStatement(a.Upstream, time.Time{}, resp)
 		x.server.metrics.Count("late_answers_total", "dropped")
 		_, err = io.Copy(io.Discard, http.MaxBytesReader(nil, resp.Body, maxBufferedResponse))
-		if err != nil || resp.Close {
+		if err != nil || resp.Close || x.r.Method == http.MethodHead {
 			return nil, Response{}, errors.Join(errOtherRequest, overLimit(err, conn.PartBody))
 		}
 	}
@@ -203,7 +204,13 @@
 	}
 	x.server.wire.CopyHeaders(x.w.Header(), h.header, h.signed)
 	suppressContentSniffing(x.w.Header())
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
+	length := strconv.Itoa(len(h.body))
+	if x.r.Method == http.MethodHead {
+		length = h.header.Get("Content-Length")
+	}
+	if length != "" {
+		x.w.Header().Set("Content-Length", length)
+	}
 	x.markHeadSent()
 	x.w.WriteHeader(h.status)
 	if x.r.Method == http.MethodHead {
--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -409,3 +409,24 @@
 		t.Error("the process ended with the first request in progress")
 	}
 }
+
+// An upstream responds to HEAD with the length of the body that it would send, after a late response to an earlier request. The
+// caller must get that length, and the body of the late response must not be read as the head of its own.
+func TestResponsesToHeadHaveNoBody(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	forged := "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\nContent-Length: 6\r\n\r\n"
+	for id, c := range map[string]struct {
+		sent           string
+		status, length int
+	}{
+		"sound": {"HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\nContent-Length: 7\r\n\r\n", http.StatusOK, 7},
+		"late":  {"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nContent-Length: 80\r\n\r\n" + forged, http.StatusBadGateway, -1},
+	} {
+		r.desk.SetEndless(&standin.Endless{Head: c.sent, Unit: "x"}, 1)
+		resp, err := http.ReadResponse(bufio.NewReader(r.send(t, head(http.MethodHead, hosting.PathLookUp, id, ""))), &http.Request{Method: http.MethodHead})
+		if err != nil || resp.StatusCode != c.status || c.length >= 0 && resp.ContentLength != int64(c.length) {
+			t.Errorf("%s: response %v, error %v; want status %d and length %d", id, resp, err, c.status, c.length)
+		}
+	}
+}
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -288,7 +288,8 @@
 		<-sent
 		return outcome, err
 	}
-	if err == nil && c.Reusable(resp) && !ans.Closing {
+	// A late second response to HEAD states the length of a body that it does not have, and would be read with that body.
+	if err == nil && c.Reusable(resp) && !ans.Closing && x.r.Method != http.MethodHead {
 		if watched {
 			_ = conn.Watch(c.Conn, false) // fails only on a closed connection, which the pool drops
 		}
