hosted: a connection that was returned is not closed by the request that had it

What callers could see: a stream or an answer that breaks off (attempt_closed, or 502) though its upstream and its path are sound, just as another request ends.

Cause: a request ties its connection to its own context, and to the silence checks. Both ended only after the connection was put into the pool, and after another wait for the server's lock, so that the end of the request could close it where another request had taken it already.

Now both end before that. TestAConnectionThatWasReturnedIsNotClosed failed before. How often this occurs was not measured.

--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -199,7 +199,7 @@
 	x.setConn(c)
 	x.framing, x.via = "", viaOf(c.Conn)
 	silent := time.AfterFunc(reach.SilenceLimit, func() { x.checkSilent(a) })
-	outcome, err := x.roundTrip(c, a)
+	outcome, err := x.roundTrip(c, a, stop)
 	silent.Stop()
 	x.setConn(nil)
 	if err != nil {
@@ -260,8 +260,8 @@
 }
 
 // roundTrip sends the request on a connection, forwards the response, and then returns the
-// connection to the pool or closes it.
-func (x *exchange) roundTrip(c *conn.Conn, a *forward.Attempt) (forward.Outcome, error) {
+// connection to the pool or closes it. stop ends its tie to the request's context.
+func (x *exchange) roundTrip(c *conn.Conn, a *forward.Attempt, stop func() bool) (forward.Outcome, error) {
 	pooled := false
 	defer func() {
 		if !pooled {
@@ -290,6 +290,11 @@
 	}
 	// A late second response to HEAD states the length of a body that it does not have, and would be read with that body.
 	if err == nil && c.Reusable(resp) && !ans.Closing && x.r.Method != http.MethodHead {
+		// In the pool the connection is another request's, which this one must not close.
+		x.setConn(nil)
+		if !stop() {
+			return outcome, nil
+		}
 		if watched {
 			_ = conn.Watch(c.Conn, false) // fails only on a closed connection, which the pool drops
 		}
--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -20,6 +20,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/core/statement"
 	"mulberrylug.example/mulberrylug/internal/metrics"
 )
 
@@ -28,6 +29,18 @@
 
 func (endWire) CopyHeaders(_, _ http.Header, _ bool) {}
 
+func (endWire) AttemptHeaders(http.Header, *forward.Call, *forward.Attempt) http.Header {
+	return http.Header{}
+}
+
+func (endWire) DecodeResponse(*http.Response, string) Response {
+	return Response{Matches: true, Signed: true}
+}
+
+func (endWire) DecodeStatement(*http.Response) (s statement.Statement) { return s }
+
+func (endWire) DecodeLoad(*http.Response) (*forward.Report, error) { return nil, nil }
+
 func (endWire) DecodeReport(body []byte) (r Report, err error) {
 	r.Events = map[string]int{}
 	return r, json.Unmarshal(body, &r)
@@ -40,10 +53,8 @@
 	s.gate.Adopt(route.NewTable(route.Config{Services: []route.Service{{Name: "pool", Engine: &route.Engine{}}}}))
 	s.paths = pathsWithoutPeers(s)
 	s.memory = newMemoryAccount(0, s.metrics, s.log)
-	ctx, cancel := context.WithCancel(t.Context())
-	t.Cleanup(cancel)
 	x := &exchange{
-		server: s, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/", nil), ctx: ctx, cancel: cancel,
+		server: s, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/", nil), ctx: t.Context(), body: &body{},
 		hold: s.memory.newHold(), convicted: make(chan struct{}), framing: conn.FramedByClose,
 		call: &forward.Call{Request: forward.Request{ID: "r1"}, Route: &route.Route{Kind: route.Stream}, Service: "pool", Events: 2, LastEvent: "2"},
 	}
@@ -153,3 +164,29 @@
 		}
 	}
 }
+
+// The request of a response that has arrived ends, by its deadline or its caller, while its connection is already that of
+// another request. This must not close it.
+func TestAConnectionThatWasReturnedIsNotClosed(t *testing.T) {
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) })) // an error means that the caller has disconnected
+	defer upstream.Close()
+	address := strings.TrimPrefix(upstream.URL, "http://")
+	x, a := newEndRig(t, address)
+	x.call.Route, a.Upstream = &route.Route{Kind: route.Idempotent}, &roster.Upstream{Entry: a.Entry}
+	c, err := x.server.conns.Get(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	x.setConn(c)
+	if outcome, err := x.roundTrip(c, a, stop); outcome != forward.Done {
+		t.Fatalf("outcome %s (%v), want %s", outcome, err, forward.Done)
+	}
+	cancel()
+	x.closeConn(a)
+	time.Sleep(10 * time.Millisecond)
+	if next, err := x.server.conns.Get(t.Context(), address); next != c {
+		t.Errorf("the connection was closed (%v), want it in use again", err)
+	}
+}
