hosted: test which framings end a stream

It holds what only tests on real processes did: a length or chunks that are short, a last chunk without its end, trailers, and a response of HTTP/1.0 that nobody confirms.

--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -190,3 +191,27 @@
 		t.Errorf("the connection was closed (%v), want it in use again", err)
 	}
 }
+
+// The body of a stream is short by its framing, or has none that tells. It must not count as complete.
+func TestOnlyAFramingThatIsCompleteEndsAStream(t *testing.T) {
+	const event = "id: 3\ndata: x\n\n"
+	for text, want := range map[string]forward.Outcome{
+		"HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n" + event:                                             forward.Done,
+		"HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + event:                                             forward.Cut,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n0\r\n\r\n":              forward.Done,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n0\r\nX-Sum: 1\r\n\r\n":  forward.Done,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n0\r\n":                  forward.Cut,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 15\r\n\r\nf\r\n" + event + "\r\n": forward.Cut,
+		"HTTP/1.0 200 OK\r\n\r\n" + event:                                                                   forward.Cut,
+	} {
+		x, a := newEndRig(t, closedAddress(t))
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), x.r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := x.forwardResponse(nil, a, resp, Response{Signed: true})
+		if body := x.w.(*httptest.ResponseRecorder).Body.String(); got != want || body != event {
+			t.Errorf("%q: outcome %s (%v), body %q; want %s and the event", text, got, err, body, want)
+		}
+	}
+}
