--- a/internal/hosted/answer_test.go
+++ b/internal/hosted/answer_test.go
@@ -34,7 +34,7 @@
 		x := &exchange{server: s, w: w, r: r, ctx: ctx, cancel: cancel, hold: s.memory.newHold(), call: &forward.Call{Route: &route.Route{}}}
 		x.out = newOutput(x, true)
 		body := strings.Repeat("x", 100_000)
-		got, err := x.forwardResponse(nil, nil, &http.Response{StatusCode: status, ContentLength: -1, Body: io.NopCloser(strings.NewReader(body))}, Response{Signed: true})
+		got, err := x.forwardResponse(nil, nil, &http.Response{StatusCode: status, ContentLength: -1, TransferEncoding: []string{"chunked"}, Body: io.NopCloser(strings.NewReader(body))}, Response{Signed: true})
 		if got != want || want == forward.Done && w.Body.String() != body || want == forward.Lost && w.Body.Len() > 0 {
 			t.Errorf("status %d: outcome %s (%v) with %d bytes forwarded, want %s", status, got, err, w.Body.Len(), want)
 		}
@@ -47,10 +47,12 @@
 func TestAResumedStreamGetsNoOtherBody(t *testing.T) {
 	m := metrics.NewMetrics()
 	s := &server{wire: copyNothing{}, metrics: m, memory: newMemoryAccount(0, m, hclog.NewNullLogger()), gate: forward.New(forward.Options{})}
-	w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)
-	x := &exchange{server: s, w: w, r: r, ctx: t.Context(), hold: s.memory.newHold(), call: &forward.Call{Route: &route.Route{Kind: route.Stream}}, headSent: true}
-	got, err := x.forwardResponse(nil, nil, &http.Response{StatusCode: http.StatusNotFound, ContentLength: 4, Body: io.NopCloser(strings.NewReader("none"))}, Response{Signed: true})
-	if got != forward.Failed || w.Body.Len() > 0 {
-		t.Errorf("outcome %s (%v) with %q forwarded, want %s and nothing", got, err, w.Body, forward.Failed)
+	for _, status := range []int{http.StatusMovedPermanently, http.StatusBadRequest, http.StatusNotFound, http.StatusInternalServerError} {
+		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)
+		x := &exchange{server: s, w: w, r: r, ctx: t.Context(), hold: s.memory.newHold(), call: &forward.Call{Route: &route.Route{Kind: route.Stream}}, headSent: true}
+		got, err := x.forwardResponse(nil, nil, &http.Response{StatusCode: status, ContentLength: 4, Body: io.NopCloser(strings.NewReader("none"))}, Response{Signed: true})
+		if got != forward.Failed || w.Body.Len() > 0 {
+			t.Errorf("status %d: outcome %s (%v) with %q forwarded, want %s and nothing", status, got, err, w.Body, forward.Failed)
+		}
 	}
 }
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -21,8 +21,8 @@
 
 var errEventTooLarge = &conn.LimitError{Part: conn.PartEvent, Limit: maxEventBytes, Read: maxEventBytes + 1}
 
-// errNoEvent reports a stream that ended before its first event. An answer has at least one, unless its caller has them
-// all; without a length or chunks, an engine that crashed looks like this.
+// errNoEvent reports a stream that ended before its first event. An answer has at least one, unless its caller takes it up
+// after the last one; without a length or chunks, an engine that crashed looks like this.
 var errNoEvent = errors.New("stream ended before its first event")
 
 // usualEventBytes is the size up to which the buffer of an event is a part of requestBytes. Most
