hosted: the test of a move whose end does not arrive measures the pause

It bounded the time of the whole stream by 3.5 s, and failed in a run of the package at a load of 16 on 8 cores; its message was not kept, the log shows the move done 2.5 ms after its order.

--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -135,8 +135,7 @@
 			return forward.Lost, err
 		}
 	}
-	switch {
-	case resp.StatusCode >= http.StatusInternalServerError || forward.PromisesNotRun(resp.StatusCode):
+	if resp.StatusCode >= http.StatusInternalServerError || forward.PromisesNotRun(resp.StatusCode) {
 		// Unless the upstream states otherwise, it may have run the request.
 		x.upstreamError = h
 		return forward.Failed, nil
--- a/internal/hosted/broken_test.go
+++ b/internal/hosted/broken_test.go
@@ -73,6 +73,20 @@
 	}
 }
 
+// pauseReader measures the longest time between two reads.
+type pauseReader struct {
+	io.Reader
+	last    time.Time
+	longest time.Duration
+}
+
+func (p *pauseReader) Read(b []byte) (int, error) {
+	n, err := p.Reader.Read(b)
+	now := time.Now()
+	p.last, p.longest = now, max(p.longest, now.Sub(p.last))
+	return n, err
+}
+
 // A stream is moved, and the end of its first part does not arrive, as on a connection that is silent. It must go on
 // without waiting for that, while its copy is still kept.
 func TestAStreamGoesOnAfterAMoveWhoseEndDoesNotArrive(t *testing.T) {
@@ -90,10 +104,10 @@
 	})
 	testkit.Eventually(t, testTimeout, "the other engine is known", func() bool { return r.log.has("upstream=stays") })
 	time.AfterFunc(100*time.Millisecond, r.engines[0].Leave)
-	began := time.Now()
-	body, err := io.ReadAll(resp.Body)
-	if took := time.Since(began); err != nil || string(body) != whole("moved") || took > 3500*time.Millisecond {
-		t.Errorf("%d bytes after %v, error %v; want the whole stream, which takes 2 s, without a pause of more than 1 s", len(body), took, err)
+	paused := &pauseReader{Reader: resp.Body, last: time.Now()}
+	body, err := io.ReadAll(paused)
+	if err != nil || string(body) != whole("moved") || paused.longest > 1500*time.Millisecond {
+		t.Errorf("%d bytes, longest pause %v, error %v; want the whole stream without a pause of more than 1.5 s", len(body), paused.longest, err)
 	}
 	if !r.log.has("from=engine-0 to=stays number=1 outcome=done") {
 		t.Error("the stream was not moved")
