server: a request without an outcome gets no complete response

On the product's own interface, a caller that closes its sending half and goes on reading ends its request. The handler then returned, upon which net/http completed the response: as 200 with an empty body where nothing had been written, and with the last chunk where a stream had begun, also one that had outrun its caller or that the end of the instance broke off. GET /v1/entries and two calls for operators did the same, also while the instance stops.

All of these abort the connection now (breakOff). The hosted interface did so before. Streams have an event of their own at their end, which was never sent in these cases.

--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -77,7 +77,7 @@
 func (s *callerAPI) entries(w http.ResponseWriter, r *http.Request) {
 	e, err := s.d.Entries(r.Context(), apiKey(r))
 	if err != nil {
-		return // the caller has disconnected
+		breakOff() // the caller has disconnected, or the instance has stopped
 	}
 	writeJSON(w, http.StatusOK, entriesResponse{Addresses: e.Addresses, KeepSeconds: e.TTL.Seconds()})
 }
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -49,7 +49,7 @@
 func (s *operatorAPI) status(w http.ResponseWriter, r *http.Request) {
 	st, err := s.d.Status(r.Context())
 	if err != nil {
-		return // the operator has disconnected
+		breakOff() // the operator has disconnected, or the instance has stopped
 	}
 	writeJSON(w, http.StatusOK, st)
 }
@@ -116,7 +116,7 @@
 func (s *operatorAPI) cordons(w http.ResponseWriter, r *http.Request) {
 	st, err := s.d.Status(r.Context())
 	if err != nil {
-		return // the operator has disconnected
+		breakOff() // the operator has disconnected, or the instance has stopped
 	}
 	writeJSON(w, http.StatusOK, st.Cordons)
 }
--- a/internal/server/stream.go
+++ b/internal/server/stream.go
@@ -19,6 +19,10 @@
 	keepAliveInterval = time.Second
 )
 
+// breakOff ends a response that is not complete. If its handler returned, net/http would complete
+// it: as an empty success, or as a stream that has ended.
+func breakOff() { panic(http.ErrAbortHandler) }
+
 // respond writes the request's tokens and outcome to the caller until the request ends or the
 // caller disconnects.
 func (s *callerAPI) respond(w http.ResponseWriter, r *http.Request, id string, sink *daemon.Sink, stream bool) {
@@ -31,21 +35,21 @@
 	for {
 		select {
 		case <-r.Context().Done():
-			return
+			breakOff()
 		case <-sink.Ready:
 		case <-keepAlive.C:
 			if stream && (out.headerSent || time.Since(started) > headerDelay) && out.keepAlive() != nil {
-				return
+				breakOff()
 			}
 			continue
 		}
 		tokens, finish := sink.Take()
 		if sink.Overflowed() {
-			return // the response is broken off; the caller may resume after the last event that it read
+			breakOff() // the caller may resume after the last event that it read
 		}
 		for _, t := range tokens {
 			if out.token(t) != nil {
-				return
+				breakOff()
 			}
 		}
 		if finish != nil {
@@ -53,7 +57,7 @@
 			return
 		}
 		if out.headerSent && out.flush() != nil {
-			return
+			breakOff()
 		}
 	}
 }
@@ -63,9 +67,11 @@
 func (s *callerAPI) writeOutcome(w http.ResponseWriter, out *streamWriter, id string, f *core.Finish, stream bool) {
 	switch {
 	case out.headerSent || stream && f.Outcome == core.Done:
-		_ = out.end(f) // an error means that the caller has disconnected
+		if out.end(f) != nil {
+			breakOff()
+		}
 	case out.rc.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil:
-		return // the connection is closed
+		breakOff() // the connection is closed
 	case f.Outcome != core.Done:
 		writeProblem(w, problemOf(id, f))
 	case f.Body != nil:
