proctest: no response of a process that ends looks complete

Three real instances end while callers read streams and long answers with a length, in HTTP/1.0 and HTTP/1.1, fast and slowly, with events buffered in the process: one by SIGTERM, one by SIGTERM, SIGHUP and SIGTERM again, one by SIGKILL; some of the streams end about when the drains do. The existing tests of the exit count requests that were cut, and do not compare what arrived.

--- a/internal/proctest/hosted_exit_test.go
+++ b/internal/proctest/hosted_exit_test.go
@@ -1,16 +1,21 @@
 package proctest
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/standin"
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
 // grace is the grace period in the settings of the fixture, which a reload must not extend once it runs.
@@ -284,3 +289,94 @@
 		t.Error("the end of the stream is not logged, want a line")
 	}
 }
+
+// Instances end while callers of either version of HTTP read streams and long answers, fast or slowly: at the end of a
+// drain, also with further signals during it, and by a kill. What ends before its last event or byte must not look complete.
+func TestHostedNoResponseOfAnEndedProcessLooksComplete(t *testing.T) {
+	t.Parallel()
+	const fast, slow, eventBytes, answerBytes = 1 << 20, 40_000, 2400, 400_000
+	f := newFixture(t)
+	f.Configure(func(c map[string]any) {
+		for _, r := range c["routes"].([]map[string]any) {
+			r["timeout_ms"] = 30_000
+		}
+	})
+	events := map[string]int{}
+	for k, count := range []int{380, 390, 394, 1000} { // three end about when the drains do
+		e := f.pool[k]
+		e.EventEvery, e.EventCount, e.EventBytes = 20*time.Millisecond, count, eventBytes
+		events[e.ID] = count
+	}
+	for _, k := range f.desk {
+		k.SetEndless(&standin.Endless{
+			Head: fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\nContent-Length: %d\r\n\r\n", answerBytes),
+			Unit: strings.Repeat("x", answerBytes/50), Every: 180 * time.Millisecond,
+		}, answerBytes)
+	}
+	time.Sleep(time.Second) // until the configuration is in force
+	var callers sync.WaitGroup
+	var complete, broken atomic.Int64
+	for k, m := range f.machines {
+		for n, protocol := range []string{"1.0", "1.1", "1.0", "1.1"} {
+			rate := []int{fast, slow}[n/2]
+			read := func(method, path, id string, whole func() string) {
+				body, err := readAt(rate, m.Callers, fmt.Sprintf("%s %sx HTTP/%s\r\nAttempt-Id: %s", method, path, protocol, id))
+				switch {
+				case err != nil:
+					broken.Add(1)
+				case body != whole():
+					t.Errorf("%s, HTTP/%s: looks complete after %d bytes, which are not all", id, protocol, len(body))
+				default:
+					complete.Add(1)
+				}
+			}
+			stream, answer := fmt.Sprintf("stream-%d-%d", k, n), fmt.Sprintf("answer-%d-%d", k, n)
+			callers.Go(func() {
+				read(http.MethodPost, hosting.PathDraft, stream, func() string {
+					var b strings.Builder
+					for e := range events[f.Arrivals()[stream][0].Worker] {
+						b.WriteString(hosting.PaddedEvent(stream, e+1, eventBytes))
+					}
+					return b.String()
+				})
+			})
+			callers.Go(func() {
+				read(http.MethodGet, hosting.PathLookUp, answer, func() string { return strings.Repeat("x", answerBytes) })
+			})
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, p := range f.procs[:2] {
+		send(t, p, syscall.SIGTERM)
+	}
+	waitLogged(t, f.procs[1], "event=draining")
+	for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+		send(t, f.procs[1], s)
+	}
+	time.Sleep(2 * time.Second)
+	f.procs[2].kill()
+	callers.Wait()
+	t.Logf("complete=%d broken=%d", complete.Load(), broken.Load())
+	if broken.Load() == 0 {
+		t.Error("no response was broken off, want some: otherwise the test checks nothing")
+	}
+}
+
+// readAt sends a request and reads the response at a rate in bytes per second. The error is nil only if the response
+// ended as if complete.
+func readAt(rate int, address, request string) (body string, err error) {
+	c, err := testkit.DialSlow(address)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	if _, err := fmt.Fprintf(c, "%s\r\nHost: %s\r\nCredential: %s\r\nToken-Counts: 100,1000\r\nContent-Length: 0\r\n\r\n", request, hosting.Host, hosting.Key); err != nil {
+		return "", err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(testkit.Throttle(c, rate)), nil)
+	if err != nil {
+		return "", err
+	}
+	raw, err := io.ReadAll(resp.Body)
+	return string(raw), err
+}
