hosted: serve a tunnel before there is a configuration

A process that has the list of upstreams and not yet a configuration, and is asked for a tunnel to an upstream that it knows, looked the service up in a table that is nil. The panic was in a goroutine of the transport and would have ended the process with all its requests. Reports had the same shape.

Both look the service up as the others do, where no table means no service. The tunnel tolerates silences in this case, as for an upstream that is not known, since it may carry streams of an engine.

TestATunnelIsServedBeforeAConfiguration panicked before, and passes 5 of 5.

--- a/internal/core/forward/silence.go
+++ b/internal/core/forward/silence.go
@@ -120,13 +120,13 @@
 
 // QueriesService reports whether the upstreams of a service are queried about silent streams.
 func (g *Gate) QueriesService(name string) bool {
-	s := g.table.Service(name)
+	s := g.service(name)
 	return s != nil && s.Engine != nil && !g.options.Without.Has(mechanism.SilenceProbes)
 }
 
 // Reports reports whether the upstreams of a service report their generations.
 func (g *Gate) Reports(name string) bool {
-	s := g.table.Service(name)
+	s := g.service(name)
 	return s != nil && s.Engine != nil
 }
 
--- a/internal/hosted/ends_internal_test.go
+++ b/internal/hosted/ends_internal_test.go
@@ -20,6 +20,7 @@
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/metrics"
@@ -280,6 +281,20 @@
 	}
 }
 
+// A process has the list of upstreams and not yet a configuration, and is asked for a tunnel. It must not end, and the
+// tunnel must tolerate silences, as the upstream may be an engine.
+func TestATunnelIsServedBeforeAConfiguration(t *testing.T) {
+	g := forward.New(forward.Options{})
+	u := roster.Entry{ID: "u0", Service: "pool", Address: "u0:80"}
+	g.Roster().Update(boottime.Now(), []roster.Change{{ID: "u0", Version: 1, Valid: true, Entry: u}}, 1)
+	if !newTunnels(&server{gate: g}, nil, 0).isWatched(msg.TunnelRequest{Upstream: "u0"}) {
+		t.Error("the tunnel does not tolerate silences")
+	}
+	if g.Reports("pool") {
+		t.Error("a service of no configuration is one of engines that report")
+	}
+}
+
 // queriedWire tells that a report is requested.
 type queriedWire struct {
 	namingWire
--- a/internal/hosted/tunnel.go
+++ b/internal/hosted/tunnel.go
@@ -68,11 +68,11 @@
 }
 
 // isWatched reports whether the requester watches the streams that pass a tunnel. An upstream that this instance
-// does not know may be an engine.
+// does not know, or of whose service it does not know yet, may be an engine.
 func (t *tunnels) isWatched(m msg.TunnelRequest) (watched bool) {
 	t.server.decide(func(_ time.Time, g *forward.Gate) {
 		u := g.Roster().Find(m.Upstream)
-		watched = u == nil || g.QueriesService(u.Service)
+		watched = u == nil || g.Table() == nil || g.QueriesService(u.Service)
 	})
 	return watched
 }
