--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -136,10 +136,12 @@
 
 // Config is one accepted version of the configuration.
 type Config struct {
-	Version       int64
-	Routes        []Route
-	Services      []Service
-	Limits        Limits
+	Version  int64
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+	// Organisations is nil if the configuration has no list of them, so that no route needs a key. With an
+	// empty list, all but public routes need one, and there is none.
 	Organisations []Organisation
 }
 
@@ -153,8 +155,8 @@
 	// leastRanks holds the most urgent rank that requests to each service may have.
 	leastRanks map[string]int
 	keys       map[string]*Organisation
-	// keysRequired is set if the configuration has organisations: routes that are not public
-	// then need an API key.
+	// keysRequired is set if the configuration has a list of organisations, even an empty one: routes that are
+	// not public then need an API key.
 	keysRequired bool
 	// regions are all regions to which some requests are restricted; restricted holds the routes
 	// that restrict requests to regions, by host.
@@ -167,7 +169,7 @@
 	t := &Table{
 		Version: c.Version, Limits: c.Limits, hosts: map[string][]*Route{},
 		services: map[string]*Service{}, leastRanks: leastRanks(c), keys: map[string]*Organisation{},
-		keysRequired: len(c.Organisations) > 0, restricted: map[string][]*Route{},
+		keysRequired: c.Organisations != nil, restricted: map[string][]*Route{},
 	}
 	for k := range c.Routes {
 		r := &c.Routes[k]
