hosted: a stream without further events has an end by its own bytes only

A response without any event and without a length or chunks is what an engine that crashed sends, and little is lost where a caller that has all events gets no end.

TestAStreamWithoutFurtherEventsEnds passes as before.

--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -21,8 +21,8 @@
 
 var errEventTooLarge = &conn.LimitError{Part: conn.PartEvent, Limit: maxEventBytes, Read: maxEventBytes + 1}
 
-// errNoEvent reports a stream that ended before its first event. An answer has at least one, unless its caller takes it up
-// after the last one; without a length or chunks, an engine that crashed looks like this.
+// errNoEvent reports a stream that ended before its first event. An answer has at least one, unless its caller has them
+// all; without a length or chunks, an engine that crashed looks like this.
 var errNoEvent = errors.New("stream ended before its first event")
 
 // usualEventBytes is the size up to which the buffer of an event is a part of requestBytes. Most
@@ -109,17 +109,17 @@
 	var forget func() bool
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) && x.call.Events == 0 && x.call.AfterEvent == "" {
+		if errors.Is(err, io.EOF) && x.call.Events == 0 && !x.mayLackEvents() {
 			return x.brokenStreamOutcome(), errNoEvent
 		}
 		if errors.Is(err, io.EOF) {
 			if err := x.confirmStreamEnd(a); err != nil {
 				return x.brokenStreamOutcome(), fmt.Errorf("end of the stream after %d events: %w", x.call.Events, err)
 			}
-			x.clearEnded()
 			if !x.sendHead(resp) {
 				return forward.Lost, errConvicted
 			}
+			x.clearEnded()
 			return forward.Done, nil
 		}
 		if err != nil {
@@ -149,6 +149,12 @@
 	}
 }
 
+// mayLackEvents reports whether a response without an event may be complete: its end is proved by its own bytes, and
+// the caller may have all events of the stream that it takes up.
+func (x *exchange) mayLackEvents() bool {
+	return x.call.AfterEvent != "" && x.framing != conn.FramedByClose
+}
+
 // memoryPollInterval is the interval between attempts to reserve memory for a large event.
 const memoryPollInterval = 100 * time.Millisecond
 
--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -132,8 +132,8 @@
 	return ln.Addr().String()
 }
 
-// A caller that has all events of a stream takes it up to get its end. There is no event left, and the end counts as
-// that of any other stream; for a caller without events it does not.
+// A caller that has all events of a stream takes it up to get its end. There is no event left, and the end counts if
+// the response's own bytes prove it; for a caller without events it does not.
 func TestAStreamWithoutFurtherEventsEnds(t *testing.T) {
 	for _, c := range []struct {
 		after   string
