forward: a stream that goes on from a copy before its first event begins with the first one

A generation may have made events that did not arrive when it is stopped and copied. Without an event there is no Last-Event-Id that tells where to go on, and an engine that goes on behind what its copy holds would leave them out. The first event of such an attempt must not have a number above 1, the first one of every stream seen; otherwise the attempt is given up.

TestOrderOfEvents has the case, which failed before.

--- a/internal/core/forward/sequence.go
+++ b/internal/core/forward/sequence.go
@@ -20,14 +20,20 @@
 	Unnumbered EventOrder = "unnumbered"
 )
 
+// firstNumber is the highest number that the first event of a stream has.
+const firstNumber = 1
+
 // OrderOf returns how an event with an id follows the last event that the caller has, also from earlier tries.
 func (c *Call) OrderOf(id string) EventOrder {
 	before, err := strconv.ParseInt(c.lastReceived(), 10, 64)
-	if err != nil && c.Events == 0 {
-		return InOrder
-	}
 	number, numberErr := strconv.ParseInt(id, 10, 64)
 	switch {
+	case err != nil && c.Events == 0:
+		// A copy may hold events that were made before and did not arrive.
+		if c.current != nil && c.current.CopyAt != "" && number > firstNumber {
+			return Gap
+		}
+		return InOrder
 	case err != nil || numberErr != nil:
 		return Unnumbered
 	case number <= before:
--- a/internal/core/forward/sequence_test.go
+++ b/internal/core/forward/sequence_test.go
@@ -25,6 +25,8 @@
 		{"after an event without an id", Call{Events: 2}, "9", Unnumbered},
 		{"next of a stream that is taken up", Call{Request: Request{AfterEvent: "8"}}, "9", InOrder},
 		{"a stream that is taken up, from the beginning", Call{Request: Request{AfterEvent: "8"}}, "1", Repeated},
+		{"first of a copy", Call{current: &Attempt{CopyAt: "copy"}}, "1", InOrder},
+		{"first of a copy, with events left out", Call{current: &Attempt{CopyAt: "copy"}}, "4", Gap},
 		{"a stream that is taken up after no number", Call{Request: Request{AfterEvent: "x"}}, "1", InOrder},
 	} {
 		if got := c.call.OrderOf(c.id); got != c.want {
