hosted: a stop that is not confirmed is repeated before a stream goes on elsewhere

Two engines worked on one stream: the source of a move, which had not stopped and lost the connection of the stream, and the engine at which the stream went on.

Cause: once a move had set where a call goes on, a broken stream was no longer stopped. But a move sets that, too, if the source did not confirm the stop: the response was late or lost, another call was in progress, or the source turned it away without a handle.

The moves and silent streams of internal/proctest pass.

The call keeps whether the last move has stopped the generation for certain. If not, a stream that breaks is stopped with one more call; a source that has stopped answers that it has no such run, and the stream goes on from the copy as before. Moves whose stop is confirmed make no further call.

--- a/internal/hosted/broken.go
+++ b/internal/hosted/broken.go
@@ -30,10 +30,11 @@
 	x.server.log.Info("broken_stream", "request", x.call.ID, "upstream", a.Entry.ID, "to", order.To, "outcome", outcome, "error", err)
 }
 
-// mayStillRun reports whether the upstream of an attempt may run the call's generation and can be told to stop it.
+// mayStillRun reports whether the upstream of an attempt may run the call's generation and can be told to stop it. A
+// move may have told it to, without a response that confirms that it did.
 func (x *exchange) mayStillRun(a *forward.Attempt) (may bool) {
 	x.server.decide(func(_ time.Time, g *forward.Gate) {
-		may = x.activeMove == nil && x.call.Current() == a && g.CanStop(x.call) && !x.call.Redirected()
+		may = x.activeMove == nil && x.call.Current() == a && g.CanStop(x.call) && (!x.call.Redirected() || !x.stopped)
 	})
 	return may
 }
@@ -44,7 +45,7 @@
 	defer cancel()
 	last, err := x.server.copyGeneration(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
 	if err == nil && last.Handle != "" {
-		x.redirect(mv, source, copies{last: last.Handle}, last.Outcome)
+		x.redirect(mv, source, copies{last: last.Handle, stopped: true}, last.Outcome)
 	}
 	return last.Outcome, err
 }
--- a/internal/hosted/broken_test.go
+++ b/internal/hosted/broken_test.go
@@ -12,20 +12,27 @@
 	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
-// An engine loses the connection of a stream in its middle, or before its first event, and works on. The stream must be stopped there before it goes
+// An engine loses the connection of a stream in its middle, or before its first event, or after it was told to stop and did
+// not, and works on. The stream must be stopped there before it goes
 // on at another engine: two engines would work on it at once, and one that may not be repeated would be lost.
 func TestABrokenStreamIsStoppedBeforeItGoesOn(t *testing.T) {
 	t.Parallel()
 	for _, path := range []string{hosting.PathBrief, hosting.PathDraft} {
-		for _, fault := range []hosting.Fault{hosting.WorksOn, hosting.WorksOnUnseen} {
-			t.Run(path+string(fault), func(t *testing.T) {
+		for name, fault := range map[string]hosting.Fault{"middle": hosting.WorksOn, "beginning": hosting.WorksOnUnseen, "refused stop": hosting.WorksOn} {
+			t.Run(path+name, func(t *testing.T) {
 				t.Parallel()
-				r := newRig(t, 2, nil)
+				r, refuses := newRig(t, 2, nil), name == "refused stop"
 				for _, k := range r.engines {
-					k.EventEvery = 4 * time.Millisecond
+					k.EventEvery, k.RefusesStop = 4*time.Millisecond, refuses
 					k.SetFault(fault)
 				}
 				c := r.send(t, head("POST", path, "broken", "Content-Length: 2\r\n")+"{}")
+				testkit.Eventually(t, testTimeout, "the stream runs", func() bool { return len(r.Arrivals()["broken"]) > 0 })
+				for _, k := range r.engines {
+					if refuses && k.ID == r.Arrivals()["broken"][0].Worker {
+						k.Leave()
+					}
+				}
 				if body, err := readSlowly(c, 100_000_000); err != nil || body != whole("broken") {
 					t.Errorf("%d bytes, error %v; want the whole stream", len(body), err)
 				}
@@ -37,6 +44,9 @@
 				if produced > slowEvents*11/10 {
 					t.Errorf("engines produced %d events of a stream of %d", produced, slowEvents)
 				}
+				if refuses && !r.log.has("number=1 outcome=no_room") {
+					t.Error("no stop was refused")
+				}
 			})
 		}
 	}
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -74,6 +74,9 @@
 	pace time.Duration
 	// activeMove is the move in progress, or nil. Guarded by the server's lock.
 	activeMove *activeMove
+	// stopped is set if the last move of the generation has stopped it at its source for certain. Guarded by the
+	// server's lock.
+	stopped bool
 	// convicted is closed when the parts of the prompt are found to crash upstreams.
 	convicted     chan struct{}
 	convictedOnce sync.Once
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -167,7 +167,7 @@
 	if handle == "" {
 		return last.Outcome, err // there is no copy to continue from
 	}
-	x.redirect(mv, source, copies{last: handle, earlier: earlier}, last.Outcome)
+	x.redirect(mv, source, copies{last: handle, earlier: earlier, stopped: last.Handle != ""}, last.Outcome)
 	if last.Handle != "" {
 		time.AfterFunc(stoppedEndTimeout, func() { x.closeStopped(source) })
 	}
@@ -207,7 +207,7 @@
 			x.server.dropCopy(source.Entry.Address, cmp.Or(last.Handle, handle))
 			return msg.MoveEnded, x.ctx.Err()
 		case last.Handle != "" || last.Outcome == msg.MoveNoRun && x.isGone(source):
-			x.redirect(mv, source, copies{last: cmp.Or(last.Handle, handle), earlier: handle}, last.Outcome)
+			x.redirect(mv, source, copies{last: cmp.Or(last.Handle, handle), earlier: handle, stopped: true}, last.Outcome)
 			x.closeConn(source)
 			return last.Outcome, nil
 		case time.Now().After(end):
@@ -240,8 +240,11 @@
 }
 
 // copies are the handles of the copies of a generation: of the last one, and of one that was made at the
-// destination before, or "".
-type copies struct{ last, earlier string }
+// destination before, or "". stopped is set if the generation is known to run at the source no more.
+type copies struct {
+	last, earlier string
+	stopped       bool
+}
 
 // redirect makes the call continue from a copy: at the destination, with the source as the fallback, or at the
 // source if the destination had no room, with the earlier copy at the destination as the fallback.
@@ -249,6 +252,7 @@
 	s := x.server
 	at := func(handle string) string { return s.wire.CopyAt(source.Entry.Address, handle) }
 	s.decide(func(_ time.Time, g *forward.Gate) {
+		x.stopped = c.stopped
 		to := x.destination(g, mv.order)
 		if o != msg.MoveNoRoom {
 			g.Redirect(x.call, to, at(c.last), &forward.Attempt{Upstream: source.Upstream, CopyAt: at(c.last)})
--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -20,6 +20,8 @@
 	id string
 	// events is the number of events produced so far.
 	events int
+	// reset is set once its connection was reset.
+	reset bool
 	// stopped is closed when the generation stops at this upstream.
 	stopped chan struct{}
 	once    sync.Once
@@ -148,6 +150,7 @@
 		})
 		if from, breaks := w.breaksFrom(fault, received); breaks && !a.Resumed && n >= from {
 			if n == from {
+				w.withLock(a, func() { gen.reset = true })
 				reset(flush)
 			}
 			continue
@@ -254,6 +257,7 @@
 	w.mu.Lock()
 	gen, inProgress := w.generations[m.ID], w.moving[m.ID]
 	w.moving[m.ID] = true
+	refuses := m.Last && w.RefusesStop && gen != nil && !gen.reset
 	w.mu.Unlock()
 	if inProgress {
 		rw.WriteHeader(http.StatusConflict)
@@ -265,7 +269,7 @@
 		return
 	}
 	to := w.workerAt(m.To)
-	if m.Last && w.RefusesStop {
+	if refuses {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -127,7 +127,7 @@
 	// then takes time, too.
 	QueueCopies bool
 	// StopTime is how much longer a copy takes that stops the generation. RefusesStop makes the engine turn such
-	// calls away, and go on.
+	// calls away, and go on, unless it has reset the connection of the stream.
 	StopTime    time.Duration
 	RefusesStop bool
 	// ReportLag is the age of what the load report says about generations.
