forward: a move that fails does not end with a refusal within a response

A call whose head has been forwarded without an event, and whose move finds no upstream that may go on, ended with a refusal: its status and body would have followed the head. No way to that was found on real connections, as the head is forwarded together with the first event.

Cause: resume took the number of events for the sign of a head.

Evidence: TestPropertyAttemptsKeepTheirPromises, which now plays moves that are ordered before or after the last event of the first part, and heads without events: "refusal sent after the response header was delivered" after 1,160 tests.

The property also shows that a moved stream goes on from a copy of that move, whichever events arrive before its first part ends, and never from a copy of an earlier one: it fails if an event discards the copies, or keeps those of a move that is over.

--- a/internal/core/forward/property_test.go
+++ b/internal/core/forward/property_test.go
@@ -21,7 +21,7 @@
 
 // runCall runs one call through a series of attempts. Each draw selects the outcome of an
 // attempt, the time that the attempt takes, whether it delivers an event, whether a move is
-// ordered before it ends, whether its upstream reports that it is full, and how a request for a permit
+// ordered before it ends, before or after the event, whether its upstream reports that it is full, and how a request for a permit
 // ends. The first draw selects how many
 // upstreams state a rate limit. runCall returns the violated rule, or "".
 func runCall(path string, draws []int) string {
@@ -82,17 +82,22 @@
 		if d&32 != 0 {
 			g.Observe(now, a.Upstream, full)
 		}
-		if c.Route.Kind == route.Stream && d&8 != 0 && (o == Cut || o == Done) {
+		moved, event := o == Cut && d&16 != 0, c.Route.Kind == route.Stream && d&8 != 0 && (o == Cut || o == Done)
+		to := g.roster.Find(fmt.Sprintf("u%d", d%4)) // a home of an earlier release may order any destination
+		redirect := func(before bool) {
+			if moved && before == (d&4 != 0) {
+				g.Redirect(c, to, "copy", &Attempt{Upstream: a.Upstream, CopyAt: "copy"})
+			}
+		}
+		redirect(true) // events of the source may arrive after that
+		if event {
 			c.Progress(now, "1")
-			headerDelivered = true
 			if began == nil {
 				began = &a.Entry
 			}
 		}
-		if o == Cut && d&16 != 0 {
-			to := g.roster.Find(fmt.Sprintf("u%d", d%4)) // a home of an earlier release may order any destination
-			g.Redirect(c, to, "copy", &Attempt{Upstream: a.Upstream, CopyAt: "copy"})
-		}
+		redirect(false)
+		headerDelivered = headerDelivered || event || c.Route.Kind == route.Stream && o == Cut
 		if o == NotSent && a.CopyAt == "" {
 			sends--
 		}
@@ -103,7 +108,17 @@
 			}
 		}
 		now = now.Add(time.Duration(d%7) * 20 * time.Millisecond)
+		goesOn := moved && (g.mayResumeAt(now, c, to) || g.mayResumeAt(now, c, a.Upstream))
 		s = g.Ended(now, c, o, headerDelivered)
+		switch {
+		case goesOn && s.Why != OutOfTime && !s.RequestPermit && (s.Send == nil || s.Send.CopyAt == ""):
+			return "a moved stream does not go on from its copy"
+		case s.Send == nil:
+		case event && !moved && s.Send.CopyAt != "":
+			return "a stream that has gone on from a copy goes on from another one"
+		case o == Done:
+			return "a complete stream goes on"
+		}
 	}
 	switch {
 	case runs > c.Route.MaxAttempts || sends > c.Route.MaxAttempts:
@@ -118,7 +133,8 @@
 
 // For any sequence of outcomes of a call's attempts: a call that is not repeatable runs at
 // most once, no call is sent more often than its route allows, and a status promises that the
-// call has not run only if that is true. A stream that has begun goes on at its software version only.
+// call has not run only if that is true. A stream that has begun goes on at its software version only. A moved one goes on
+// from a copy of that move, whichever events arrive before its first part ends, and never from a copy of an earlier move.
 func TestPropertyAttemptsKeepTheirPromises(t *testing.T) {
 	p := testkit.Parameters()
 	p.MinSuccessfulTests *= 3
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -203,7 +203,7 @@
 		c.resumeTargets = append(c.resumeTargets, &Attempt{Upstream: a.Upstream, CopyAt: a.CopyAt})
 	}
 	if len(c.resumeTargets) > 0 && o != Done && o != Cancelled {
-		c.mayHaveRun = true
+		c.mayHaveRun, c.headerDelivered = true, headerDelivered
 		return g.resume(now, c)
 	}
 	switch o {
