standin: a connection can be reset

The fault WorksOn promises a reset and closed in order: the connections of a stand-in server did not offer SetLinger, so that the reset was left out.

--- a/internal/standin/silence.go
+++ b/internal/standin/silence.go
@@ -172,6 +172,9 @@
 	return c.tcp.CloseWrite()
 }
 
+// SetLinger sets what becomes of what is not sent yet when the connection is closed; 0 resets the connection.
+func (c *linkConn) SetLinger(sec int) error { return c.tcp.SetLinger(sec) }
+
 // Close implements net.Conn. What is held is sent before.
 func (c *linkConn) Close() error {
 	c.mu.Lock()
