standin: engines break streams off within an event, send late second responses and mark runs

SetStreamFault gives streams a fault beside the one of SetFault: BreaksInOrder and BreaksReset end the connection within an event, Repeats sends each response again where the next one on its connection is expected, also the next one to the same request or to a call of the instance itself. With MarkRuns, events name the run that made them and where it began, so that events of two runs can be told apart.

--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -20,6 +20,8 @@
 	id string
 	// events is the number of events produced so far.
 	events int
+	// mark is the line that names its run, or "".
+	mark string
 	// stopped is closed when the generation stops at this upstream.
 	stopped chan struct{}
 	once    sync.Once
@@ -66,9 +68,10 @@
 // request with Last-Event-Id resumes after that event.
 func (w *Worker) serveStream(rw http.ResponseWriter, r *http.Request, a *Arrival, fault Fault) {
 	received := 0 // number of events that the caller has already
+	var c *generation
 	if from := r.Header.Get("Kv-From"); from != "" {
 		source, handle, _ := strings.Cut(from, "/")
-		c := w.takeCopy(source, handle)
+		c = w.takeCopy(source, handle)
 		if c == nil || c.id != a.ID {
 			w.withLock(a, func() { a.Ran = false })
 			rw.Header().Set("Not-Executed", "1")
@@ -98,6 +101,7 @@
 	w.withLock(a, func() {
 		w.generations[a.ID] = gen
 		w.reported = append(w.reported, gen)
+		w.markRun(gen, c, received)
 		w.stateSpeed(rw.Header())
 	})
 	end := sync.OnceFunc(func() {
@@ -121,6 +125,7 @@
 		rw = b
 	}
 	flush := http.NewResponseController(rw)
+	var sent strings.Builder // for the fault Repeats
 	before := w.EventEvery
 	if !a.Resumed {
 		before += w.Prefill
@@ -148,6 +153,10 @@
 			_ = flush.Flush()                             // an error means that the caller has disconnected
 			panic(http.ErrAbortHandler)
 		}
+		text := gen.mark + w.event(a.ID, n)
+		if breakWithin(rw, fault, a.ID, text, w.EventCount-n) {
+			return
+		}
 		w.withLock(a, func() {
 			gen.events, a.Events = n, a.Events+1
 			gen.produced = append(gen.produced, time.Now())
@@ -159,7 +168,7 @@
 			continue
 		}
 		w.limitUnread(flush)
-		if _, err := io.WriteString(rw, w.event(a.ID, n)); err != nil {
+		if _, err := io.WriteString(rw, text); err != nil {
 			w.cutUnread(a, err)
 			return
 		}
@@ -167,7 +176,11 @@
 			w.cutUnread(a, err)
 			return
 		}
+		if fault == Repeats {
+			sent.WriteString(text)
+		}
 	}
+	w.keepAnswer(r, http.StatusOK, rw.Header(), sent.String())
 }
 
 // breaksFrom returns the event from which on a fault keeps the events of a stream from its caller.
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -144,6 +145,8 @@
 	// marks none. NoVersion leaves it out of the upstream's row.
 	Software  string
 	NoVersion bool
+	// MarkRuns makes each event name its run; see RunMark.
+	MarkRuns bool
 
 	server *standin.Server
 	// listedAddress is the address in the upstream's row, at which instances connect.
@@ -161,6 +164,11 @@
 	fault Fault
 	// bareStreams makes streams end with their connection; see SetBareStreams.
 	bareStreams bool
+	// streamFault is the fault that SetStreamFault sets, and late holds what the fault Repeats sends again. runs is the
+	// number of runs that were marked.
+	streamFault Fault
+	late        map[net.Conn]string
+	runs        int
 	state       string
 	// withdrawn is set once the upstream has removed its row.
 	withdrawn bool
@@ -384,6 +392,7 @@
 	if w.serveEndless(rw, r) {
 		return
 	}
+	w.repeatAnswer(r)
 	rw.Header().Set(HeaderWorker, w.ID)
 	if w.closesConnections() {
 		rw.Header().Set("Connection", "close")
@@ -411,7 +420,7 @@
 		return
 	}
 	w.mu.Lock()
-	fault := w.fault
+	fault := cmp.Or(w.fault, w.streamFault)
 	w.mu.Unlock()
 	if fault == Early {
 		w.respondEarly(rw, r)
@@ -433,11 +442,13 @@
 	if a.Pause > 0 {
 		rw.Header().Set("Not-Executed", "1")
 		rw.Header().Set("Retry-After", strconv.FormatFloat(a.Pause.Seconds(), 'f', -1, 64))
+		w.keepAnswer(r, http.StatusServiceUnavailable, rw.Header(), "")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	if fault == Full {
 		rw.Header().Set("Not-Executed", "1")
+		w.keepAnswer(r, http.StatusServiceUnavailable, rw.Header(), "")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -115,7 +115,7 @@
 func (w *World) newWorker(id, service string, configure func(*Worker)) *Worker {
 	k := &Worker{
 		ID: id, Service: service, Born: time.Now().UnixMilli(), Zone: DefaultZone, coldPerS: w.ColdPerS, state: "ready", table: w.Table, quietHeartbeats: w.QuietHeartbeats,
-		generations: map[string]*generation{}, moving: map[string]bool{}, copies: map[string]*generation{}, copiesSent: map[string]*Worker{}, workerAt: w.workerAt, crashOn: w.crashOn, stop: make(chan struct{}),
+		generations: map[string]*generation{}, moving: map[string]bool{}, copies: map[string]*generation{}, copiesSent: map[string]*Worker{}, workerAt: w.workerAt, crashOn: w.crashOn, stop: make(chan struct{}), late: map[net.Conn]string{},
 	}
 	configure(k)
 	return k
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -46,7 +46,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.address = ln.Addr().String()
-	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: 10 * time.Second}
+	s.server = &http.Server{Handler: s.handler, ReadHeaderTimeout: 10 * time.Second, ConnContext: withConn}
 	tcp := ln.(*net.TCPListener)
 	go func(srv *http.Server) {
 		_ = srv.Serve(&linkListener{TCPListener: tcp, link: &s.link, sendBuffer: s.sendBuffer}) // returns after Close
@@ -54,6 +54,16 @@
 	return nil
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ConnOf returns the connection of a request.
+func ConnOf(r *http.Request) net.Conn { return r.Context().Value(connKey{}).(net.Conn) }
+
 // Address returns the server's address as host:port.
 func (s *Server) Address() string {
 	s.mu.Lock()
