proctest: show that a part of a plain answer looks complete if its upstream crashes and returns

What callers see: half of an answer as the whole one, with the upstream's signature.

Cause: an upstream of a plain service proves by a new connection that its process goes on. If it has started again at its address before the instance asks, as where the instance was paused, the new process accepts the connection. Engines are not concerned, their reports state the start of the process.

Stand-in upstreams can be restarted with their id and address (World.Restart).

--- a/internal/proctest/hosted_bare_test.go
+++ b/internal/proctest/hosted_bare_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
 // startBareGenerations does the same as startGenerations on engines whose streams end with their connections.
@@ -75,3 +78,41 @@
 		})
 	}
 }
+
+// An upstream of a plain service crashes in the middle of an answer without a length and starts again at its address,
+// while the instance is paused. The upstream that accepts connections is another process, and the answer must not look
+// complete.
+func TestHostedAnswersWithoutALengthOfAnUpstreamThatReturns(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	for _, k := range f.desk {
+		k.Work = 300 * time.Millisecond
+		k.SetFault(hosting.CrashInAnswer)
+	}
+	var r result
+	var wg sync.WaitGroup
+	wg.Go(func() { r = f.do(f.machines[0], booking("cut")) })
+	var reached *hosting.Worker
+	testkit.Eventually(t, waitTimeout, "an upstream has got the request", func() bool {
+		for _, k := range f.desk {
+			if len(k.Arrivals()) > 0 {
+				reached = k
+			}
+		}
+		return reached != nil
+	})
+	if err := f.procs[0].signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * reached.Work)
+	if _, err := f.Restart(reached, func(k *hosting.Worker) { k.Work = reached.Work }); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.procs[0].signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	wg.Wait()
+	if r.status == http.StatusOK && !r.truncated {
+		t.Errorf("a complete response with body %q, of which the upstream has sent half; want none", r.body)
+	}
+}
--- a/internal/standin/hosting/streamfaults.go
+++ b/internal/standin/hosting/streamfaults.go
@@ -38,7 +38,7 @@
 		gen.mark = from.mark
 	default:
 		w.runs++
-		gen.mark = fmt.Sprintf("%s%s.%d after %d\n", RunMark, w.ID, w.runs, after)
+		gen.mark = fmt.Sprintf("%s%s.%d.%d after %d\n", RunMark, w.ID, w.Born, w.runs, after)
 	}
 }
 
--- a/internal/standin/hosting/world.go
+++ b/internal/standin/hosting/world.go
@@ -111,6 +111,18 @@
 	return k, nil
 }
 
+// Restart starts an upstream that has crashed again, with its id and its address.
+func (w *World) Restart(crashed *Worker, configure func(*Worker)) (*Worker, error) {
+	k := w.newWorker(crashed.ID, crashed.Service, configure)
+	var err error
+	if k.server, err = standin.Start(crashed.server.Address(), k); err != nil {
+		return nil, err
+	}
+	k.listedAddress = crashed.listedAddress
+	w.register(k)
+	return k, nil
+}
+
 // newWorker returns an upstream that is not started yet.
 func (w *World) newWorker(id, service string, configure func(*Worker)) *Worker {
 	k := &Worker{
