proctest: the soak ends streams with their connections, breaks them off within events and has callers of HTTP/1.0

The soak let engines answer in chunks only, with a proper end, and always go on after Last-Event-Id, so that it could not see a stream that is cut short or events of two runs. Now, by a random source of its own, so that the other faults of a seed stay as they are:

- engines end streams with their connections, break off within an event, in order or with a reset, send late second responses, begin anew or leave events out; they crash without a notice, and half of them start again at once with their id and address
- upstreams of the plain service crash within an answer without a length
- instances are terminated, killed and restarted in a row, also while others are
- four more callers keep their connections until the instance closes them or speak HTTP/1.0

Each stream is checked, also those that were broken off: its events follow each other, and one run made them, or runs that began after the last event of the one before; a complete one has all events.

--- a/internal/proctest/hosted_world_test.go
+++ b/internal/proctest/hosted_world_test.go
@@ -277,11 +277,11 @@
 	return b.String()
 }
 
-// unmarked returns a stream without the marks of software versions.
+// unmarked returns a stream without the marks of software versions and runs.
 func unmarked(body string) string {
 	var b strings.Builder
 	for line := range strings.Lines(body) {
-		if !strings.HasPrefix(line, hosting.SoftwareMark) {
+		if !strings.HasPrefix(line, hosting.SoftwareMark) && !strings.HasPrefix(line, hosting.RunMark) {
 			b.WriteString(line)
 		}
 	}
--- a/internal/proctest/soak_silence_test.go
+++ b/internal/proctest/soak_silence_test.go
@@ -12,7 +12,7 @@
 
 // soakEngine makes an engine copy generations one after another and report as late as real ones do.
 func soakEngine(k *hosting.Worker) {
-	k.EventEvery, k.EventCount, k.CopyTime, k.QueueCopies, k.ReportLag = 25*time.Millisecond, streamEvents, 30*time.Millisecond, true, reportLag
+	k.EventEvery, k.EventCount, k.CopyTime, k.QueueCopies, k.ReportLag, k.MarkRuns = 25*time.Millisecond, streamEvents, 30*time.Millisecond, true, reportLag, true
 }
 
 // silenceUpstreams makes up to three upstreams silent at times, each again only some time after its last silence.
--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -39,6 +39,8 @@
 const (
 	// soakCallers is the number of callers for each instance. Each sends one request at a time.
 	soakCallers = 3
+	// keptCallers is the number of callers with a keptTransport.
+	keptCallers = 4
 	// behindRelay is the prefix of the ids of upstreams behind relays.
 	behindRelay = "behind-relay-"
 	// recoveryTimeout is the maximum time from the last fault until every instance serves requests.
@@ -62,6 +64,9 @@
 	// endlessRand draws responses without an end, of which there were endlessSpells.
 	endlessRand   *rand.Rand
 	endlessSpells int
+	// streamRand draws the faults of streams and the restarts in series. streamsServed is the number of complete streams.
+	streamRand    *rand.Rand
+	streamsServed int
 	// storeReturns is the number of returns.
 	storeReturns int
 	// silences holds the silences of each upstream, with the id of the upstream, and left when upstreams
@@ -104,6 +109,8 @@
 	delivery
 	// after is the last event that the caller had of a stream that it took up.
 	after int
+	// http10 is set if the response ends with its connection.
+	http10 bool
 }
 
 func TestSoak(t *testing.T) {
@@ -119,7 +126,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		fixture: newFixtureWith(t, "", func(*hosting.World) {}, soakEngine), t: t, rand: rand.New(rand.NewPCG(seed, seed)), loadRand: rand.New(rand.NewPCG(seed, seed+1)),
-		silenceRand: rand.New(rand.NewPCG(seed, seed+2)), storeRand: rand.New(rand.NewPCG(seed, seed+3)), endlessRand: rand.New(rand.NewPCG(seed, seed+4)), left: map[string]time.Time{}, stop: make(chan struct{}),
+		silenceRand: rand.New(rand.NewPCG(seed, seed+2)), storeRand: rand.New(rand.NewPCG(seed, seed+3)), endlessRand: rand.New(rand.NewPCG(seed, seed+4)), streamRand: rand.New(rand.NewPCG(seed, seed+5)), left: map[string]time.Time{}, stop: make(chan struct{}),
 		requests: map[string]sentRequest{}, key: hosting.Key, revoked: map[string]time.Time{}, storeFaultSince: map[string]time.Time{},
 	}
 	s.addRelays()
@@ -134,7 +141,12 @@
 	var callers sync.WaitGroup
 	for k := range soakCallers * len(s.machines) {
 		r := rand.New(rand.NewPCG(seed, uint64(k)+100))
-		callers.Go(func() { s.sendRequests(k, r) })
+		callers.Go(func() { s.sendRequests(k, r, nil) })
+	}
+	for k := range keptCallers {
+		k := 3 * (soakCallers*len(s.machines) + k) // a caller of streams
+		r := rand.New(rand.NewPCG(seed, uint64(k)+100))
+		callers.Go(func() { s.sendRequests(k, r, &keptTransport{http10: k%2 == 0}) })
 	}
 	callers.Go(s.sendSlowRequests)
 	for end := time.Now().Add(*soakDuration); time.Now().Before(end); {
@@ -143,6 +155,7 @@
 		s.silenceUpstreams()
 		s.disturbStore()
 		s.sendWithoutEnd()
+		s.disturbStreams()
 		time.Sleep(time.Duration(100+s.rand.IntN(500)) * time.Millisecond)
 	}
 	s.restarts.Wait()
@@ -151,7 +164,7 @@
 	callers.Wait()
 	s.check()
 	s.checkMemory()
-	t.Logf("seed=%d requests=%d served=%d taken_up=%+v silences=%d returns=%d withdrawals=%d endless=%d", seed, len(s.requests), s.served, s.taken, len(s.silences), s.storeReturns, len(s.withdrawals), s.endlessSpells)
+	t.Logf("seed=%d requests=%d served=%d taken_up=%+v silences=%d returns=%d withdrawals=%d endless=%d streams=%d", seed, len(s.requests), s.served, s.taken, len(s.silences), s.storeReturns, len(s.withdrawals), s.endlessSpells, s.streamsServed)
 }
 
 // addRelays adds an upstream of each service behind a relay.
@@ -192,14 +205,17 @@
 	}
 }
 
-// sendRequests sends requests until the run ends.
-func (s *soak) sendRequests(caller int, r *rand.Rand) {
+// sendRequests sends requests until the run ends, through a transport of its own if kept is not nil.
+func (s *soak) sendRequests(caller int, r *rand.Rand, kept *keptTransport) {
 	// Half of the callers keep a connection open until it fails, even if the instance announces
 	// that it drains. Look-ups use new connections, as net/http itself retries them when a
 	// persistent connection breaks.
 	persistent := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
 	defer persistent.CloseIdleConnections()
 	newConnections := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	if kept != nil {
+		defer kept.close()
+	}
 	at := r.IntN(len(s.machines))
 	for k := 0; ; k++ {
 		select {
@@ -227,10 +243,13 @@
 		}
 		s.mu.Unlock()
 		a := sentRequest{call: c, sent: time.Now()}
-		m, transport := s.machines[at], persistent
+		m, transport := s.machines[at], http.RoundTripper(persistent)
 		if caller%2 == 0 || caller%3 == 2 {
 			m, transport = s.machines[r.IntN(len(s.machines))], newConnections
 		}
+		if kept != nil {
+			transport, a.http10 = kept, kept.http10
+		}
 		a.instance, a.result = m.Name, s.doOn(transport, m, c)
 		a.at = time.Now()
 		if a.result.err != nil {
@@ -497,6 +516,8 @@
 	arrivals := s.Arrivals()
 	for id, a := range s.requests {
 		list := arrivals[id]
+		a.result.truncated = a.result.truncated || s.endUnknown(a)
+		checkOrder(s.t, a)
 		once := !strings.HasPrefix(a.path, hosting.PathBrief) && !strings.HasPrefix(a.path, hosting.PathLookUp)
 		if n := countRuns(list); once && n > 1 {
 			s.t.Errorf("%s ran %d times, want at most once", id, n)
@@ -508,6 +529,9 @@
 		}
 		if a.result.status == http.StatusOK && !a.result.truncated {
 			checkSuccess(s.t, a, list)
+			if a.isStream() {
+				s.streamsServed++
+			}
 		}
 		s.checkNotEnded(a, list, once)
 		s.mu.Lock()
