proctest: show that an older copy of the store confirms a key that was revoked

What upstreams see: requests with a key that was revoked longer ago than the bound of revocation allows.

Cause: a configuration of the store that has come back from a copy confirms the one in force unless it is older than that (follower.adopt). An instance that the store did not respond to when the key was revoked has the copy's version in force, and takes it for the newest until the operator has written the configuration again.

--- a/internal/proctest/hosted_era_test.go
+++ b/internal/proctest/hosted_era_test.go
@@ -54,6 +54,32 @@
 	}
 }
 
+// A key is revoked while the store responds to nobody, and the store comes back from a copy that was made before. The
+// old configuration in it must not count as the newest, as the revocation was acknowledged: the key's time is up.
+func TestHostedACopyDoesNotConfirmAKeyThatWasRevokedBefore(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	time.Sleep(2 * time.Second)
+	f.Table.Set(hosting.Silent)
+	f.Configure(func(c map[string]any) {
+		c["tenants"] = []map[string]any{{"name": hosting.Owner, "api_keys": []string{"key-two"}, "priority": 1}}
+	})
+	revoked := time.Now()
+	time.Sleep(1500 * time.Millisecond)
+	f.Restore(3*time.Second, 200*time.Millisecond, 2500*time.Millisecond)
+	for k := 0; time.Since(revoked) < 5*time.Second; k++ {
+		for _, m := range f.machines {
+			sent := time.Since(revoked)
+			r := f.do(m, lookUp(fmt.Sprintf("old-key-%s-%d", m.Name, k)))
+			if sent > hosting.RevokeWithin && r.status == http.StatusOK {
+				t.Errorf("%s accepts the key %v after it was revoked, want a refusal after %v", m.Name, sent.Round(time.Millisecond), hosting.RevokeWithin)
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // The store comes back from a copy that was made before a data centre was cordoned. Its upstreams must get nothing
 // until the operator has written the cordon again.
 func TestHostedCordonsStayWhenTheStoreComesBackFromACopy(t *testing.T) {
