proctest: an engine of the soak that crashes twice is excused from its first crash on

A stream that the first crash broke off counted as ended though its engine was sound: the time of the second crash had replaced the first.

--- a/internal/proctest/soak_streams_test.go
+++ b/internal/proctest/soak_streams_test.go
@@ -51,7 +51,9 @@
 func (s *soak) crashEngine() {
 	k, bare := s.streamRand.IntN(len(s.pool)), s.streamRand.IntN(2) == 0
 	w := s.pool[k]
-	s.left[w.ID] = time.Now()
+	if _, before := s.left[w.ID]; !before { // it may have crashed and started again before
+		s.left[w.ID] = time.Now()
+	}
 	w.Crash()
 	configure := func(e *hosting.Worker) {
 		soakEngine(e)
