proctest: show that a stream without a length looks complete if a limited engine crashes and returns

What callers see: a complete response that lacks its last events.

Cause: where the rate limit of an engine, or a pause that it asked for, permits no probe, checkUpstreamGoesOn takes a new connection as the proof that its process goes on. An engine that has started again at its address accepts it.

--- a/internal/proctest/hosted_bare_test.go
+++ b/internal/proctest/hosted_bare_test.go
@@ -79,40 +79,64 @@
 	}
 }
 
-// An upstream of a plain service crashes in the middle of an answer without a length and starts again at its address,
-// while the instance is paused. The upstream that accepts connections is another process, and the answer must not look
-// complete.
-func TestHostedAnswersWithoutALengthOfAnUpstreamThatReturns(t *testing.T) {
-	t.Parallel()
-	f := newFixture(t)
-	for _, k := range f.desk {
-		k.Work = 300 * time.Millisecond
-		k.SetFault(hosting.CrashInAnswer)
-	}
-	var r result
-	var wg sync.WaitGroup
-	wg.Go(func() { r = f.do(f.machines[0], booking("cut")) })
+// returnInPause sends a request to an instance and pauses that. Meanwhile the upstream that has got the request ends
+// and starts again at its address. It returns the response.
+func (f *fixture) returnInPause(t *testing.T, c call, upstreams []*hosting.Worker) (r result) {
+	t.Helper()
 	var reached *hosting.Worker
+	var wg sync.WaitGroup
+	wg.Go(func() { r = f.do(f.machines[0], c) })
 	testkit.Eventually(t, waitTimeout, "an upstream has got the request", func() bool {
-		for _, k := range f.desk {
+		for _, k := range upstreams {
 			if len(k.Arrivals()) > 0 {
 				reached = k
 			}
 		}
 		return reached != nil
 	})
+	time.Sleep(100 * time.Millisecond)
 	if err := f.procs[0].signal(syscall.SIGSTOP); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(2 * reached.Work)
-	if _, err := f.Restart(reached, func(k *hosting.Worker) { k.Work = reached.Work }); err != nil {
+	time.Sleep(300 * time.Millisecond)
+	reached.Crash()
+	_, err := f.Restart(reached, func(k *hosting.Worker) {
+		k.Work, k.EventCount, k.EventEvery = reached.Work, reached.EventCount, reached.EventEvery
+	})
+	if err != nil {
 		t.Fatal(err)
 	}
 	if err := f.procs[0].signal(syscall.SIGCONT); err != nil {
 		t.Fatal(err)
 	}
 	wg.Wait()
-	if r.status == http.StatusOK && !r.truncated {
+	return r
+}
+
+// An upstream of a plain service crashes in the middle of an answer without a length and starts again at its address,
+// while the instance is paused. The upstream that accepts connections is another process, and the answer must not look
+// complete.
+func TestHostedAnswersWithoutALengthOfAnUpstreamThatReturns(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	for _, k := range f.desk {
+		k.Work = 300 * time.Millisecond
+		k.SetFault(hosting.CrashInAnswer)
+	}
+	if r := f.returnInPause(t, booking("cut"), f.desk); r.status == http.StatusOK && !r.truncated {
 		t.Errorf("a complete response with body %q, of which the upstream has sent half; want none", r.body)
 	}
 }
+
+// The same for a stream of an engine that states a low rate limit, so that it may not be asked for a report.
+func TestHostedStreamsWithoutALengthOfALimitedEngineThatReturns(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	for _, k := range f.pool {
+		k.SetBareStreams(true)
+		k.SetLimit(0.2)
+	}
+	if r := f.returnInPause(t, generation("cut"), f.pool); r.status == http.StatusOK && !r.truncated {
+		t.Errorf("a complete response with %d of %d events, want none", strings.Count(r.body, "\n\n"), streamEvents)
+	}
+}
