proctest: an engine of the soak that crashes and then leaves is excused from its crash on

A stream that the crash broke off counted as ended though its engine was sound: the time at which the engine left later had replaced that of the crash.

--- a/internal/proctest/soak_streams_test.go
+++ b/internal/proctest/soak_streams_test.go
@@ -51,9 +51,7 @@
 func (s *soak) crashEngine() {
 	k, bare := s.streamRand.IntN(len(s.pool)), s.streamRand.IntN(2) == 0
 	w := s.pool[k]
-	if _, before := s.left[w.ID]; !before { // it may have crashed and started again before
-		s.left[w.ID] = time.Now()
-	}
+	s.noteLeft(w)
 	w.Crash()
 	configure := func(e *hosting.Worker) {
 		soakEngine(e)
@@ -72,6 +70,13 @@
 	s.pool[k] = again
 }
 
+// noteLeft records that an engine leaves, unless it has crashed and started again before.
+func (s *soak) noteLeft(w *hosting.Worker) {
+	if _, before := s.left[w.ID]; !before {
+		s.left[w.ID] = time.Now()
+	}
+}
+
 // crashDesk makes an upstream of the plain service crash in its next response, or after a second, and adds another
 // one. It is none behind a relay, which accepts connections to an upstream that has crashed.
 func (s *soak) crashDesk() {
--- a/internal/proctest/soak_upstreams_test.go
+++ b/internal/proctest/soak_upstreams_test.go
@@ -17,7 +17,7 @@
 func (s *soak) replaceEngine() {
 	k := s.rand.IntN(len(s.pool))
 	w := s.pool[k]
-	s.left[w.ID] = time.Now()
+	s.noteLeft(w)
 	w.Leave()
 	time.AfterFunc(700*time.Millisecond, func() { w.Crash(); w.Vanish() })
 	if s.loadRand.IntN(3) == 0 {
