--- a/internal/proctest/soak_streams_test.go
+++ b/internal/proctest/soak_streams_test.go
@@ -33,7 +33,11 @@
 			w.SetBareStreams(r.IntN(4) > 0)
 		}
 	case 3, 4, 5:
-		engine.SetStreamFault(streamFaults[r.IntN(len(streamFaults))])
+		fault := streamFaults[r.IntN(len(streamFaults))]
+		engine.SetStreamFault(fault)
+		for k := 0; fault == hosting.Repeats && k < len(s.pool); k++ { // few connections are used again
+			s.pool[k].SetStreamFault(fault)
+		}
 	case 6:
 		for _, w := range s.pool {
 			w.SetStreamFault(hosting.None)
