standin: an engine that leaves events out does not leave out the last one

An engine that left out all events that were missing sent a response without events, as one does that was to go on after the last event. TestHostedStreamsThatDoNotGoOnWhereTheyEnded passes as before.

--- a/internal/standin/hosting/engine.go
+++ b/internal/standin/hosting/engine.go
@@ -85,7 +85,7 @@
 		case BeginsAnew:
 			received = 0
 		case Skips:
-			received += 2
+			received = max(received, min(received+2, w.EventCount-1))
 		}
 	}
 	if fault == Bare || fault == BareEmpty || fault == BareCut {
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -56,7 +56,8 @@
 	Bare      Fault = "bare"
 	BareEmpty Fault = "bare_empty"
 	BareCut   Fault = "bare_cut"
-	// BeginsAnew ignores the event after which a stream is to go on, and Skips leaves out the next two events.
+	// BeginsAnew ignores the event after which a stream is to go on, and Skips leaves out the next two events, but
+	// not the last one of all: a response without events would say that there are none.
 	BeginsAnew Fault = "begins_anew"
 	Skips      Fault = "skips"
 	// Early responds before it has read the body.
