hosted: a limited engine proves the end of a stream by its report only

What callers saw: a complete response that lacks its last events, where an engine that states a rate limit crashes and starts again at its address at once.

Cause: where the limit or a pause permits no question, a new connection counted as the proof, and the engine that had started again accepted it.

--- a/internal/hosted/streamend.go
+++ b/internal/hosted/streamend.go
@@ -73,15 +73,14 @@
 	}
 }
 
-// checkUpstreamGoesOn reports whether the process of an attempt's upstream goes on, by its report or, where it gives
-// none, by a new connection. An error means that it was not reached.
+// checkUpstreamGoesOn reports whether the process of an attempt's upstream goes on, by its report or, where its service
+// gives none, by a new connection. An error means that it was not reached, or may not be asked at present.
 func (x *exchange) checkUpstreamGoesOn(ctx context.Context, a *forward.Attempt) (bool, error) {
 	s, reports := x.server, false
 	s.decide(func(_ time.Time, g *forward.Gate) { reports = g.Reports(x.call.Service) })
 	if reports {
 		report, err := s.requestReport(ctx, a.Entry.Address)
 		switch {
-		case errors.Is(err, errNotPermitted):
 		case err != nil:
 			return false, err
 		case report.Status != http.StatusOK && report.Status != http.StatusNotFound:
