hosted: a late response to a request is not taken for that to a call

What callers could see: a complete response without its last events, or a generation that is lost as it is moved, where an upstream sends a second, late response to a caller's request.

Cause: such a response arrives where the next one is due, and its id tells. Only callers' requests were checked; a report, the order to move and that to drop a copy use the same connections. Any response counted there: one in JSON as a report without generations, which proves the end of a stream, one with status 404 as word that the generation has ended. The right response then was that to the next call.

Now a response that bears the id of a request other than the one that the call is about fails the call and closes the connection. The callers of call treat that as a lost response.

TestALateResponseIsNotThatToACall failed before. It was not seen on real processes.

--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -70,6 +70,11 @@
 		return callResponse{}, err
 	}
 	s.paths.heard(c, address)
+	if !s.wire.DecodeResponse(resp, "").Matches && !s.wire.DecodeResponse(resp, call.Request).Matches {
+		c.Close() // a late response to a caller's request
+		s.metrics.Count("late_answers_total", "dropped")
+		return callResponse{}, errOtherRequest
+	}
 	s.observeStatementFrom(address, sentAt, resp)
 	got := callResponse{status: resp.StatusCode, closing: resp.Close}
 	got.body, err = readCallBody(c, resp)
--- a/internal/hosted/call_test.go
+++ b/internal/hosted/call_test.go
@@ -25,6 +25,9 @@
 	return UpstreamCall{Method: http.MethodGet, Target: "/state"}
 }
 func (fakeWire) DecodeReport([]byte) (Report, error) { return Report{}, nil }
+func (fakeWire) DecodeResponse(resp *http.Response, id string) Response {
+	return Response{Matches: resp.Header.Get("Attempt-Id") == id}
+}
 
 // A leaving upstream closes each connection immediately, while its report lags. An upstream that
 // stays also closes a connection occasionally. If it were considered leaving because of that, all
@@ -85,3 +88,33 @@
 		t.Errorf("%d connections for %d calls, want a new one for each", n, calls)
 	}
 }
+
+// A late second response to a caller's request arrives where a report, or the response to an order to move, is due. It must
+// not be taken for that, nor that for the response to the next call on the connection.
+func TestALateResponseIsNotThatToACall(t *testing.T) {
+	connections := map[string]int{}
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if connections[r.RemoteAddr]++; len(connections) == 1 {
+			w.Header().Set("Attempt-Id", "another")
+		}
+	}))
+	defer upstream.Close()
+	s := &server{wire: fakeWire{}, conns: conn.NewPool(), gate: forward.New(forward.Options{}), metrics: metrics.NewMetrics(), log: hclog.NewNullLogger()}
+	s.paths = pathsWithoutPeers(s)
+	address := strings.TrimPrefix(upstream.URL, "http://")
+	for _, want := range []error{errOtherRequest, nil} {
+		if _, err := s.requestReport(t.Context(), address); !errors.Is(err, want) {
+			t.Errorf("error %v, want %v", err, want)
+		}
+	}
+	if len(connections) != 2 {
+		t.Errorf("%d connections, want another one after the late response", len(connections))
+	}
+	for id, want := range map[string]error{"own": errOtherRequest, "another": nil} {
+		clear(connections)
+		s.conns = conn.NewPool()
+		if _, err := s.call(t.Context(), address, UpstreamCall{Method: http.MethodPost, Target: "/move", Body: []byte("{}"), Request: id}); !errors.Is(err, want) {
+			t.Errorf("call about %s: error %v, want %v", id, err, want)
+		}
+	}
+}
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -74,6 +74,8 @@
 	Method string
 	Target string
 	Body   []byte
+	// Request is the id of the request that the call is about, "" if there is none.
+	Request string
 }
 
 // CopyResult is an upstream's response to a request to copy a generation's memory.
