--- a/internal/core/forward/property_test.go
+++ b/internal/core/forward/property_test.go
@@ -78,6 +78,12 @@
 		if ran && !c.Route.Repeatable() && a.CopyAt == "" {
 			return "unrepeatable call sent again after it may have run"
 		}
+		if headerDelivered && c.Route.Kind != route.Stream {
+			return "plain call sent again after the header of a response was delivered"
+		}
+		if c.Events > 0 && c.LastEvent == "" {
+			return "stream sent again though it is not known after which event it goes on"
+		}
 		o := outcomes[d%len(outcomes)]
 		if d&32 != 0 {
 			g.Observe(now, a.Upstream, full)
@@ -91,13 +97,13 @@
 		}
 		redirect(true) // events of the source may arrive after that
 		if event {
-			c.Progress(now, "1")
+			c.Progress(now, []string{"1", ""}[d>>6])
 			if began == nil {
 				began = &a.Entry
 			}
 		}
 		redirect(false)
-		headerDelivered = headerDelivered || event || c.Route.Kind == route.Stream && o == Cut
+		headerDelivered = headerDelivered || event || o == Cut
 		if o == NotSent && a.CopyAt == "" {
 			sends--
 		}
@@ -108,7 +114,8 @@
 			}
 		}
 		now = now.Add(time.Duration(d%7) * 20 * time.Millisecond)
-		goesOn := moved && (g.mayResumeAt(now, c, to) || g.mayResumeAt(now, c, a.Upstream))
+		known := c.Route.Kind == route.Stream && (c.Events == 0 || c.LastEvent != "") // where to go on
+		goesOn := moved && known && (g.mayResumeAt(now, c, to) || g.mayResumeAt(now, c, a.Upstream))
 		s = g.Ended(now, c, o, headerDelivered)
 		switch {
 		case goesOn && s.Why != OutOfTime && !s.RequestPermit && (s.Send == nil || s.Send.CopyAt == ""):
@@ -133,15 +140,16 @@
 
 // For any sequence of outcomes of a call's attempts: a call that is not repeatable runs at
 // most once, no call is sent more often than its route allows, and a status promises that the
-// call has not run only if that is true. A stream that has begun goes on at its software version only. A moved one goes on
-// from a copy of that move, whichever events arrive before its first part ends, and never from a copy of an earlier move.
+// call has not run only if that is true. No plain call is sent again once its caller has the header of a response. A stream
+// that has begun goes on at its software version only. A moved one goes on from a copy of that move, whichever events
+// arrive before its first part ends, and never from a copy of an earlier move.
 func TestPropertyAttemptsKeepTheirPromises(t *testing.T) {
 	p := testkit.Parameters()
 	p.MinSuccessfulTests *= 3
 	props := gopter.NewProperties(p)
 	props.Property("no call runs or is sent more often than its route allows, and none that may have run is reported as not run", prop.ForAll(
 		func(path int, draws []int) string { return runCall(paths[path], draws) },
-		gen.IntRange(0, len(paths)-1), gen.SliceOfN(24, gen.IntRange(0, 63)),
+		gen.IntRange(0, len(paths)-1), gen.SliceOfN(24, gen.IntRange(0, 127)),
 	))
 	props.TestingRun(t)
 }
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -25,6 +25,10 @@
 // errUnsigned reports a success response that lacks the upstream's signature.
 var errUnsigned = errors.New("success response lacks the upstream's signature")
 
+// errNoStream reports a response without events to a request that goes on with a stream. It can't follow the events
+// that the caller has.
+var errNoStream = errors.New("response to a resumed stream has no events")
+
 // bufferedResponse is an upstream's response whose body was read into memory.
 type bufferedResponse struct {
 	status int
@@ -35,7 +39,8 @@
 
 // readResponse reads the head of the response to this request. A late response to an earlier
 // request on the connection is read to its end and dropped. If it is longer than
-// maxBufferedResponse, the attempt ends: its rest must not be read as the head of the next response.
+// maxBufferedResponse, the attempt ends: its rest must not be read as the head of the next response. The same holds for
+// its body if this request is HEAD, as a response to HEAD is read without one.
 func (x *exchange) readResponse(c *conn.Conn, a *forward.Attempt) (*http.Response, Response, error) {
 	giveUpAt := time.Now().Add(a.CancelAt.Sub(a.Sent))
 	if !a.CancelAt.IsZero() {
@@ -61,7 +66,7 @@
 		x.server.observeStatement(a.Upstream, time.Time{}, resp)
 		x.server.metrics.Count("late_answers_total", "dropped")
 		_, err = io.Copy(io.Discard, http.MaxBytesReader(nil, resp.Body, maxBufferedResponse))
-		if err != nil || resp.Close {
+		if err != nil || resp.Close || x.r.Method == http.MethodHead {
 			return nil, Response{}, errors.Join(errOtherRequest, overLimit(err, conn.PartBody))
 		}
 	}
@@ -122,14 +127,15 @@
 		return forward.Lost, err
 	case success && !ans.Signed:
 		return forward.Lost, errUnsigned
+	case x.headSent:
+		return forward.Failed, errNoStream
 	}
 	if x.framing == conn.FramedByClose {
 		if err := x.awaitEndProof(a); err != nil {
 			return forward.Lost, err
 		}
 	}
-	switch {
-	case resp.StatusCode >= http.StatusInternalServerError || forward.PromisesNotRun(resp.StatusCode):
+	if resp.StatusCode >= http.StatusInternalServerError || forward.PromisesNotRun(resp.StatusCode) {
 		// Unless the upstream states otherwise, it may have run the request.
 		x.upstreamError = h
 		return forward.Failed, nil
@@ -196,7 +202,13 @@
 	}
 	x.server.wire.CopyHeaders(x.w.Header(), h.header, h.signed)
 	suppressContentSniffing(x.w.Header())
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
+	length := strconv.Itoa(len(h.body))
+	if x.r.Method == http.MethodHead {
+		length = h.header.Get("Content-Length")
+	}
+	if length != "" {
+		x.w.Header().Set("Content-Length", length)
+	}
 	x.markHeadSent()
 	x.w.WriteHeader(h.status)
 	if x.r.Method == http.MethodHead {
--- a/internal/hosted/callerconn.go
+++ b/internal/hosted/callerconn.go
@@ -26,6 +26,9 @@
 // errReadsNothing reports that a caller has read nothing for its patience.
 var errReadsNothing = errors.New("the caller has read nothing for too long")
 
+// errAborted reports a write that this instance aborted. It says nothing about the connection.
+var errAborted = errors.New("the writes to the caller are aborted")
+
 // callerConn is a connection of a caller. A write fails if the caller accepts no byte for the
 // patience; without a limit, a caller that reads nothing would hold its request's memory for ever.
 type callerConn struct {
@@ -61,6 +64,14 @@
 	return out
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	if c.socket == nil {
+		return nil, errors.ErrUnsupported
+	}
+	return c.socket, nil
+}
+
 // setPatience sets after which time a caller that reads nothing is treated as having left.
 func (c *callerConn) setPatience(d time.Duration) { c.patience.Store(int64(d)) }
 
@@ -96,7 +107,7 @@
 			return written, err
 		}
 		if c.aborted.Load() {
-			return written, net.ErrClosed
+			return written, errAborted
 		}
 		n, err := c.Conn.Write(b[written:])
 		written += n
@@ -166,16 +177,8 @@
 	return newCallerConn(c, l.memory), nil
 }
 
-// callerConnKey is the key of the caller's connection in the context of a request.
-type callerConnKey struct{}
-
-// withCallerConn adds a connection to the context of its requests, as http.Server.ConnContext.
-func withCallerConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, c)
-}
-
 // callerConnOf returns the connection of a request, or nil if it is none of callerListener.
 func callerConnOf(ctx context.Context) *callerConn {
-	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	c, _ := conn.ServerConn(ctx).(*callerConn)
 	return c
 }
--- a/internal/hosted/ends_test.go
+++ b/internal/hosted/ends_test.go
@@ -69,17 +69,20 @@
 func steady(r *rig) { r.engines[0].EventEvery = 30 * time.Millisecond }
 
 // A caller closes or resets its connection, or reads nothing, while its stream goes on. Each leaves another reason, as
-// only the caller explains the first two.
+// only the caller explains the first two, also if the write that is then aborted waits for the caller to read.
 func TestEndsByCallers(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, 1, nil)
 	mute := r.stream(t, "mute")
 	defer mute.Close()
 	r.expectEnd(t, "mute", "outcome=caller_left", "reason=caller_reads_nothing")
-	closes := r.stream(t, "closes")
+	closes, closesUnread := r.stream(t, "closes"), r.stream(t, "closes-unread")
 	forwarded(t, closes)
 	closes.(*net.TCPConn).CloseWrite()
 	r.expectEnd(t, "closes", "outcome=caller_left", "reason=caller_closed")
+	time.Sleep(300 * time.Millisecond) // until a write waits for the caller to read
+	closesUnread.(*net.TCPConn).CloseWrite()
+	r.expectEnd(t, "closes-unread", "outcome=caller_left", "reason=caller_closed")
 	resets := r.stream(t, "resets")
 	forwarded(t, resets)
 	if err := resets.(*net.TCPConn).SetLinger(0); err != nil {
@@ -262,7 +265,60 @@
 	if !r.log.has("upstream_at_work=yes upstream=engine-0 attempt=1 responded=true") {
 		t.Error("the line does not tell that the upstream was at work")
 	}
-	r.expectEnd(t, "unfinished", "outcome=caller_left", "reason=process_ends")
+	r.expectEnd(t, "unfinished", "outcome=cut", "reason=process_ends")
+}
+
+// The end of a drain, or the deadline, aborts the write of an event to a caller that has read nothing for a moment. The
+// caller is still there: the line must not say that it has left.
+func TestAnAbortedWriteIsNotACallerThatLeft(t *testing.T) {
+	t.Parallel()
+	for name, without := range map[string]mechanism.Set{"read ahead": mechanism.Of(), "not read ahead": mechanism.Of(mechanism.ReadAhead)} {
+		r := newRig(t, 1, func(s *hosted.Settings) { s.Grace, s.Without = time.Second, without })
+		text := head(http.MethodPost, hosting.PathDraft, "late", "Deadline-Ms: 600\r\nContent-Length: 2\r\n") + "{}"
+		r.send(t, text)
+		r.expectEnd(t, "late", "outcome=cut", "reason=out_of_time", "attempt_outcome=cancelled", "upstream_at_work=yes", "why=out_of_time")
+		r.stream(t, "drained")
+		testkit.Eventually(t, testTimeout, "the stream has begun", func() bool { return len(r.Arrivals()["drained"]) > 0 })
+		r.instance.Drain()
+		r.expectEnd(t, "drained", "outcome=cut", "reason=process_ends", "attempt_outcome=cancelled", "upstream_at_work=yes", "why=instance_leaving")
+		if t.Failed() {
+			t.Errorf("the lines above are of an instance with %s", name)
+		}
+	}
+}
+
+// Callers speak HTTP/1.0, whose responses without a length end with their connections, or close their connections after
+// one response. A stream that its upstream, its deadline or the end of the process breaks off must not look complete to
+// them, and one that is complete must arrive whole.
+func TestStreamsThatEndWithTheirConnections(t *testing.T) {
+	t.Parallel()
+	for _, protocol := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		r := newRig(t, 1, nil)
+		read := func(id, extra string) (int64, error) {
+			text := head(http.MethodPost, hosting.PathDraft, id, "Connection: close\r\nContent-Length: 2\r\n"+extra) + "{}"
+			resp, err := http.ReadResponse(bufio.NewReader(r.send(t, strings.Replace(text, "HTTP/1.1", protocol, 1))), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return io.Copy(io.Discard, resp.Body)
+		}
+		if n, err := read("whole", ""); n != slowEvents*slowEventBytes || err != nil {
+			t.Errorf("%s: a stream ended after %d bytes with error %v, want it whole", protocol, n, err)
+		}
+		r.engines[0].SetFault(hosting.Cuts)
+		if n, err := read("cut", ""); err == nil {
+			t.Errorf("%s: a stream that its upstream broke off looks complete after %d bytes", protocol, n)
+		}
+		r.engines[0].SetFault(hosting.None)
+		steady(r)
+		if n, err := read("late", "Deadline-Ms: 400\r\n"); err == nil {
+			t.Errorf("%s: a stream looks complete at its deadline, after %d bytes", protocol, n)
+		}
+		time.AfterFunc(300*time.Millisecond, r.stop)
+		if n, err := read("unfinished", ""); err == nil {
+			t.Errorf("%s: a stream looks complete as its process ends, after %d bytes", protocol, n)
+		}
+	}
 }
 
 // A request with a long body is refused before the body is read, and the caller reads the refusal while it sends or after
@@ -409,3 +465,24 @@
 		t.Error("the process ended with the first request in progress")
 	}
 }
+
+// An upstream responds to HEAD with the length of the body that it would send, after a late response to an earlier request. The
+// caller must get that length, and the body of the late response must not be read as the head of its own.
+func TestResponsesToHeadHaveNoBody(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 1, nil)
+	forged := "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\nContent-Length: 6\r\n\r\n"
+	for id, c := range map[string]struct {
+		sent           string
+		status, length int
+	}{
+		"sound": {"HTTP/1.1 200 OK\r\nAttempt-Id: @\r\nResponse-Seal: seal-@\r\nContent-Length: 7\r\n\r\n", http.StatusOK, 7},
+		"late":  {"HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nContent-Length: 80\r\n\r\n" + forged, http.StatusBadGateway, -1},
+	} {
+		r.desk.SetEndless(&standin.Endless{Head: c.sent, Unit: "x"}, 1)
+		resp, err := http.ReadResponse(bufio.NewReader(r.send(t, head(http.MethodHead, hosting.PathLookUp, id, ""))), &http.Request{Method: http.MethodHead})
+		if err != nil || resp.StatusCode != c.status || c.length >= 0 && resp.ContentLength != int64(c.length) {
+			t.Errorf("%s: response %v, error %v; want status %d and length %d", id, resp, err, c.status, c.length)
+		}
+	}
+}
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -32,9 +32,9 @@
 	// hold is what the request holds of the memory account.
 	hold *hold
 	call *forward.Call
-	// ctx ends when the caller disconnects or the deadline passes; cancel ends it.
+	// ctx ends when the caller disconnects or the deadline passes; cancel ends it. Its cause is what came first.
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 	// out writes streams and large responses to the caller.
 	out     *output
 	started time.Time
@@ -145,9 +145,17 @@
 	return next.Send != nil && next.Send.CopyAt != "" || next.RequestPermit && x.call.Resuming()
 }
 
-// callerLeft reports whether the caller has disconnected, or has read nothing for too long.
+// callerLeft reports whether the caller has disconnected, or has read nothing for too long. Once the deadline has
+// passed or the process ends, this instance aborts writes itself, upon which net/http ends the context of the request
+// as if the caller had left.
 func (x *exchange) callerLeft() bool {
-	return x.r.Context().Err() != nil || x.out.callerError() != nil
+	switch cause := context.Cause(x.ctx); {
+	case cause == nil:
+		return x.out.callerError() != nil
+	case errors.Is(cause, context.DeadlineExceeded), errors.Is(cause, errProcessEnds):
+		return false
+	}
+	return true
 }
 
 // end completes the response, or aborts the caller's connection. A response that ends early is
@@ -165,11 +173,10 @@
 		x.finish("upstream_failure", x.upstreamError.status)
 	case step.Abort:
 		x.breakOff("cut", x.cutReason(step), "why", step.Why, "error", x.lastErr)
-	case undelivered != nil && x.outOfTime():
-		x.breakOff("cut", x.deadlineReason()) // the caller was still reading
 	case x.callerLeft():
-		reason, err := x.callerReason()
-		x.breakOff("caller_left", reason, "error", err)
+		x.breakOffAtCaller()
+	case undelivered != nil:
+		x.breakOff("cut", x.deadlineReason()) // the caller was still reading
 	default:
 		x.finish("done", http.StatusOK)
 	}
@@ -204,7 +211,7 @@
 	x.setConn(c)
 	x.framing, x.via = "", viaOf(c.Conn)
 	silent := time.AfterFunc(reach.SilenceLimit, func() { x.checkSilent(a) })
-	outcome, err := x.roundTrip(c, a)
+	outcome, err := x.roundTrip(c, a, stop)
 	silent.Stop()
 	x.setConn(nil)
 	if err != nil {
@@ -277,8 +284,8 @@
 }
 
 // roundTrip sends the request on a connection, forwards the response, and then returns the
-// connection to the pool or closes it.
-func (x *exchange) roundTrip(c *conn.Conn, a *forward.Attempt) (forward.Outcome, error) {
+// connection to the pool or closes it. stop ends its tie to the request's context.
+func (x *exchange) roundTrip(c *conn.Conn, a *forward.Attempt, stop func() bool) (forward.Outcome, error) {
 	pooled := false
 	defer func() {
 		if !pooled {
@@ -305,7 +312,13 @@
 		<-sent
 		return outcome, err
 	}
-	if err == nil && c.Reusable(resp) && !ans.Closing {
+	// A late second response to HEAD states the length of a body that it does not have, and would be read with that body.
+	if err == nil && c.Reusable(resp) && !ans.Closing && x.r.Method != http.MethodHead {
+		// In the pool the connection is another request's, which this one must not close.
+		x.setConn(nil)
+		if !stop() {
+			return outcome, nil
+		}
 		if watched {
 			_ = conn.Watch(c.Conn, false) // fails only on a closed connection, which the pool drops
 		}
--- a/internal/hosted/streamend.go
+++ b/internal/hosted/streamend.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
+	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 )
@@ -29,6 +31,9 @@
 // errEndUnproved reports that a response ended with its connection, and that its upstream may have crashed.
 var errEndUnproved = errors.New("the end of the response is not proved")
 
+// errTimeLimit reports that a response ended with its connection when its upstream had to stop.
+var errTimeLimit = fmt.Errorf("%w: the time limit of the attempt has passed", errEndUnproved)
+
 // confirmStreamEnd returns an error if the end of a stream's connection does not prove that the stream is complete.
 func (x *exchange) confirmStreamEnd(a *forward.Attempt) error {
 	if x.framing != conn.FramedByClose {
@@ -48,6 +53,10 @@
 
 // awaitEndProof returns nil once the upstream of an attempt has shown that its process did not end with the response.
 func (x *exchange) awaitEndProof(a *forward.Attempt) error {
+	if a.PastTimeLimit(boottime.Now()) {
+		x.server.metrics.Count("closed_responses_total", "unproved")
+		return errTimeLimit
+	}
 	ctx, cancel := context.WithTimeout(x.ctx, endProofTimeout)
 	defer cancel()
 	for {
@@ -71,8 +80,14 @@
 	s.decide(func(_ time.Time, g *forward.Gate) { reports = g.Reports(x.call.Service) })
 	if reports {
 		report, err := s.requestReport(ctx, a.Entry.Address)
-		if !errors.Is(err, errNotPermitted) {
-			return err == nil && x.isEndOf(a, report), err
+		switch {
+		case errors.Is(err, errNotPermitted):
+		case err != nil:
+			return false, err
+		case report.Status != http.StatusOK && report.Status != http.StatusNotFound:
+			return false, fmt.Errorf("%w: report of %s with status %d", errUnreadable, a.Entry.Address, report.Status)
+		default: // status 404: it gives no reports, but it responds
+			return x.isEndOf(a, report), nil
 		}
 	}
 	c, err := s.conns.Dial(ctx, a.Entry.Address)
