hosted: a move of an attempt that has ended is not used

A call that had gone on at another upstream would have gone on from the copy of an earlier run, beside the run in progress there, and its stream without a length would not have counted as complete.

Cause: a home may order a move after an attempt has ended and before its call goes on, while the reason of the end is looked for. redirect did not check that the call is still at the source of the move.

Evidence: TestAMoveOfAnEndedAttemptIsNotUsed at the level of the exchange: the call was redirected. By reading; no run on real processes has shown it.

redirect now frees the copy instead, if another attempt is in progress or none.

--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -247,11 +247,16 @@
 }
 
 // redirect makes the call continue from a copy: at the destination, with the source as the fallback, or at the
-// source if the destination had no room, with the earlier copy at the destination as the fallback.
+// source if the destination had no room, with the earlier copy at the destination as the fallback. If the attempt has
+// ended, the call has gone on without the copy, which is freed.
 func (x *exchange) redirect(mv *activeMove, source *forward.Attempt, c copies, o msg.MoveOutcome) {
 	s := x.server
 	at := func(handle string) string { return s.wire.CopyAt(source.Entry.Address, handle) }
+	ended := false
 	s.decide(func(_ time.Time, g *forward.Gate) {
+		if ended = x.call.Current() != source; ended {
+			return
+		}
 		x.stopped = c.stopped
 		to := x.destination(g, mv.order)
 		if o != msg.MoveNoRoom {
@@ -264,6 +269,9 @@
 		}
 		g.Redirect(x.call, source.Upstream, at(c.last), fallback)
 	})
+	if ended {
+		s.dropCopy(source.Entry.Address, c.last)
+	}
 }
 
 // dropCopy frees a copy of a generation that has ended. If that fails, the copy is left to
--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -19,6 +19,7 @@
 	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/statement"
@@ -42,6 +43,12 @@
 
 func (endWire) DecodeLoad(*http.Response) (*forward.Report, error) { return nil, nil }
 
+func (endWire) CopyAt(address, handle string) string { return address + "/" + handle }
+
+func (endWire) DropCopy(handle string) UpstreamCall {
+	return UpstreamCall{Method: http.MethodDelete, Target: "/copies/" + handle}
+}
+
 func (endWire) DecodeReport(body []byte) (r Report, err error) {
 	r.Events = map[string]int{}
 	return r, json.Unmarshal(body, &r)
@@ -153,6 +160,20 @@
 	}
 }
 
+// A move is ordered just as its attempt ends, and done once the call has gone on at another upstream. The copy must not be
+// used beside that run, nor be kept.
+func TestAMoveOfAnEndedAttemptIsNotUsed(t *testing.T) {
+	dropped := ""
+	upstream := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { dropped = r.URL.Path }))
+	x, a := newEndRig(t, strings.TrimPrefix(upstream.URL, "http://"))
+	a.Upstream = &roster.Upstream{Entry: a.Entry}
+	x.redirect(&activeMove{order: msg.MoveOrder{To: "other"}}, a, copies{last: "copy", stopped: true}, msg.MoveDone)
+	upstream.Close()
+	if x.call.Redirected() || dropped != "/copies/copy" {
+		t.Errorf("redirected %v, dropped %q; want the copy dropped", x.call.Redirected(), dropped)
+	}
+}
+
 // The request of a response that has arrived ends, by its deadline or its caller, while its connection is already that of
 // another request. This must not close it.
 func TestAConnectionThatWasReturnedIsNotClosed(t *testing.T) {
