conn: one place decides that a connection to an upstream is used again, with proof of both ends

Whether a connection could carry another exchange was decided by each caller of Pool.Put, from the response alone: that the request had been written to its end was known to roundTrip only. A call whose time ended between Put and the end of its watch closed a connection that was in the pool, or in use by another request.

Conn notes itself when the request was written to its end, the response read to its end, and the connection closed; Put takes back every connection and keeps it only with that proof, nothing buffered and no change of protocol. 101 counted as reusable before. Calls end their watch before Put. Get returns no connection once the context has ended, and sendAttempt checks it again before it writes.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -9,6 +9,7 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,6 +35,8 @@
 
 // Write sends the request. The body is read while it is being sent.
 func (c *Conn) Write(r *Request) error {
+	c.written.Store(false)
+	c.ended.Store(false)
 	w := bufio.NewWriterSize(c.traffic.Writer(c.Conn), readBufferSize)
 	if err := writeHead(w, r); err != nil {
 		return fmt.Errorf("send head to %s: %w", c.address, err)
@@ -44,6 +47,7 @@
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("send to %s: %w", c.address, err)
 	}
+	c.written.Store(true)
 	return nil
 }
 
@@ -102,8 +106,9 @@
 
 // ReadResponse reads the head of the next final response to a request with the given method;
 // informational (1xx) responses are skipped. Together they are limited to MaxResponseHead; beyond it, the
-// error is a LimitError. The body must be read to its end before the connection is reused.
+// error is a LimitError.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
+	c.ended.Store(false)
 	c.in.begin()
 	defer c.in.end()
 	for {
@@ -115,6 +120,7 @@
 			return nil, fmt.Errorf("read response of %s: %w", c.address, err)
 		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+			c.follow(resp)
 			return resp, nil
 		}
 	}
@@ -143,10 +149,37 @@
 	return FramedByClose
 }
 
-// Reusable reports whether the connection can be reused for another exchange after a response whose
-// body was read to its end.
-func (c *Conn) Reusable(resp *http.Response) bool {
-	return !resp.Close && resp.ContentLength >= -1 && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0) && c.r.Buffered() == 0
+// follow notes when the response has been read to its end, and for how long its server keeps the connection.
+func (c *Conn) follow(resp *http.Response) {
+	c.keeps = !resp.Close && FramingOf(resp) != FramedByClose && resp.StatusCode != http.StatusSwitchingProtocols
+	c.serverTimeout = KeepAlive(resp.Header)
+	if resp.Body == http.NoBody {
+		c.ended.Store(true)
+		return
+	}
+	resp.Body = &followedBody{ReadCloser: resp.Body, ended: &c.ended}
+}
+
+// followedBody notes the end of a body.
+type followedBody struct {
+	io.ReadCloser
+	ended *atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *followedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// reusable reports whether the connection can carry another exchange. It needs proof of both ends of the last one:
+// the request was written to its end and the response read to its end, and nothing follows it. Otherwise the rest of
+// one message would be taken for the beginning of the next.
+func (c *Conn) reusable() bool {
+	return c.written.Load() && c.ended.Load() && c.keeps && !c.closed.Load() && c.r.Buffered() == 0
 }
 
 // KeepAlive returns how long the server keeps an idle connection, as stated in the Keep-Alive
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,6 +41,12 @@
 	held reservation
 	// idleUntil is when an idle connection expires.
 	idleUntil time.Time
+	// written and ended are set once the request was written to its end and the response read to its end; keeps is
+	// unset if the server does not keep the connection after the response, and closed is set once it was closed.
+	written, ended, closed atomic.Bool
+	keeps                  bool
+	// serverTimeout is how long the server keeps an idle connection, 0 if it did not state it.
+	serverTimeout time.Duration
 }
 
 // Pool keeps idle connections by address.
@@ -61,8 +69,12 @@
 	return &Pool{idle: map[string][]*Conn{}, Dial: dial, Dialled: func() {}, Traffic: &Traffic{}, Memory: noAccount{}}
 }
 
-// Get returns an idle connection that is still usable, or dials a new one.
+// Get returns an idle connection that is still usable, or dials a new one. It returns neither once the context has
+// ended.
 func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
 	for {
 		c := p.pop(address)
 		if c == nil {
@@ -85,11 +97,15 @@
 	c := &Conn{Conn: raw, traffic: p.Traffic, address: address, held: reservation{of: p.Memory}}
 	c.in = headLimiter{from: p.Traffic.Reader(raw), held: &c.held}
 	c.r = bufio.NewReaderSize(&c.in, readBufferSize)
+	c.written.Store(true) // nothing is in progress
+	c.ended.Store(true)
+	c.keeps = true
 	return c
 }
 
 // Close implements net.Conn. It returns the memory of the current exchange.
 func (c *Conn) Close() error {
+	c.closed.Store(true)
 	c.held.releaseAll()
 	return c.Conn.Close()
 }
@@ -99,7 +115,7 @@
 func (c *Conn) Reserve(n int) bool { return c.held.reserve(n) }
 
 // Adopt keeps a new connection to an address for the next exchange.
-func (p *Pool) Adopt(raw net.Conn, address string) { p.Put(p.newConn(raw, address), 0) }
+func (p *Pool) Adopt(raw net.Conn, address string) { p.keep(p.newConn(raw, address)) }
 
 func (p *Pool) pop(address string) *Conn {
 	p.mu.Lock()
@@ -113,19 +129,27 @@
 	return c
 }
 
-// Put returns a connection to the pool after a complete exchange. serverTimeout is how long the
-// server keeps an idle connection, 0 if the server did not state it. A connection that can't be
-// kept is closed.
-func (p *Pool) Put(c *Conn, serverTimeout time.Duration) {
+// Put takes back a connection after an exchange, however that ended. It is the only place that decides whether
+// the connection carries another one; otherwise it is closed.
+func (p *Pool) Put(c *Conn) {
+	if !c.reusable() {
+		c.Close()
+		return
+	}
+	p.keep(c)
+}
+
+// keep keeps a connection on which no exchange is in progress, or closes it if it can't be kept.
+func (p *Pool) keep(c *Conn) {
 	c.held.releaseAll()
 	c.idleUntil = time.Now().Add(defaultIdleTimeout)
-	if serverTimeout > 0 {
-		c.idleUntil = time.Now().Add(min(serverTimeout-idleMargin, 4*defaultIdleTimeout))
+	if c.serverTimeout > 0 {
+		c.idleUntil = time.Now().Add(min(c.serverTimeout-idleMargin, 4*defaultIdleTimeout))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.address]
-	if c.r.Buffered() > 0 || len(list) >= maxIdlePerAddress || !time.Now().Before(c.idleUntil) {
+	if len(list) >= maxIdlePerAddress || !time.Now().Before(c.idleUntil) {
 		c.Close()
 		return
 	}
--- a/internal/conn/traffic_test.go
+++ b/internal/conn/traffic_test.go
@@ -41,7 +41,7 @@
 		if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != int64(len(body)) {
 			t.Fatalf("read %d bytes, error %v, want %d", n, err, len(body))
 		}
-		p.Put(c, time.Minute)
+		p.Put(c)
 	}
 	// A write is counted after it has returned, by which time the other end may have read the bytes.
 	testkit.Eventually(t, 5*time.Second, "both ends have counted the same bytes", func() bool {
--- a/internal/hosted/call.go
+++ b/internal/hosted/call.go
@@ -51,7 +51,12 @@
 		return callResponse{}, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	defer stop()
+	defer func() {
+		if !stop() {
+			c.Close() // what closes it may run only later
+		}
+		s.conns.Put(c)
+	}()
 	req := &conn.Request{Method: call.Method, Target: call.Target, Host: address, Header: http.Header{}}
 	if call.Body != nil {
 		req.Header.Set("Content-Type", "application/json")
@@ -59,12 +64,10 @@
 	}
 	sentAt := boottime.Now()
 	if err := c.Write(req); err != nil {
-		c.Close()
 		return callResponse{}, err
 	}
 	resp, err := c.ReadResponse(call.Method)
 	if err != nil {
-		c.Close()
 		s.noteOverLimit(address, call, err)
 		go s.paths.checkSilent(address)
 		return callResponse{}, err
@@ -72,14 +75,10 @@
 	s.paths.heard(c, address)
 	s.observeStatementFrom(address, sentAt, resp)
 	got := callResponse{status: resp.StatusCode, closing: resp.Close}
-	got.body, err = readCallBody(c, resp)
-	if err != nil || !c.Reusable(resp) {
-		c.Close()
+	if got.body, err = readCallBody(c, resp); err != nil {
 		s.noteOverLimit(address, call, err)
-		return got, err
 	}
-	s.conns.Put(c, conn.KeepAlive(resp.Header))
-	return got, nil
+	return got, err
 }
 
 // requestReport requests an upstream's report of its state.
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -195,13 +195,22 @@
 	// When the caller disconnects or the deadline passes, closing the connection stops the
 	// upstream's work.
 	stop := context.AfterFunc(x.ctx, func() { c.Close() })
-	defer stop()
 	x.setConn(c)
+	defer func() {
+		x.setConn(nil)
+		if !stop() {
+			c.Close() // what closes it may run only later
+		}
+		s.conns.Put(c)
+	}()
+	if x.ctx.Err() != nil {
+		c.Close()
+		return forward.Cancelled
+	}
 	x.framing, x.via = "", viaOf(c.Conn)
 	silent := time.AfterFunc(reach.SilenceLimit, func() { x.checkSilent(a) })
 	outcome, err := x.roundTrip(c, a)
 	silent.Stop()
-	x.setConn(nil)
 	if err != nil {
 		x.lastErr = err
 	}
@@ -259,15 +268,8 @@
 	})
 }
 
-// roundTrip sends the request on a connection, forwards the response, and then returns the
-// connection to the pool or closes it.
+// roundTrip sends the request on a connection and forwards the response.
 func (x *exchange) roundTrip(c *conn.Conn, a *forward.Attempt) (forward.Outcome, error) {
-	pooled := false
-	defer func() {
-		if !pooled {
-			c.Close()
-		}
-	}()
 	watched := x.watch(c)
 	sent := x.send(c, a)
 	if x.body.replayable() {
@@ -286,14 +288,12 @@
 		// is still sending, receives the response before the connection closes.
 		c.Close()
 		<-sent
-		return outcome, err
 	}
-	if err == nil && c.Reusable(resp) && !ans.Closing {
-		if watched {
-			_ = conn.Watch(c.Conn, false) // fails only on a closed connection, which the pool drops
-		}
-		pooled = true
-		x.server.conns.Put(c, conn.KeepAlive(resp.Header))
+	if ans.Closing {
+		c.Close()
+	}
+	if watched {
+		_ = conn.Watch(c.Conn, false) // fails only on a closed connection, which the pool drops
 	}
 	return outcome, err
 }
--- a/internal/hosted/paths_test.go
+++ b/internal/hosted/paths_test.go
@@ -69,7 +69,7 @@
 	idle := func(address string) bool {
 		c, err := s.conns.Get(t.Context(), address)
 		if err == nil {
-			s.conns.Put(c, 0)
+			s.conns.Put(c)
 		}
 		return err == nil
 	}
