hosted: the rest of a request that is broken off is never taken for a request

A body over 64 KB is sent on by a goroutine.

Every handler passes body.finish, the one place that decides whether the connection of a caller carries another request: only if its body was read to its end. Otherwise reading is stopped and the goroutine has ended before the handler returns; the connection is closed after the answer, what still arrives is dropped for half a second, and what net/http had read already is not handled. Refusals announce the close. An early response waits for the rest of the body until the deadline, not without a limit.

The test of aborted connections now has stopped ones, too, and a request that is read after the end of its connection.

--- a/internal/hosted/callerconn.go
+++ b/internal/hosted/callerconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -21,6 +22,9 @@
 	// blockedAfter is the time after which a write without progress is taken for a caller that does
 	// not read. It is shorter than the acknowledgement timeout of the connection.
 	blockedAfter = 500 * time.Millisecond
+	// lingerTime is for how long what a caller sends is dropped before its connection is closed. It gives the
+	// response time to arrive.
+	lingerTime = 500 * time.Millisecond
 )
 
 // errReadsNothing reports that a caller has read nothing for its patience.
@@ -38,6 +42,11 @@
 	aborted atomic.Bool
 	// readErr is the first error of a read, nil before.
 	readErr atomic.Pointer[error]
+	// stopped is set once the body of a request will not be read to its end. What follows on the connection belongs
+	// to that body, and is no request.
+	stopped atomic.Bool
+	// lingering is set once such a connection is being closed.
+	lingering atomic.Bool
 	// paused is set once the kernel was told to tolerate a pause of the caller.
 	paused atomic.Bool
 	// head accounts for the head of the next request.
@@ -67,7 +76,13 @@
 // Read implements net.Conn. It keeps the error that ends the connection: net/http only cancels the request.
 // It interrupts its own reads by a deadline, which ends nothing.
 func (c *callerConn) Read(b []byte) (int, error) {
+	if c.stopped.Load() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(b)
+	if c.stopped.Load() {
+		return 0, net.ErrClosed
+	}
 	if !c.head.add(n) {
 		c.Conn.Close() // net/http may take the line that is cut off for an invalid one, and must not say so
 		return 0, errNoHeadMemory
@@ -87,6 +102,35 @@
 	return nil
 }
 
+// stopReading ends the read in progress, and makes all further ones fail: the connection carries no other request.
+func (c *callerConn) stopReading() {
+	c.stopped.Store(true)
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection, on which reads fail, too
+}
+
+// Close implements net.Conn. If the caller may still be sending a body of which no more is read, its connection is
+// closed after a while in which what it sends is dropped: the kernel would answer that with a reset, which can
+// overtake the response.
+func (c *callerConn) Close() error {
+	if !c.stopped.Load() || c.socket == nil {
+		return c.Conn.Close()
+	}
+	c.aborted.Store(true)
+	if c.lingering.Swap(true) {
+		return nil
+	}
+	if c.socket.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_WR) }) != nil {
+		return c.Conn.Close()
+	}
+	time.AfterFunc(lingerTime, func() { c.Conn.Close() })
+	go func() {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+		_, _ = io.Copy(io.Discard, c.Conn)      // as above
+		c.Conn.Close()
+	}()
+	return nil
+}
+
 // Write implements net.Conn.
 func (c *callerConn) Write(b []byte) (written int, err error) {
 	progress := time.Now()
--- a/internal/hosted/callerhead.go
+++ b/internal/hosted/callerhead.go
@@ -79,8 +79,8 @@
 	}
 	switch state {
 	case http.StateIdle:
-		if caller.aborted.Load() {
-			caller.Close() // the deadline has passed as the response ended: no other one can be written
+		if caller.aborted.Load() || caller.stopped.Load() {
+			caller.Close() // no other response can be written, or no other request read
 			return
 		}
 		caller.head.begin()
--- a/internal/hosted/ends_internal_test.go
+++ b/internal/hosted/ends_internal_test.go
@@ -291,21 +291,32 @@
 	return UpstreamCall{Method: http.MethodGet, Target: "/"}
 }
 
-// The deadline passes in the moment in which a response is complete, and aborts the writes of its connection. The next
-// request on the connection would be read and never answered.
+// The deadline passes in the moment in which a response is complete, and aborts the writes of its connection, or the
+// body of the request was not read to its end. The next response could not be written, or what follows is no request:
+// it must not be handled, also if net/http has read it already.
 func TestAnAbortedConnectionIsNotUsedAgain(t *testing.T) {
-	for _, aborted := range []bool{false, true} {
+	for name, end := range map[string]func(*callerConn){"kept": func(*callerConn) {}, "aborted": (*callerConn).abort, "stopped": (*callerConn).stopReading} {
 		ours, theirs := net.Pipe()
 		c := newCallerConn(ours, purposeMemory{})
-		if aborted {
-			c.abort()
-		}
+		end(c)
 		trackHeads(c, http.StateIdle)
 		_ = theirs.SetReadDeadline(time.Now().Add(50 * time.Millisecond)) // fails only on a closed connection
-		if _, err := theirs.Read(make([]byte, 1)); errors.Is(err, io.EOF) != aborted {
-			t.Errorf("aborted: %v, read: %v, want the connection closed if it was aborted", aborted, err)
+		if _, err := theirs.Read(make([]byte, 1)); errors.Is(err, io.EOF) != (name != "kept") {
+			t.Errorf("%s: read: %v, want the connection closed unless it is kept", name, err)
 		}
 		c.Close()
+		if name == "kept" {
+			continue
+		}
+		func() {
+			defer func() {
+				if cause := recover(); cause != http.ErrAbortHandler { //nolint:errorlint // net/http compares in the same way
+					t.Errorf("%s: a further request ended with %v, want it aborted", name, cause)
+				}
+			}()
+			r := httptest.NewRequest(http.MethodGet, "/", nil)
+			(&server{}).ServeHTTP(httptest.NewRecorder(), r.WithContext(withCallerConn(t.Context(), c)))
+		}()
 	}
 }
 
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -153,6 +153,7 @@
 	}
 	switch {
 	case step.Refuse != nil:
+		x.body.announceClose(x.w)
 		x.server.refuse(x.w, x.call.Request, *step.Refuse, x.call)
 	case step.Relay:
 		x.writeBuffered(x.upstreamError)
@@ -287,7 +288,10 @@
 		// The rest of the body is read to its end, so that the caller, which
 		// is still sending, receives the response before the connection closes.
 		c.Close()
-		<-sent
+		select {
+		case <-sent:
+		case <-x.ctx.Done():
+		}
 	}
 	if ans.Closing {
 		c.Close()
@@ -320,13 +324,13 @@
 		done <- c.Write(req)
 		return done
 	}
-	go func() {
+	x.body.reading.Go(func() {
 		err := c.Write(req)
 		if err != nil {
-			_, _ = io.Copy(io.Discard, x.body.rest) // an error means that the caller has disconnected
+			_, _ = io.Copy(io.Discard, x.body.rest) // an error means that no more of it is read
 		}
 		done <- err
-	}()
+	})
 	return done
 }
 
--- a/internal/hosted/hold.go
+++ b/internal/hosted/hold.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 
 	"mulberrylug.example/mulberrylug/internal/core/memory"
 )
@@ -32,6 +34,41 @@
 	length int64
 	// present is unset if the request has no body.
 	present bool
+	// from reads the body from the caller's connection, and reading counts the goroutines that may do so.
+	from    *followedReader
+	reading sync.WaitGroup
+}
+
+// followedReader notes that its end was read. Only one that has seen it shows where the next request begins.
+type followedReader struct {
+	io.Reader
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (f *followedReader) Read(p []byte) (int, error) {
+	n, err := f.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		f.ended.Store(true)
+	}
+	return n, err
+}
+
+// announceClose tells the caller that its connection ends with the response, unless the body was read to its end.
+func (b *body) announceClose(w http.ResponseWriter) {
+	if !b.from.ended.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// finish is called before the handler of a request returns, by which time nothing may read its body any more. Only
+// here it is decided whether the caller's connection can carry another request: if the body was read to its end.
+// c is nil if the connection is not known.
+func (b *body) finish(c *callerConn) {
+	if c != nil && !b.from.ended.Load() {
+		c.stopReading()
+	}
+	b.reading.Wait()
 }
 
 // replayable reports whether the body is fully buffered, so that it can be sent again.
@@ -50,32 +87,38 @@
 	}
 }
 
-// bodySize returns the memory in bytes that a request's body takes.
-func bodySize(r *http.Request) int64 {
-	if r.ContentLength >= 0 {
-		return min(r.ContentLength, maxBufferedBody)
+// bufferSize returns the memory in bytes that the body takes.
+func (b *body) bufferSize() int64 {
+	if b.length >= 0 {
+		return min(b.length, maxBufferedBody)
 	}
 	return maxBufferedBody
 }
 
-// bufferBody reads a small body, or the beginning of a large one, into memory that is reserved in a
+// newBody returns the body of a request, of which nothing has been read.
+func newBody(r *http.Request) *body {
+	b := &body{from: &followedReader{Reader: r.Body}, length: r.ContentLength, present: r.ContentLength != 0}
+	b.from.ended.Store(!b.present)
+	return b
+}
+
+// fill reads a small body, or the beginning of a large one, into memory that is reserved in a
 // hold. It returns errNoMemory, before it has read anything, if there is none.
-func bufferBody(r *http.Request, h *hold) (*body, error) {
-	if r.ContentLength == 0 {
-		return &body{}, nil
+func (b *body) fill(h *hold) error {
+	if !b.present {
+		return nil
 	}
-	size := bodySize(r)
+	size := b.bufferSize()
 	if !h.reserve(memory.Bodies, size) {
-		return nil, errNoMemory
+		return errNoMemory
 	}
-	b := &body{present: true, length: r.ContentLength}
 	var err error
-	b.data, err = io.ReadAll(io.LimitReader(r.Body, size))
+	b.data, err = io.ReadAll(io.LimitReader(b.from, size))
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if int64(len(b.data)) == size && r.ContentLength != size {
-		b.rest = r.Body
+	if int64(len(b.data)) == size && b.length != size {
+		b.rest = b.from
 	}
-	return b, nil
+	return nil
 }
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -64,8 +64,12 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var req forward.Request
 	began := time.Now()
-	if c := callerConnOf(r.Context()); c != nil {
+	c := callerConnOf(r.Context())
+	if c != nil {
 		c.head.end()
+		if c.stopped.Load() || c.aborted.Load() {
+			panic(http.ErrAbortHandler) // these bytes are the rest of the last request, or can't be answered
+		}
 	}
 	s.handling.Add(1)
 	defer s.handling.Add(-1)
@@ -74,7 +78,10 @@
 	req.HeadBytes = headBytes(r)
 	h := s.memory.newHold()
 	defer h.releaseAll()
+	body := newBody(r)
+	defer body.finish(c)
 	if !h.reserve(memory.Responses, requestBytes) {
+		body.announceClose(w)
 		s.refuseForMemory(w, req, forward.NoMemory, memory.Responses, requestBytes)
 		return
 	}
@@ -85,9 +92,10 @@
 			s.log.Debug("full_duplex_unavailable", "request", req.ID, "error", err)
 		}
 	}
-	body, err := bufferBody(r, h)
+	err := body.fill(h)
 	if errors.Is(err, errNoMemory) {
-		s.refuseForMemory(w, req, forward.Memory, memory.Bodies, bodySize(r))
+		body.announceClose(w)
+		s.refuseForMemory(w, req, forward.Memory, memory.Bodies, body.bufferSize())
 		return
 	}
 	if err != nil {
@@ -110,6 +118,7 @@
 	var refusal *forward.Refusal
 	s.decide(func(now time.Time, g *forward.Gate) { call, refusal = g.Admit(now, req) })
 	if refusal != nil {
+		b.announceClose(w)
 		s.refuse(w, req, *refusal, nil)
 		return
 	}
@@ -127,6 +136,7 @@
 	if call.TakesUp() {
 		if refusal := x.bindStream(); refusal != nil {
 			s.metrics.Count("streams_not_continued_total", string(refusal.Reason))
+			b.announceClose(w)
 			s.refuse(w, req, *refusal, call)
 			return
 		}
--- /dev/null
+++ b/internal/hosted/upload_test.go
@@ -0,0 +1,101 @@
+package hosted_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"mulberrylug.example/mulberrylug/internal/standin/hosting"
+)
+
+// A long upload is broken off, by its upstream or at its deadline, while its caller goes on sending. The rest of its
+// body, which holds requests, must reach no upstream as a request, and its connection must carry no other one.
+func TestTheRestOfABrokenUploadIsNoRequest(t *testing.T) {
+	r := newRig(t, 0, nil)
+	crash := func() { // once another upstream can take requests
+		other := r.add(t, "other", hosting.Desk, func(*hosting.Worker) {})
+		for k := 0; len(other.Arrivals()) == 0 && k < 50; k++ {
+			go r.book(t, fmt.Sprintf("other-%d", k))
+			time.Sleep(10 * time.Millisecond)
+		}
+		r.desk.Crash()
+	}
+	hidden := head(http.MethodPost, hosting.PathBooking, "hidden", "Content-Length: 0\r\n")
+	const records = 1200
+	type upload struct {
+		extra string
+		// during is called when half of the body was sent.
+		during func()
+		want   int
+	}
+	late := upload{"Deadline-Ms: 150\r\n", func() {}, http.StatusGatewayTimeout}
+	for n, c := range []upload{late, late, late, late, late, late, late, late, {"", crash, http.StatusBadGateway}} {
+		name := fmt.Sprintf("upload-%d", n)
+		conn, err := net.Dial("tcp", r.machine.Callers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		go func() {
+			_, err := fmt.Fprintf(conn, "%s%x\r\n", head(http.MethodPost, hosting.PathBooking, name, c.extra+"Transfer-Encoding: chunked\r\n"), records*len(hidden))
+			for n := 0; n < records && err == nil; n++ {
+				if n == records/2 {
+					c.during()
+				}
+				_, err = io.WriteString(conn, hidden)
+				time.Sleep(time.Millisecond / 2)
+			}
+			_, _ = io.WriteString(conn, "\r\n0\r\n\r\n") // the connection may be closed
+		}()
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second)) // fails only on a closed connection
+		in := bufio.NewReader(conn)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != c.want {
+			t.Fatalf("%s: response %v, error %v, want status %d", name, resp, err, c.want)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if next, err := http.ReadResponse(in, nil); err == nil {
+			t.Errorf("%s: another response, with status %d, want the connection closed", name, next.StatusCode)
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	if list := r.Arrivals()["hidden"]; len(list) > 0 {
+		t.Errorf("%d parts of bodies ran as requests", len(list))
+	}
+	if r.log.has("Body.Read") {
+		t.Error("a body was read by two goroutines")
+	}
+}
+
+// A long upload that is read to its end must cost its caller no connection.
+func TestAConnectionIsKeptAfterAWholeUpload(t *testing.T) {
+	r := newRig(t, 0, nil)
+	conn, err := net.Dial("tcp", r.machine.Callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for k := range 4 {
+		body := strings.Repeat("x", 200_000)
+		framed := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+		if k%2 == 1 {
+			framed, body = "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		}
+		if _, err := io.WriteString(conn, head(http.MethodPost, hosting.PathBooking, fmt.Sprintf("whole-%d", k), framed)+body); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != http.StatusOK || resp.Close {
+			t.Fatalf("upload %d: response %v, error %v, want 200 and the connection kept", k, resp, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body) // the next response would not follow
+	}
+}
