--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -167,6 +167,7 @@
 	}
 	switch {
 	case step.Refuse != nil:
+		x.body.announceClose(x.w)
 		x.server.refuse(x.w, x.call.Request, *step.Refuse, x.call)
 	case step.Relay:
 		x.writeBuffered(x.upstreamError)
@@ -207,13 +208,16 @@
 	// When the caller disconnects or the deadline passes, closing the connection stops the
 	// upstream's work.
 	stop := context.AfterFunc(x.ctx, func() { c.Close() })
-	defer stop()
 	x.setConn(c)
+	defer x.release(c, stop)
+	if x.ctx.Err() != nil {
+		c.Close()
+		return forward.Cancelled
+	}
 	x.framing, x.via = "", viaOf(c.Conn)
 	silent := time.AfterFunc(reach.SilenceLimit, func() { x.checkSilent(a) })
-	outcome, err := x.roundTrip(c, a, stop)
+	outcome, err := x.roundTrip(c, a)
 	silent.Stop()
-	x.setConn(nil)
 	if err != nil {
 		x.lastErr = err
 	}
@@ -283,15 +287,19 @@
 	})
 }
 
-// roundTrip sends the request on a connection, forwards the response, and then returns the
-// connection to the pool or closes it. stop ends its tie to the request's context.
-func (x *exchange) roundTrip(c *conn.Conn, a *forward.Attempt, stop func() bool) (forward.Outcome, error) {
-	pooled := false
-	defer func() {
-		if !pooled {
-			c.Close()
-		}
-	}()
+// release ends the tie of a connection to this request, which stop ends to its context, and returns it to the pool.
+// There it may be another request's, which this one must not close.
+func (x *exchange) release(c *conn.Conn, stop func() bool) {
+	x.setConn(nil)
+	if !stop() {
+		c.Close() // what closes it may run only later
+	}
+	x.returned = append(x.returned, c)
+	x.server.conns.Put(c)
+}
+
+// roundTrip sends the request on a connection and forwards the response.
+func (x *exchange) roundTrip(c *conn.Conn, a *forward.Attempt) (forward.Outcome, error) {
 	watched := x.watch(c)
 	sent := x.send(c, a)
 	if x.body.replayable() {
@@ -309,22 +317,17 @@
 		// The rest of the body is read to its end, so that the caller, which
 		// is still sending, receives the response before the connection closes.
 		c.Close()
-		<-sent
-		return outcome, err
+		select {
+		case <-sent:
+		case <-x.ctx.Done():
+		}
 	}
 	// A late second response to HEAD states the length of a body that it does not have, and would be read with that body.
-	if err == nil && c.Reusable(resp) && !ans.Closing && x.r.Method != http.MethodHead {
-		// In the pool the connection is another request's, which this one must not close.
-		x.setConn(nil)
-		if !stop() {
-			return outcome, nil
-		}
-		if watched {
-			_ = conn.Watch(c.Conn, false) // fails only on a closed connection, which the pool drops
-		}
-		pooled = true
-		x.returned = append(x.returned, c)
-		x.server.conns.Put(c, conn.KeepAlive(resp.Header))
+	if ans.Closing || x.r.Method == http.MethodHead {
+		c.Close()
+	}
+	if watched {
+		_ = conn.Watch(c.Conn, false) // fails only on a closed connection, which the pool drops
 	}
 	return outcome, err
 }
@@ -351,13 +354,13 @@
 		done <- c.Write(req)
 		return done
 	}
-	go func() {
+	x.body.reading.Go(func() {
 		err := c.Write(req)
 		if err != nil {
-			_, _ = io.Copy(io.Discard, x.body.rest) // an error means that the caller has disconnected
+			_, _ = io.Copy(io.Discard, x.body.rest) // an error means that no more of it is read
 		}
 		done <- err
-	}()
+	})
 	return done
 }
 
--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -189,9 +189,10 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	x.setConn(c)
-	if outcome, err := x.roundTrip(c, a, stop); outcome != forward.Done {
+	if outcome, err := x.roundTrip(c, a); outcome != forward.Done {
 		t.Fatalf("outcome %s (%v), want %s", outcome, err, forward.Done)
 	}
+	x.release(c, stop)
 	cancel()
 	x.closeConn(a)
 	time.Sleep(10 * time.Millisecond)
