hosted: a broken response of HTTP/1.0 is reset although its upload was not read to its end

What callers saw: a cut response as a complete one, in HTTP/1.0, where an upstream answers before it has read a long body and the deadline passes.

Cause: the connection of a request whose body was not read to its end is closed in order first, so that the response arrives. That came with, and hid the reset which the connection of an HTTP/1.0 response that is not complete is set to. Found by a review of the change.

Such a connection is closed at once, which resets it. TestABrokenResponseIsResetBeforeTheEndOfTheBody failed before with a body of which a part was sent.

--- a/internal/conn/reset.go
+++ b/internal/conn/reset.go
@@ -60,3 +60,12 @@
 		_ = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &linger)
 	}) // fails only on a closed connection
 }
+
+// EndsWithReset reports whether a socket is reset when it is closed.
+func EndsWithReset(socket syscall.RawConn) (reset bool) {
+	_ = socket.Control(func(fd uintptr) {
+		linger, err := unix.GetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER)
+		reset = err == nil && linger.Onoff != 0
+	}) // fails only on a closed connection
+	return reset
+}
--- a/internal/hosted/callerconn.go
+++ b/internal/hosted/callerconn.go
@@ -123,7 +123,7 @@
 // closed after a while in which what it sends is dropped: the kernel would answer that with a reset, which can
 // overtake the response.
 func (c *callerConn) Close() error {
-	if !c.stopped.Load() || c.socket == nil {
+	if !c.stopped.Load() || c.socket == nil || conn.EndsWithReset(c.socket) {
 		return c.Conn.Close()
 	}
 	c.aborted.Store(true)
--- a/internal/hosted/ends_internal_test.go
+++ b/internal/hosted/ends_internal_test.go
@@ -20,6 +20,7 @@
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/core/memory"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
 	"mulberrylug.example/mulberrylug/internal/core/route"
@@ -348,3 +349,36 @@
 		t.Errorf("the exit may take %v, want at most %v", exit, drainMargin)
 	}
 }
+
+// A response to a caller of HTTP/1.0 is broken off before the body of its request was read to its end. The connection, which
+// is otherwise closed in order so that the response arrives, must be reset: the response has no other sign of its end.
+func TestABrokenResponseIsResetBeforeTheEndOfTheBody(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{ConnContext: conn.WithServerConn, Handler: conn.ResetIncomplete(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b := newBody(r)
+		defer b.finish(callerConnOf(r.Context()))
+		rc := http.NewResponseController(w)
+		_ = rc.EnableFullDuplex() // HTTP/1.0 has none
+		_, _ = io.WriteString(w, "id: 1\ndata: half\n\n")
+		_ = rc.Flush() // after an error the caller receives less
+		panic(http.ErrAbortHandler)
+	}))}
+	account := newMemoryAccount(0, metrics.NewMetrics(), hclog.NewNullLogger())
+	go func() { _ = srv.Serve(callerListener{Listener: ln, memory: purposeMemory{account, memory.Heads}}) }() // returns after Close
+	defer srv.Close()
+	for _, length := range []int{0, 1 << 20} {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "POST /x HTTP/1.0\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", min(length, 1000)))
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second)) // fails only on a closed connection
+		if got, err := io.ReadAll(c); err == nil {
+			t.Errorf("body of %d bytes: the caller received %q and no error, want the connection reset", length, got)
+		}
+		c.Close()
+	}
+}
