hosted: no move begins between two attempts of a call

A home's order could begin a move after the connection of an attempt had ended, while the reason of the end was looked for. Found by a review of the change, shown at the level of the exchange.

A move of a home, or off a silent connection, begins only while the attempt has its connection; the call awaits it then before it goes on. Only the instance itself stops a generation after that. A move whose call has gone on is reported as ended, and both of its copies are freed.

--- a/internal/hosted/broken.go
+++ b/internal/hosted/broken.go
@@ -21,7 +21,7 @@
 	if !ok {
 		return
 	}
-	mv, source := x.beginMove(order)
+	mv, source := x.beginMove(order, false)
 	if source == nil {
 		return
 	}
--- a/internal/hosted/move.go
+++ b/internal/hosted/move.go
@@ -53,7 +53,7 @@
 		sendOutcome(msg.MoveNoRoom)
 		return
 	}
-	mv, source := x.beginMove(m)
+	mv, source := x.beginMove(m, true)
 	if source == nil {
 		sendOutcome(msg.MoveNoRun)
 		return
@@ -63,10 +63,15 @@
 }
 
 // beginMove registers a move. It returns no source if another move is in progress, if the
-// generation does not run at the order's source, or if the request's body cannot be sent again.
-func (x *exchange) beginMove(m msg.MoveOrder) (mv *activeMove, source *forward.Attempt) {
+// generation does not run at the order's source, or if the request's body cannot be sent again. With connected, the
+// attempt must have its connection: the call awaits a move that began before the end of its attempt, and may have gone
+// on at the same upstream before a later one tells that to stop.
+func (x *exchange) beginMove(m msg.MoveOrder, connected bool) (mv *activeMove, source *forward.Attempt) {
 	mv = &activeMove{order: m, done: make(chan struct{})}
 	x.server.decide(func(time.Time, *forward.Gate) {
+		if connected && x.conn == nil {
+			return
+		}
 		if a := x.call.Current(); x.activeMove == nil && a != nil && a.Entry.ID == m.From && x.body.replayable() {
 			source = a
 			x.activeMove = mv
@@ -167,7 +172,9 @@
 	if handle == "" {
 		return last.Outcome, err // there is no copy to continue from
 	}
-	x.redirect(mv, source, copies{last: handle, earlier: earlier, stopped: last.Handle != ""}, last.Outcome)
+	if !x.redirect(mv, source, copies{last: handle, earlier: earlier, stopped: last.Handle != ""}, last.Outcome) {
+		return msg.MoveEnded, err
+	}
 	if last.Handle != "" {
 		time.AfterFunc(stoppedEndTimeout, func() { x.closeStopped(source) })
 	}
@@ -207,7 +214,9 @@
 			x.server.dropCopy(source.Entry.Address, cmp.Or(last.Handle, handle))
 			return msg.MoveEnded, x.ctx.Err()
 		case last.Handle != "" || last.Outcome == msg.MoveNoRun && x.isGone(source):
-			x.redirect(mv, source, copies{last: cmp.Or(last.Handle, handle), earlier: handle, stopped: true}, last.Outcome)
+			if !x.redirect(mv, source, copies{last: cmp.Or(last.Handle, handle), earlier: handle, stopped: true}, last.Outcome) {
+				return msg.MoveEnded, nil
+			}
 			x.closeConn(source)
 			return last.Outcome, nil
 		case time.Now().After(end):
@@ -248,8 +257,8 @@
 
 // redirect makes the call continue from a copy: at the destination, with the source as the fallback, or at the
 // source if the destination had no room, with the earlier copy at the destination as the fallback. If the attempt has
-// ended, the call has gone on without the copy, which is freed.
-func (x *exchange) redirect(mv *activeMove, source *forward.Attempt, c copies, o msg.MoveOutcome) {
+// ended, the call has gone on without the copies, which are freed, and it returns false.
+func (x *exchange) redirect(mv *activeMove, source *forward.Attempt, c copies, o msg.MoveOutcome) bool {
 	s := x.server
 	at := func(handle string) string { return s.wire.CopyAt(source.Entry.Address, handle) }
 	ended := false
@@ -269,9 +278,14 @@
 		}
 		g.Redirect(x.call, source.Upstream, at(c.last), fallback)
 	})
-	if ended {
-		s.dropCopy(source.Entry.Address, c.last)
+	if !ended {
+		return true
+	}
+	s.dropCopy(source.Entry.Address, c.last)
+	if c.earlier != c.last {
+		s.dropCopy(source.Entry.Address, c.earlier)
 	}
+	return false
 }
 
 // dropCopy frees a copy of a generation that has ended. If that fails, the copy is left to
--- a/internal/hosted/silence.go
+++ b/internal/hosted/silence.go
@@ -127,7 +127,7 @@
 	if !ok {
 		return
 	}
-	if mv, source := x.beginMove(order); source != nil {
+	if mv, source := x.beginMove(order, true); source != nil {
 		x.runMove(mv, source, steps)
 	}
 }
--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -18,6 +18,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/boottime"
 	"mulberrylug.example/mulberrylug/internal/conn"
+	"mulberrylug.example/mulberrylug/internal/core/cordon"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/roster"
@@ -174,6 +175,28 @@
 	}
 }
 
+// A home orders a move after the connection of an attempt has ended and before its call goes on, perhaps at the same engine.
+// The move must not begin: it would stop the next run. The instance itself may still stop the broken one.
+func TestNoMoveBeginsBetweenTwoAttempts(t *testing.T) {
+	now, g := boottime.Now(), forward.New(forward.Options{})
+	g.Adopt(route.NewTable(route.Config{
+		Version: 1, Services: []route.Service{{Name: "pool"}},
+		Routes: []route.Route{{Host: "h", Prefix: "/", Kind: route.Stream, Timeout: time.Minute, MaxAttempts: 1, Targets: []route.Target{{Service: "pool", Weight: 1}}}},
+	}))
+	g.SetCordons(now, cordon.NewSet(1, nil))
+	g.Roster().Update(now, []roster.Change{{ID: "u0", Version: 1, Valid: true, Entry: roster.Entry{ID: "u0", Service: "pool", Address: "u0:80"}}}, 1)
+	call, refusal := g.Admit(now, forward.Request{ID: "r1", Host: "h", Path: "/x", Replayable: true})
+	if refusal != nil || g.Start(now, call).Send == nil {
+		t.Fatalf("the request is not sent: %+v", refusal)
+	}
+	x := &exchange{server: &server{gate: g}, call: call, body: &body{}}
+	for _, connected := range []bool{true, false} {
+		if _, source := x.beginMove(msg.MoveOrder{From: "u0"}, connected); (source == nil) != connected {
+			t.Errorf("without a connection, where one is needed %v: source %v", connected, source)
+		}
+	}
+}
+
 // The request of a response that has arrived ends, by its deadline or its caller, while its connection is already that of
 // another request. This must not close it.
 func TestAConnectionThatWasReturnedIsNotClosed(t *testing.T) {
