hosted: a run whose events do not follow is stopped, and its copy is not used

An attempt that is given up because its first event is not the next one was not stopped, so that an engine that works on would run it beside the next one; and if a home was moving it at that moment, the call went on from its memory. Found by a review of the change, by reading.

It is stopped like any broken stream, and its copies are freed or discarded. TestCopiesOfARunThatDoesNotFollowAreDiscarded holds the second part at the core.

--- a/internal/core/forward/home.go
+++ b/internal/core/forward/home.go
@@ -184,6 +184,13 @@
 	}
 }
 
+// DiscardCopies discards the copies of a move of the current attempt, which must not be used.
+func (c *Call) DiscardCopies() {
+	if c.Redirected() {
+		c.resumeTargets = nil
+	}
+}
+
 // resume sends a call to an upstream that has a copy of its generation. Neither the maximum
 // number of attempts nor an unbuffered body prevents this, because the generation only
 // continues.
--- a/internal/core/forward/sequence_test.go
+++ b/internal/core/forward/sequence_test.go
@@ -85,3 +85,17 @@
 		}
 	}
 }
+
+// A run whose events do not follow was moved meanwhile. Its copy must not be used, while those of an earlier move that are
+// still untried may be.
+func TestCopiesOfARunThatDoesNotFollowAreDiscarded(t *testing.T) {
+	g, call := New(options()), Call{current: &Attempt{}}
+	g.Redirect(&call, &roster.Upstream{}, "copy", nil)
+	if call.DiscardCopies(); call.Redirected() {
+		t.Error("the call goes on from the copy of a run that does not follow")
+	}
+	call.resumeTargets, call.resumed = []*Attempt{{CopyAt: "other"}}, true
+	if call.DiscardCopies(); len(call.resumeTargets) != 1 {
+		t.Error("the alternative of an earlier move is discarded")
+	}
+}
--- a/internal/hosted/broken.go
+++ b/internal/hosted/broken.go
@@ -13,8 +13,7 @@
 // request when its connection closes, but one that works on would run it beside the next upstream. If it still
 // ran, the call continues from its memory, also one that may not be repeated.
 func (x *exchange) stopBroken(a *forward.Attempt, o forward.Outcome) {
-	// The memory of a generation whose events do not follow those that the caller has is none to go on from.
-	if !brokenOff(o) || x.isConvicted() || errors.Is(x.lastErr, errOutOfOrder) || !x.mayStillRun(a) {
+	if !brokenOff(o) || x.isConvicted() || !x.mayStillRun(a) {
 		return
 	}
 	order, ok := x.moveOrder(a)
@@ -46,7 +45,11 @@
 	ctx, cancel := context.WithTimeout(x.ctx, finalCopyTimeout)
 	defer cancel()
 	last, err := x.server.copyGeneration(ctx, source.Entry.Address, x.call.ID, mv.order.ToAddress, true)
-	if err == nil && last.Handle != "" {
+	switch {
+	case err != nil || last.Handle == "":
+	case errors.Is(x.lastErr, errOutOfOrder):
+		x.server.dropCopy(source.Entry.Address, last.Handle) // its events do not follow those that the caller has
+	default:
 		x.redirect(mv, source, copies{last: last.Handle, stopped: true}, last.Outcome)
 	}
 	return last.Outcome, err
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -120,6 +120,9 @@
 	if outcome != forward.Done {
 		x.awaitMove()
 	}
+	if errors.Is(x.lastErr, errOutOfOrder) {
+		x.server.decide(func(time.Time, *forward.Gate) { x.call.DiscardCopies() }) // of a run that does not follow
+	}
 	x.stopBroken(a, outcome)
 	found := x.findCrash(a, outcome)
 	next := x.decideStep(func(now time.Time, g *forward.Gate) forward.Step {
