forward, hosted: a stream whose position is not known is not stopped for a move

A generation was stopped and copied although its stream could not go on: after an event without an id, or with one that is no number, the call would have been broken off. Comments that keep a connection alive counted as such events.

Blocks of comments are forwarded and are no events; a stream whose last event has no number is not moved. TestCommentsAreNoEvents.

--- a/internal/core/forward/cordon.go
+++ b/internal/core/forward/cordon.go
@@ -99,9 +99,9 @@
 
 // MayMove reports whether a call's generation may be moved to the upstream of an entry: its software
 // may go on with what the present upstream has written, it is not known to leave and has not asked this
-// instance for a pause, and the call may use its data centre.
+// instance for a pause, and the call may use its data centre. A generation whose stream could not go on is not stopped.
 func (g *Gate) MayMove(now time.Time, c *Call, to roster.Entry) bool {
-	if !c.memoryFits(to) || !g.admits(c, to) || !g.mayUse(c, to.DataCentre) {
+	if !c.positionKnown() || !c.memoryFits(to) || !g.admits(c, to) || !g.mayUse(c, to.DataCentre) {
 		return false
 	}
 	u := g.roster.Find(to.ID)
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -193,8 +193,7 @@
 // response, only a stream can go on, after the last event that the caller has: at the holder of a copy, or at any
 // upstream if its route allows that. Whatever else another upstream sends would become a part of the first response.
 func (c *Call) mayGoOn() bool {
-	known := c.Events == 0 || c.LastEvent != "" // where to go on
-	return !c.headerDelivered || c.Route.Kind == route.Stream && known && (c.Route.Resumable || len(c.resumeTargets) > 0)
+	return !c.headerDelivered || c.Route.Kind == route.Stream && c.positionKnown() && (c.Route.Resumable || len(c.resumeTargets) > 0)
 }
 
 // Ended processes the outcome of the current attempt and returns the next step.
--- a/internal/core/forward/sequence.go
+++ b/internal/core/forward/sequence.go
@@ -53,6 +53,12 @@
 	return c.LastEvent
 }
 
+// positionKnown reports whether it is known after which event a stream goes on.
+func (c *Call) positionKnown() bool {
+	_, err := strconv.ParseInt(c.LastEvent, 10, 64)
+	return c.Events == 0 || err == nil
+}
+
 // MayFollow reports whether an event in an order may be passed on to the caller. The first event of an attempt must be
 // the next one: another run, an older copy or a late response would repeat events or leave some out. Within an attempt
 // the connection keeps the order, and an upstream may number its events as it likes, as long as the numbers rise.
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -100,6 +100,16 @@
 	return ""
 }
 
+// isComment reports whether a block of a stream has only comments, as a server sends to keep a connection alive.
+func isComment(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // forwardStream forwards complete events as they arrive. A partial event must not reach the
 // caller, because the stream may continue on another upstream.
 func (x *exchange) forwardStream(a *forward.Attempt, resp *http.Response) (forward.Outcome, error) {
@@ -125,11 +135,13 @@
 		if err != nil {
 			return x.brokenStreamOutcome(), fmt.Errorf("read stream after %d events: %w", x.call.Events, err)
 		}
-		id := eventID(event)
-		if err := x.checkOrder(id); err != nil {
-			return x.brokenStreamOutcome(), err
+		id, comment := eventID(event), isComment(event)
+		if !comment {
+			if err := x.checkOrder(id); err != nil {
+				return x.brokenStreamOutcome(), err
+			}
 		}
-		if x.call.Events == 0 {
+		if !comment && x.call.Events == 0 {
 			x.recordOrigin()
 		}
 		if !x.sendHead(resp) {
@@ -139,13 +151,22 @@
 			forget = x.out.abortAtDeadline()
 			defer forget()
 		}
-		if gap, ok := x.gaps.record(time.Now()); ok {
-			x.server.metrics.Observe("event_gap_milliseconds", x.call.Route.Name, gap)
+		if !comment {
+			x.observeGap()
 		}
 		if _, err := x.out.Write(event); err != nil {
 			return forward.Cut, fmt.Errorf("forward event: %w", err)
 		}
-		x.recordProgress(id)
+		if !comment {
+			x.recordProgress(id)
+		}
+	}
+}
+
+// observeGap measures the interval between two events.
+func (x *exchange) observeGap() {
+	if gap, ok := x.gaps.record(time.Now()); ok {
+		x.server.metrics.Observe("event_gap_milliseconds", x.call.Route.Name, gap)
 	}
 }
 
--- a/internal/hosted/events_test.go
+++ b/internal/hosted/events_test.go
@@ -46,6 +46,15 @@
 	}
 }
 
+// A comment that keeps a connection alive has no id. As an event it would end the stream where that goes on elsewhere.
+func TestCommentsAreNoEvents(t *testing.T) {
+	for block, want := range map[string]bool{": ping\n\n": true, ":\r\n\r\n": true, ": x\nid: 1\n\n": false, "data: a\n\n": false} {
+		if got := isComment([]byte(block)); got != want {
+			t.Errorf("isComment(%q) = %v, want %v", block, got, want)
+		}
+	}
+}
+
 func TestEventID(t *testing.T) {
 	for in, want := range map[string]string{
 		"id: 7\ndata: a\n\n": "7", "version: 2\nid:8\n\n": "8", "data: id: 9\n\n": "", "\n\n": "",
