conn: a connection that was handed out proves nothing until its own exchange has ended

The proof of both ends was that of the exchange before until the request began to be written, which another goroutine does for long bodies. By reading, found by a review of the change; no order of events is known that returned such a connection.

--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -81,6 +81,8 @@
 			break
 		}
 		if time.Now().Before(c.idleUntil) && c.idleAndOpen() {
+			c.written.Store(false) // of the next exchange, whose request may be written by another goroutine
+			c.ended.Store(false)
 			return c, nil
 		}
 		c.Close()
@@ -97,9 +99,6 @@
 	c := &Conn{Conn: raw, traffic: p.Traffic, address: address, held: reservation{of: p.Memory}}
 	c.in = headLimiter{from: p.Traffic.Reader(raw), held: &c.held}
 	c.r = bufio.NewReaderSize(&c.in, readBufferSize)
-	c.written.Store(true) // nothing is in progress
-	c.ended.Store(true)
-	c.keeps = true
 	return c
 }
 
