proctest: a stream whose engine may not be asked is excused in the soak only while that is so

The excuse held for the whole run once an engine had stated a limit or asked for a pause. Now the limit must be in force, or the pause asked for, within 5 s of the end.

--- a/internal/proctest/soak_streams_test.go
+++ b/internal/proctest/soak_streams_test.go
@@ -193,16 +193,27 @@
 	return strings.HasPrefix(a.path, hosting.PathDraft) || strings.HasPrefix(a.path, hosting.PathBrief)
 }
 
-// endNotAsked reports whether a caller has all events of a stream that ended with its connection, at an engine that has
-// stated a limit or asked for a pause. The engine may not be asked then whether that was the end, and without its report
-// the response is broken off.
+// maxSoakPause is longer than any pause that upstreams of the soak ask for.
+const maxSoakPause = 5 * time.Second
+
+// endNotAsked reports whether a caller has all events of a stream that ended with its connection, at an engine that
+// states a limit or wants a pause as the response is broken off. The engine may not be asked then whether that was the
+// end, and without its report the response is broken off.
 func (s *soak) endNotAsked(a sentRequest, list []hosting.Arrival) bool {
 	if !a.isStream() || unmarked(a.result.body) != streamBodyAfter(a.id, a.after) {
 		return false
 	}
 	asksForLess := func(w *hosting.Worker) bool {
-		paused := func(b hosting.Arrival) bool { return b.Pause > 0 }
-		return len(w.Limits()) > 0 || slices.ContainsFunc(w.Arrivals(), paused)
+		paused := func(b hosting.Arrival) bool {
+			return b.Pause > 0 && b.At.Before(a.at) && a.at.Sub(b.At) < maxSoakPause
+		}
+		limited := false
+		for _, l := range w.Limits() {
+			if l.From.Before(a.at) {
+				limited = l.PerSecond > 0 || limited && a.at.Sub(l.From) < maxSoakPause
+			}
+		}
+		return limited || slices.ContainsFunc(w.Arrivals(), paused)
 	}
 	return slices.ContainsFunc(list, func(b hosting.Arrival) bool {
 		return b.Bare && slices.ContainsFunc(s.Workers(), func(w *hosting.Worker) bool { return w.ID == b.Worker && asksForLess(w) })
