--- a/internal/proctest/hosted_era_test.go
+++ b/internal/proctest/hosted_era_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// A key is revoked while the store responds to nobody, and the store comes back from a copy that was made before. The
+// A key is revoked while the store responds to no instance, and the store comes back from a copy that was made before. The
 // old configuration in it must not count as the newest, as the revocation was acknowledged: the key's time is up.
 func TestHostedACopyDoesNotConfirmAKeyThatWasRevokedBefore(t *testing.T) {
 	t.Parallel()
--- a/internal/proctest/soak_test.go
+++ b/internal/proctest/soak_test.go
@@ -339,16 +339,6 @@
 	}
 }
 
-// limitable returns the upstreams that may state a limit: those to which no relay delays requests.
-func (s *soak) limitable() (list []*hosting.Worker) {
-	for _, w := range append(append([]*hosting.Worker(nil), s.pool...), s.desk...) {
-		if !strings.HasPrefix(w.ID, behindRelay) {
-			list = append(list, w)
-		}
-	}
-	return list
-}
-
 // changeLimit makes an upstream state a rate limit, another one, or none any more.
 func (s *soak) changeLimit() {
 	list := s.limitable()
--- a/internal/proctest/soak_upstreams_test.go
+++ b/internal/proctest/soak_upstreams_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/standin/hosting"
@@ -72,3 +73,13 @@
 		}
 	}
 }
+
+// limitable returns the upstreams that may state a limit: those to which no relay delays requests.
+func (s *soak) limitable() (list []*hosting.Worker) {
+	for _, w := range append(append([]*hosting.Worker(nil), s.pool...), s.desk...) {
+		if !strings.HasPrefix(w.ID, behindRelay) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -375,7 +375,7 @@
 	if !first {
 		return false
 	}
-	w.server.Close() // before the streams, whose connections may be out of its hands: nobody connects after their end
+	w.server.Close() // before the streams, whose connections may be out of its hands: no connection is accepted after their end
 	w.mu.Lock()
 	for _, r := range w.generations {
 		r.stop()
