conn: a body is not ended by a connection that a write has lost

An upstream responded to a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was written. The caller got that part as a complete response.

Cause: the kernel reports a reset to one call only. If that is the write of the request, the read that follows returns 0 bytes, as after an orderly close, and the check of the upstream's process finds it alive. Ruled out: an order between the checks of the end and the write; the outcome of the write was not used at all for a body that is sent while the response is awaited.

The connection now lets a body end with it only if the request was written to its end, without an error, before the end was read. A write that succeeded has taken no error, so that a reset is left for the read. A sound response that arrives before its request needs a length or chunks.

--- /dev/null
+++ b/internal/conn/early_test.go
@@ -0,0 +1,72 @@
+package conn
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A server responds before it has read the request, without a length, and resets the connection while the rest is
+// written. The kernel reports the reset to the write alone: to the read, the connection looks closed in order, and the
+// part that arrived must not count as the whole body. A body after the whole request may end so.
+func TestABodyIsNotEndedByAConnectionThatAWriteHasLost(t *testing.T) {
+	const head, part = "HTTP/1.1 200 OK\r\n\r\n", "a part of the body"
+	for _, early := range []bool{true, false} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			read := int64(1000)
+			if !early {
+				read = int64(len("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n") + 200_000)
+			}
+			_, _ = io.CopyN(io.Discard, c, read) // the test fails if it is short
+			_, _ = io.WriteString(c, head+part)  // as above
+			if early {
+				_ = c.(*net.TCPConn).SetLinger(0) // as above
+			}
+		}()
+		c, err := NewPool().Get(t.Context(), ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		body := io.Reader(strings.NewReader(strings.Repeat("x", 200_000)))
+		if early {
+			body = io.MultiReader(strings.NewReader(strings.Repeat("x", 100_000)), &afterEnd{ended}, strings.NewReader(strings.Repeat("x", 100_000)))
+		}
+		err = c.Write(&Request{Method: "POST", Target: "/", Host: "h", Body: body, Length: 200_000})
+		if (err != nil) != early {
+			t.Fatalf("early response %v: the write ended with error %v", early, err)
+		}
+		resp, err := c.ReadResponse("POST")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		if string(got) != part || (err != nil) != early {
+			t.Errorf("early response %v: body %q, error %v", early, got, err)
+		}
+	}
+}
+
+// afterEnd reads nothing and ends shortly after a channel is closed.
+type afterEnd struct{ ended chan struct{} }
+
+// Read implements io.Reader.
+func (a *afterEnd) Read([]byte) (int, error) {
+	<-a.ended
+	time.Sleep(20 * time.Millisecond) // until the reset has arrived
+	return 0, io.EOF
+}
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -9,7 +9,6 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -151,27 +150,38 @@
 
 // follow notes when the response has been read to its end, and for how long its server keeps the connection.
 func (c *Conn) follow(resp *http.Response) {
-	c.keeps = !resp.Close && FramingOf(resp) != FramedByClose && resp.StatusCode != http.StatusSwitchingProtocols
+	framing := FramingOf(resp)
+	c.keeps = !resp.Close && framing != FramedByClose && resp.StatusCode != http.StatusSwitchingProtocols
 	c.serverTimeout = KeepAlive(resp.Header)
 	if resp.Body == http.NoBody {
 		c.ended.Store(true)
 		return
 	}
-	resp.Body = &followedBody{ReadCloser: resp.Body, ended: &c.ended}
+	resp.Body = &followedBody{ReadCloser: resp.Body, conn: c, framing: framing}
 }
 
 // followedBody notes the end of a body.
 type followedBody struct {
 	io.ReadCloser
-	ended *atomic.Bool
+	conn    *Conn
+	framing Framing
 }
 
-// Read implements io.Reader.
+// errEndBeforeRequest reports that a response without a length ended before its request was written to its end.
+var errEndBeforeRequest = fmt.Errorf("the connection ended before the request was written: %w", io.ErrUnexpectedEOF)
+
+// Read implements io.Reader. The end of the connection does not end a body before the request was written to its end
+// without an error. The kernel reports a reset to one call only: if that is the write, a read finds the connection
+// closed in order, within a body that is not complete.
 func (b *followedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.ended.Store(true)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.framing == FramedByClose && !b.conn.written.Load() {
+		return n, fmt.Errorf("read body of %s: %w", b.conn.address, errEndBeforeRequest)
 	}
+	b.conn.ended.Store(true)
 	return n, err
 }
 
--- a/internal/proctest/hosted_world_test.go
+++ b/internal/proctest/hosted_world_test.go
@@ -198,8 +198,9 @@
 	id, method, path, key, body string
 	header                      map[string]string
 	timeout                     time.Duration
-	// chunked is set if the body is sent in chunks.
-	chunked bool
+	// chunked is set if the body is sent in chunks. sendOver is the time over which it is sent; 0 sends it at once.
+	chunked  bool
+	sendOver time.Duration
 	// leaveAfter is the time after which the caller closes its connection; 0 never.
 	leaveAfter time.Duration
 }
@@ -231,6 +232,9 @@
 	if err != nil {
 		return result{err: err}
 	}
+	if c.sendOver > 0 {
+		req.Body = io.NopCloser(&pacedReader{text: c.body, over: c.sendOver, began: time.Now()})
+	}
 	if c.chunked {
 		req.ContentLength = -1
 	}
@@ -252,6 +256,26 @@
 	return result{status: resp.StatusCode, header: resp.Header, body: string(body), truncated: err != nil, err: err}
 }
 
+// pacedReader reads a text evenly over a time.
+type pacedReader struct {
+	text  string
+	over  time.Duration
+	began time.Time
+	read  int
+}
+
+// Read implements io.Reader.
+func (r *pacedReader) Read(p []byte) (int, error) {
+	if r.read == len(r.text) {
+		return 0, io.EOF
+	}
+	due := r.over * time.Duration(r.read) / time.Duration(len(r.text))
+	time.Sleep(time.Until(r.began.Add(due)))
+	n := copy(p, r.text[r.read:])
+	r.read += n
+	return n, nil
+}
+
 // generation returns a request on the route "draft": a streamed generation that may run only once.
 func generation(id string) call {
 	return call{
--- a/internal/standin/hosting/worker.go
+++ b/internal/standin/hosting/worker.go
@@ -72,8 +72,9 @@
 	OpenStop Fault = "open_stop"
 	// NoCopies discards the copies that other upstreams send.
 	NoCopies Fault = "no_copies"
-	// WithoutEnd is the fault of a response that SetEndless has set.
+	// WithoutEnd is the fault of a response that SetEndless has set, and Raw of one that SetRaw has set.
 	WithoutEnd Fault = "without_end"
+	Raw        Fault = "raw"
 )
 
 // Arrival is a request that reached an upstream.
@@ -214,6 +215,8 @@
 	// does not. endlessSent is the most that it has sent on one.
 	endless                  *standin.Endless
 	endlessMost, endlessSent int64
+	// raw is the response to all requests of callers; nil if there is none.
+	raw *standin.RawResponse
 }
 
 // Address returns the address at which instances connect to the upstream.
@@ -392,7 +395,7 @@
 
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	if w.serveEndless(rw, r) {
+	if w.serveEndless(rw, r) || w.serveRaw(rw, r) {
 		return
 	}
 	w.repeatAnswer(r)
