peer: a tunnel does not report an orderly end within a write

Cause: Carry reads and writes one socket in two goroutines. A reset wakes both; if the write takes it, the read returns 0 bytes and the last chunk was sent before the writer could close the connection. The requester can't notice: what it wrote itself may all lie in the buffers of the tunnel.

The last chunk is no longer sent while a write to the upstream is in progress or after one that failed. The flag is set before each write and unset only after it succeeded, so that no order of the two goroutines hides a failure.

--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,23 +58,31 @@
 	return t.conn.SetWriteDeadline(time.Time{})
 }
 
+// errEndWithinWrite reports that a connection to an upstream ended while bytes were written to it.
+var errEndWithinWrite = errors.New("the connection ended within a write")
+
 // Carry copies bytes in both directions until one of the two ends. It closes the connection to the
 // upstream. The requester learns from the last chunk whether the upstream closed the connection; if the
-// connection broke off, that chunk is missing.
+// connection broke off, that chunk is missing. It is also missing if a write to the upstream has failed or is not
+// finished: the kernel reports a reset to one call only, and to the other the connection looks closed in order.
 func (t *Tunnel) Carry(upstream net.Conn) error {
 	defer upstream.Close()
 	if err := conn.SetAckTimeout(t.conn, tunnelAckTimeout); err != nil {
 		return fmt.Errorf("tunnel: %w", err)
 	}
+	to := &trackedWriter{w: upstream}
 	go func() {
 		// With either end closed, the read of the other direction fails, too.
-		_, _ = io.CopyBuffer(onlyWriter{upstream}, t.r, make([]byte, ToUpstreamBuffer))
+		_, _ = io.CopyBuffer(to, t.r, make([]byte, ToUpstreamBuffer))
 		upstream.Close()
 	}()
 	buf := make([]byte, chunkHeader+FromUpstreamBuffer)
 	out := t.transport.Traffic.Writer(t.conn)
 	for {
 		n, err := upstream.Read(buf[chunkHeader:])
+		if errors.Is(err, io.EOF) && to.unfinished.Load() {
+			err = errEndWithinWrite
+		}
 		if n > 0 || errors.Is(err, io.EOF) {
 			binary.BigEndian.PutUint32(buf, uint32(n))
 			if _, werr := out.Write(buf[:chunkHeader+n]); werr != nil {
@@ -94,8 +103,22 @@
 	}
 }
 
-// onlyWriter hides other methods of a connection, so that io.CopyBuffer uses its buffer.
-type onlyWriter struct{ io.Writer }
+// trackedWriter writes to a connection and has no other methods, so that io.CopyBuffer uses its buffer. unfinished is
+// set while a write is in progress, and stays set after one that failed.
+type trackedWriter struct {
+	w          io.Writer
+	unfinished atomic.Bool
+}
+
+// Write implements io.Writer.
+func (t *trackedWriter) Write(p []byte) (int, error) {
+	t.unfinished.Store(true)
+	n, err := t.w.Write(p)
+	if err == nil {
+		t.unfinished.Store(false)
+	}
+	return n, err
+}
 
 // ErrTunnelRefused reports that an instance did not open a tunnel.
 var ErrTunnelRefused = errors.New("no tunnel was opened")
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -85,6 +85,43 @@
 	}
 }
 
+// An upstream responds to a long request before it has read it, without a length, and resets the connection while the
+// instance between waits to write more. If the write takes the reset, what the instance reads looks like a connection that
+// was closed in order. The tunnel must not say so: the requester has no other way to know that the response is not
+// complete.
+func TestATunnelWhoseWriteIsResetBreaksOff(t *testing.T) {
+	const tries, part = 200, "a part of the body"
+	complete := 0
+	for range tries {
+		sent := make(chan struct{})
+		via := upstreamWith(t, func(u *net.TCPConn) {
+			_, _ = io.WriteString(u, part) // the requester misses it
+			<-sent
+			_ = u.SetLinger(0) // fails only on a closed connection
+			u.Close()
+		})
+		c := open(t, via)
+		go func() {
+			defer close(sent)
+			_ = c.SetWriteDeadline(time.Now().Add(10 * time.Millisecond)) // fails only on a closed connection
+			for err := error(nil); err == nil; {
+				_, err = c.Write(make([]byte, 256<<10)) // until no buffer has room
+			}
+		}()
+		got, err := io.ReadAll(c)
+		if err == nil {
+			complete++
+		}
+		if string(got) != part {
+			t.Fatalf("received %q, error %v", got, err)
+		}
+		c.Close()
+	}
+	if complete > 0 {
+		t.Errorf("%d of %d responses look complete, want none", complete, tries)
+	}
+}
+
 // If the instance that a tunnel passes ends, the response must not look complete.
 func TestATunnelWhoseInstanceEndsBreaksOff(t *testing.T) {
 	wrote, done := make(chan struct{}), make(chan struct{})
