conn: only the statuses of responses are read as such

An upstream in trouble responded with status 000, +20 or 099. Callers got what stood behind that head, in its body or after it, as a success; for 101, 600 and 999 they got the status itself, and for HTTP/2.0 the response.

Cause: ReadResponse skipped each status under 200 but 101 as informational. net/http accepts any three characters that parse as a number of at least 0, and does not look at the version. A 1xx with a length was skipped without its body, which was then read as the final response.

RFC 9110, section 15, calls a status beyond 599 invalid.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -105,7 +105,7 @@
 
 // ReadResponse reads the head of the next final response to a request with the given method;
 // informational (1xx) responses are skipped. Together they are limited to MaxResponseHead; beyond it, the
-// error is a LimitError.
+// error is a LimitError. It wraps ErrNoResponse if the peer sent what is not a response.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
 	c.ended.Store(false)
 	c.in.begin()
@@ -118,7 +118,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response of %s: %w", c.address, err)
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if err := checkStatus(resp); err != nil {
+			return nil, fmt.Errorf("read response of %s: %w", c.address, err)
+		}
+		if !isInformational(resp) {
 			c.follow(resp)
 			return resp, nil
 		}
@@ -151,7 +154,7 @@
 // follow notes when the response has been read to its end, and for how long its server keeps the connection.
 func (c *Conn) follow(resp *http.Response) {
 	framing := FramingOf(resp)
-	c.keeps = !resp.Close && framing != FramedByClose && resp.StatusCode != http.StatusSwitchingProtocols
+	c.keeps = !resp.Close && framing != FramedByClose
 	c.serverTimeout = KeepAlive(resp.Header)
 	if resp.Body == http.NoBody {
 		c.ended.Store(true)
--- a/internal/proctest/hosted_broken_test.go
+++ b/internal/proctest/hosted_broken_test.go
@@ -77,3 +77,40 @@
 	}
 	return complete
 }
+
+// signedFields are the lines of the head of a signed response but the first; @ stands for the id of the request.
+const signedFields = "Attempt-Id: @\r\nResponse-Seal: seal-@\r\n"
+
+// checkInvalid lets all upstreams, and then one of three, send what is no response. No caller may get any of it, and
+// look-ups must be served by the sound upstreams.
+func checkInvalid(t *testing.T, f *fixture, kinds []standin.RawResponse) {
+	t.Helper()
+	for n, kind := range kinds {
+		setRaw(f.desk, &kind)
+		setRaw(f.pool, &kind)
+		for k, c := range []call{lookUp(fmt.Sprintf("none-%d", n)), generation(fmt.Sprintf("draft-%d", n))} {
+			c.timeout = 3 * time.Second
+			r := f.do(f.machines[k], c)
+			if r.err == nil && (r.status != http.StatusBadGateway || r.header.Get("Response-Seal") != "") {
+				t.Errorf("%q: the caller got status %d, %d bytes, header %v; want 502 without the upstream's signature", kind.Name, r.status, len(r.body), r.header)
+			}
+		}
+		setRaw(f.pool, nil)
+		setRaw(f.desk[1:], nil)
+		for k := range 3 {
+			id := fmt.Sprintf("sound-%d-%d", n, k)
+			r := f.do(f.machines[k], lookUp(id))
+			if r.status != http.StatusOK || r.truncated || !strings.HasPrefix(r.body, hosting.Body(id, "")) {
+				t.Errorf("%q: status %d, body %q, error %v; want the response of a sound upstream", kind.Name, r.status, r.body, r.err)
+			}
+		}
+		setRaw(f.desk, nil)
+	}
+}
+
+// Upstreams send statuses that are none, or that no request asks for. A status that is not skipped for certain, or skipped
+// with a body, would give the caller the status, or another response that stands in the body, as that to its request.
+func TestHostedInvalidStatuses(t *testing.T) {
+	t.Parallel()
+	checkInvalid(t, newFixture(t), standin.InvalidStatuses(signedFields))
+}
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -45,3 +46,26 @@
 		_ = l.tcp.SetLinger(0) // fails only on a closed connection
 	}
 }
+
+// brokenBody is the body of the responses of BrokenHeads. It is also an event of a stream.
+const brokenBody = "id: 1\ndata: x\n\n"
+
+// InvalidStatuses returns responses whose status is none, or not that of a response to a request. fields are the lines of
+// the head of a sound response.
+func InvalidStatuses(fields string) (list []RawResponse) {
+	sound := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(brokenBody), brokenBody)
+	for _, line := range []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 +20 Trouble", "HTTP/1.1 -00 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 101 Switching Protocols",
+		"HTTP/1.1 600 Trouble", "HTTP/1.1 999 Trouble", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "",
+	} {
+		list = append(list,
+			RawResponse{Name: line + ", with a body", Text: fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", line, fields, len(brokenBody), brokenBody)},
+			RawResponse{Name: line + ", a response as its body", Text: fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", line, fields, len(sound), sound)},
+			RawResponse{Name: line + ", without a length", Text: fmt.Sprintf("%s\r\n%s\r\n%s", line, fields, sound)},
+		)
+	}
+	for _, framing := range []string{fmt.Sprintf("Content-Length: %d\r\n", len(sound)), "Transfer-Encoding: chunked\r\n"} {
+		list = append(list, RawResponse{Name: "an informational response with " + framing, Text: "HTTP/1.1 199 Trouble\r\n" + fields + framing + "\r\n" + sound})
+	}
+	return list
+}
