conn: a head whose lines hide what frames its body is no response

An upstream in trouble sent a head in which the name of a field held a blank, as in "Content-Length : 50", and callers got 200 with the 5 bytes that arrived; with "Transfer-Encoding : chunked" they got the chunks and their sizes. The same happened with a blank before the name, and with a transfer coding in a response of HTTP/1.0.

Cause: net/http is lenient there. It keeps names with blanks as fields of their own, joins a line that begins with a blank to the line before, and drops Transfer-Encoding from HTTP/1.0 and the length beside it from HTTP/1.1. The body then has no framing, ends with its connection, and the upstream is alive. Control bytes in names were refused already: their tests are kept.

The lines of a head are now checked in the buffer, before net/http parses them, as most of this can't be seen afterwards. A folded line is refused, which RFC 9112, section 5.2, leaves to a proxy. The buffer grows for heads of more than 4 KB and shrinks with the end of the exchange.

Before: TestHostedInvalidFields, on real processes, failed with 27 and 29 of 102 broken responses delivered, and 7 of 153 look-ups that a sound upstream could serve; TestInvalidFieldsAreRejected with 27 of 102 read.

--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -111,16 +111,10 @@
 	c.in.begin()
 	defer c.in.end()
 	for {
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		if c.in.failed != nil {
-			err = c.in.failed // the parser may have failed at the line that was cut off
-		}
+		resp, err := c.readHead(method)
 		if err != nil {
 			return nil, fmt.Errorf("read response of %s: %w", c.address, err)
 		}
-		if err := checkStatus(resp); err != nil {
-			return nil, fmt.Errorf("read response of %s: %w", c.address, err)
-		}
 		if !isInformational(resp) {
 			c.follow(resp)
 			return resp, nil
@@ -128,6 +122,18 @@
 	}
 }
 
+// readHead reads the next head, that of an informational response included.
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	if err := c.checkHead(); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, checkStatus(resp)
+}
+
 // Framing is what ends the body of a response.
 type Framing string
 
--- a/internal/conn/head.go
+++ b/internal/conn/head.go
@@ -83,14 +83,13 @@
 type headLimiter struct {
 	from io.Reader
 	held *reservation
-	// inHead is set while a head is read, of which read bytes have arrived. failed is why no more is read of it.
+	// inHead is set while a head is read, of which read bytes have arrived.
 	inHead bool
 	read   int
-	failed error
 }
 
 // begin begins a head.
-func (l *headLimiter) begin() { l.inHead, l.read, l.failed = true, 0, nil }
+func (l *headLimiter) begin() { l.inHead, l.read = true, 0 }
 
 // end ends a head.
 func (l *headLimiter) end() { l.inHead = false }
@@ -102,15 +101,13 @@
 	}
 	left := MaxResponseHead - l.read
 	if left == 0 {
-		l.failed = &LimitError{Part: PartHead, Limit: MaxResponseHead, Read: int64(l.read)}
-		return 0, l.failed
+		return 0, &LimitError{Part: PartHead, Limit: MaxResponseHead, Read: int64(l.read)}
 	}
 	n, err := l.from.Read(p[:min(len(p), left)])
 	before := max(l.read, HeadBuffer)
 	l.read += n
 	if more := l.read - before; more > 0 && !l.held.reserve(more*HeadCost) {
-		l.failed = fmt.Errorf("read a head of more than %d bytes: %w", before, ErrNoMemory)
-		return 0, l.failed
+		return 0, fmt.Errorf("read a head of more than %d bytes: %w", before, ErrNoMemory)
 	}
 	return n, err
 }
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -144,6 +144,7 @@
 
 // keep keeps a connection on which no exchange is in progress, or closes it if it can't be kept.
 func (p *Pool) keep(c *Conn) {
+	c.shrinkBuffer()
 	c.held.releaseAll()
 	c.idleUntil = time.Now().Add(defaultIdleTimeout)
 	if c.serverTimeout > 0 {
--- a/internal/conn/response_test.go
+++ b/internal/conn/response_test.go
@@ -60,3 +60,9 @@
 		t.Errorf("error %v, want ErrNoResponse", err)
 	}
 }
+
+// A line whose name holds a blank is left out, or read as a part of the line before, and with it what frames the body.
+func TestInvalidFieldsAreRejected(t *testing.T) {
+	checkRejected(t, standin.InvalidFields(""))
+	checkRejected(t, standin.InvalidFields("X-Filler: "+strings.Repeat("x", 20<<10)+"\r\n")) // more than the buffer of a connection
+}
--- a/internal/proctest/hosted_broken_test.go
+++ b/internal/proctest/hosted_broken_test.go
@@ -114,3 +114,10 @@
 	t.Parallel()
 	checkInvalid(t, newFixture(t), standin.InvalidStatuses(signedFields))
 }
+
+// Upstreams send heads in which the name of a field holds a blank or a control byte, or which hide what frames the body. A
+// parser that leaves out the line would give the caller another body than the upstream's, or a part of it.
+func TestHostedInvalidFields(t *testing.T) {
+	t.Parallel()
+	checkInvalid(t, newFixture(t), standin.InvalidFields(signedFields))
+}
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -69,3 +69,35 @@
 	}
 	return list
 }
+
+// InvalidFields returns responses in whose head a line is no field, or hides what frames the body. fields are the lines of
+// the head of a sound response.
+func InvalidFields(fields string) (list []RawResponse) {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(brokenBody))
+	for _, name := range []string{
+		"X Trouble", "X-Trouble ", " X-Trouble", "\tX-Trouble", "X\tTrouble", "X-Trouble\t", "X\x00Trouble", "X\x01Trouble", "X\rTrouble", "X\x7fTrouble", "X\x80Trouble", "", " ",
+		"X(Trouble", "X\"Trouble", "X/Trouble", "X\vTrouble", "\rX-Trouble",
+	} {
+		list = append(
+			list,
+			RawResponse{Name: fmt.Sprintf("field %q first", name), Text: "HTTP/1.1 200 OK\r\n" + name + ": 1\r\n" + fields + length + "\r\n" + brokenBody},
+			RawResponse{Name: fmt.Sprintf("field %q last", name), Text: "HTTP/1.1 200 OK\r\n" + fields + length + name + ": 1\r\n\r\n" + brokenBody},
+		)
+	}
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(brokenBody), brokenBody)
+	for _, line := range []string{"Content-Length : 50", "Content Length: 50", " Content-Length: 50", "\tContent-Length: 50", "Content-Length\t: 50", "Content-Length"} {
+		list = append(list, RawResponse{Name: fmt.Sprintf("%q", line), Text: "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n\r\n" + brokenBody})
+	}
+	for _, line := range []string{"Transfer-Encoding : chunked", "Transfer Encoding: chunked", " Transfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 25"} {
+		list = append(list, RawResponse{Name: fmt.Sprintf("%q", line), Text: "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n\r\n" + chunked})
+	}
+	for _, line := range []string{"Transfer-Encoding: chunked\r\n", fmt.Sprintf("transfer-encoding: chunked\r\nContent-Length: %d\r\n", len(chunked))} {
+		list = append(list, RawResponse{Name: "HTTP/1.0 with " + line, Text: "HTTP/1.0 200 OK\r\n" + fields + line + "\r\n" + chunked})
+	}
+	return append(
+		list,
+		RawResponse{Name: "two lengths", Text: "HTTP/1.1 200 OK\r\n" + fields + length + "Content-Length: 5\r\n\r\n" + brokenBody},
+		RawResponse{Name: "a control byte in a value", Text: "HTTP/1.1 200 OK\r\n" + fields + length + "X-Trouble: \x01\r\n\r\n" + brokenBody},
+		RawResponse{Name: "a blank in a name of an informational response", Text: "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + length + "\r\n" + brokenBody},
+	)
+}
