--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // UnknownLength is the Request.Length of a body of unknown size, which is sent in chunked
@@ -105,7 +107,7 @@
 
 // ReadResponse reads the head of the next final response to a request with the given method;
 // informational (1xx) responses are skipped. Together they are limited to MaxResponseHead; beyond it, the
-// error is a LimitError. It wraps ErrNoResponse if the peer sent what is not a response.
+// error is a LimitError. It wraps response.ErrInvalid if the peer sent what is not a response.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
 	c.ended.Store(false)
 	c.in.begin()
@@ -115,52 +117,17 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response of %s: %w", c.address, err)
 		}
-		if !isInformational(resp) {
+		if !response.IsInformational(resp) {
 			c.follow(resp)
 			return resp, nil
 		}
 	}
 }
 
-// readHead reads the next head, that of an informational response included.
-func (c *Conn) readHead(method string) (*http.Response, error) {
-	if err := c.checkHead(); err != nil {
-		return nil, err
-	}
-	resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-	if err != nil {
-		return nil, err
-	}
-	return resp, checkStatus(resp)
-}
-
-// Framing is what ends the body of a response.
-type Framing string
-
-// Framings of bodies. Only the first two prove by the body's own bytes that it is complete.
-const (
-	// FramedByLength: the body has a length. FramedByChunks: it is sent in chunks, with a last one.
-	FramedByLength Framing = "length"
-	FramedByChunks Framing = "chunks"
-	// FramedByClose: the body ends with its connection.
-	FramedByClose Framing = "close"
-)
-
-// FramingOf returns what ends the body of a response.
-func FramingOf(resp *http.Response) Framing {
-	switch {
-	case resp.ContentLength >= 0, resp.Body == http.NoBody:
-		return FramedByLength
-	case len(resp.TransferEncoding) > 0:
-		return FramedByChunks
-	}
-	return FramedByClose
-}
-
 // follow notes when the response has been read to its end, and for how long its server keeps the connection.
 func (c *Conn) follow(resp *http.Response) {
-	framing := FramingOf(resp)
-	c.keeps = !resp.Close && framing != FramedByClose
+	framing := response.FramingOf(resp)
+	c.keeps = !resp.Close && framing != response.FramedByClose
 	c.serverTimeout = KeepAlive(resp.Header)
 	if resp.Body == http.NoBody {
 		c.ended.Store(true)
@@ -173,7 +140,7 @@
 type followedBody struct {
 	io.ReadCloser
 	conn    *Conn
-	framing Framing
+	framing response.Framing
 }
 
 // errEndBeforeRequest reports that a response without a length ended before its request was written to its end.
@@ -187,7 +154,7 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if b.framing == FramedByClose && !b.conn.written.Load() {
+	if b.framing == response.FramedByClose && !b.conn.written.Load() {
 		return n, fmt.Errorf("read body of %s: %w", b.conn.address, errEndBeforeRequest)
 	}
 	b.conn.ended.Store(true)
--- a/internal/conn/response_test.go
+++ b/internal/conn/response_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"mulberrylug.example/mulberrylug/internal/response"
 	"mulberrylug.example/mulberrylug/internal/standin"
 )
 
@@ -56,8 +57,8 @@
 func TestInvalidStatusesAreRejected(t *testing.T) {
 	checkRejected(t, standin.InvalidStatuses(""))
 	c := respondWith(t, strings.NewReader("HTTP/1.1 000 Trouble\r\n\r\n"), noAccount{})
-	if _, err := c.ReadResponse(http.MethodGet); !errors.Is(err, ErrNoResponse) {
-		t.Errorf("error %v, want ErrNoResponse", err)
+	if _, err := c.ReadResponse(http.MethodGet); !errors.Is(err, response.ErrInvalid) {
+		t.Errorf("error %v, want response.ErrInvalid", err)
 	}
 }
 
--- a/internal/hosted/answer.go
+++ b/internal/hosted/answer.go
@@ -12,6 +12,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/memory"
 	"mulberrylug.example/mulberrylug/internal/core/route"
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // maxBufferedResponse is the size in bytes up to which a response is buffered before it is
@@ -110,7 +111,7 @@
 
 // forwardResponse forwards the response and returns the attempt's outcome.
 func (x *exchange) forwardResponse(c *conn.Conn, a *forward.Attempt, resp *http.Response, ans Response) (forward.Outcome, error) {
-	x.framing = conn.FramingOf(resp)
+	x.framing = response.FramingOf(resp)
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if success && x.call.Route.Kind == route.Stream && ans.Signed {
 		return x.forwardStream(a, resp)
@@ -130,7 +131,7 @@
 	case x.headSent:
 		return forward.Failed, errNoStream
 	}
-	if x.framing == conn.FramedByClose {
+	if x.framing == response.FramedByClose {
 		if err := x.awaitEndProof(a); err != nil {
 			return forward.Lost, err
 		}
@@ -245,7 +246,7 @@
 	if _, err := io.CopyBuffer(x.out, resp.Body, buf); err != nil {
 		return forward.Cut, err
 	}
-	if x.framing == conn.FramedByClose {
+	if x.framing == response.FramedByClose {
 		if err := x.awaitEndProof(a); err != nil {
 			return forward.Cut, err
 		}
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -15,6 +15,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/memory"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // maxEventBytes is the maximum size of an event of a stream.
@@ -174,7 +175,7 @@
 // mayLackEvents reports whether a response without an event may be complete: its end is proved by its own bytes, and
 // the caller may have all events of the stream that it takes up.
 func (x *exchange) mayLackEvents() bool {
-	return x.call.AfterEvent != "" && x.framing != conn.FramedByClose
+	return x.call.AfterEvent != "" && x.framing != response.FramedByClose
 }
 
 // memoryPollInterval is the interval between attempts to reserve memory for a large event.
--- a/internal/hosted/exchange.go
+++ b/internal/hosted/exchange.go
@@ -15,6 +15,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/forward"
 	"mulberrylug.example/mulberrylug/internal/core/msg"
 	"mulberrylug.example/mulberrylug/internal/core/reach"
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // errWithheld reports that a request was not sent, as its upstream no longer accepted it once it was reached.
@@ -49,7 +50,7 @@
 	lastErr       error
 	// framing is what ends the body of the last response, "" before it. via is the instance that the last attempt passed,
 	// "" if it connected directly. firstEvent is the id of the first event of the stream. All are logged.
-	framing         conn.Framing
+	framing         response.Framing
 	via, firstEvent string
 	// loggedOrders are the orders of events of the attempt that were logged.
 	loggedOrders []forward.EventOrder
--- a/internal/hosted/streamend.go
+++ b/internal/hosted/streamend.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/boottime"
-	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/forward"
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // A response without a length and without chunks ends with its connection. The kernel also closes the connections of a
@@ -69,7 +69,7 @@
 
 // confirmStreamEnd returns an error if the end of a stream's connection does not prove that the stream is complete.
 func (x *exchange) confirmStreamEnd(a *forward.Attempt) error {
-	if x.framing != conn.FramedByClose {
+	if x.framing != response.FramedByClose {
 		return nil
 	}
 	// An engine that stops a generation closes its stream. Whether it was still running, only the response to the
--- a/internal/hosted/streamend_test.go
+++ b/internal/hosted/streamend_test.go
@@ -25,6 +25,7 @@
 	"mulberrylug.example/mulberrylug/internal/core/route"
 	"mulberrylug.example/mulberrylug/internal/core/statement"
 	"mulberrylug.example/mulberrylug/internal/metrics"
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // endWire decodes reports that hold nothing but the start of the process.
@@ -64,7 +65,7 @@
 	s.memory = newMemoryAccount(0, s.metrics, s.log)
 	x := &exchange{
 		server: s, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/", nil), ctx: t.Context(), body: &body{},
-		hold: s.memory.newHold(), convicted: make(chan struct{}), framing: conn.FramedByClose,
+		hold: s.memory.newHold(), convicted: make(chan struct{}), framing: response.FramedByClose,
 		call: &forward.Call{Request: forward.Request{ID: "r1"}, Route: &route.Route{Kind: route.Stream}, Service: "pool", Events: 2, LastEvent: "2"},
 	}
 	x.out = newOutput(x, true)
--- /dev/null
+++ b/internal/response/response.go
@@ -0,0 +1,66 @@
+// Package response decides what counts as a response of HTTP/1.x, and what ends its body. net/http reads more than RFC
+// 9110 and RFC 9112 allow, and a server that fails may send anything: what is not certain to be the response to a request
+// must not reach its caller.
+package response
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+const (
+	// maxStatus is the largest status that RFC 9110, section 15, defines a class for.
+	maxStatus = 599
+	// httpMajor is the major version of the responses to requests of HTTP/1.1.
+	httpMajor = 1
+)
+
+// ErrInvalid reports that what a peer sent is not a response.
+var ErrInvalid = errors.New("not a valid HTTP response")
+
+// Check returns an error, which wraps ErrInvalid, if a response that net/http has parsed does not have the version, or the
+// status, of one to a request of HTTP/1.1. net/http accepts all versions, and each status of three characters that parse as
+// a number of at least 0.
+func Check(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != httpMajor:
+		return fmt.Errorf("%w: version %q", ErrInvalid, resp.Proto)
+	case resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus:
+		return fmt.Errorf("%w: status %q", ErrInvalid, resp.Status)
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return fmt.Errorf("%w: status %q, which no request asks for", ErrInvalid, resp.Status)
+	case IsInformational(resp) && (len(resp.TransferEncoding) > 0 || resp.Header.Get(headerLength) != ""):
+		// The body would be read as the final response.
+		return fmt.Errorf("%w: status %q with a body", ErrInvalid, resp.Status)
+	}
+	return nil
+}
+
+// IsInformational reports whether another response follows to the same request.
+func IsInformational(resp *http.Response) bool {
+	return resp.StatusCode/100 == 1
+}
+
+// Framing is what ends the body of a response.
+type Framing string
+
+// Framings of bodies. Only the first two prove by the body's own bytes that it is complete.
+const (
+	// FramedByLength: the body has a length. FramedByChunks: it is sent in chunks, with a last one.
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose: the body ends with its connection.
+	FramedByClose Framing = "close"
+)
+
+// FramingOf returns what ends the body of a response.
+func FramingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0, resp.Body == http.NoBody:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByClose
+}
