upstream: broken heads are no responses on the own interface either

A plain service in trouble sent what is no response, and its caller got it: with status 000 as such (net/http panics when it is to write it; read, not run), with a blank in the name of a field the chunks and their sizes or a part of the body. Streams of engines and load reports were read in the same way.

Cause: the own interface reads by net/http's client, which is as lenient as its parser, and skips a 1xx with a length without its body.

response.Transport wraps http.Transport. Its connections check the lines of each head before net/http parses them; it learns from httptrace which request gets a connection, so that it holds for kept connections, too. Then the status is checked as on the hosting platform.

--- a/internal/conn/readhead.go
+++ b/internal/conn/readhead.go
@@ -27,13 +27,11 @@
 	var head response.Head
 	for checked := 0; ; {
 		buffered, _ := c.r.Peek(c.r.Buffered()) // never fails
-		for n := bytes.IndexByte(buffered[checked:], '\n'); n >= 0; n = bytes.IndexByte(buffered[checked:], '\n') {
-			line := bytes.TrimSuffix(buffered[checked:checked+n], []byte("\r"))
-			if end, err := head.Add(line); end || err != nil {
-				return err
-			}
-			checked += n + 1
+		n, end, err := head.Check(buffered[checked:])
+		if end || err != nil {
+			return err
 		}
+		checked += n
 		if len(buffered) == c.r.Size() {
 			c.growBuffer(buffered)
 		}
--- a/internal/conn/response_test.go
+++ b/internal/conn/response_test.go
@@ -55,7 +55,7 @@
 
 // What follows a status that is none would be read as the response, or the status be passed on.
 func TestInvalidStatusesAreRejected(t *testing.T) {
-	checkRejected(t, standin.InvalidStatuses(""))
+	checkRejected(t, standin.InvalidStatuses("", "the body"))
 	c := respondWith(t, strings.NewReader("HTTP/1.1 000 Trouble\r\n\r\n"), noAccount{})
 	if _, err := c.ReadResponse(http.MethodGet); !errors.Is(err, response.ErrInvalid) {
 		t.Errorf("error %v, want response.ErrInvalid", err)
@@ -64,6 +64,6 @@
 
 // A line whose name holds a blank is left out, or read as a part of the line before, and with it what frames the body.
 func TestInvalidFieldsAreRejected(t *testing.T) {
-	checkRejected(t, standin.InvalidFields(""))
-	checkRejected(t, standin.InvalidFields("X-Filler: "+strings.Repeat("x", 20<<10)+"\r\n")) // more than the buffer of a connection
+	checkRejected(t, standin.InvalidFields("", "the body"))
+	checkRejected(t, standin.InvalidFields("X-Filler: "+strings.Repeat("x", 20<<10)+"\r\n", "the body")) // more than the buffer of a connection
 }
--- a/internal/proctest/hosted_broken_test.go
+++ b/internal/proctest/hosted_broken_test.go
@@ -112,12 +112,12 @@
 // with a body, would give the caller the status, or another response that stands in the body, as that to its request.
 func TestHostedInvalidStatuses(t *testing.T) {
 	t.Parallel()
-	checkInvalid(t, newFixture(t), standin.InvalidStatuses(signedFields))
+	checkInvalid(t, newFixture(t), standin.InvalidStatuses(signedFields, hosting.Event("@", 1)))
 }
 
 // Upstreams send heads in which the name of a field holds a blank or a control byte, or which hide what frames the body. A
 // parser that leaves out the line would give the caller another body than the upstream's, or a part of it.
 func TestHostedInvalidFields(t *testing.T) {
 	t.Parallel()
-	checkInvalid(t, newFixture(t), standin.InvalidFields(signedFields))
+	checkInvalid(t, newFixture(t), standin.InvalidFields(signedFields, hosting.Event("@", 1)))
 }
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -16,18 +16,35 @@
 // others. With such a line, what frames the body is not certain. The zero value is ready for the first line.
 type Head struct {
 	lines int
-	// http10 is set for a response of HTTP/1.0, and length and coding if it states a length or a transfer coding.
-	http10, length, coding bool
+	// http10 is set for a response of HTTP/1.0, and informational for one with a status from 100 to 199. length and
+	// coding are set if it states a length or a transfer coding.
+	http10, informational, length, coding bool
 }
 
-// Add checks the next line, without its end, and reports whether it ends the head. The error wraps ErrInvalid.
-func (h *Head) Add(line []byte) (end bool, err error) {
+// Check checks the whole lines at the beginning of b, up to the end of the head. It returns the number of their bytes,
+// behind which the next call continues, and whether the head has ended. The error wraps ErrInvalid.
+func (h *Head) Check(b []byte) (n int, end bool, err error) {
+	for !end && err == nil {
+		length := bytes.IndexByte(b[n:], '\n')
+		if length < 0 {
+			break
+		}
+		end, err = h.add(bytes.TrimSuffix(b[n:n+length], []byte("\r")))
+		n += length + 1
+	}
+	return n, end, err
+}
+
+// add checks the next line, without its end, and reports whether it ends the head.
+func (h *Head) add(line []byte) (end bool, err error) {
 	h.lines++
 	name, _, isField := bytes.Cut(line, []byte(":"))
 	switch {
 	case h.lines == 1:
-		h.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0 "))
-		if !bytes.HasPrefix(line, []byte("HTTP/")) {
+		version, status, _ := bytes.Cut(line, []byte(" "))
+		h.http10 = string(version) == "HTTP/1.0"
+		h.informational = bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
+		if !bytes.HasPrefix(version, []byte("HTTP/")) {
 			return false, fmt.Errorf("%w: first line %.40q", ErrInvalid, line)
 		}
 	case len(line) == 0:
@@ -42,10 +59,12 @@
 	return false, nil
 }
 
-// checkFraming returns an error if the head states the end of the body in two ways, or in one that its version does not
-// have (RFC 9112, section 6.1).
+// checkFraming returns an error if the head states the end of the body in two ways, in one that its version does not
+// have (RFC 9112, section 6.1), or for a response without a body, which would be read as the final response.
 func (h *Head) checkFraming() error {
 	switch {
+	case h.informational && (h.coding || h.length):
+		return fmt.Errorf("%w: an informational response with a body", ErrInvalid)
 	case h.coding && h.length:
 		return fmt.Errorf("%w: both a length and a transfer coding", ErrInvalid)
 	case h.coding && h.http10:
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -30,9 +30,6 @@
 		return fmt.Errorf("%w: status %q", ErrInvalid, resp.Status)
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return fmt.Errorf("%w: status %q, which no request asks for", ErrInvalid, resp.Status)
-	case IsInformational(resp) && (len(resp.TransferEncoding) > 0 || resp.Header.Get(headerLength) != ""):
-		// The body would be read as the final response.
-		return fmt.Errorf("%w: status %q with a body", ErrInvalid, resp.Status)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/response/transport.go
@@ -0,0 +1,114 @@
+package response
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// Transport is an http.RoundTripper that returns only what is certain to be the response to a request, by the rules of
+// this package.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a transport that makes requests by base. It takes over base, whose DialContext must be set.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &headConn{Conn: c}, nil
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper. The error wraps ErrInvalid if the server sent what is not a response.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*headConn); ok {
+			c.expectHead()
+		}
+	}}
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(resp); err != nil {
+		resp.Body.Close()
+		return nil, fmt.Errorf("response of %s: %w", r.URL.Host, err)
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections closes the connections that no request uses. http.Client calls it.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// maxLine is the maximum size of a line of a head in bytes. The beginning of a line is kept, and checked again with what
+// arrives of the rest.
+const maxLine = 32 << 10
+
+// headConn checks the heads of the responses on a connection that carries one request at a time, before net/http parses
+// them. The limit of net/http bounds the size of a whole head.
+type headConn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	head Head
+	// part is the beginning of a line of the head whose rest has not arrived, and ended is set after the last line.
+	part  []byte
+	ended bool
+	// invalid is why nothing more is read: net/http may take what it has of a line for the whole line after an error.
+	invalid error
+}
+
+// expectHead begins the head of the response to the next request.
+func (c *headConn) expectHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head, c.part, c.ended = Head{}, nil, false
+}
+
+// Read implements net.Conn. It returns nothing of a head that is found to be invalid.
+func (c *headConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if invalid := c.check(p[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
+}
+
+// check checks what has arrived, as far as it belongs to heads.
+func (c *headConn) check(b []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || c.invalid != nil {
+		return c.invalid
+	}
+	if len(c.part) > 0 {
+		b = append(c.part, b...)
+	}
+	for {
+		n, end, err := c.head.Check(b)
+		b = b[n:]
+		switch {
+		case err != nil:
+			c.invalid = err
+			return err
+		case !end && len(b) > maxLine:
+			c.invalid = fmt.Errorf("%w: a line of its head exceeds %d bytes", ErrInvalid, maxLine)
+			return c.invalid
+		case !end:
+			c.part = bytes.Clone(b)
+			return nil
+		case !c.head.informational:
+			c.part, c.ended = nil, true
+			return nil
+		}
+		c.head = Head{}
+	}
+}
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -47,19 +47,16 @@
 	}
 }
 
-// brokenBody is the body of the responses of BrokenHeads. It is also an event of a stream.
-const brokenBody = "id: 1\ndata: x\n\n"
-
 // InvalidStatuses returns responses whose status is none, or not that of a response to a request. fields are the lines of
-// the head of a sound response.
-func InvalidStatuses(fields string) (list []RawResponse) {
-	sound := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(brokenBody), brokenBody)
+// the head of a sound response, and body is its body.
+func InvalidStatuses(fields, body string) (list []RawResponse) {
+	sound := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
 	for _, line := range []string{
 		"HTTP/1.1 000 Trouble", "HTTP/1.1 +20 Trouble", "HTTP/1.1 -00 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 101 Switching Protocols",
 		"HTTP/1.1 600 Trouble", "HTTP/1.1 999 Trouble", "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "",
 	} {
 		list = append(list,
-			RawResponse{Name: line + ", with a body", Text: fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", line, fields, len(brokenBody), brokenBody)},
+			RawResponse{Name: line + ", with a body", Text: fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", line, fields, len(body), body)},
 			RawResponse{Name: line + ", a response as its body", Text: fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", line, fields, len(sound), sound)},
 			RawResponse{Name: line + ", without a length", Text: fmt.Sprintf("%s\r\n%s\r\n%s", line, fields, sound)},
 		)
@@ -71,24 +68,24 @@
 }
 
 // InvalidFields returns responses in whose head a line is no field, or hides what frames the body. fields are the lines of
-// the head of a sound response.
-func InvalidFields(fields string) (list []RawResponse) {
-	length := fmt.Sprintf("Content-Length: %d\r\n", len(brokenBody))
+// the head of a sound response, and body is its body.
+func InvalidFields(fields, body string) (list []RawResponse) {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	for _, name := range []string{
 		"X Trouble", "X-Trouble ", " X-Trouble", "\tX-Trouble", "X\tTrouble", "X-Trouble\t", "X\x00Trouble", "X\x01Trouble", "X\rTrouble", "X\x7fTrouble", "X\x80Trouble", "", " ",
 		"X(Trouble", "X\"Trouble", "X/Trouble", "X\vTrouble", "\rX-Trouble",
 	} {
 		list = append(
 			list,
-			RawResponse{Name: fmt.Sprintf("field %q first", name), Text: "HTTP/1.1 200 OK\r\n" + name + ": 1\r\n" + fields + length + "\r\n" + brokenBody},
-			RawResponse{Name: fmt.Sprintf("field %q last", name), Text: "HTTP/1.1 200 OK\r\n" + fields + length + name + ": 1\r\n\r\n" + brokenBody},
+			RawResponse{Name: fmt.Sprintf("field %q first", name), Text: "HTTP/1.1 200 OK\r\n" + name + ": 1\r\n" + fields + length + "\r\n" + body},
+			RawResponse{Name: fmt.Sprintf("field %q last", name), Text: "HTTP/1.1 200 OK\r\n" + fields + length + name + ": 1\r\n\r\n" + body},
 		)
 	}
-	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(brokenBody), brokenBody)
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	for _, line := range []string{"Content-Length : 50", "Content Length: 50", " Content-Length: 50", "\tContent-Length: 50", "Content-Length\t: 50", "Content-Length"} {
-		list = append(list, RawResponse{Name: fmt.Sprintf("%q", line), Text: "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n\r\n" + brokenBody})
+		list = append(list, RawResponse{Name: fmt.Sprintf("%q", line), Text: "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n\r\n" + body})
 	}
-	for _, line := range []string{"Transfer-Encoding : chunked", "Transfer Encoding: chunked", " Transfer-Encoding: chunked", "Transfer-Encoding: chunked\r\nContent-Length: 25"} {
+	for _, line := range []string{"Transfer-Encoding : chunked", "Transfer Encoding: chunked", " Transfer-Encoding: chunked", fmt.Sprintf("Transfer-Encoding: chunked\r\nContent-Length: %d", len(chunked))} {
 		list = append(list, RawResponse{Name: fmt.Sprintf("%q", line), Text: "HTTP/1.1 200 OK\r\n" + fields + line + "\r\n\r\n" + chunked})
 	}
 	for _, line := range []string{"Transfer-Encoding: chunked\r\n", fmt.Sprintf("transfer-encoding: chunked\r\nContent-Length: %d\r\n", len(chunked))} {
@@ -96,8 +93,8 @@
 	}
 	return append(
 		list,
-		RawResponse{Name: "two lengths", Text: "HTTP/1.1 200 OK\r\n" + fields + length + "Content-Length: 5\r\n\r\n" + brokenBody},
-		RawResponse{Name: "a control byte in a value", Text: "HTTP/1.1 200 OK\r\n" + fields + length + "X-Trouble: \x01\r\n\r\n" + brokenBody},
-		RawResponse{Name: "a blank in a name of an informational response", Text: "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + length + "\r\n" + brokenBody},
+		RawResponse{Name: "two lengths", Text: "HTTP/1.1 200 OK\r\n" + fields + length + "Content-Length: 5\r\n\r\n" + body},
+		RawResponse{Name: "a control byte in a value", Text: "HTTP/1.1 200 OK\r\n" + fields + length + "X-Trouble: \x01\r\n\r\n" + body},
+		RawResponse{Name: "a blank in a name of an informational response", Text: "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + length + "\r\n" + body},
 	)
 }
--- /dev/null
+++ b/internal/upstream/broken_test.go
@@ -0,0 +1,87 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"mulberrylug.example/mulberrylug/internal/core"
+	"mulberrylug.example/mulberrylug/internal/standin"
+)
+
+// rawClient returns a client of an upstream that sends the response that is stored last.
+func rawClient(t *testing.T) (raw *atomic.Pointer[standin.RawResponse], c *Client, address string, events chan core.Event) {
+	t.Helper()
+	raw = &atomic.Pointer[standin.RawResponse]{}
+	server, err := standin.Start("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { raw.Load().Send(w, r, "id") }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	events = make(chan core.Event, 100)
+	return raw, NewClient(func(e core.Event) { events <- e }), server.Address(), events
+}
+
+// callOnce makes a call of a plain service and returns its first event that is no statement.
+func callOnce(t *testing.T, c *Client, address string, events chan core.Event, body []byte) core.Event {
+	t.Helper()
+	c.Run(context.Background(), core.Dispatch{Attempt: "a", Address: address, Method: http.MethodPost, Path: "/", Body: body, Timeout: testTimeout})
+	return next(t, events)
+}
+
+// A plain service in trouble sends what is no response. Nothing of it may become the response to a call.
+func TestInvalidResponsesOfServicesAreRejected(t *testing.T) {
+	raw, c, address, events := rawClient(t)
+	for _, kind := range append(standin.InvalidStatuses("", "the body"), standin.InvalidFields("", "the body")...) {
+		raw.Store(&kind)
+		if e := callOnce(t, c, address, events, []byte("{}")); !failedAfterSending(e) {
+			t.Errorf("%q: %+v, want UpstreamFailed with Sent", kind.Name, e)
+		}
+	}
+}
+
+func failedAfterSending(e core.Event) bool {
+	f, ok := e.(core.UpstreamFailed)
+	return ok && f.Sent
+}
+
+// An engine in trouble sends what is no response, on connections that carry several requests. No token and no load report
+// may be taken from it.
+func TestInvalidResponsesOfEnginesAreRejected(t *testing.T) {
+	const stream = "data: {\"index\":0,\"choices\":[{\"text\":\"a\"}]}\n\ndata: {\"index\":1,\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":1}}\n\n"
+	raw, c, address, events := rawClient(t)
+	generate := func() string {
+		c.Run(context.Background(), core.Dispatch{Attempt: "a", Address: address, Engine: true, Method: http.MethodPost, Path: "/", Body: []byte("{}"), Timeout: testTimeout})
+		var got strings.Builder
+		for {
+			switch e := next(t, events).(type) {
+			case core.UpstreamToken:
+				fmt.Fprintf(&got, "%d %s ", e.Index, e.Text)
+			case core.UpstreamEnd:
+				return fmt.Sprintf("%send %d", got.String(), e.Tokens)
+			case core.UpstreamFailed:
+				return got.String() + "failed"
+			}
+		}
+	}
+	for _, kind := range append(standin.InvalidStatuses("", stream), standin.InvalidFields("", stream)...) {
+		raw.Store(&kind)
+		if got := generate(); got != "failed" {
+			t.Errorf("%q: %s, want failed", kind.Name, got)
+		}
+	}
+	raw.Store(&standin.RawResponse{Text: "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n" + stream})
+	if got := generate(); got != "0 a end 1" {
+		t.Errorf("a sound stream: %s", got)
+	}
+	for _, kind := range append(standin.InvalidStatuses("", `{"boot":"b"}`), standin.InvalidFields("", `{"boot":"b"}`)...) {
+		raw.Store(&kind)
+		c.Poll(context.Background(), "u", address)
+		if e, ok := next(t, events).(core.PollFailed); !ok {
+			t.Errorf("%q: report %+v, want PollFailed", kind.Name, e)
+		}
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -21,6 +21,7 @@
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/placement"
 	"mulberrylug.example/mulberrylug/internal/prompt"
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 const (
@@ -69,10 +70,12 @@
 func NewClient(sink func(core.Event)) *Client {
 	dialer := conn.Dialer()
 	return &Client{
-		sink:   sink,
-		pooled: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: conn.MaxResponseHead}},
+		sink: sink,
+		pooled: &http.Client{Transport: response.NewTransport(&http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: conn.MaxResponseHead,
+		})},
 		unpooled: &http.Client{
-			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: conn.MaxResponseHead},
+			Transport: response.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: conn.MaxResponseHead}),
 			// When it follows a redirect, the library sends a call without a body
 			// a second time, to the address named in the first response.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
