upstream: a body that ends with its connection is not whole

On the own interface, a plain service that was reset, or closed its connection, within a response without a length had its part delivered as the whole response, also after the request was written to its end.

Cause: nothing asked for a proof of the end there. As on the hosting platform, the kernel reports a reset to the write of the request alone, which net/http's client makes beside the read; and it closes the connections of a process that crashes in order.

response.Transport returns io.ErrUnexpectedEOF at such an end. Streams of engines end with an event, and JSON with its last brace; neither needs the end of the connection.

--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -11,7 +13,8 @@
 )
 
 // Transport is an http.RoundTripper that returns only what is certain to be the response to a request, by the rules of
-// this package.
+// this package. A body without a length and without chunks never ends: its reader returns io.ErrUnexpectedEOF. The kernel
+// also closes the connections of a process that crashes, and may report a reset to the write of the request alone.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a transport that makes requests by base. It takes over base, whose DialContext must be set.
@@ -42,12 +45,28 @@
 		resp.Body.Close()
 		return nil, fmt.Errorf("response of %s: %w", r.URL.Host, err)
 	}
+	// Compressed data that net/http has decompressed has an end of its own.
+	if FramingOf(resp) == FramedByClose && !resp.Uncompressed {
+		resp.Body = unprovedBody{resp.Body}
+	}
 	return resp, nil
 }
 
 // CloseIdleConnections closes the connections that no request uses. http.Client calls it.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
+// unprovedBody is a body whose end proves nothing.
+type unprovedBody struct{ io.ReadCloser }
+
+// Read implements io.Reader.
+func (b unprovedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = fmt.Errorf("body without a length: %w", io.ErrUnexpectedEOF)
+	}
+	return n, err
+}
+
 // maxLine is the maximum size of a line of a head in bytes. The beginning of a line is kept, and checked again with what
 // arrives of the rest.
 const maxLine = 32 << 10
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/standin"
@@ -48,6 +49,31 @@
 	return ok && f.Sent
 }
 
+// A service ends a body with its connection. Nothing proves that the body is whole: the kernel closes the connections of a
+// process that crashes in the same way, and may report a reset to the write of the request alone.
+func TestABodyThatEndsWithItsConnectionIsNotWhole(t *testing.T) {
+	raw, c, address, events := rawClient(t)
+	part := "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("p", 700)
+	for _, kind := range []standin.RawResponse{
+		{Name: "after the request", ReadFirst: standin.ReadAll, Text: part},
+		{Name: "of HTTP/1.0", ReadFirst: standin.ReadAll, Text: strings.Replace(part, "1.1", "1.0", 1)},
+		{Name: "reset within the request", ReadFirst: 4 << 10, Text: part, OpenFor: 5 * time.Millisecond, Reset: true},
+		{Name: "closed within the request", ReadFirst: 4 << 10, Text: part, OpenFor: 5 * time.Millisecond},
+	} {
+		raw.Store(&kind)
+		for range 10 {
+			if e := callOnce(t, c, address, events, make([]byte, 8<<20)); !failedAfterSending(e) {
+				t.Errorf("%q: %+v, want UpstreamFailed with Sent", kind.Name, e)
+				break
+			}
+		}
+	}
+	raw.Store(&standin.RawResponse{ReadFirst: standin.ReadAll, Text: "HTTP/1.0 200 OK\r\nContent-Length: 8\r\n\r\nthe body"})
+	if e, ok := callOnce(t, c, address, events, []byte("{}")).(core.UpstreamResponse); !ok || e.Status != http.StatusOK || string(e.Body) != "the body" {
+		t.Errorf("a body with a length: %+v, want the response", e)
+	}
+}
+
 // An engine in trouble sends what is no response, on connections that carry several requests. No token and no load report
 // may be taken from it.
 func TestInvalidResponsesOfEnginesAreRejected(t *testing.T) {
