platform, client, cli: broken heads are no responses anywhere

What reads by net/http's client elsewhere took broken heads as well: the client of the hosting platform's store took a list and the acknowledgement of a write, that of the own platform objects, lists and results of writes, and the client library reported a call as done with status 0, or with a part of its body.

All of them now use response.Transport, with the operators' commands.

--- a/client/client.go
+++ b/client/client.go
@@ -15,6 +15,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // Outcome is the way in which a request ended.
@@ -116,7 +118,7 @@
 		// Each request uses a new connection. A pooled connection may no
 		// longer deliver anything, and net/http resends a request on its own
 		// when a pooled connection turns out to be closed.
-		http: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead}},
+		http: &http.Client{Transport: response.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead})},
 	}
 }
 
--- a/internal/apply/remote.go
+++ b/internal/apply/remote.go
@@ -10,6 +10,7 @@
 
 	"mulberrylug.example/mulberrylug/internal/core"
 	"mulberrylug.example/mulberrylug/internal/core/config"
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // maxResponse is the maximum size of the response of an instance in bytes. The largest one has a configuration as
@@ -99,7 +100,7 @@
 	if err != nil {
 		return core.ConfigPointer{}, fmt.Errorf("nothing was changed: send change through %s: %w", address, err)
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := response.DefaultClient.Do(r)
 	if err != nil {
 		return noResponse(err)
 	}
@@ -125,7 +126,7 @@
 	if err != nil {
 		return 0, nil, fmt.Errorf("get configuration from %s: %w", address, err)
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := response.DefaultClient.Do(r)
 	if err != nil {
 		return 0, nil, fmt.Errorf("get configuration from %s: %w", address, err)
 	}
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/google/subcommands"
+
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // maxOperatorResponse is the maximum size of the response to an operator's request, in bytes.
@@ -29,7 +31,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", address, err)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := response.DefaultClient.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", address, err)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -14,6 +14,7 @@
 	"mulberrylug.example/mulberrylug/internal/conn"
 	"mulberrylug.example/mulberrylug/internal/core/membership"
 	"mulberrylug.example/mulberrylug/internal/core/table"
+	"mulberrylug.example/mulberrylug/internal/response"
 )
 
 // callTimeout is the timeout of every call to the platform. After a timeout it is unknown
@@ -75,9 +76,9 @@
 func NewClient(base string) *Client {
 	return &Client{base: base, http: &http.Client{
 		Timeout: callTimeout,
-		Transport: &http.Transport{
+		Transport: response.NewTransport(&http.Transport{
 			DialContext: conn.Dialer().DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: conn.MaxResponseHead,
-		},
+		}),
 	}}
 }
 
--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -30,6 +30,9 @@
 	return &Transport{base: base}
 }
 
+// DefaultClient is http.DefaultClient with a Transport.
+var DefaultClient = &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // RoundTrip implements http.RoundTripper. The error wraps ErrInvalid if the server sent what is not a response.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
