upstream: an error is no load report

An upstream in trouble that responded to the request for its load with an error in JSON was taken for one without load.

Cause: the status of the response was not read, and a JSON object without the fields of a report decodes to one of zeros.

Only a report with status 200 counts; others are failed polls, like a report that can't be decoded.

Before: TestAnErrorIsNotALoadReport failed with 500, 503 and 404.

--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -111,3 +111,16 @@
 		}
 	}
 }
+
+// An upstream in trouble responds to the request for its load with an error. Its body must not count as the report of an
+// upstream without load, to which work would be sent.
+func TestAnErrorIsNotALoadReport(t *testing.T) {
+	raw, c, address, events := rawClient(t)
+	for _, status := range []string{"500 Internal Server Error", "503 Service Unavailable", "404 Not Found"} {
+		raw.Store(&standin.RawResponse{Text: "HTTP/1.1 " + status + "\r\nContent-Length: 19\r\n\r\n{\"error\":\"trouble\"}"})
+		c.Poll(context.Background(), "u", address)
+		if e, ok := next(t, events).(core.PollFailed); !ok || e.Refused {
+			t.Errorf("status %s: %+v, want PollFailed", status, e)
+		}
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -197,6 +197,9 @@
 		return r, isRefused(err), fmt.Errorf("poll %s: %w", address, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return r, false, fmt.Errorf("poll %s: status %d", address, resp.StatusCode)
+	}
 	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxReport)).Decode(&r); err != nil {
 		return r, false, fmt.Errorf("poll %s: decode report: %w", address, err)
 	}
