upstream: an engine's redirect is not followed

An engine that responded to a generation with a redirect had the tokens of another server passed on as its own, and the load of another server counted as its load.

Cause: only the client for bookings and resumed streams left redirects to its caller; net/http's client follows them with a request without a body.

Both clients now treat a redirect as the response that it is, which is no stream and no report.

Before: TestARedirectIsNotFollowed failed with 301, 302 and 303, and for the report; with 307 the library can't send the body again.

--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -124,3 +124,24 @@
 		}
 	}
 }
+
+// An engine responds with a redirect. What another server sends must not become the stream of the engine, nor its report.
+func TestARedirectIsNotFollowed(t *testing.T) {
+	const stream = "data: {\"index\":0,\"choices\":[{\"text\":\"a\"}]}\n\n"
+	other, _, otherAddress, _ := rawClient(t)
+	other.Store(&standin.RawResponse{Text: "HTTP/1.1 200 OK\r\n\r\n" + stream})
+	raw, c, address, events := rawClient(t)
+	for _, status := range []string{"301 Moved Permanently", "302 Found", "303 See Other", "307 Temporary Redirect"} {
+		raw.Store(&standin.RawResponse{Text: "HTTP/1.1 " + status + "\r\nLocation: http://" + otherAddress + "/\r\nContent-Length: 0\r\n\r\n"})
+		c.Run(context.Background(), core.Dispatch{Attempt: "a", Address: address, Engine: true, Method: http.MethodPost, Path: "/", Body: []byte("{}"), Timeout: testTimeout})
+		if e := next(t, events); !failedAfterSending(e) {
+			t.Errorf("status %s: %+v, want UpstreamFailed with Sent", status, e)
+			next(t, events) // the other stream ends without its last event
+		}
+	}
+	other.Store(&standin.RawResponse{Text: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"})
+	c.Poll(context.Background(), "u", address)
+	if e, ok := next(t, events).(core.PollFailed); !ok {
+		t.Errorf("report: %+v, want PollFailed", e)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -71,17 +71,21 @@
 	dialer := conn.Dialer()
 	return &Client{
 		sink: sink,
-		pooled: &http.Client{Transport: response.NewTransport(&http.Transport{
+		pooled: newHTTPClient(&http.Transport{
 			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: conn.MaxResponseHead,
-		})},
-		unpooled: &http.Client{
-			Transport: response.NewTransport(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: conn.MaxResponseHead}),
-			// When it follows a redirect, the library sends a call without a body
-			// a second time, to the address named in the first response.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
-		running: map[string]*trackedCall{},
-		limited: map[string]bool{},
+		}),
+		unpooled: newHTTPClient(&http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: conn.MaxResponseHead}),
+		running:  map[string]*trackedCall{},
+		limited:  map[string]bool{},
+	}
+}
+
+// newHTTPClient returns a client that follows no redirect. The library would send a call without a body a second time, to
+// the address named in the first response, and give what another server sends as the upstream's response.
+func newHTTPClient(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     response.NewTransport(t),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
