platform: one odd row does not hide the other instances

Another writer left one odd row among those of the instances. An instance that started without a peer that responds did not learn the others from the store, and rows of dead instances were not removed any more.

Cause: Members gave up on all rows when one could not be decoded, for example for a class of 300.

Such a row, and one without an address at which its instance is reached, is now left out, counted and logged; the others hold.

--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -22,7 +22,9 @@
 	writes int
 }
 
-func (s *memberStore) Members(context.Context) ([]fleet.Row, error) { return s.list, nil }
+func (s *memberStore) Members(context.Context) (MembersResponse, error) {
+	return MembersResponse{Rows: s.list}, nil
+}
 
 func (s *memberStore) Join(_ context.Context, self msg.Heartbeat) error {
 	s.writes++
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -39,6 +39,13 @@
 	Unreadable []error
 }
 
+// MembersResponse holds the rows of the instances.
+type MembersResponse struct {
+	Rows []fleet.Row
+	// Unreadable holds an error for each row that names no instance.
+	Unreadable []error
+}
+
 // Store is the platform's store. It can come back from an older copy, in a new era; all versions are revisions.
 // ListSince is a long poll for changes after a version, and returns ErrChangesExpired if those are no longer
 // held, or the version is of an earlier era.
@@ -51,7 +58,7 @@
 	// Join registers an instance, Members lists the registered ones, Remove deletes rows that
 	// have not been written since they were read. Those that were read in an earlier era are kept.
 	Join(ctx context.Context, self msg.Heartbeat) error
-	Members(ctx context.Context) ([]fleet.Row, error)
+	Members(ctx context.Context) (MembersResponse, error)
 	Remove(ctx context.Context, rows []fleet.Row) error
 }
 
--- a/internal/hosted/rows.go
+++ b/internal/hosted/rows.go
@@ -84,7 +84,7 @@
 // it writes the row and reads again, so that of two instances that register concurrently at
 // least one sees the other.
 func (f *peers) tryRegister(ctx context.Context) error {
-	known, err := f.store.Members(ctx)
+	known, err := f.readRows(ctx)
 	if err != nil {
 		return err
 	}
@@ -96,13 +96,28 @@
 	if err := f.store.Join(ctx, self); err != nil {
 		return err
 	}
-	if known, err = f.store.Members(ctx); err != nil {
+	if known, err = f.readRows(ctx); err != nil {
 		return err
 	}
 	f.addRows(known)
 	return nil
 }
 
+// readRows reads the rows of the instances. It counts and logs those that name none, which another writer may leave.
+func (f *peers) readRows(ctx context.Context) ([]fleet.Row, error) {
+	read, err := f.store.Members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for range read.Unreadable {
+		f.metrics.Count("instance_rows_total", "unreadable")
+	}
+	if n := len(read.Unreadable); n > 0 {
+		f.log.Warn("instance_rows_unreadable", "unreadable", n, "rows", len(read.Rows), "first", read.Unreadable[0])
+	}
+	return read.Rows, nil
+}
+
 // addRows adds the instances in the rows and asks some of them for their members.
 func (f *peers) addRows(rows []fleet.Row) {
 	list := make([]msg.Heartbeat, 0, len(rows))
@@ -148,7 +163,7 @@
 		*s = fleet.Sweep{}
 		return nil
 	}
-	rows, err := f.store.Members(ctx)
+	rows, err := f.readRows(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/proctest/hosted_invalid_rows_test.go
+++ b/internal/proctest/hosted_invalid_rows_test.go
@@ -88,6 +88,9 @@
 		if p.hasEnded() {
 			t.Errorf("%s has ended", p.name)
 		}
+		if strings.Contains(p.output(), "event=join_failed") {
+			t.Errorf("%s could not read the rows of the other instances", p.name)
+		}
 	}
 }
 
