hosted: an instance out of step does not know where streams began

During a release, an instance that was cut off from the others for a few seconds could go on with a stream of a new version at an upstream of the old one: events of two versions in one stream.

Cause: a caller takes a stream up at an instance that has no record of it. The list decides then if it shows one version only, and was confirmed within 3 s. But the others count as dead after 1.3 s: an instance that hears nobody asked nobody, took that for a complete answer, and used its list from before the cut. It also used that list where others responded that they know of several versions.

Without a record, the list now counts only if it was confirmed after the caller came, or if this instance hears from all others that it knows and all that it asked state the same sole version. Where it knows of several versions itself, the caller is refused without a wait, as before.

The test plays one instance's view. It was not shown on real processes, where trials of instances that stood still had found nothing.

--- a/internal/core/fleet/liveness.go
+++ b/internal/core/fleet/liveness.go
@@ -45,6 +45,16 @@
 	return m != nil && f.alive(now, m)
 }
 
+// HearsAll reports whether all other instances that this one knows count as alive. It forgets dead ones after ForgetAfter.
+func (f *Fleet) HearsAll(now time.Time) bool {
+	for _, m := range f.members {
+		if !f.alive(now, m) {
+			return false
+		}
+	}
+	return true
+}
+
 // OnConnectionRefused records that an instance's port refused the connection attempted at triedAt:
 // its process has ended, unless a newer heartbeat has arrived. OnConnectionRefused reports whether
 // the instance counted as alive until now.
--- a/internal/core/forward/return.go
+++ b/internal/core/forward/return.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/core/roster"
@@ -47,6 +49,32 @@
 	return roster.Origin{Service: service, Software: software}, ok
 }
 
+// CouldProveOrigin reports whether SoleOrigin would return an origin if the list were confirmed now as it is known.
+func (g *Gate) CouldProveOrigin(now time.Time, c *Call) bool {
+	service, window := c.ReturnWindow()
+	if service == "" {
+		return false
+	}
+	_, ok := g.soleSoftware(now, service, window, math.MaxInt64)
+	return ok
+}
+
+// OriginByList returns the origin of all streams that the caller of a call may take up, if the list shows that there is
+// only one. agreed is the sole software that the other instances state, which counts if this one does not know of another
+// software; "" if only what this instance knows counts.
+func (g *Gate) OriginByList(now time.Time, c *Call, agreed string) (o roster.Origin, ok bool) {
+	own, ok := g.SoleOrigin(now, c)
+	if ok {
+		return own, agreed == "" || agreed == own.Software
+	}
+	service, _ := c.ReturnWindow()
+	differs := func(u *roster.Upstream) bool { return u.Software != agreed }
+	if agreed == "" || service == "" || slices.ContainsFunc(g.roster.UpstreamsOf(service), differs) {
+		return o, false
+	}
+	return roster.Origin{Service: service, Software: agreed}, true
+}
+
 // ReturnWindow returns the only service of a call's route, and the time before now in which a stream of it that is
 // taken up now may have begun. The service is "" if the route has several: a stream may have begun at any of them.
 func (c *Call) ReturnWindow() (service string, window time.Duration) {
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -57,6 +57,12 @@
 	return names
 }
 
+// hearsAll reports whether this instance hears from all others that it knows.
+func (i *Instance) hearsAll() (all bool) {
+	i.peers.with(func(now time.Time, v *fleet.Fleet) { all = v.HearsAll(now) })
+	return all
+}
+
 // sendAny sends a message to any instance, including this one.
 func (i *Instance) sendAny(to string, m msg.Message) {
 	if to == i.settings.Name {
--- a/internal/hosted/takeup.go
+++ b/internal/hosted/takeup.go
@@ -71,36 +71,37 @@
 	return "instance"
 }
 
-// findOrigin returns where a stream began that a caller takes up: by a record, or else by the list of upstreams.
+// findOrigin returns where a stream began that a caller takes up: by a record, or else by the list of upstreams. Without
+// a confirmation of the list that is newer than the request, that needs the agreement of the others: an instance that is
+// out of step for a while, cut off or standing still, does not know which upstreams have joined meanwhile, and the record
+// may be at an instance that it does not reach.
 func (x *exchange) findOrigin() foundOrigin {
 	o, arrived := x.server.origins, boottime.Now()
 	key := streamKey(x.call)
 	if rec, ok := o.find(arrived, key); ok && key.Request != "" {
 		return foundOrigin{origin: rec.Origin, source: "local", age: arrived.Sub(rec.At)}
 	}
-	found, sole := x.askOthers(key)
+	found, agreed := x.askOthers(key)
 	if found.source != "" {
 		return found
 	}
-	if found.responded < found.asked && !x.awaitConfirmed(arrived) {
-		return found // the record may be at an instance that has not responded, of an upstream that is not listed here yet
+	if agreed == "" || !o.hearsAll() {
+		if !x.couldProveOrigin() || !x.awaitConfirmed(arrived) {
+			return found
+		}
+		agreed = ""
 	}
 	x.server.decide(func(now time.Time, g *forward.Gate) {
-		if own, ok := g.SoleOrigin(now, x.call); ok {
-			sole[own.Software] = true
+		if listed, ok := g.OriginByList(now, x.call, agreed); ok {
+			found.origin, found.source = listed, "list"
 		}
 	})
-	if service, _ := x.call.ReturnWindow(); len(sole) == 1 && service != "" {
-		for software := range sole {
-			found.origin, found.source = roster.Origin{Service: service, Software: software}, "list"
-		}
-	}
 	return found
 }
 
 // askOthers asks the instances that may have the record of a stream. It returns the first record, or, if none has
-// one, the sole software that the others state.
-func (x *exchange) askOthers(key origin.Key) (found foundOrigin, sole map[string]bool) {
+// one, the sole software that all of them state; "" if they do not agree, or not all have responded.
+func (x *exchange) askOthers(key origin.Key) (found foundOrigin, agreed string) {
 	o := x.server.origins
 	asked := o.witnesses(streamName(key))
 	responses := make(chan originResponse, len(asked))
@@ -119,7 +120,8 @@
 	for _, name := range asked {
 		o.send(name, m)
 	}
-	found, sole = foundOrigin{asked: len(asked)}, map[string]bool{}
+	found = foundOrigin{asked: len(asked)}
+	stated := map[string]bool{}
 	timeout := time.NewTimer(originTimeout)
 	defer timeout.Stop()
 	for found.responded < found.asked {
@@ -132,18 +134,27 @@
 				rec.Key = key
 				o.add(rec)
 				found.origin, found.source, found.age = rec.Origin, r.from, now.Sub(rec.At)
-				return found, sole
-			}
-			if r.Sole != "" {
-				sole[r.Sole] = true
+				return found, ""
 			}
+			stated[r.Sole] = true
+			agreed = r.Sole
 		case <-timeout.C:
-			return found, sole
+			return found, ""
 		case <-x.ctx.Done():
-			return found, sole
+			return found, ""
 		}
 	}
-	return found, sole
+	if len(stated) != 1 {
+		return found, ""
+	}
+	return found, agreed
+}
+
+// couldProveOrigin reports whether a confirmation of the list could show where the stream began. If this instance knows of
+// several versions already, its caller is refused without a wait.
+func (x *exchange) couldProveOrigin() (could bool) {
+	x.server.decide(func(now time.Time, g *forward.Gate) { could = g.CouldProveOrigin(now, x.call) })
+	return could
 }
 
 // awaitConfirmed waits until the list of upstreams is confirmed as of a later time than the given one: an upstream
