standin, conn, upstream, proctest: heads that stop within are no responses

Reported by other operators: an upstream stops within the head of its response and closes, and callers get 200 with an empty or short body. It does not happen here: net/http's parser returns io.ErrUnexpectedEOF, and the attempt is lost. The tests cut a head after each of its bytes, with each framing, on both interfaces.

--- a/internal/conn/response_test.go
+++ b/internal/conn/response_test.go
@@ -53,6 +53,12 @@
 	}
 }
 
+// A connection that ends within a head would look like one without further fields, and a body that ends with it like an
+// empty one.
+func TestTruncatedHeadsAreRejected(t *testing.T) {
+	checkRejected(t, standin.TruncatedHeads("X-A: b\r\n"))
+}
+
 // What follows a status that is none would be read as the response, or the status be passed on.
 func TestInvalidStatusesAreRejected(t *testing.T) {
 	checkRejected(t, standin.InvalidStatuses("", "the body"))
--- a/internal/proctest/hosted_broken_test.go
+++ b/internal/proctest/hosted_broken_test.go
@@ -121,3 +121,16 @@
 	t.Parallel()
 	checkInvalid(t, newFixture(t), standin.InvalidFields(signedFields, hosting.Event("@", 1)))
 }
+
+// Upstreams stop within the heads of their responses and close. A caller that got a success would take its empty body for
+// the whole one.
+func TestHostedTruncatedHeads(t *testing.T) {
+	t.Parallel()
+	var kinds []standin.RawResponse
+	for k, kind := range standin.TruncatedHeads(signedFields) {
+		if k%5 == 0 || strings.HasSuffix(kind.Text, "\r\n\r") {
+			kinds = append(kinds, kind)
+		}
+	}
+	checkInvalid(t, newFixture(t), kinds)
+}
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -67,6 +67,18 @@
 	return list
 }
 
+// TruncatedHeads returns responses whose connection ends within the head, after each of its bytes, with each framing of the body.
+// fields are the lines of the head of a sound response.
+func TruncatedHeads(fields string) (list []RawResponse) {
+	for _, framing := range []string{"Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\n" + fields + framing + "\r\n"
+		for n := range len(head) {
+			list = append(list, RawResponse{Name: fmt.Sprintf("%d bytes of %q", n, head), Text: head[:n]})
+		}
+	}
+	return list
+}
+
 // InvalidFields returns responses in whose head a line is no field, or hides what frames the body. fields are the lines of
 // the head of a sound response, and body is its body.
 func InvalidFields(fields, body string) (list []RawResponse) {
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -36,7 +37,7 @@
 // A plain service in trouble sends what is no response. Nothing of it may become the response to a call.
 func TestInvalidResponsesOfServicesAreRejected(t *testing.T) {
 	raw, c, address, events := rawClient(t)
-	for _, kind := range append(standin.InvalidStatuses("", "the body"), standin.InvalidFields("", "the body")...) {
+	for _, kind := range slices.Concat(standin.InvalidStatuses("", "the body"), standin.InvalidFields("", "the body"), standin.TruncatedHeads("")) {
 		raw.Store(&kind)
 		if e := callOnce(t, c, address, events, []byte("{}")); !failedAfterSending(e) {
 			t.Errorf("%q: %+v, want UpstreamFailed with Sent", kind.Name, e)
@@ -93,7 +94,7 @@
 			}
 		}
 	}
-	for _, kind := range append(standin.InvalidStatuses("", stream), standin.InvalidFields("", stream)...) {
+	for _, kind := range slices.Concat(standin.InvalidStatuses("", stream), standin.InvalidFields("", stream), standin.TruncatedHeads("")) {
 		raw.Store(&kind)
 		if got := generate(); got != "failed" {
 			t.Errorf("%q: %s, want failed", kind.Name, got)
