--- a/internal/proctest/hosted_broken_test.go
+++ b/internal/proctest/hosted_broken_test.go
@@ -22,9 +22,8 @@
 	}
 }
 
-// upload returns a booking whose body takes longer to send than an instance buffers.
-func upload(id string, k int) call {
-	c := booking(id)
+// upload returns a request whose body is longer than an instance buffers, and takes a while to send.
+func upload(c call, k int) call {
 	c.body, c.chunked, c.sendOver = strings.Repeat("x", 960<<10), k%2 == 1, 120*time.Millisecond
 	return c
 }
@@ -36,21 +35,25 @@
 	t.Parallel()
 	f := newFixture(t)
 	whole := standin.RawResponse{Name: "whole", ReadFirst: standin.ReadAll, Text: signedOK + "\r\nthe whole body"}
-	f.countUploads(&whole) // an instance can't prove the end of the first response of a service without a length
+	f.countUploads(&whole, f.desk, booking) // an instance can't prove the end of the first response of a service without a length
 	for _, size := range []int{700, 100 << 10} {
 		text := signedOK + "\r\n" + strings.Repeat("p", size)
 		for _, openFor := range []time.Duration{0, 20 * time.Millisecond} {
 			for _, reset := range []bool{true, false} {
 				kind := standin.RawResponse{Name: fmt.Sprintf("%d-%v-%v", size, openFor, reset), ReadFirst: 4 << 10, Text: text, OpenFor: openFor, Reset: reset}
-				if n := f.countUploads(&kind); n > 0 {
+				if n := f.countUploads(&kind, f.desk, booking); n > 0 {
 					t.Errorf("%d bytes, reset %v after %v: %d of %d callers got a part of the body as a complete response, want none", size, reset, openFor, n, uploads)
 				}
 			}
 		}
 	}
-	if n := f.countUploads(&whole); n < uploads {
+	if n := f.countUploads(&whole, f.desk, booking); n < uploads {
 		t.Errorf("%d of %d callers got the response that follows the upload, want all", n, uploads)
 	}
+	kind := standin.RawResponse{Name: "stream", ReadFirst: 4 << 10, Text: signedOK + "\r\n" + hosting.Event("@", 1) + hosting.Event("@", 2), OpenFor: 20 * time.Millisecond, Reset: true}
+	if n := f.countUploads(&kind, f.pool, generation); n > 0 {
+		t.Errorf("%d of %d callers got a part of a stream as a complete one, want none", n, uploads)
+	}
 }
 
 // uploads is the number of uploads that are sent to one kind of response.
@@ -58,14 +61,14 @@
 
 // countUploads sends uploads to upstreams that respond in one way, and returns how many of the callers got a complete
 // success.
-func (f *fixture) countUploads(kind *standin.RawResponse) (complete int) {
-	setRaw(f.desk, kind)
-	defer setRaw(f.desk, nil)
+func (f *fixture) countUploads(kind *standin.RawResponse, to []*hosting.Worker, request func(id string) call) (complete int) {
+	setRaw(to, kind)
+	defer setRaw(to, nil)
 	results := make([]result, uploads)
 	var all sync.WaitGroup
 	for k := range uploads {
 		all.Go(func() {
-			results[k] = f.do(f.machines[k%hostedInstanceCount], upload(fmt.Sprintf("%s-%d", kind.Name, k), k))
+			results[k] = f.do(f.machines[k%hostedInstanceCount], upload(request(fmt.Sprintf("%s-%d", kind.Name, k)), k))
 		})
 		time.Sleep(5 * time.Millisecond)
 	}
