internal/platform: one odd entry does not hide the instance list

Another writer that left one odd entry in the own platform's instance list kept all instances from following the list.

Cause: the list was decoded as a whole.

It is decoded entry by entry; those that can't be are counted, and logged once for each state of the list.

After: TestInvalidEntriesOfTheListAreLeftOut passes. A value that is nested beyond 10,000 levels makes the JSON document unreadable, and is left open.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -239,7 +239,12 @@
 
 func (d *Daemon) readInstanceList(ctx context.Context) {
 	list, err := d.platform.List(ctx)
-	if err != nil {
+	var odd *platform.EntriesError
+	switch {
+	case errors.As(err, &odd):
+		d.metrics.Count("platform_failures_total", "list_entries")
+		d.log.Warn("instance_list_unreadable", "unreadable", odd.Unreadable, "entries", len(list), "first", odd.First)
+	case err != nil:
 		d.metrics.Count("platform_failures_total", "list")
 		return
 	}
--- a/internal/platform/broken_test.go
+++ b/internal/platform/broken_test.go
@@ -2,7 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -35,3 +40,30 @@
 		}
 	}
 }
+
+// Another writer leaves odd entries in the instance list. The other entries must still be followed, and the odd ones be
+// reported once for each state of the list.
+func TestInvalidEntriesOfTheListAreLeftOut(t *testing.T) {
+	odd := []string{"null", "7", `"odd"`, "[]", "{}", `{"name":7}`, `{"name":"a","address":80}`, `{"name":"a","state":{"deep":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000) + "}}"}
+	entries := slices.Concat([]string{`{"name":"first"}`}, odd, []string{`{"name":"last"}`})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("ETag", "1")
+		if r.Header.Get("If-None-Match") == "1" {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		_, _ = io.WriteString(w, "["+strings.Join(entries, ",")+"]") // an error means that the client has disconnected
+	}))
+	defer server.Close()
+	c := NewClient(server.URL)
+	for read := range 2 {
+		list, err := c.List(context.Background())
+		var problem *EntriesError
+		if reported := errors.As(err, &problem) && problem.Unreadable == len(odd); reported != (read == 0) || err != nil && !reported {
+			t.Errorf("read %d: error %v, want %d entries reported with the first read only", read, err, len(odd))
+		}
+		if len(list) != 2 || list[0].Name != "first" || list[1].Name != "last" {
+			t.Errorf("read %d: list %+v, want the first and the last entry", read, list)
+		}
+	}
+}
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -47,10 +48,51 @@
 	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("platform %s at %s: status %d", path, c.base, resp.StatusCode)
 	}
-	var list []membership.Member
-	if err := json.Unmarshal(raw, &list); err != nil {
+	list, err := decodeList(raw)
+	var entries *EntriesError
+	if err != nil && !errors.As(err, &entries) {
 		return nil, fmt.Errorf("platform %s: decode response: %w", path, err)
 	}
 	c.list.etag, c.list.list = resp.Header.Get("ETag"), list
+	return list, err
+}
+
+// EntriesError reports the entries of a list that can't be decoded. The others hold.
+type EntriesError struct {
+	// Unreadable is the number of these entries, and First the error of the first one.
+	Unreadable int
+	First      error
+}
+
+// Error implements error.
+func (e *EntriesError) Error() string {
+	return fmt.Sprintf("%d entries of the instance list can't be decoded, the first one: %v", e.Unreadable, e.First)
+}
+
+// decodeList decodes the instance list entry by entry: one that another writer has left must not hide the others.
+func decodeList(raw []byte) ([]membership.Member, error) {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(raw, &entries); err != nil {
+		return nil, err
+	}
+	list := make([]membership.Member, 0, len(entries))
+	var odd EntriesError
+	for _, text := range entries {
+		var m membership.Member
+		err := json.Unmarshal(text, &m)
+		if err == nil && m.Name == "" {
+			err = errors.New("entry without a name")
+		}
+		if err == nil {
+			list = append(list, m)
+			continue
+		}
+		if odd.Unreadable++; odd.Unreadable == 1 {
+			odd.First = err
+		}
+	}
+	if odd.Unreadable > 0 {
+		return list, &odd
+	}
 	return list, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -44,6 +44,7 @@
 
 // Instances is the platform's list of live and leaving instances. The list lags behind changes.
 type Instances interface {
+	// List returns the list. If entries of it can't be decoded, it returns the others with an EntriesError.
 	List(ctx context.Context) ([]membership.Member, error)
 	// Announce adds an instance to the list, or updates it. It must be repeated to keep the
 	// instance listed.
