response: a head is expected only from a request on

A connection now expects a head from the time a request gets it; httptrace names the connection of TLS there, not the one below. What arrives before the first request ends the connection. With HTTPS, what net/http reports is checked: the version, the status and the names of fields.

--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 const (
@@ -19,9 +20,9 @@
 // ErrInvalid reports that what a peer sent is not a response.
 var ErrInvalid = errors.New("not a valid HTTP response")
 
-// Check returns an error, which wraps ErrInvalid, if a response that net/http has parsed does not have the version, or the
-// status, of one to a request of HTTP/1.1. net/http accepts all versions, and each status of three characters that parse as
-// a number of at least 0.
+// Check returns an error, which wraps ErrInvalid, if a response that net/http has parsed does not have the version, the
+// status or the names of fields of one to a request of HTTP/1.1. net/http accepts all versions, each status of three
+// characters that parse as a number of at least 0, and names with blanks.
 func Check(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != httpMajor:
@@ -31,6 +32,11 @@
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		return fmt.Errorf("%w: status %q, which no request asks for", ErrInvalid, resp.Status)
 	}
+	for name := range resp.Header {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w: name %.40q in its head", ErrInvalid, name)
+		}
+	}
 	return nil
 }
 
--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -17,7 +17,8 @@
 // also closes the connections of a process that crashes, and may report a reset to the write of the request alone.
 type Transport struct{ base *http.Transport }
 
-// NewTransport returns a transport that makes requests by base. It takes over base, whose DialContext must be set.
+// NewTransport returns a transport that makes requests by base. It takes over base, whose DialContext must be set. With
+// HTTPS, only what net/http reports of a head is checked.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -75,15 +76,17 @@
 const maxLine = 32 << 10
 
 // headConn checks the heads of the responses on a connection that carries one request at a time, before net/http parses
-// them. The limit of net/http bounds the size of a whole head.
+// them. The limit of net/http bounds the size of a whole head. Below HTTPS, no head is expected: what arrives is encrypted.
 type headConn struct {
 	net.Conn
 
 	mu   sync.Mutex
 	head Head
-	// part is the beginning of a line of the head whose rest has not arrived, and ended is set after the last line.
-	part  []byte
-	ended bool
+	// part is the beginning of a line of the head whose rest has not arrived.
+	part []byte
+	// expected is set from a request to the end of the head of its response, and used since the first request. unasked is
+	// set if something arrived before that.
+	expected, used, unasked bool
 	// invalid is why nothing more is read: net/http may take what it has of a line for the whole line after an error.
 	invalid error
 }
@@ -92,7 +95,10 @@
 func (c *headConn) expectHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head, c.part, c.ended = Head{}, nil, false
+	if c.unasked {
+		c.invalid = fmt.Errorf("%w: sent before the request", ErrInvalid)
+	}
+	c.head, c.part, c.expected, c.used = Head{}, nil, true, true
 }
 
 // Read implements net.Conn. It returns nothing of a head that is found to be invalid.
@@ -108,7 +114,8 @@
 func (c *headConn) check(b []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended || c.invalid != nil {
+	if !c.expected || c.invalid != nil {
+		c.unasked = c.unasked || !c.used && len(b) > 0
 		return c.invalid
 	}
 	if len(c.part) > 0 {
@@ -128,7 +135,7 @@
 			c.part = bytes.Clone(b)
 			return nil
 		case !c.head.informational:
-			c.part, c.ended = nil, true
+			c.part, c.expected = nil, false
 			return nil
 		}
 		c.head = Head{}
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 )
@@ -16,7 +18,7 @@
 	responses := []string{
 		"HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n" + body,
 		"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n12\r\n" + body + "\r\n0\r\n\r\n",
-		"HTTP/1.1 200 OK\nContent-Length: 18\nX Trouble: 1\n\n" + body,
+		"HTTP/1.1 200 OK\nX-A: b\n X-Trouble: 1\nContent-Length: 18\n\n" + body,
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -64,3 +66,58 @@
 		t.Errorf("%d connections, want one that is used again", n)
 	}
 }
+
+// A platform is reached by HTTPS. What the connection carries is no head before it is decrypted.
+func TestResponsesByHTTPSAreRead(t *testing.T) {
+	broken := false
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !broken {
+			_, _ = io.WriteString(w, "the body") // the test fails if it is short
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\nX Trouble: 1\r\n\r\nthe body") // as above
+	}))
+	defer server.Close()
+	config := server.Client().Transport.(*http.Transport).TLSClientConfig
+	client := http.Client{Transport: NewTransport(&http.Transport{DialContext: (&net.Dialer{}).DialContext, TLSClientConfig: config})}
+	for _, broken = range []bool{false, true} {
+		resp, err := client.Get(server.URL)
+		if broken {
+			if !errors.Is(err, ErrInvalid) {
+				t.Errorf("a broken head: error %v, want ErrInvalid", err)
+			}
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := io.ReadAll(resp.Body); err != nil || string(got) != "the body" {
+			t.Errorf("body %q, error %v", got, err)
+		}
+		resp.Body.Close()
+	}
+}
+
+// A server sends a response on a new connection before it got a request. It belongs to none.
+func TestAResponseBeforeTheRequestIsRejected(t *testing.T) {
+	c := &headConn{Conn: arrived{}}
+	if _, err := c.Read(make([]byte, 8)); err != nil {
+		t.Fatal(err)
+	}
+	c.expectHead()
+	if _, err := c.Read(make([]byte, 8)); !errors.Is(err, ErrInvalid) {
+		t.Errorf("error %v, want ErrInvalid", err)
+	}
+}
+
+// arrived is a connection on which bytes have arrived.
+type arrived struct{ net.Conn }
+
+// Read implements net.Conn.
+func (arrived) Read(p []byte) (int, error) { return copy(p, "HTTP/1.1"), nil }
