--- a/client/broken_test.go
+++ b/client/broken_test.go
@@ -10,8 +10,7 @@
 	"mulberrylug.example/mulberrylug/internal/standin"
 )
 
-// An entry, or what stands at its address, sends what is no response, or a body without a length. The call may have run, and
-// must not be reported as done.
+// An entry sends an invalid response, or a body without a length. The call may have run, and must not be reported as done.
 func TestInvalidResponsesOfEntriesAreRejected(t *testing.T) {
 	var raw atomic.Pointer[standin.RawResponse]
 	server, err := standin.Start("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/conn/early_test.go
+++ b/internal/conn/early_test.go
@@ -10,7 +10,7 @@
 
 // A server responds before it has read the request, without a length, and resets the connection while the rest is
 // written. The kernel reports the reset to the write alone: to the read, the connection looks closed in order, and the
-// part that arrived must not count as the whole body. A body after the whole request may end so.
+// part that arrived must not count as the whole body. After the whole request, a body may end with its connection.
 func TestABodyIsNotEndedByAConnectionThatAWriteHasLost(t *testing.T) {
 	const head, part = "HTTP/1.1 200 OK\r\n\r\n", "a part of the body"
 	for _, early := range []bool{true, false} {
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -146,9 +146,9 @@
 // errEndBeforeRequest reports that a response without a length ended before its request was written to its end.
 var errEndBeforeRequest = fmt.Errorf("the connection ended before the request was written: %w", io.ErrUnexpectedEOF)
 
-// Read implements io.Reader. The end of the connection does not end a body before the request was written to its end
-// without an error. The kernel reports a reset to one call only: if that is the write, a read finds the connection
-// closed in order, within a body that is not complete.
+// Read implements io.Reader. A body that ends with its connection is complete only if the request was written before,
+// without an error. The kernel reports a reset to one call only: if that is the write, the read that follows returns 0
+// bytes, as after an orderly close.
 func (b *followedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if !errors.Is(err, io.EOF) {
--- a/internal/conn/response_test.go
+++ b/internal/conn/response_test.go
@@ -42,7 +42,7 @@
 	}
 }
 
-// checkRejected checks that nothing of some responses is read as one.
+// checkRejected checks that none of some invalid responses is read.
 func checkRejected(t *testing.T, list []standin.RawResponse) {
 	t.Helper()
 	for _, raw := range list {
@@ -53,13 +53,12 @@
 	}
 }
 
-// A connection that ends within a head would look like one without further fields, and a body that ends with it like an
-// empty one.
+// A connection ends within the head of a response. The response must not be read as one with an empty body.
 func TestTruncatedHeadsAreRejected(t *testing.T) {
 	checkRejected(t, standin.TruncatedHeads("X-A: b\r\n"))
 }
 
-// What follows a status that is none would be read as the response, or the status be passed on.
+// Statuses that are invalid must neither be passed on nor be skipped: what follows would be read as the response.
 func TestInvalidStatusesAreRejected(t *testing.T) {
 	checkRejected(t, standin.InvalidStatuses("", "the body"))
 	c := respondWith(t, strings.NewReader("HTTP/1.1 000 Trouble\r\n\r\n"), noAccount{})
@@ -68,7 +67,8 @@
 	}
 }
 
-// A line whose name holds a blank is left out, or read as a part of the line before, and with it what frames the body.
+// The name of a field contains whitespace, or the framing of the body is stated twice. A parser that ignores the field
+// would read another body than the one that was sent.
 func TestInvalidFieldsAreRejected(t *testing.T) {
 	checkRejected(t, standin.InvalidFields("", "the body"))
 	checkRejected(t, standin.InvalidFields("X-Filler: "+strings.Repeat("x", 20<<10)+"\r\n", "the body")) // more than the buffer of a connection
--- a/internal/hosted/ports.go
+++ b/internal/hosted/ports.go
@@ -42,7 +42,7 @@
 // MembersResponse holds the rows of the instances.
 type MembersResponse struct {
 	Rows []fleet.Row
-	// Unreadable holds an error for each row that names no instance.
+	// Unreadable holds an error for each row that can't be used.
 	Unreadable []error
 }
 
--- a/internal/hosted/rows.go
+++ b/internal/hosted/rows.go
@@ -103,7 +103,7 @@
 	return nil
 }
 
-// readRows reads the rows of the instances. It counts and logs those that name none, which another writer may leave.
+// readRows reads the rows of the instances. It counts and logs the invalid ones, which another program may write.
 func (f *peers) readRows(ctx context.Context) ([]fleet.Row, error) {
 	read, err := f.store.Members(ctx)
 	if err != nil {
--- a/internal/hosted/takeup.go
+++ b/internal/hosted/takeup.go
@@ -71,10 +71,10 @@
 	return "instance"
 }
 
-// findOrigin returns where a stream began that a caller takes up: by a record, or else by the list of upstreams. Without
-// a confirmation of the list that is newer than the request, that needs the agreement of the others: an instance that is
-// out of step for a while, cut off or standing still, does not know which upstreams have joined meanwhile, and the record
-// may be at an instance that it does not reach.
+// findOrigin returns where a stream began that a caller takes up: by a record, or else by the list of upstreams. The list
+// counts if it was confirmed after the request arrived, or if all other instances state the same. An instance that was cut
+// off or suspended does not know which upstreams have joined meanwhile, and the record may be at an instance that it does
+// not reach.
 func (x *exchange) findOrigin() foundOrigin {
 	o, arrived := x.server.origins, boottime.Now()
 	key := streamKey(x.call)
--- a/internal/hosted/takeup_test.go
+++ b/internal/hosted/takeup_test.go
@@ -63,8 +63,8 @@
 }
 
 // A caller takes a stream up at an instance that has been cut off from the others and the store for a while. An upstream of
-// new software may have joined meanwhile and begun the stream. What the instance knew before must not decide where it goes
-// on: its events would be followed by those of other software. The same holds if another instance knows of other software.
+// new software may have joined meanwhile and begun the stream. The list from before the cut must not decide where the stream
+// continues: it would get events of other software. The same holds if another instance knows of other software.
 func TestAnInstanceOutOfStepDoesNotKnowWhereStreamsBegan(t *testing.T) {
 	silent := func(msg.OriginRequest) *msg.OriginResponse { return nil }
 	same := func(msg.OriginRequest) *msg.OriginResponse { return &msg.OriginResponse{Sole: "v1"} }
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -87,8 +87,8 @@
 
 // An upstream responds to a long request before it has read it, without a length, and resets the connection while the
 // instance between waits to write more. If the write takes the reset, what the instance reads looks like a connection that
-// was closed in order. The tunnel must not say so: the requester has no other way to know that the response is not
-// complete.
+// was closed in order. The tunnel must not report that: the requester can't detect otherwise that the response is
+// not complete.
 func TestATunnelWhoseWriteIsResetBreaksOff(t *testing.T) {
 	const tries, part = 200, "a part of the body"
 	complete := 0
--- a/internal/platform/broken_test.go
+++ b/internal/platform/broken_test.go
@@ -15,7 +15,7 @@
 	"mulberrylug.example/mulberrylug/internal/standin"
 )
 
-// The platform sends what is no response. It must not become an object, a list or the result of a write.
+// The platform sends invalid responses. None of them may become an object, a list or the result of a write.
 func TestInvalidResponsesOfThePlatformAreRejected(t *testing.T) {
 	var raw atomic.Pointer[standin.RawResponse]
 	server, err := standin.Start("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { raw.Load().Send(w, r, "") }))
@@ -41,8 +41,8 @@
 	}
 }
 
-// Another writer leaves odd entries in the instance list. The other entries must still be followed, and the odd ones be
-// reported once for each state of the list.
+// Another program writes invalid entries to the instance list. The other entries must still be used, and the invalid ones be
+// reported once for each version of the list.
 func TestInvalidEntriesOfTheListAreLeftOut(t *testing.T) {
 	odd := []string{"null", "7", `"odd"`, "[]", "{}", `{"name":7}`, `{"name":"a","address":80}`, `{"name":"a","state":{"deep":` + strings.Repeat("[", 9_000) + strings.Repeat("]", 9_000) + "}}"}
 	entries := slices.Concat([]string{`{"name":"first"}`}, odd, []string{`{"name":"last"}`})
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -57,7 +57,7 @@
 	return list, err
 }
 
-// EntriesError reports the entries of a list that can't be decoded. The others hold.
+// EntriesError reports the entries of a list that can't be decoded. The other entries are valid.
 type EntriesError struct {
 	// Unreadable is the number of these entries, and First the error of the first one.
 	Unreadable int
@@ -69,7 +69,7 @@
 	return fmt.Sprintf("%d entries of the instance list can't be decoded, the first one: %v", e.Unreadable, e.First)
 }
 
-// decodeList decodes the instance list entry by entry: one that another writer has left must not hide the others.
+// decodeList decodes the instance list entry by entry, so that an invalid entry of another program does not hide the others.
 func decodeList(raw []byte) ([]membership.Member, error) {
 	var entries []json.RawMessage
 	if err := json.Unmarshal(raw, &entries); err != nil {
--- a/internal/proctest/hosted_broken_test.go
+++ b/internal/proctest/hosted_broken_test.go
@@ -84,7 +84,7 @@
 // signedFields are the lines of the head of a signed response but the first; @ stands for the id of the request.
 const signedFields = "Attempt-Id: @\r\nResponse-Seal: seal-@\r\n"
 
-// checkInvalid lets all upstreams, and then one of three, send what is no response. No caller may get any of it, and
+// checkInvalid makes all upstreams, and then one of three, send invalid responses. No caller may get any of them, and
 // look-ups must be served by the sound upstreams.
 func checkInvalid(t *testing.T, f *fixture, kinds []standin.RawResponse) {
 	t.Helper()
@@ -111,22 +111,21 @@
 	}
 }
 
-// Upstreams send statuses that are none, or that no request asks for. A status that is not skipped for certain, or skipped
-// with a body, would give the caller the status, or another response that stands in the body, as that to its request.
+// Upstreams send invalid statuses, or 101, which no request asks for. A caller must get neither the status nor, as the
+// response to its request, what follows the head.
 func TestHostedInvalidStatuses(t *testing.T) {
 	t.Parallel()
 	checkInvalid(t, newFixture(t), standin.InvalidStatuses(signedFields, hosting.Event("@", 1)))
 }
 
-// Upstreams send heads in which the name of a field holds a blank or a control byte, or which hide what frames the body. A
-// parser that leaves out the line would give the caller another body than the upstream's, or a part of it.
+// Upstreams send heads in which the name of a field contains whitespace or a control byte, or which state the framing of the
+// body twice. A parser that ignores the field would give the caller another body than the upstream's, or a part of it.
 func TestHostedInvalidFields(t *testing.T) {
 	t.Parallel()
 	checkInvalid(t, newFixture(t), standin.InvalidFields(signedFields, hosting.Event("@", 1)))
 }
 
-// Upstreams stop within the heads of their responses and close. A caller that got a success would take its empty body for
-// the whole one.
+// Upstreams close their connections within the heads of their responses. A caller must not get a success with an empty body.
 func TestHostedTruncatedHeads(t *testing.T) {
 	t.Parallel()
 	var kinds []standin.RawResponse
--- a/internal/proctest/hosted_invalid_rows_test.go
+++ b/internal/proctest/hosted_invalid_rows_test.go
@@ -12,7 +12,7 @@
 	"mulberrylug.example/mulberrylug/internal/testkit"
 )
 
-// invalidValues are values that another writer may leave as a row: of other types, very deeply nested, or no JSON.
+// invalidValues returns rows of other types, very deeply nested ones, and values that are not JSON.
 func invalidValues() map[string]string {
 	rows := map[string]string{"null": "null", "text": `"odd"`, "number": "1e400", "empty": "", "no JSON": "\xff\x00{", "unfinished": `{"service":`}
 	for _, depth := range []int{9_000, 9_999, 10_001, 40_000} {
@@ -22,8 +22,8 @@
 	return rows
 }
 
-// withInvalidFields adds rows of which one field is odd. sound is a sound row as the texts of its fields, odd the odd texts of
-// each field.
+// withInvalidFields adds rows with one invalid field each. sound holds the texts of a valid row's fields, odd the invalid
+// texts of each field.
 func withInvalidFields(rows, sound map[string]string, odd map[string][]string) map[string]string {
 	for field, texts := range odd {
 		for k, text := range texts {
@@ -42,7 +42,7 @@
 // invalidAddresses are addresses at which no connection can be made.
 var invalidAddresses = []string{`"127.0.0.1:99999"`, `"127.0.0.1:-1"`, `"127.0.0.1:0"`, `"127.0.0.1:http"`, `"127.0.0.1"`, `":80"`, `"no host:80"`, `"::1:80"`, "80", `"\u0000:1"`, `""`}
 
-// putInvalidRows puts odd rows among those of the upstreams and the instances.
+// putInvalidRows writes invalid rows among those of the upstreams and the instances.
 func putInvalidRows(w *hosting.World) {
 	for _, service := range []string{hosting.Desk, hosting.Pool} {
 		sound := map[string]string{"service": fmt.Sprintf("%q", service), "address": `"127.0.0.1:9"`, "version": `"v1"`, "slots": "24", "state": `"ready"`, "born": "1700000000000"}
@@ -61,7 +61,7 @@
 	}
 }
 
-// checkFollowsRows checks that all instances know a new upstream, use it, and have lost nothing.
+// checkFollowsRows checks that all instances use a new upstream and that no request fails.
 func checkFollowsRows(t *testing.T, f *fixture, id string) {
 	t.Helper()
 	added := f.addUpstream(t, id, hosting.Desk, func(*hosting.Worker) {})
@@ -94,9 +94,9 @@
 	}
 }
 
-// Another writer leaves odd rows among those of the upstreams and the instances: very deeply nested, with numbers that are
-// too large, with ports out of range, or with fields of other types. An instance must neither end, nor stop following the
-// other rows, nor send requests to what an odd row names, whether the odd rows are there as it starts or appear later.
+// Another program writes invalid rows among those of the upstreams and the instances: very deeply nested, with numbers that
+// are too large, with ports out of range, or with fields of other types. An instance must neither end, nor stop following
+// the other rows, nor send requests to such an upstream, whether the rows are there as it starts or appear later.
 func TestHostedInvalidRowsAreIgnored(t *testing.T) {
 	t.Parallel()
 	f := newFixtureWith(t, "", putInvalidRows, func(*hosting.Worker) {})
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -11,9 +11,9 @@
 	headerCoding = "Transfer-Encoding"
 )
 
-// Head checks the lines of a head that net/http does not report: it joins a line that begins with a blank to the one
-// before, accepts names with blanks, and drops Transfer-Encoding from a response of HTTP/1.0 and the length beside it from
-// others. With such a line, what frames the body is not certain. The zero value is ready for the first line.
+// Head checks the lines of a head for what net/http accepts and does not report: it joins a line that begins with whitespace
+// to the one before, accepts spaces in names, and drops Transfer-Encoding from a response of HTTP/1.0 and Content-Length
+// beside it. The framing of the body is then not certain. The zero value is ready for the first line.
 type Head struct {
 	lines int
 	// http10 is set for a response of HTTP/1.0, and informational for one with a status from 100 to 199. length and
@@ -21,8 +21,8 @@
 	http10, informational, length, coding bool
 }
 
-// Check checks the whole lines at the beginning of b, up to the end of the head. It returns the number of their bytes,
-// behind which the next call continues, and whether the head has ended. The error wraps ErrInvalid.
+// Check checks the complete lines at the beginning of b, up to the end of the head. It returns the number of bytes checked,
+// after which the next call continues, and whether the head has ended. The error wraps ErrInvalid.
 func (h *Head) Check(b []byte) (n int, end bool, err error) {
 	for !end && err == nil {
 		length := bytes.IndexByte(b[n:], '\n')
@@ -59,8 +59,8 @@
 	return false, nil
 }
 
-// checkFraming returns an error if the head states the end of the body in two ways, in one that its version does not
-// have (RFC 9112, section 6.1), or for a response without a body, which would be read as the final response.
+// checkFraming returns an error if the head states two framings, or one that its version does not have (RFC 9112, section
+// 6.1), or states a framing for an informational response, whose body would be read as the final response.
 func (h *Head) checkFraming() error {
 	switch {
 	case h.informational && (h.coding || h.length):
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -1,6 +1,6 @@
-// Package response decides what counts as a response of HTTP/1.x, and what ends its body. net/http reads more than RFC
-// 9110 and RFC 9112 allow, and a server that fails may send anything: what is not certain to be the response to a request
-// must not reach its caller.
+// Package response decides what counts as a response of HTTP/1.x, and what ends its body. net/http accepts more than RFC
+// 9110 and RFC 9112 allow, and a failing server may send anything. A caller must not get what may not be the response to its
+// request.
 package response
 
 import (
@@ -22,7 +22,7 @@
 
 // Check returns an error, which wraps ErrInvalid, if a response that net/http has parsed does not have the version, the
 // status or the names of fields of one to a request of HTTP/1.1. net/http accepts all versions, each status of three
-// characters that parse as a number of at least 0, and names with blanks.
+// characters that parse as a number of at least 0, and spaces in names.
 func Check(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != httpMajor:
--- a/internal/response/transport.go
+++ b/internal/response/transport.go
@@ -12,9 +12,9 @@
 	"sync"
 )
 
-// Transport is an http.RoundTripper that returns only what is certain to be the response to a request, by the rules of
-// this package. A body without a length and without chunks never ends: its reader returns io.ErrUnexpectedEOF. The kernel
-// also closes the connections of a process that crashes, and may report a reset to the write of the request alone.
+// Transport is an http.RoundTripper that rejects invalid responses by the rules of this package. A body that ends with its
+// connection ends with io.ErrUnexpectedEOF: the kernel also closes the connections of a process that crashes, and it may
+// report a reset only to the write of the request.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a transport that makes requests by base. It takes over base, whose DialContext must be set. With
@@ -49,7 +49,7 @@
 		resp.Body.Close()
 		return nil, fmt.Errorf("response of %s: %w", r.URL.Host, err)
 	}
-	// Compressed data that net/http has decompressed has an end of its own.
+	// A body that net/http has decompressed has the end of its compressed data.
 	if FramingOf(resp) == FramedByClose && !resp.Uncompressed {
 		resp.Body = unprovedBody{resp.Body}
 	}
@@ -76,7 +76,7 @@
 const maxLine = 32 << 10
 
 // headConn checks the heads of the responses on a connection that carries one request at a time, before net/http parses
-// them. The limit of net/http bounds the size of a whole head. Below HTTPS, no head is expected: what arrives is encrypted.
+// them. net/http limits the size of a whole head. With HTTPS no head is expected here, as the bytes are encrypted.
 type headConn struct {
 	net.Conn
 
--- a/internal/response/transport_test.go
+++ b/internal/response/transport_test.go
@@ -11,8 +11,8 @@
 	"testing"
 )
 
-// A server sends sound responses, byte by byte, and then a broken one on the same connection. The head of each response
-// must be checked, and nothing else: a body may look like a broken head.
+// A server sends valid responses, byte by byte, and then an invalid one on the same connection. The head of each response
+// must be checked, and only the head: a body may look like an invalid head.
 func TestHeadsAreCheckedOnKeptConnections(t *testing.T) {
 	const body = "\r\nX Trouble: 1\r\n\r\n"
 	responses := []string{
@@ -67,7 +67,7 @@
 	}
 }
 
-// A platform is reached by HTTPS. What the connection carries is no head before it is decrypted.
+// A platform is reached by HTTPS. The encrypted bytes of the connection must not be checked as a head.
 func TestResponsesByHTTPSAreRead(t *testing.T) {
 	broken := false
 	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -104,7 +104,7 @@
 	}
 }
 
-// A server sends a response on a new connection before it got a request. It belongs to none.
+// A server sends a response on a new connection before it gets a request. It must not be read as the response to it.
 func TestAResponseBeforeTheRequestIsRejected(t *testing.T) {
 	c := &headConn{Conn: arrived{}}
 	if _, err := c.Read(make([]byte, 8)); err != nil {
--- a/internal/standin/raw.go
+++ b/internal/standin/raw.go
@@ -47,8 +47,8 @@
 	}
 }
 
-// InvalidStatuses returns responses whose status is none, or not that of a response to a request. fields are the lines of
-// the head of a sound response, and body is its body.
+// InvalidStatuses returns responses with invalid statuses and versions. fields are the lines of the head of a valid response,
+// and body is its body.
 func InvalidStatuses(fields, body string) (list []RawResponse) {
 	sound := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
 	for _, line := range []string{
@@ -67,8 +67,8 @@
 	return list
 }
 
-// TruncatedHeads returns responses whose connection ends within the head, after each of its bytes, with each framing of the body.
-// fields are the lines of the head of a sound response.
+// TruncatedHeads returns responses that end after each byte of their heads, with each framing of the body. fields are the
+// lines of the head of a valid response.
 func TruncatedHeads(fields string) (list []RawResponse) {
 	for _, framing := range []string{"Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n", ""} {
 		head := "HTTP/1.1 200 OK\r\n" + fields + framing + "\r\n"
@@ -79,8 +79,8 @@
 	return list
 }
 
-// InvalidFields returns responses in whose head a line is no field, or hides what frames the body. fields are the lines of
-// the head of a sound response, and body is its body.
+// InvalidFields returns responses with an invalid line in their head, or with several framings. fields are the lines of the
+// head of a valid response, and body is its body.
 func InvalidFields(fields, body string) (list []RawResponse) {
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	for _, name := range []string{
--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -34,7 +34,7 @@
 	return next(t, events)
 }
 
-// A plain service in trouble sends what is no response. Nothing of it may become the response to a call.
+// A plain service sends invalid responses. None of them may become the response to a call.
 func TestInvalidResponsesOfServicesAreRejected(t *testing.T) {
 	raw, c, address, events := rawClient(t)
 	for _, kind := range slices.Concat(standin.InvalidStatuses("", "the body"), standin.InvalidFields("", "the body"), standin.TruncatedHeads("")) {
@@ -75,8 +75,8 @@
 	}
 }
 
-// An engine in trouble sends what is no response, on connections that carry several requests. No token and no load report
-// may be taken from it.
+// An engine sends invalid responses, on connections that carry several requests. No token and no load report may be read
+// from them.
 func TestInvalidResponsesOfEnginesAreRejected(t *testing.T) {
 	const stream = "data: {\"index\":0,\"choices\":[{\"text\":\"a\"}]}\n\ndata: {\"index\":1,\"choices\":[{\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":1}}\n\n"
 	raw, c, address, events := rawClient(t)
@@ -113,8 +113,8 @@
 	}
 }
 
-// An upstream in trouble responds to the request for its load with an error. Its body must not count as the report of an
-// upstream without load, to which work would be sent.
+// An upstream responds to the request for its load with an error in JSON. That must not count as the report of an upstream
+// without load, which would get work.
 func TestAnErrorIsNotALoadReport(t *testing.T) {
 	raw, c, address, events := rawClient(t)
 	for _, status := range []string{"500 Internal Server Error", "503 Service Unavailable", "404 Not Found"} {
