conn: the end of a body awaits the write of its request

Beside three busy processes, 1 of 24 callers got 502 for a sound response without a length that followed its upload.

Cause: a body ends with its connection only if the request was written before. The upstream had read the whole request, responded and closed before the goroutine that wrote it had run again and noted that.

The end now waits for the write to return, for 0.1 s at most. It still counts only if the write succeeded, and has thus taken no error of the connection.

--- a/internal/conn/early_test.go
+++ b/internal/conn/early_test.go
@@ -70,3 +70,50 @@
 	time.Sleep(20 * time.Millisecond) // until the reset has arrived
 	return 0, io.EOF
 }
+
+// A server has read the whole request, responds without a length and closes, before the write of the request has returned,
+// as on a busy machine. The response is complete.
+func TestABodyEndsWithItsConnectionBeforeTheWriteReturns(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	const body, response = 100 * readBufferSize, "HTTP/1.1 200 OK\r\n\r\nthe whole body"
+	head := "POST / HTTP/1.1\r\nHost: h\r\nX-Filler: " + strings.Repeat("x", readBufferSize) + "\r\nContent-Length: 409600\r\n\r\n"
+	head = strings.Replace(head, "x", "", len(head)%readBufferSize) // its writes end with a full buffer
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.CopyN(io.Discard, c, int64(len(head)+body)) // the test fails if it is short
+		_, _ = io.WriteString(c, response)                    // as above
+	}()
+	c, err := NewPool().Get(t.Context(), ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	written := make(chan error, 1)
+	filler := strings.TrimSuffix(strings.SplitN(strings.SplitN(head, "X-Filler: ", 2)[1], "\r\n", 2)[0], "\r")
+	go func() {
+		written <- c.Write(&Request{
+			Method: "POST", Target: "/", Host: "h", Header: map[string][]string{"X-Filler": {filler}}, Length: body,
+			Body: io.MultiReader(strings.NewReader(strings.Repeat("x", body)), &afterEnd{ended}),
+		})
+	}()
+	resp, err := c.ReadResponse("POST")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(resp.Body); string(got) != "the whole body" || err != nil {
+		t.Errorf("body %q, error %v, want the whole body", got, err)
+	}
+	if err := <-written; err != nil {
+		t.Errorf("the write ended with error %v", err)
+	}
+}
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -36,8 +36,8 @@
 
 // Write sends the request. The body is read while it is being sent.
 func (c *Conn) Write(r *Request) error {
-	c.written.Store(false)
-	c.ended.Store(false)
+	c.beginExchange()
+	defer c.writeReturned.Store(true)
 	w := bufio.NewWriterSize(c.traffic.Writer(c.Conn), readBufferSize)
 	if err := writeHead(w, r); err != nil {
 		return fmt.Errorf("send head to %s: %w", c.address, err)
@@ -154,13 +154,30 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	if b.framing == response.FramedByClose && !b.conn.written.Load() {
+	if b.framing == response.FramedByClose && !b.conn.awaitWritten() {
 		return n, fmt.Errorf("read body of %s: %w", b.conn.address, errEndBeforeRequest)
 	}
 	b.conn.ended.Store(true)
 	return n, err
 }
 
+const (
+	// writeReturnTimeout is how long the write of a request may take to return once its response has ended. The server may
+	// have read the whole request before the goroutine that wrote it runs again.
+	writeReturnTimeout = 100 * time.Millisecond
+	// writeReturnInterval is the interval between checks for that.
+	writeReturnInterval = time.Millisecond
+)
+
+// awaitWritten waits until the write of the request has returned, and reports whether it has in time and without an error.
+// A write that succeeded has taken no error of the connection.
+func (c *Conn) awaitWritten() bool {
+	for end := time.Now().Add(writeReturnTimeout); !c.writeReturned.Load() && time.Now().Before(end); {
+		time.Sleep(writeReturnInterval)
+	}
+	return c.written.Load()
+}
+
 // reusable reports whether the connection can carry another exchange. It needs proof of both ends of the last one:
 // the request was written to its end and the response read to its end, and nothing follows it. Otherwise the rest of
 // one message would be taken for the beginning of the next.
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -44,8 +44,9 @@
 	dialled, idleUntil time.Time
 	// written and ended are set once the request was written to its end and the response read to its end; keeps is
 	// unset if the server does not keep the connection after the response, and closed is set once it was closed.
-	written, ended, closed atomic.Bool
-	keeps                  bool
+	// writeReturned is set once the write has returned, also with an error.
+	written, writeReturned, ended, closed atomic.Bool
+	keeps                                 bool
 	// serverTimeout is how long the server keeps an idle connection, 0 if it did not state it.
 	serverTimeout time.Duration
 }
@@ -85,8 +86,7 @@
 			break
 		}
 		if time.Now().Before(c.idleUntil) && c.IsOpen() {
-			c.written.Store(false) // of the next exchange, whose request may be written by another goroutine
-			c.ended.Store(false)
+			c.beginExchange() // the request may be written by another goroutine
 			return c, nil
 		}
 		c.Close()
@@ -106,6 +106,13 @@
 	return c
 }
 
+// beginExchange resets what is known of the exchange before.
+func (c *Conn) beginExchange() {
+	c.written.Store(false)
+	c.writeReturned.Store(false)
+	c.ended.Store(false)
+}
+
 // Close implements net.Conn. It returns the memory of the current exchange.
 func (c *Conn) Close() error {
 	c.closed.Store(true)
