conn: the last write of a request begins before its response may end

A server that closed in order within a request, after a response without a length, had its part taken as complete if the rest of the request fitted into the buffers of the kernel.

Cause: the end of the body awaits the write of the request, so that a slow goroutine costs no sound response. A write that began after the end counted as well: it succeeds until the reset of the peer arrives.

The write of the last byte must now have begun when the end is read; only its return is awaited.

Before: TestABodyDoesNotEndBeforeTheLastWriteOfItsRequest failed 3 of 3 times. After: 20 of 20 runs pass, with the race detector.

--- a/internal/conn/early_test.go
+++ b/internal/conn/early_test.go
@@ -117,3 +117,46 @@
 		t.Errorf("the write ended with error %v", err)
 	}
 }
+
+// A server reads a part of a request, responds without a length and closes in order. The rest of the request is written
+// after that, into the buffers of the kernel, without an error. It came too late to prove that the response is complete.
+func TestABodyDoesNotEndBeforeTheLastWriteOfItsRequest(t *testing.T) {
+	const first, last = 100_000, 1000
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	head := "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101000\r\n\r\n"
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_, _ = io.CopyN(io.Discard, c, int64((len(head)+first)/readBufferSize*readBufferSize)) // the test fails if it is short
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\na part")                              // as above
+	}()
+	c, err := NewPool().Get(t.Context(), ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	written := make(chan error, 1)
+	go func() {
+		written <- c.Write(&Request{
+			Method: "POST", Target: "/", Host: "h", Length: first + last,
+			Body: io.MultiReader(strings.NewReader(strings.Repeat("x", first)), &afterEnd{ended}, strings.NewReader(strings.Repeat("x", last))),
+		})
+	}()
+	resp, err := c.ReadResponse("POST")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("body %q is complete, want an error", got)
+	}
+	<-written // with or without an error
+}
--- a/internal/conn/exchange.go
+++ b/internal/conn/exchange.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"mulberrylug.example/mulberrylug/internal/response"
@@ -38,13 +40,18 @@
 func (c *Conn) Write(r *Request) error {
 	c.beginExchange()
 	defer c.writeReturned.Store(true)
-	w := bufio.NewWriterSize(c.traffic.Writer(c.Conn), readBufferSize)
+	to := &requestWriter{w: c.traffic.Writer(c.Conn), lastBegun: &c.lastWriteBegun, left: math.MaxInt64}
+	w := bufio.NewWriterSize(to, readBufferSize)
 	if err := writeHead(w, r); err != nil {
 		return fmt.Errorf("send head to %s: %w", c.address, err)
 	}
+	if r.Body == nil || r.Length != UnknownLength {
+		to.left = int64(w.Buffered()) + max(r.Length, 0)
+	}
 	if err := writeBody(w, r); err != nil {
 		return fmt.Errorf("send body to %s: %w", c.address, err)
 	}
+	to.left = int64(w.Buffered())
 	if err := w.Flush(); err != nil {
 		return fmt.Errorf("send to %s: %w", c.address, err)
 	}
@@ -52,6 +59,23 @@
 	return nil
 }
 
+// requestWriter writes a request to a connection, and notes when the write of its last byte begins.
+type requestWriter struct {
+	w         io.Writer
+	lastBegun *atomic.Bool
+	// left is the number of bytes of the request that were not passed to w yet.
+	left int64
+}
+
+// Write implements io.Writer.
+func (r *requestWriter) Write(p []byte) (int, error) {
+	r.left -= int64(len(p))
+	if r.left <= 0 {
+		r.lastBegun.Store(true)
+	}
+	return r.w.Write(p)
+}
+
 func writeHead(w *bufio.Writer, r *Request) error {
 	if strings.ContainsAny(r.Target, " \r\n") || strings.ContainsAny(r.Method, " \r\n") || strings.ContainsAny(r.Host, " \r\n") {
 		return fmt.Errorf("request for target %q has a space or line break in its method, target or host: %w", r.Target, ErrNotHTTP)
@@ -169,9 +193,12 @@
 	writeReturnInterval = time.Millisecond
 )
 
-// awaitWritten waits until the write of the request has returned, and reports whether it has in time and without an error.
-// A write that succeeded has taken no error of the connection.
+// awaitWritten reports whether the request was written to its end without an error: a write that succeeded has taken no
+// error of the connection. If the write of its last byte has begun, it waits until that has returned.
 func (c *Conn) awaitWritten() bool {
+	if !c.lastWriteBegun.Load() {
+		return false
+	}
 	for end := time.Now().Add(writeReturnTimeout); !c.writeReturned.Load() && time.Now().Before(end); {
 		time.Sleep(writeReturnInterval)
 	}
--- a/internal/conn/pool.go
+++ b/internal/conn/pool.go
@@ -44,9 +44,10 @@
 	dialled, idleUntil time.Time
 	// written and ended are set once the request was written to its end and the response read to its end; keeps is
 	// unset if the server does not keep the connection after the response, and closed is set once it was closed.
-	// writeReturned is set once the write has returned, also with an error.
-	written, writeReturned, ended, closed atomic.Bool
-	keeps                                 bool
+	// lastWriteBegun is set once the write of the last byte of the request has begun, and writeReturned once the write of
+	// the request has returned, also with an error.
+	written, lastWriteBegun, writeReturned, ended, closed atomic.Bool
+	keeps                                                 bool
 	// serverTimeout is how long the server keeps an idle connection, 0 if it did not state it.
 	serverTimeout time.Duration
 }
@@ -109,6 +110,7 @@
 // beginExchange resets what is known of the exchange before.
 func (c *Conn) beginExchange() {
 	c.written.Store(false)
+	c.lastWriteBegun.Store(false)
 	c.writeReturned.Store(false)
 	c.ended.Store(false)
 }
--- a/internal/conn/response_test.go
+++ b/internal/conn/response_test.go
@@ -31,6 +31,7 @@
 	for text, want := range soundHeads {
 		c := respondWith(t, strings.NewReader(text), noAccount{})
 		c.written.Store(true)
+		c.lastWriteBegun.Store(true)
 		c.writeReturned.Store(true)
 		resp, err := c.ReadResponse(http.MethodGet)
 		if err != nil {
