--- a/internal/conn/readhead.go
+++ b/internal/conn/readhead.go
@@ -10,7 +10,8 @@
 	"mulberrylug.example/mulberrylug/internal/response"
 )
 
-// readHead reads the next head, that of an informational response included.
+// readHead reads the next head, that of an informational response included. checkHead has put it into the buffer whole, within
+// the limits of headLimiter, so that the parser reads nothing from the connection.
 func (c *Conn) readHead(method string) (*http.Response, error) {
 	if err := c.checkHead(); err != nil {
 		return nil, err
