hosted: a write that fails with EPIPE awaits the error of the read

Cause: the kernel gives up the connection of a caller that reads nothing after 2.5 s, and reports that to the read in progress. The write then fails with EPIPE, and its goroutine came first to the line.

The reason is now taken once a read has failed, or after 0.1 s.

Before: TestTheReadTellsWhyAWriteHasFailed failed with a time-out and with a reset.

--- a/internal/hosted/callerconn.go
+++ b/internal/hosted/callerconn.go
@@ -25,6 +25,10 @@
 	// lingerTime is for how long what a caller sends is dropped before its connection is closed. It gives the
 	// response time to arrive.
 	lingerTime = 500 * time.Millisecond
+	// readErrorTimeout is how long the error of the read is awaited after a write that failed because of it: on a busy
+	// machine, its goroutine may run some 10 ms later. readErrorInterval is the interval between checks for it.
+	readErrorTimeout  = 100 * time.Millisecond
+	readErrorInterval = time.Millisecond
 )
 
 // errReadsNothing reports that a caller has read nothing for its patience.
@@ -102,12 +106,21 @@
 		return 0, errNoHeadMemory
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		first := err
-		c.readErr.CompareAndSwap(nil, &first)
+		c.noteReadError(err)
 	}
 	return n, err
 }
 
+// noteReadError keeps the first error of a read.
+func (c *callerConn) noteReadError(err error) { c.readErr.CompareAndSwap(nil, &err) }
+
+// awaitReadError waits until a read has failed, for readErrorTimeout at most.
+func (c *callerConn) awaitReadError() {
+	for end := time.Now().Add(readErrorTimeout); c.readError() == nil && time.Now().Before(end); {
+		time.Sleep(readErrorInterval)
+	}
+}
+
 // readError returns the first error of a read, or nil.
 func (c *callerConn) readError() error {
 	if err := c.readErr.Load(); err != nil {
--- a/internal/hosted/ends.go
+++ b/internal/hosted/ends.go
@@ -88,6 +88,10 @@
 	c := callerConnOf(x.r.Context())
 	failed := []error{x.out.callerError(), x.writeErr}
 	if c != nil {
+		// A write fails with EPIPE after a read has got the cause, whose goroutine may run later.
+		if slices.ContainsFunc(failed, func(err error) bool { return errors.Is(err, syscall.EPIPE) }) {
+			c.awaitReadError()
+		}
 		failed = append(failed, c.readError())
 	}
 	why, cause := endCallerClosed, cmp.Or(failed...)
--- a/internal/hosted/ends_internal_test.go
+++ b/internal/hosted/ends_internal_test.go
@@ -183,6 +183,35 @@
 	}
 }
 
+// The kernel gives up a caller's connection and reports that to the read in progress, whose goroutine runs later than the
+// one of the write, which fails with EPIPE. The request must not be logged as that of a caller that has closed its connection.
+func TestTheReadTellsWhyAWriteHasFailed(t *testing.T) {
+	for _, cause := range []error{syscall.ETIMEDOUT, syscall.ECONNRESET, nil} {
+		ours, theirs := net.Pipe()
+		defer theirs.Close()
+		c := newCallerConn(ours, noMemoryLimit{})
+		defer ours.Close()
+		c.paused.Store(true)
+		x := &exchange{server: &server{metrics: metrics.NewMetrics()}, w: httptest.NewRecorder(), ctx: t.Context(), call: &forward.Call{Route: &route.Route{}}, writeErr: &net.OpError{Op: "write", Err: syscall.EPIPE}}
+		x.r = httptest.NewRequest(http.MethodGet, "/", nil).WithContext(conn.WithServerConn(t.Context(), c))
+		x.out = newOutput(x, true)
+		want := map[error]endReason{syscall.ETIMEDOUT: endCallerReadsNothing, syscall.ECONNRESET: endCallerReset, nil: endCallerClosed}[cause]
+		if cause != nil {
+			time.AfterFunc(20*time.Millisecond, func() { c.noteReadError(&net.OpError{Op: "read", Err: cause}) })
+		}
+		began := time.Now()
+		if got, err := x.callerReason(); got != want || time.Since(began) > time.Second {
+			t.Errorf("%v: reason %s (%v) after %v, want %s", cause, got, err, time.Since(began), want)
+		}
+	}
+}
+
+// noMemoryLimit is a conn.Memory without a limit.
+type noMemoryLimit struct{}
+
+func (noMemoryLimit) Reserve(int) bool { return true }
+func (noMemoryLimit) Release(int)      {}
+
 // The write of a response that has arrived completely fails, because its caller reads nothing. It must not count as
 // answered.
 func TestAResponseThatIsNotWrittenIsNotDone(t *testing.T) {
