hosted: the instance that began a stream is asked where it began

An upstream of a new version joins, and a stream begins there at once. If its record has reached no holder, a caller who takes it up elsewhere could get events of the old version: all that were asked agreed, by lists from before the upstream joined.

Cause: two instances of each data centre are asked, which need not include the one that began the stream and has its record.

In a fleet of up to 25 instances, all others are now asked, also one that drains; if one is not heard, or is of a release that has no records, the list must be confirmed after the caller came.

--- a/internal/core/fleet/liveness.go
+++ b/internal/core/fleet/liveness.go
@@ -45,8 +45,8 @@
 	return m != nil && f.alive(now, m)
 }
 
-// HearsAll reports whether all other instances that this one knows count as alive. It forgets dead ones after ForgetAfter.
-func (f *Fleet) HearsAll(now time.Time) bool {
+// hearsAll reports whether all other instances that this one knows count as alive. It forgets dead ones after ForgetAfter.
+func (f *Fleet) hearsAll(now time.Time) bool {
 	for _, m := range f.members {
 		if !f.alive(now, m) {
 			return false
--- a/internal/core/fleet/origins.go
+++ b/internal/core/fleet/origins.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -21,6 +22,9 @@
 	// originShards is the number of groups of streams that have the same holders. In a large fleet, each instance is
 	// thus connected to few others of other data centres.
 	originShards = 64
+	// maxAskedAll is the largest number of others of which all are asked for a record. Their agreement then proves that none
+	// of them began the stream elsewhere, whatever the age of their lists; in larger fleets the messages would cost too much.
+	maxAskedAll = 24
 )
 
 // originCandidates returns the instances of each data centre that may hold the record of a stream.
@@ -52,10 +56,21 @@
 	return out
 }
 
-// OriginWitnesses lists the instances that may have the record of a stream, whichever instance gave it to them.
-func (f *Fleet) OriginWitnesses(stream string) (out []string) {
-	for _, list := range f.originCandidates(stream) {
-		out = append(out, list...)
+// OriginWitnesses lists the instances that may have the record of a stream: in a small fleet all others, else its holders,
+// whichever instance gave it to them. complete is false if this instance does not hear from one that it knows, or can't ask
+// it: that one may have the record.
+func (f *Fleet) OriginWitnesses(now time.Time, stream string) (out []string, complete bool) {
+	complete = f.hearsAll(now)
+	if len(f.members) > maxAskedAll {
+		for _, list := range f.originCandidates(stream) {
+			out = append(out, list...)
+		}
+		return out, complete
 	}
-	return out
+	for name, m := range f.members {
+		if f.alive(now, m) && m.UnderstandsSoftware() {
+			out = append(out, name)
+		}
+	}
+	return out, complete && len(out) == len(f.members)
 }
--- a/internal/core/fleet/origins_test.go
+++ b/internal/core/fleet/origins_test.go
@@ -71,7 +71,8 @@
 	found := 0
 	for stream, holders := range f.held {
 		at := alive[rng.IntN(len(alive))]
-		asked := append(view(at).OriginWitnesses(stream), at)
+		asked, _ := view(at).OriginWitnesses(start, stream)
+		asked = append(asked, at)
 		if slices.ContainsFunc(asked, func(name string) bool { return !dead[name] && slices.Contains(holders, name) }) {
 			found++
 		}
@@ -191,7 +192,11 @@
 	for k := range 50 {
 		stream := fmt.Sprint("org/", k)
 		for _, view := range f.views {
-			for _, name := range append(view.OriginHolders(stream), view.OriginWitnesses(stream)...) {
+			asked, complete := view.OriginWitnesses(start, stream)
+			if complete {
+				t.Fatalf("the witnesses of %s are complete without the instances of an earlier release", view.Self().Name)
+			}
+			for _, name := range append(view.OriginHolders(stream), asked...) {
 				if !view.Find(name).UnderstandsSoftware() || name == view.Self().Name {
 					t.Fatalf("%s is to hold or to tell a record for %s", name, view.Self().Name)
 				}
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -128,7 +128,6 @@
 	i.paths = srv.paths
 	i.paths.tunnelPeers, i.paths.open = i.tunnelPeers, i.openTunnel
 	srv.origins.send, srv.origins.holders, srv.origins.witnesses = i.sendAny, i.originHolders, i.originWitnesses
-	srv.origins.hearsAll = i.hearsAll
 	i.tunnels = newTunnels(srv, i.paths, callerConnections(s.MaxDescriptors))
 	m.Set("instance_load_ratio", i.loadMetric())
 	m.Set("directory_weights", i.weightsMetric())
--- a/internal/hosted/origins.go
+++ b/internal/hosted/origins.go
@@ -31,10 +31,10 @@
 	metrics *metrics.Metrics
 	log     hclog.Logger
 	// holders lists the instances to which the record of a stream is given, witnesses those that are asked for it.
-	// hearsAll reports whether this instance hears from all others that it knows.
-	holders, witnesses func(stream string) []string
-	hearsAll           func() bool
-	send               func(to string, m msg.Message)
+	// complete is false if others may have it that can't be asked.
+	holders   func(stream string) []string
+	witnesses func(stream string) (names []string, complete bool)
+	send      func(to string, m msg.Message)
 
 	// mu guards the records, the number of the last message, and where responses are awaited, by number.
 	mu         sync.Mutex
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -51,16 +51,10 @@
 	return names
 }
 
-// originWitnesses lists the instances that are asked for the record of a stream.
-func (i *Instance) originWitnesses(stream string) (names []string) {
-	i.peers.with(func(_ time.Time, v *fleet.Fleet) { names = v.OriginWitnesses(stream) })
-	return names
-}
-
-// hearsAll reports whether this instance hears from all others that it knows.
-func (i *Instance) hearsAll() (all bool) {
-	i.peers.with(func(now time.Time, v *fleet.Fleet) { all = v.HearsAll(now) })
-	return all
+// originWitnesses lists the instances that are asked for the record of a stream. complete is false if others may have it.
+func (i *Instance) originWitnesses(stream string) (names []string, complete bool) {
+	i.peers.with(func(now time.Time, v *fleet.Fleet) { names, complete = v.OriginWitnesses(now, stream) })
+	return names, complete
 }
 
 // sendAny sends a message to any instance, including this one.
--- a/internal/hosted/takeup.go
+++ b/internal/hosted/takeup.go
@@ -85,7 +85,7 @@
 	if found.source != "" {
 		return found
 	}
-	if agreed == "" || !o.hearsAll() {
+	if agreed == "" {
 		if !x.couldProveOrigin() || !x.awaitConfirmed(arrived) {
 			return found
 		}
@@ -100,10 +100,10 @@
 }
 
 // askOthers asks the instances that may have the record of a stream. It returns the first record, or, if none has
-// one, the sole software that all of them state; "" if they do not agree, or not all have responded.
+// one, the sole software that all of them state; "" if they do not agree, or not all could be asked and have responded.
 func (x *exchange) askOthers(key origin.Key) (found foundOrigin, agreed string) {
 	o := x.server.origins
-	asked := o.witnesses(streamName(key))
+	asked, complete := o.witnesses(streamName(key))
 	responses := make(chan originResponse, len(asked))
 	o.mu.Lock()
 	o.lastNumber++
@@ -144,7 +144,7 @@
 			return found, ""
 		}
 	}
-	if len(stated) != 1 {
+	if !complete || len(stated) != 1 {
 		return found, ""
 	}
 	return found, agreed
